--- /dev/null
+++ b/src/core/admission.rs
@@ -0,0 +1,270 @@
+//! What is accepted, what is refused, and cancellation.
+
+use super::{
+    AccountKey,
+    Cell,
+    ClassKey,
+    Effect,
+    Job,
+    JobId,
+    JobKey,
+    JobState,
+    Refusal,
+    RefusalReason,
+    StopKind,
+    Submission,
+    Worker,
+    cell::Due,
+    queue::GroupKey,
+    region, //
+};
+use crate::ledger::{
+    ChangeKind,
+    OutcomeCode, //
+};
+
+/// When a caller refused for a full queue may ask again.
+const FULL_RETRY_AFTER_MS: u64 = 5_000;
+
+impl Cell {
+    pub(super) fn submit(&mut self, token: u64, submission: Submission) {
+        let (account, class) = match self.resolve(&submission) {
+            Ok(found) => found,
+            Err(reason) => return self.refuse(token, reason, 0),
+        };
+        // The first answer to this key was lost or the caller was impatient:
+        // the key finds the job that the first submission made.
+        let name = (account, submission.idempotency_key.clone());
+        if let Some(job) = self.by_key.get(&name).and_then(|&key| self.jobs.get(key)) {
+            if job.submission != submission {
+                return self.refuse(token, RefusalReason::KeyReused, 0);
+            }
+            let job = job.id;
+            return self.effects.push(Effect::Accepted { token, job });
+        }
+        let id = JobId::new(self.epoch, self.next_sequence);
+        let Some(job) = self.new_job(id, submission, self.now_ms) else {
+            return self.refuse(token, RefusalReason::UnknownClass, 0);
+        };
+        if let Err(refusal) = self.admit(&job, account, class) {
+            return self.effects.push(Effect::Refused { token, refusal });
+        }
+        self.next_sequence += 1;
+        self.persist(ChangeKind::Accepted(job.record()));
+        self.effects.push(Effect::Accepted { token, job: id });
+        let key = self.insert_job(job);
+        self.enqueue(key);
+    }
+
+    fn refuse(&mut self, token: u64, reason: RefusalReason, retry_after_ms: u64) {
+        let refusal = Refusal {
+            reason,
+            retry_after_ms,
+        };
+        self.effects.push(Effect::Refused { token, refusal });
+    }
+
+    fn resolve(&self, submission: &Submission) -> Result<(AccountKey, ClassKey), RefusalReason> {
+        let account = self
+            .account_named(&submission.account)
+            .filter(|key| !self.accounts[key.index()].withdrawn)
+            .ok_or(RefusalReason::UnknownAccount)?;
+        let class = self
+            .class_named(&submission.class)
+            .filter(|key| !self.classes[key.index()].withdrawn)
+            .ok_or(RefusalReason::UnknownClass)?;
+        Ok((account, class))
+    }
+
+    fn admit(&mut self, job: &Job, account: AccountKey, class: ClassKey) -> Result<(), Refusal> {
+        let refusal = |reason, retry_after_ms| Refusal {
+            reason,
+            retry_after_ms,
+        };
+        if !self.is_possible(job) {
+            return Err(refusal(RefusalReason::ImpossibleShape, 0));
+        }
+        let quota = self.accounts[account.index()]
+            .declaration
+            .quota_accelerators;
+        if job.shape.accelerators() > quota {
+            return Err(refusal(RefusalReason::QuotaTooSmall, 0));
+        }
+        let waiting = self.accounts[account.index()].waiting_jobs;
+        if waiting >= self.accounts[account.index()].declaration.queue_limit {
+            return Err(refusal(
+                RefusalReason::AccountQueueFull,
+                FULL_RETRY_AFTER_MS,
+            ));
+        }
+        if self.classes[class.index()].waiting_jobs >= self.class(class).queue_limit {
+            return Err(refusal(RefusalReason::ClassQueueFull, FULL_RETRY_AFTER_MS));
+        }
+        if self.class(class).refuse_when_late {
+            if let Some(late_ms) = self.expected_lateness_ms(job) {
+                return Err(refusal(RefusalReason::CannotMeetClass, late_ms));
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the shape fits an empty data centre under the guarantees.
+    pub(super) fn is_possible(&mut self, job: &Job) -> bool {
+        let yields = self.may_yield(job);
+        let cached = (job.account, job.shape, yields);
+        if let Some(&possible) = self.possible.get(&cached) {
+            return possible;
+        }
+        let in_pledge = self
+            .pledges
+            .iter()
+            .any(|pledge| pledge.account == job.account && job.shape.fits_within(&pledge.shape));
+        let open = |worker: &Worker| match yields {
+            true => worker.all,
+            false => worker.all & !worker.pledged,
+        };
+        let possible = in_pledge
+            || region::find(&self.fleet, &self.fleet.index_of(open), &job.shape).is_some();
+        self.possible.insert(cached, possible);
+        possible
+    }
+
+    /// By how much the job would miss its class, if it would: it cannot start
+    /// now, and the work ahead of it takes longer than it can wait.
+    fn expected_lateness_ms(&self, job: &Job) -> Option<u64> {
+        if self.find_plan(job).is_some() {
+            return None;
+        }
+        let completion_ms = self.class(job.class).completion_ms;
+        let ahead: u64 = self
+            .classes
+            .iter()
+            .filter(|class| class.declaration.completion_ms <= completion_ms)
+            .map(|class| class.waiting_work)
+            .sum();
+        let capacity: u64 = self
+            .fleet
+            .workers()
+            .filter(|(_, worker)| worker.takes_work())
+            .map(|(_, worker)| u64::from(worker.all.count_ones()))
+            .sum();
+        let wait_ms = ahead / capacity.max(1);
+        let slack_ms = job.latest_start_ms.saturating_sub(self.now_ms);
+        (wait_ms > slack_ms).then(|| wait_ms - slack_ms)
+    }
+
+    /// Whether the job's next attempt may be taken back by a preemption.
+    ///
+    /// A job that must run at most once is never preempted, and neither is one
+    /// that was preempted as often as its class allows: it waits for a place
+    /// that nobody can call back, so that it cannot be put off for ever.
+    pub(super) fn may_yield(&self, job: &Job) -> bool {
+        let class = self.class(job.class);
+        class.reclaimable && job.submission.idempotent && job.preemptions < class.max_preemptions
+    }
+
+    pub(super) fn group_of(&self, job: &Job) -> GroupKey {
+        GroupKey {
+            account: job.account,
+            class: job.class,
+            shape: job.shape,
+            yields: self.may_yield(job),
+        }
+    }
+
+    fn work_of(&self, job: &Job) -> u64 {
+        self.remaining_ms(job) * u64::from(job.shape.accelerators())
+    }
+
+    /// Puts a job into the queue at its latest start.
+    pub(super) fn enqueue(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let expected_ms = self.remaining_ms(job);
+        let latest_start_ms = self.latest_start_ms(job, expected_ms);
+        let (group, work) = (self.group_of(job), self.work_of(job));
+        let (account, class, id) = (job.account, job.class, key);
+        self.queue.insert(group, latest_start_ms, id);
+        self.due
+            .insert((latest_start_ms.max(self.now_ms + 1), key, Due::Late));
+        self.accounts[account.index()].waiting_jobs += 1;
+        self.classes[class.index()].waiting_jobs += 1;
+        self.classes[class.index()].waiting_work += work;
+        let now_ms = self.now_ms;
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.state = JobState::Queued;
+            job.since_ms = now_ms;
+            job.latest_start_ms = latest_start_ms;
+            job.waiting_work = work;
+            job.queued_as = Some(group);
+        }
+        self.changed = true;
+    }
+
+    /// The latest start that still makes the class. A job that is too late for
+    /// that goes behind those that are not, with the next multiple of its
+    /// completion time as its target, so that it is not put off for ever.
+    fn latest_start_ms(&self, job: &Job, expected_ms: u64) -> u64 {
+        let completion_ms = self.class(job.class).completion_ms.max(1);
+        let on_time_ms = job.deadline_ms.saturating_sub(expected_ms);
+        if on_time_ms >= self.now_ms {
+            return on_time_ms;
+        }
+        let periods = (self.now_ms - on_time_ms).div_ceil(completion_ms);
+        on_time_ms + periods * completion_ms
+    }
+
+    /// Takes a job out of the queue; says whether it waited there.
+    pub(super) fn dequeue(&mut self, key: JobKey) -> bool {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return false;
+        };
+        let Some(group) = job.queued_as.take() else {
+            return false;
+        };
+        let (latest_start_ms, work) = (job.latest_start_ms, job.waiting_work);
+        let (account, class) = (job.account, job.class);
+        if !self.queue.remove(group, latest_start_ms, key) {
+            return false;
+        }
+        self.due.remove(&(latest_start_ms, key, Due::Late));
+        self.accounts[account.index()].waiting_jobs -= 1;
+        self.classes[class.index()].waiting_jobs -= 1;
+        let waiting_work = &mut self.classes[class.index()].waiting_work;
+        *waiting_work = waiting_work.saturating_sub(work);
+        true
+    }
+
+    pub(super) fn became_late(&mut self, key: JobKey) {
+        let queued = |job: &Job| job.state == JobState::Queued;
+        if self.jobs.get(key).is_some_and(queued) && self.dequeue(key) {
+            let since_ms = self.jobs.get(key).map_or(0, |job| job.since_ms);
+            self.enqueue(key);
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.since_ms = since_ms;
+            }
+        }
+    }
+
+    pub(super) fn cancel(&mut self, jobs: &[JobId]) {
+        for id in jobs {
+            let Some(&key) = self.by_id.get(id) else {
+                continue;
+            };
+            let Some(state) = self.jobs.get(key).map(|job| job.state) else {
+                continue;
+            };
+            match state {
+                JobState::Ended => {}
+                JobState::Queued => {
+                    self.dequeue(key);
+                    self.end(key, OutcomeCode::CancelledNotRun);
+                }
+                JobState::Backoff { .. } => self.end(key, OutcomeCode::CancelledNotRun),
+                _ => self.stop_gang(key, StopKind::Cancel),
+            }
+        }
+        self.changed = true;
+    }
+}
--- /dev/null
+++ b/src/core/cell.rs
@@ -0,0 +1,385 @@
+//! The state of one data centre and the way commands change it.
+
+use super::{
+    Account,
+    AccountKey,
+    Arena,
+    ClassKey,
+    Command,
+    Effect,
+    Estimator,
+    Fleet,
+    Job,
+    JobId,
+    JobKey,
+    JobState,
+    Pledge,
+    Shape,
+    Shortfall,
+    Submission,
+    Worker,
+    WorkerHealth,
+    WorkerSpec,
+    backfill::KeptGang,
+    queue::Queue, //
+};
+use crate::config::{
+    ClassDeclaration,
+    Configuration,
+    Weights, //
+};
+use std::collections::{
+    BTreeSet,
+    HashMap, //
+};
+
+/// Bounds of the decision core; the defaults are what the daemon runs with.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Failures after which a job is given up.
+    pub max_failures: u32,
+    /// Different healthy workers on which a job may fail.
+    pub max_failed_workers: usize,
+    /// Time for all members of a gang to confirm.
+    pub start_timeout_ms: u64,
+    /// How long an ended job is remembered, and with it its idempotency key.
+    pub retention_ms: u64,
+    /// Different jobs failing in a row that quarantine a worker.
+    pub quarantine_failures: usize,
+    /// First length of a quarantine.
+    pub quarantine_ms: u64,
+    /// Gangs for which workers are kept at a time.
+    pub kept_gangs: usize,
+    /// Groups of waiting jobs tried in one pass.
+    pub groups_per_pass: usize,
+    /// First wait before a failed job is tried again.
+    pub backoff_ms: u64,
+    /// Longest such wait.
+    pub max_backoff_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_failures: 5,
+            max_failed_workers: 3,
+            start_timeout_ms: 10_000,
+            retention_ms: 24 * 3_600_000,
+            quarantine_failures: 3,
+            quarantine_ms: 60_000,
+            kept_gangs: 4,
+            groups_per_pass: 64,
+            backoff_ms: 200,
+            max_backoff_ms: 30_000,
+        }
+    }
+}
+
+/// A class as the cell keeps it.
+#[derive(Clone, Debug)]
+pub(super) struct Class {
+    pub declaration: ClassDeclaration,
+    pub withdrawn: bool,
+    pub waiting_jobs: u32,
+    /// Estimated accelerator-milliseconds of its waiting jobs.
+    pub waiting_work: u64,
+}
+
+/// Something that becomes due for a job.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Due {
+    /// The backoff is over.
+    Retry,
+    /// The gang should have confirmed by now.
+    StartTimeout { attempt: u32 },
+    /// The latest start has passed.
+    Late,
+    /// The retention is over.
+    Forget,
+}
+
+/// One data centre: workers, accounts, jobs and the witness.
+#[derive(Debug, Default)]
+pub struct Cell {
+    pub(super) data_centre: String,
+    pub(super) epoch: u64,
+    pub(super) next_sequence: u32,
+    pub(super) now_ms: u64,
+    pub(super) configuration_version: u64,
+    pub(super) weights: Weights,
+    pub(super) limits: Limits,
+    pub(super) classes: Vec<Class>,
+    pub(super) accounts: Vec<Account>,
+    pub(super) account_index: HashMap<String, AccountKey>,
+    pub(super) fleet: Fleet,
+    pub(super) pledges: Vec<Pledge>,
+    pub(super) reported_shortfalls: Vec<Shortfall>,
+    pub(super) jobs: Arena<Job>,
+    pub(super) by_id: HashMap<JobId, JobKey>,
+    pub(super) by_key: HashMap<(AccountKey, String), JobKey>,
+    pub(super) queue: Queue,
+    pub(super) kept: Vec<KeptGang>,
+    pub(super) estimator: Estimator,
+    pub(super) due: BTreeSet<(u64, JobKey, Due)>,
+    pub(super) possible: HashMap<(AccountKey, Shape, bool), bool>,
+    /// Accelerators of workers that take work, outside every pledge.
+    pub(super) surplus_size: u32,
+    pub(super) effects: Vec<Effect>,
+    pub(super) changed: bool,
+}
+
+impl Cell {
+    /// An empty cell for `data_centre` whose jobs carry `epoch`.
+    pub fn new(data_centre: &str, epoch: u64, limits: Limits) -> Self {
+        Self {
+            data_centre: data_centre.to_owned(),
+            epoch,
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Changes the state as `command` says and decides what follows.
+    pub fn apply(&mut self, command: Command, now_ms: u64) -> Vec<Effect> {
+        self.now_ms = self.now_ms.max(now_ms);
+        match command {
+            Command::Configure(configuration) => self.configure(&configuration),
+            Command::Workers(workers) => self.set_workers(workers),
+            Command::Recover(jobs) => self.recover(jobs),
+            Command::Submit { token, submission } => self.submit(token, submission),
+            Command::Cancel(jobs) => self.cancel(&jobs),
+            Command::Member(report) => self.member_report(report),
+            Command::WorkerLeaving(name) => self.worker_leaving(&name),
+            Command::WorkerLost(name) => self.worker_lost(&name),
+            Command::WorkerReturned(name) => self.worker_returned(&name),
+            Command::Tick => self.tick(),
+        }
+        if std::mem::take(&mut self.changed) {
+            self.schedule();
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn configure(&mut self, configuration: &Configuration) {
+        // A configuration never reverts: a late or repeated older version, as
+        // a lagging watch may deliver, is passed over.
+        if configuration.version <= self.configuration_version && !self.classes.is_empty() {
+            return;
+        }
+        self.configuration_version = configuration.version;
+        self.weights = configuration.declaration.weights;
+        for class in &mut self.classes {
+            class.withdrawn = true;
+        }
+        for declaration in &configuration.declaration.classes {
+            match self.class_named(&declaration.name) {
+                Some(key) => {
+                    let class = &mut self.classes[key.index()];
+                    class.declaration = declaration.clone();
+                    class.withdrawn = false;
+                }
+                None => self.classes.push(Class {
+                    declaration: declaration.clone(),
+                    withdrawn: false,
+                    waiting_jobs: 0,
+                    waiting_work: 0,
+                }),
+            }
+        }
+        self.configure_accounts(configuration);
+        self.declare_pledges(&configuration.declaration);
+        self.topology_changed();
+    }
+
+    fn configure_accounts(&mut self, configuration: &Configuration) {
+        for account in &mut self.accounts {
+            account.withdrawn = true;
+        }
+        for declaration in &configuration.declaration.accounts {
+            match self.account_named(&declaration.name) {
+                Some(key) => {
+                    let account = &mut self.accounts[key.index()];
+                    account.declaration = declaration.clone();
+                    account.withdrawn = false;
+                }
+                None => {
+                    let key = AccountKey(self.accounts.len() as u16);
+                    self.accounts
+                        .push(Account::new(declaration.clone(), self.now_ms));
+                    self.account_index.insert(declaration.name.clone(), key);
+                }
+            }
+        }
+    }
+
+    fn set_workers(&mut self, mut workers: Vec<WorkerSpec>) {
+        workers.sort_by(|a, b| (&a.rack, &a.name).cmp(&(&b.rack, &b.name)));
+        for spec in &workers {
+            self.fleet.add(&spec.name, &spec.rack, spec.accelerators);
+        }
+        self.fleet.reindex();
+        for spec in workers.iter().filter(|spec| spec.leaving) {
+            self.worker_leaving(&spec.name);
+        }
+        self.topology_changed();
+        self.place_pledges();
+    }
+
+    /// Forgets what was concluded from the workers, pledges and limits of
+    /// before, and tries every waiting job again.
+    pub(super) fn topology_changed(&mut self) {
+        self.possible.clear();
+        let in_surplus = |worker: &Worker| match worker.takes_work() {
+            true => (worker.all & !worker.pledged).count_ones(),
+            false => 0,
+        };
+        self.surplus_size = self.fleet.workers().map(|(_, w)| in_surplus(w)).sum();
+        self.queue.unblock_all();
+        self.changed = true;
+    }
+
+    fn tick(&mut self) {
+        while let Some(&(due_ms, key, due)) = self.due.first() {
+            if due_ms > self.now_ms {
+                break;
+            }
+            self.due.pop_first();
+            match due {
+                Due::Retry => self.retry_due(key),
+                Due::StartTimeout { attempt } => self.start_timeout(key, attempt),
+                Due::Late => self.became_late(key),
+                Due::Forget => self.forget(key),
+            }
+        }
+        self.end_quarantines();
+        self.review_kept();
+        self.place_pledges();
+        self.queue.unblock_all();
+        self.changed = true;
+    }
+
+    fn forget(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&job.id);
+        let name = (job.account, job.submission.idempotency_key);
+        self.by_key.remove(&name);
+        self.persist(crate::ledger::ChangeKind::Forgotten(job.id.0));
+    }
+
+    pub(super) fn persist(&mut self, change: crate::ledger::ChangeKind) {
+        self.effects.push(Effect::Persist(change.into()));
+    }
+
+    pub(super) fn account_named(&self, name: &str) -> Option<AccountKey> {
+        self.account_index.get(name).copied()
+    }
+
+    pub(super) fn class_named(&self, name: &str) -> Option<ClassKey> {
+        self.classes
+            .iter()
+            .position(|class| class.declaration.name == name)
+            .map(|at| ClassKey(at as u8))
+    }
+
+    pub(super) fn class(&self, key: ClassKey) -> &ClassDeclaration {
+        &self.classes[key.index()].declaration
+    }
+
+    /// The run time still ahead of a job, corrected by what was learned.
+    pub(super) fn remaining_ms(&self, job: &Job) -> u64 {
+        self.estimator
+            .corrected_ms(job.account, job.class, job.submission.declared_run_ms)
+            .saturating_sub(job.progress_ms)
+    }
+
+    /// Takes a new job into the arena; used for submissions and recovery.
+    pub(super) fn new_job(
+        &mut self,
+        id: JobId,
+        submission: Submission,
+        accepted_ms: u64,
+    ) -> Option<Job> {
+        let account = self.account_named(&submission.account)?;
+        let class = self.class_named(&submission.class)?;
+        let deadline_ms = accepted_ms + self.class(class).completion_ms;
+        let expected_ms = self
+            .estimator
+            .corrected_ms(account, class, submission.declared_run_ms);
+        Some(Job {
+            id,
+            shape: submission.shape(),
+            submission,
+            account,
+            class,
+            accepted_ms,
+            deadline_ms,
+            latest_start_ms: deadline_ms.saturating_sub(expected_ms),
+            state: JobState::Queued,
+            since_ms: self.now_ms,
+            attempt: 0,
+            members: Vec::new(),
+            pledge: None,
+            yields: false,
+            progress_ms: 0,
+            stopped_progress_ms: None,
+            running_ms: 0,
+            first_running_ms: None,
+            preemptions: 0,
+            failures: 0,
+            failed_workers: Vec::new(),
+            queued_as: None,
+            waiting_work: 0,
+            answer: None,
+            outcome: crate::ledger::OutcomeCode::None,
+            ended_ms: 0,
+        })
+    }
+
+    pub(super) fn insert_job(&mut self, job: Job) -> JobKey {
+        let (id, account) = (job.id, job.account);
+        let name = job.submission.idempotency_key.clone();
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        self.by_key.insert((account, name), key);
+        key
+    }
+
+    /// The version of the configuration in force here.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration_version
+    }
+
+    /// The workers.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The jobs, ended ones included while they are remembered.
+    pub fn jobs(&self) -> impl Iterator<Item = (JobKey, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// The job of `id`.
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.by_id.get(&id).and_then(|&key| self.jobs.get(key))
+    }
+
+    /// The client accounts, withdrawn ones included.
+    pub fn accounts(&self) -> &[Account] {
+        &self.accounts
+    }
+
+    /// Number of jobs that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether any worker takes work.
+    pub fn has_healthy_worker(&self) -> bool {
+        self.fleet
+            .workers()
+            .any(|(_, worker)| worker.health == WorkerHealth::Healthy)
+    }
+}
--- /dev/null
+++ b/src/core/gang.rs
@@ -0,0 +1,552 @@
+//! The life of a gang: reserved on every member, started on every member,
+//! running only when all have confirmed, and ended as a whole.
+
+use super::{
+    AcceleratorMask,
+    Cell,
+    Effect,
+    Job,
+    JobKey,
+    JobState,
+    MemberEvent,
+    MemberReport,
+    MemberState,
+    Outcome,
+    RetryReason,
+    StopKind,
+    WorkerKey,
+    cell::Due, //
+};
+use crate::ledger::{
+    AnswerRecord,
+    ChangeKind,
+    EndedChange,
+    MemberRecord,
+    OutcomeCode,
+    RequeuedChange,
+    StartingChange, //
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+impl Cell {
+    /// Begins the reservations once no claimed accelerator is missing.
+    pub(super) fn reserve_if_held(&mut self, key: JobKey) {
+        let now_ms = self.now_ms;
+        let start_timeout_ms = self.limits.start_timeout_ms;
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let whole = job.members.iter().all(|member| member.held == member.mask);
+        if job.state != JobState::Claiming || !whole {
+            return;
+        }
+        job.attempt += 1;
+        job.state = JobState::Reserving;
+        job.since_ms = now_ms;
+        job.stopped_progress_ms = None;
+        for member in &mut job.members {
+            member.state = MemberState::Reserving;
+        }
+        let attempt = job.attempt_id();
+        let change = StartingChange {
+            id: job.id.0,
+            attempt: job.attempt,
+            members: job
+                .members
+                .iter()
+                .map(|member| MemberRecord {
+                    worker: self.fleet.worker(member.worker).name.clone(),
+                    mask: u32::from(member.mask),
+                })
+                .collect(),
+            starting_ms: now_ms,
+        };
+        let due = Due::StartTimeout {
+            attempt: job.attempt,
+        };
+        self.due.insert((now_ms + start_timeout_ms, key, due));
+        self.effects
+            .push(Effect::Persist(ChangeKind::Starting(change).into()));
+        self.effects
+            .extend(job.members.iter().map(|member| Effect::Reserve {
+                attempt,
+                worker: member.worker,
+                mask: member.mask,
+            }));
+    }
+
+    /// Takes in news of a member; news of an attempt that is over is dropped
+    /// and, if its task still runs, the task is stopped.
+    pub(super) fn member_report(&mut self, report: MemberReport) {
+        let Some(worker) = self.fleet.find(&report.worker) else {
+            return;
+        };
+        let current = self.by_id.get(&report.attempt.job).copied().filter(|&key| {
+            self.jobs.get_mut(key).is_some_and(|job| {
+                job.attempt == report.attempt.attempt && job.member_on(worker).is_some()
+            })
+        });
+        let Some(key) = current else {
+            let alive = matches!(report.event, MemberEvent::Reserved | MemberEvent::Started);
+            if alive {
+                self.effects.push(Effect::Stop {
+                    attempt: report.attempt,
+                    worker,
+                    grace_ms: 0,
+                });
+            }
+            return;
+        };
+        self.member_event(key, worker, report.event);
+        self.changed = true;
+    }
+
+    fn member_event(&mut self, key: JobKey, worker: WorkerKey, event: MemberEvent) {
+        match event {
+            MemberEvent::Reserved => self.member_reserved(key, worker),
+            MemberEvent::Started => self.member_started(key, worker),
+            MemberEvent::Finished(answer) => self.member_finished(key, worker, answer),
+            MemberEvent::ReserveRefused => {
+                self.member_gone(key, worker, false);
+                self.fail_gang(key, RetryReason::ReserveRefused);
+            }
+            MemberEvent::StartRefused => {
+                self.blame(key, worker);
+                self.member_gone(key, worker, false);
+                self.fail_gang(key, RetryReason::StartRefused);
+            }
+            MemberEvent::Failed => {
+                self.blame(key, worker);
+                self.member_gone(key, worker, true);
+                self.fail_gang(key, RetryReason::TaskFailed);
+            }
+            MemberEvent::Stopped { progress_ms } => self.member_stopped(key, worker, progress_ms),
+            MemberEvent::NotBegun => {
+                self.member_gone(key, worker, false);
+                self.after_loss(key, RetryReason::FoundNotBegun);
+            }
+            MemberEvent::Unknown | MemberEvent::Vanished => {
+                self.member_gone(key, worker, true);
+                self.after_loss(key, RetryReason::WorkerLost);
+            }
+        }
+    }
+
+    fn member_reserved(&mut self, key: JobKey, worker: WorkerKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.state != JobState::Reserving {
+            return;
+        }
+        if let Some(member) = job.member_on(worker) {
+            member.state = MemberState::Reserved;
+        }
+        if job.all_members(MemberState::Reserved) {
+            self.start_members(key);
+        }
+    }
+
+    fn start_members(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.state = JobState::Starting;
+        let (attempt, progress_ms) = (job.attempt_id(), job.progress_ms);
+        for member in &mut job.members {
+            member.state = MemberState::Starting;
+            member.may_have_begun = true;
+            self.effects.push(Effect::Start {
+                attempt,
+                worker: member.worker,
+                progress_ms,
+                payload: job.submission.payload.clone(),
+            });
+        }
+    }
+
+    fn member_started(&mut self, key: JobKey, worker: WorkerKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let expected = matches!(job.state, JobState::Starting | JobState::Recovering);
+        if let Some(member) = job.member_on(worker).filter(|_| expected) {
+            member.state = MemberState::Running;
+            member.may_have_begun = true;
+        }
+        match job.state {
+            JobState::Starting => self.run_if_whole(key),
+            JobState::Recovering => self.settle_recovery(key),
+            _ => {}
+        }
+    }
+
+    pub(super) fn run_if_whole(&mut self, key: JobKey) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let confirmed = |state| matches!(state, MemberState::Running | MemberState::Finished);
+        if !job.members.iter().all(|member| confirmed(member.state)) {
+            return;
+        }
+        if job.state != JobState::Running {
+            job.state = JobState::Running;
+            job.since_ms = now_ms;
+            job.running_ms = now_ms;
+            job.first_running_ms.get_or_insert(now_ms);
+        }
+        if job.all_members(MemberState::Finished) {
+            self.serve(key);
+        }
+    }
+
+    fn member_finished(&mut self, key: JobKey, worker: WorkerKey, answer: AnswerRecord) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let Some(at) = job
+            .members
+            .iter()
+            .position(|member| member.worker == worker && member.state != MemberState::Gone)
+        else {
+            return;
+        };
+        if job.members[at].state == MemberState::Finished {
+            return;
+        }
+        job.members[at].state = MemberState::Finished;
+        job.members[at].may_have_begun = true;
+        // The answer of a gang is that of its first member.
+        if at == 0 {
+            job.answer = Some(answer);
+        }
+        self.fleet
+            .update(worker, |worker| worker.failed_jobs.clear());
+        self.free_member(key, at);
+        let state = self.jobs.get(key).map(|job| job.state);
+        match state {
+            Some(JobState::Starting | JobState::Running) => self.run_if_whole(key),
+            Some(JobState::Recovering) => self.settle_recovery(key),
+            Some(JobState::Stopping(_)) => self.settle_stop(key),
+            _ => {}
+        }
+    }
+
+    fn serve(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get(key) {
+            let ran_ms = self.now_ms.saturating_sub(job.running_ms) + job.progress_ms;
+            let declared_ms = job.submission.declared_run_ms;
+            self.estimator
+                .learn(job.account, job.class, declared_ms, ran_ms);
+        }
+        self.end(key, OutcomeCode::Served);
+    }
+
+    fn member_stopped(&mut self, key: JobKey, worker: WorkerKey, progress_ms: u64) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            let least = job
+                .stopped_progress_ms
+                .map_or(progress_ms, |p| p.min(progress_ms));
+            job.stopped_progress_ms = Some(least);
+        }
+        self.member_gone_keeping_begun(key, worker);
+        self.after_loss(key, RetryReason::StartTimeout);
+    }
+
+    /// What the loss of a member means, by where its job stands.
+    pub(super) fn after_loss(&mut self, key: JobKey, reason: RetryReason) {
+        match self.jobs.get(key).map(|job| job.state) {
+            Some(JobState::Stopping(_)) => self.settle_stop(key),
+            Some(JobState::Recovering) => self.settle_recovery(key),
+            Some(JobState::Ended) | None => {}
+            Some(_) => self.fail_gang(key, reason),
+        }
+    }
+
+    /// Marks the member on `worker` gone and frees its accelerators.
+    pub(super) fn member_gone(&mut self, key: JobKey, worker: WorkerKey, may_have_begun: bool) {
+        if let Some(member) = self.jobs.get_mut(key).and_then(|job| job.member_on(worker)) {
+            member.may_have_begun = may_have_begun;
+        }
+        self.member_gone_keeping_begun(key, worker);
+    }
+
+    fn member_gone_keeping_begun(&mut self, key: JobKey, worker: WorkerKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let at = job
+            .members
+            .iter()
+            .position(|member| member.worker == worker && member.state != MemberState::Gone);
+        if let Some(at) = at {
+            job.members[at].state = MemberState::Gone;
+            self.free_member(key, at);
+        }
+    }
+
+    /// Frees what a member holds; claimed accelerators pass to their claimant.
+    pub(super) fn free_member(&mut self, key: JobKey, at: usize) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let held = std::mem::take(&mut job.members[at].held);
+        let (worker, account) = (job.members[at].worker, job.account);
+        let surplus = job.pledge.is_none();
+        let (passed, free) = self.fleet.update(worker, |worker| {
+            worker.unclaim(key);
+            let passed = worker.release(held);
+            (passed, worker.free.count_ones() as u16)
+        });
+        let account = &mut self.accounts[account.index()];
+        account.used_accelerators -= held.count_ones();
+        if surplus {
+            account.surplus_accelerators -= held.count_ones();
+        }
+        self.queue.unblock(free);
+        self.changed = true;
+        for (claimant, mask) in passed {
+            self.receive_claimed(claimant, worker, mask);
+        }
+    }
+
+    fn receive_claimed(&mut self, key: JobKey, worker: WorkerKey, mask: AcceleratorMask) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let (account, surplus, yields) = (job.account, job.pledge.is_none(), job.yields);
+        if let Some(member) = job.member_on(worker) {
+            member.held |= mask;
+        }
+        self.fleet
+            .update(worker, |worker| worker.set_yielding(key, yields));
+        self.charge(account, mask.count_ones(), surplus);
+        self.reserve_if_held(key);
+    }
+
+    /// Ends an attempt that cannot become or stay whole.
+    pub(super) fn fail_gang(&mut self, key: JobKey, reason: RetryReason) {
+        self.stop_gang(key, StopKind::Failure(reason));
+    }
+
+    /// Stops every member; the job goes on when all are gone.
+    pub(super) fn stop_gang(&mut self, key: JobKey, kind: StopKind) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        match job.state {
+            JobState::Ended | JobState::Queued | JobState::Backoff { .. } => return,
+            // Cancelling what is stopping for another reason changes how it
+            // ends; any other second reason changes nothing.
+            JobState::Stopping(_) if kind != StopKind::Cancel => return,
+            JobState::Stopping(_) => {
+                job.state = JobState::Stopping(kind);
+                return;
+            }
+            _ => {}
+        }
+        let claiming = job.state == JobState::Claiming;
+        job.state = JobState::Stopping(kind);
+        job.since_ms = self.now_ms;
+        if claiming {
+            self.unclaim_all(key);
+        } else {
+            self.tell_members_to_stop(key, kind);
+        }
+        self.settle_stop(key);
+    }
+
+    fn unclaim_all(&mut self, key: JobKey) {
+        let count = self.jobs.get(key).map_or(0, |job| job.members.len());
+        for at in 0..count {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.members[at].state = MemberState::Gone;
+            }
+            self.free_member(key, at);
+        }
+    }
+
+    fn tell_members_to_stop(&mut self, key: JobKey, kind: StopKind) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let attempt = job.attempt_id();
+        let grace_ms = match kind {
+            StopKind::Preempt => self.classes[job.class.index()].declaration.grace_ms,
+            StopKind::Cancel | StopKind::Failure(_) => 0,
+        };
+        for member in &mut job.members {
+            if matches!(member.state, MemberState::Gone | MemberState::Finished) {
+                continue;
+            }
+            member.state = MemberState::Stopping;
+            self.effects.push(Effect::Stop {
+                attempt,
+                worker: member.worker,
+                grace_ms,
+            });
+        }
+    }
+
+    fn settle_stop(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let over = |state| matches!(state, MemberState::Gone | MemberState::Finished);
+        if !job.members.iter().all(|member| over(member.state)) {
+            return;
+        }
+        let JobState::Stopping(kind) = job.state else {
+            return;
+        };
+        // All members finished before the stop reached them: the job is whole.
+        let whole = !job.members.is_empty() && job.all_members(MemberState::Finished);
+        match kind {
+            _ if whole => self.serve(key),
+            StopKind::Cancel => self.end_cancelled(key),
+            StopKind::Preempt => self.requeue_preempted(key),
+            StopKind::Failure(reason) => self.conclude_failure(key, reason),
+        }
+    }
+
+    fn end_cancelled(&mut self, key: JobKey) {
+        let begun = self.jobs.get(key).is_some_and(Job::may_have_begun);
+        self.end(
+            key,
+            match begun {
+                true => OutcomeCode::Cancelled,
+                false => OutcomeCode::CancelledNotRun,
+            },
+        );
+    }
+
+    fn requeue_preempted(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            let begun = job.may_have_begun();
+            job.preemptions += u32::from(begun);
+            job.progress_ms = job.progress_ms.max(job.stopped_progress_ms.unwrap_or(0));
+        }
+        self.requeue(key, RetryReason::Preempted);
+        self.enqueue(key);
+    }
+
+    fn conclude_failure(&mut self, key: JobKey, reason: RetryReason) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        // Guards "at most once": the caller would see a non-idempotent job's
+        // effects twice if an attempt that may have begun were started again.
+        // The member flags say whether a start was ever sent and not refused.
+        if job.may_have_begun() && !job.submission.idempotent {
+            let code = match reason {
+                RetryReason::TaskFailed => OutcomeCode::Failed,
+                _ => OutcomeCode::MayHaveRun,
+            };
+            return self.end(key, code);
+        }
+        let own_fault = matches!(reason, RetryReason::TaskFailed | RetryReason::StartRefused);
+        job.failures += u32::from(own_fault);
+        let (failures, failed_on) = (job.failures, job.failed_workers.len());
+        if own_fault && failed_on >= self.limits.max_failed_workers {
+            self.exonerate_workers(key);
+            return self.end(key, OutcomeCode::UnableToRun);
+        }
+        if failures >= self.limits.max_failures {
+            return self.end(key, OutcomeCode::Failed);
+        }
+        self.requeue(key, reason);
+        match reason {
+            RetryReason::WorkerLost | RetryReason::FoundNotBegun | RetryReason::FoundPartial => {
+                self.enqueue(key);
+            }
+            _ => self.back_off(key),
+        }
+    }
+
+    fn requeue(&mut self, key: JobKey, reason: RetryReason) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.members.clear();
+        job.pledge = None;
+        job.yields = false;
+        job.answer = None;
+        let change = RequeuedChange {
+            id: job.id.0,
+            progress_ms: job.progress_ms,
+            preemptions: job.preemptions,
+            failures: job.failures,
+        };
+        let job = job.id;
+        self.persist(ChangeKind::Requeued(change));
+        self.effects.push(Effect::Retried { job, reason });
+    }
+
+    /// Waits before the next attempt: exponentially longer, with jitter, and
+    /// at least until the account's retry budget allows it.
+    fn back_off(&mut self, key: JobKey) {
+        let (now_ms, limits) = (self.now_ms, self.limits);
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let doubled = limits.backoff_ms << job.failures.min(16);
+        let longest_ms = doubled.min(limits.max_backoff_ms);
+        let seed =
+            xxh3_64(&[job.id.0.to_le_bytes(), u64::from(job.attempt).to_le_bytes()].concat());
+        let jittered_ms = longest_ms / 2 + seed % (longest_ms / 2).max(1);
+        let budget = self.accounts[job.account.index()].take_retry(now_ms);
+        let until_ms = now_ms + jittered_ms.max(budget.err().unwrap_or(0));
+        job.state = JobState::Backoff { until_ms };
+        job.since_ms = now_ms;
+        self.due.insert((until_ms, key, Due::Retry));
+    }
+
+    pub(super) fn retry_due(&mut self, key: JobKey) {
+        let due = |job: &Job| matches!(job.state, JobState::Backoff { until_ms } if until_ms <= self.now_ms);
+        if self.jobs.get(key).is_some_and(due) {
+            self.enqueue(key);
+        }
+    }
+
+    pub(super) fn start_timeout(&mut self, key: JobKey, attempt: u32) {
+        let stuck = |job: &Job| {
+            job.attempt == attempt && matches!(job.state, JobState::Reserving | JobState::Starting)
+        };
+        if self.jobs.get(key).is_some_and(stuck) {
+            self.fail_gang(key, RetryReason::StartTimeout);
+        }
+    }
+
+    /// Ends a job for good.
+    pub(super) fn end(&mut self, key: JobKey, code: OutcomeCode) {
+        let now_ms = self.now_ms;
+        let retention_ms = self.limits.retention_ms;
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.state = JobState::Ended;
+        job.since_ms = now_ms;
+        job.outcome = code;
+        job.ended_ms = now_ms;
+        job.members.clear();
+        job.pledge = None;
+        if code != OutcomeCode::Served {
+            job.answer = None;
+        }
+        let change = EndedChange {
+            id: job.id.0,
+            outcome: code as i32,
+            ended_ms: now_ms,
+            answer: job.answer.clone(),
+        };
+        let outcome = Outcome {
+            code,
+            answer: job.answer.clone(),
+        };
+        let job = job.id;
+        self.due.insert((now_ms + retention_ms, key, Due::Forget));
+        self.persist(ChangeKind::Ended(change));
+        self.effects.push(Effect::Ended { job, outcome });
+    }
+}
--- /dev/null
+++ b/src/core/keys.rs
@@ -0,0 +1,85 @@
+//! Small `Copy` keys into the arenas of a cell, and the identity of a job.
+
+use std::fmt;
+
+/// Identity of a job within its cell: the epoch of the owner that accepted it
+/// and a sequence number, so that two owners never mint the same one.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct JobId(pub u64);
+
+impl JobId {
+    const SEQUENCE_BITS: u32 = 32;
+
+    /// Builds an identity from the owner's `epoch` and its `sequence`.
+    pub fn new(epoch: u64, sequence: u32) -> Self {
+        Self(epoch << Self::SEQUENCE_BITS | u64::from(sequence))
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Key of a job in the cell's job arena; goes stale when the job is forgotten.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct JobKey {
+    pub(super) index: u32,
+    pub(super) generation: u32,
+}
+
+/// Index of a worker in the fleet.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WorkerKey(pub u32);
+
+/// Index of a rack; racks with consecutive keys are neighbours.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RackKey(pub u32);
+
+/// Index of a client account.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AccountKey(pub u16);
+
+/// Index of a class of work.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ClassKey(pub u8);
+
+/// Index of a pledge, one instance of a guaranteed shape.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PledgeKey(pub u16);
+
+impl WorkerKey {
+    /// The key as an index into a slice.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+impl RackKey {
+    /// The key as an index into a slice.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+impl AccountKey {
+    /// The key as an index into a slice.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+impl ClassKey {
+    /// The key as an index into a slice.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+impl PledgeKey {
+    /// The key as an index into a slice.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,99 @@
+//! The decision core: pure, single-threaded, without I/O and without a clock.
+//!
+//! A [`Cell`] is the state of one data centre. [`Cell::apply`] takes a
+//! [`Command`] and the current time and returns the [`Effect`]s that the owner
+//! has to carry out. The daemon, the differential tests and the fault matrix
+//! all run this same code.
+
+mod account;
+mod admission;
+mod arena;
+mod backfill;
+mod bitset;
+mod cell;
+mod command;
+mod effect;
+mod estimate;
+mod explain;
+mod fleet;
+mod fragmentation;
+mod gang;
+mod health;
+mod index;
+mod job;
+mod keys;
+mod placement;
+mod pledge;
+mod queue;
+mod reclaim;
+mod recovery;
+mod region;
+mod schedule;
+mod shape;
+mod worker;
+
+pub use account::Account;
+pub use arena::Arena;
+pub use bitset::BitSet;
+pub use cell::{
+    Cell,
+    Limits, //
+};
+pub use command::{
+    Command,
+    MemberEvent,
+    MemberReport,
+    Submission,
+    WorkerSpec, //
+};
+pub use effect::{
+    Effect,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    RetryReason,
+    StopKind, //
+};
+pub use estimate::Estimator;
+pub use explain::{
+    AccountReport,
+    JobReport,
+    WaitReason,
+    WorkerReport, //
+};
+pub use fleet::{
+    Fleet,
+    View, //
+};
+pub use index::Index;
+pub use job::{
+    AttemptId,
+    Job,
+    JobState,
+    Member,
+    MemberState, //
+};
+pub use keys::{
+    AccountKey,
+    ClassKey,
+    JobId,
+    JobKey,
+    PledgeKey,
+    RackKey,
+    WorkerKey, //
+};
+pub use pledge::{
+    Pledge,
+    Shortfall, //
+};
+pub use recovery::RecoveredJob;
+pub use shape::{
+    Adjacency,
+    Shape, //
+};
+pub use worker::{
+    AcceleratorMask,
+    MAX_ACCELERATORS_PER_WORKER,
+    Worker,
+    WorkerHealth, //
+};
--- /dev/null
+++ b/src/core/placement.rs
@@ -0,0 +1,146 @@
+//! Choosing where a gang goes, by one score with two weights.
+
+use super::{
+    Cell,
+    Fleet,
+    Index,
+    Job,
+    JobKey,
+    PledgeKey,
+    View,
+    Worker,
+    WorkerKey,
+    region,
+    worker::AcceleratorMask,
+    worker::bits,
+    worker::lowest, //
+};
+
+/// Jobs of shapes up to this many members weigh every candidate; a larger gang
+/// takes the first kind of place that holds it, since comparing costs more
+/// than it gains there.
+const PREEMPTION_PENALTY: f64 = 0.2;
+/// What it costs to take one accelerator out of a wholly free worker.
+const BROKEN_WORKER_PENALTY: f64 = 1.0;
+
+/// A place for a gang.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Plan {
+    /// Workers with the accelerators to take.
+    pub members: Vec<(WorkerKey, AcceleratorMask)>,
+    /// Running jobs that have to leave first.
+    pub victims: Vec<JobKey>,
+    /// The account's own pledge in which the place lies.
+    pub pledge: Option<PledgeKey>,
+}
+
+impl Cell {
+    /// The best place for `job` right now, if there is one.
+    pub(super) fn find_plan(&self, job: &Job) -> Option<Plan> {
+        let own = self.pledge_plan(job, false);
+        let surplus = self.free_plan(job, View::Surplus);
+        let lent = match self.may_yield(job) {
+            true => self.free_plan(job, View::Free),
+            false => None,
+        };
+        let free = [own, surplus, lent]
+            .into_iter()
+            .flatten()
+            .map(|plan| (self.cost(job, &plan), plan))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, plan)| plan);
+        free.or_else(|| self.reclaiming_plan(job))
+    }
+
+    /// A place in free accelerators that `view` shows.
+    fn free_plan(&self, job: &Job, view: View) -> Option<Plan> {
+        let index = self.fleet.index(view);
+        let workers = region::find(&self.fleet, index, &job.shape)?;
+        let per_worker = job.shape.accelerators_per_worker;
+        let members = workers
+            .into_iter()
+            .map(|key| {
+                let worker = self.fleet.worker(key);
+                (
+                    key,
+                    outside_pledges_first(worker, view.mask(worker), per_worker),
+                )
+            })
+            .collect();
+        Some(Plan {
+            members,
+            ..Plan::default()
+        })
+    }
+
+    /// What a place costs by the two measures, each scaled to about one.
+    fn cost(&self, job: &Job, plan: &Plan) -> f64 {
+        let weights = self.weights;
+        weights.completion * self.preemption_risk(job, plan)
+            + weights.fragmentation * breakage(&self.fleet, &plan.members)
+    }
+
+    /// Share of the place that another account may call back.
+    fn preemption_risk(&self, job: &Job, plan: &Plan) -> f64 {
+        let lent: u32 = plan
+            .members
+            .iter()
+            .map(|&(key, mask)| {
+                let worker = self.fleet.worker(key);
+                bits(mask & worker.pledged)
+                    .filter(|&bit| {
+                        let pledge = worker.pledge(bit).map(|key| &self.pledges[key.index()]);
+                        pledge.is_some_and(|pledge| pledge.account != job.account)
+                    })
+                    .count() as u32
+            })
+            .sum();
+        PREEMPTION_PENALTY * f64::from(lent) / f64::from(job.shape.accelerators())
+    }
+}
+
+/// Accelerators of wholly free workers that the place leaves as remnants, for
+/// each accelerator placed.
+fn breakage(fleet: &Fleet, members: &[(WorkerKey, AcceleratorMask)]) -> f64 {
+    let (mut broken, mut placed) = (0, 0);
+    for &(key, mask) in members {
+        let worker = fleet.worker(key);
+        placed += mask.count_ones();
+        if worker.free == worker.all && mask != worker.all {
+            broken += (worker.all & !mask).count_ones();
+        }
+    }
+    BROKEN_WORKER_PENALTY * f64::from(broken) / f64::from(placed.max(1))
+}
+
+/// `count` accelerators of `mask`, those outside every pledge first.
+pub(super) fn outside_pledges_first(
+    worker: &Worker,
+    mask: AcceleratorMask,
+    count: u16,
+) -> AcceleratorMask {
+    let outside = lowest(mask & !worker.pledged, count);
+    let rest = count - outside.count_ones() as u16;
+    outside | lowest(mask & worker.pledged, rest)
+}
+
+/// Where a search over an ad hoc index may take accelerators.
+pub(super) fn plan_from(
+    fleet: &Fleet,
+    index: &Index,
+    job: &Job,
+    usable: impl Fn(&Worker) -> AcceleratorMask,
+) -> Option<Plan> {
+    let workers = region::find(fleet, index, &job.shape)?;
+    let members = workers
+        .into_iter()
+        .map(|key| {
+            let mask = usable(fleet.worker(key));
+            (key, lowest(mask, job.shape.accelerators_per_worker))
+        })
+        .collect();
+    Some(Plan {
+        members,
+        ..Plan::default()
+    })
+}
--- /dev/null
+++ b/src/core/reclaim.rs
@@ -0,0 +1,167 @@
+//! Taking accelerators back from work that can wait.
+
+use super::{
+    Cell,
+    Job,
+    JobKey,
+    JobState,
+    PledgeKey,
+    View,
+    Worker,
+    WorkerKey,
+    placement::Plan,
+    region,
+    worker::AcceleratorMask,
+    worker::bits, //
+};
+
+/// Workers compared when a single task looks for the cheapest victims.
+const COMPARED_WORKERS: usize = 32;
+
+impl Cell {
+    /// A place that preempted work has to leave first: the account's own
+    /// guarantee, or for urgent work anything that can be taken back outside
+    /// the guarantees of others.
+    pub(super) fn reclaiming_plan(&self, job: &Job) -> Option<Plan> {
+        let class = self.class(job.class);
+        let own = match class.reclaims {
+            true => self.pledge_plan(job, true),
+            false => None,
+        };
+        own.or_else(|| match class.urgent {
+            true => self.yieldable_plan(job),
+            false => None,
+        })
+    }
+
+    /// A place in one of the account's own pledges, if `reclaiming` also in
+    /// accelerators of it that other work has to leave.
+    pub(super) fn pledge_plan(&self, job: &Job, reclaiming: bool) -> Option<Plan> {
+        self.pledges()
+            .filter(|(_, pledge)| {
+                pledge.account == job.account && job.shape.fits_within(&pledge.shape)
+            })
+            .filter_map(|(key, _)| self.plan_in_pledge(job, key, reclaiming))
+            .min_by_key(|plan| plan.victims.len())
+    }
+
+    fn plan_in_pledge(&self, job: &Job, pledge: PledgeKey, reclaiming: bool) -> Option<Plan> {
+        let per_worker = job.shape.accelerators_per_worker;
+        let mut members: Vec<(u32, WorkerKey, AcceleratorMask)> = self.pledges[pledge.index()]
+            .members
+            .iter()
+            .filter_map(|&(key, pledged)| {
+                let worker = self.fleet.worker(key);
+                if !worker.takes_work() {
+                    return None;
+                }
+                let mask = self.cheapest(worker, pledged, per_worker, reclaiming)?;
+                Some(((mask & !worker.free).count_ones(), key, mask))
+            })
+            .collect();
+        members.sort_unstable();
+        if members.len() < usize::from(job.shape.workers) {
+            return None;
+        }
+        members.truncate(usize::from(job.shape.workers));
+        Some(
+            self.with_victims(
+                members
+                    .into_iter()
+                    .map(|(_, key, mask)| (key, mask))
+                    .collect(),
+                Some(pledge),
+            ),
+        )
+    }
+
+    /// `count` accelerators of `allowed`, free ones first, then those of the
+    /// holders that lose the least by leaving.
+    fn cheapest(
+        &self,
+        worker: &Worker,
+        allowed: AcceleratorMask,
+        count: u16,
+        reclaiming: bool,
+    ) -> Option<AcceleratorMask> {
+        let free = allowed & worker.free;
+        let yielding = match reclaiming {
+            true => allowed & worker.yielding & !worker.claimed,
+            false => 0,
+        };
+        let mut candidates: Vec<(u64, usize)> = bits(free | yielding)
+            .map(|bit| {
+                let holder = worker.holder(bit).and_then(|key| self.jobs.get(key));
+                (holder.map_or(0, |job| self.loss(job)), bit)
+            })
+            .collect();
+        if candidates.len() < usize::from(count) {
+            return None;
+        }
+        candidates.sort_unstable();
+        let chosen = candidates.iter().take(usize::from(count));
+        Some(chosen.fold(0, |mask, &(_, bit)| mask | 1 << bit))
+    }
+
+    /// What preempting `job` costs: nothing more if it is leaving anyway, else
+    /// its size and how often it was preempted before.
+    fn loss(&self, job: &Job) -> u64 {
+        if matches!(job.state, JobState::Stopping(_)) {
+            return 1;
+        }
+        2 + u64::from(job.shape.accelerators()) * u64::from(1 + job.preemptions)
+    }
+
+    fn yieldable_plan(&self, job: &Job) -> Option<Plan> {
+        let index = self.fleet.index(View::Yieldable);
+        let per_worker = job.shape.accelerators_per_worker;
+        let workers = match job.shape.workers {
+            1 => vec![self.cheapest_worker(per_worker)?],
+            _ => region::find(&self.fleet, index, &job.shape)?,
+        };
+        let members = workers
+            .into_iter()
+            .map(|key| {
+                let worker = self.fleet.worker(key);
+                let open = View::Yieldable.mask(worker);
+                let mask = self.cheapest(worker, open, per_worker, true)?;
+                Some((key, mask))
+            })
+            .collect::<Option<Vec<_>>>()?;
+        Some(self.with_victims(members, None))
+    }
+
+    fn cheapest_worker(&self, per_worker: u16) -> Option<WorkerKey> {
+        let index = self.fleet.index(View::Yieldable);
+        let counts = usize::from(per_worker)..=super::MAX_ACCELERATORS_PER_WORKER;
+        counts
+            .flat_map(|count| index.with_count(count))
+            .take(COMPARED_WORKERS)
+            .min_by_key(|&key| {
+                let worker = self.fleet.worker(key);
+                let open = View::Yieldable.mask(worker);
+                let mask = self.cheapest(worker, open, per_worker, true).unwrap_or(0);
+                let victims = worker.holders_of(mask);
+                let losses = victims.iter().filter_map(|&key| self.jobs.get(key));
+                losses.map(|job| self.loss(job)).sum::<u64>()
+            })
+    }
+
+    fn with_victims(
+        &self,
+        members: Vec<(WorkerKey, AcceleratorMask)>,
+        pledge: Option<PledgeKey>,
+    ) -> Plan {
+        let mut victims: Vec<JobKey> = members
+            .iter()
+            .flat_map(|&(key, mask)| self.fleet.worker(key).holders_of(mask))
+            .collect();
+        victims.sort_unstable();
+        victims.dedup();
+        Plan {
+            members,
+            victims,
+            pledge,
+        }
+    }
+}
--- /dev/null
+++ b/src/core/recovery.rs
@@ -0,0 +1,197 @@
+//! Rebuilding a cell from its ledger and its workers.
+
+use super::{
+    Account,
+    AccountKey,
+    Cell,
+    Effect,
+    JobId,
+    JobKey,
+    JobState,
+    Member,
+    MemberState,
+    RetryReason,
+    Submission,
+    cell::Class,
+    cell::Due, //
+};
+use crate::config::{
+    AccountDeclaration,
+    ClassDeclaration, //
+};
+use crate::ledger::{
+    JobRecord,
+    MemberRecord,
+    OutcomeCode, //
+};
+
+/// One job as the ledger has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RecoveredJob {
+    /// The record.
+    pub record: JobRecord,
+}
+
+impl Cell {
+    /// Takes over the jobs of the previous owner. Attempts that may be alive
+    /// keep their accelerators until their workers have said what they know.
+    pub(super) fn recover(&mut self, jobs: Vec<RecoveredJob>) {
+        for RecoveredJob { record } in jobs {
+            self.recover_job(record);
+        }
+        self.place_pledges();
+        self.changed = true;
+    }
+
+    fn recover_job(&mut self, record: JobRecord) {
+        let id = JobId(record.id);
+        self.ensure_declared(&record.submission);
+        let Some(mut job) = self.new_job(id, record.submission.clone(), record.accepted_ms) else {
+            return;
+        };
+        job.attempt = record.attempt;
+        job.progress_ms = record.progress_ms;
+        job.preemptions = record.preemptions;
+        job.failures = record.failures;
+        job.outcome = record.outcome();
+        job.ended_ms = record.ended_ms;
+        job.answer = record.answer.clone();
+        if job.outcome != OutcomeCode::None {
+            job.state = JobState::Ended;
+            let forget_ms = job.ended_ms + self.limits.retention_ms;
+            let key = self.insert_job(job);
+            self.due.insert((forget_ms, key, Due::Forget));
+        } else if record.members.is_empty() {
+            let key = self.insert_job(job);
+            self.enqueue(key);
+        } else {
+            job.running_ms = record.starting_ms;
+            let key = self.insert_job(job);
+            self.inspect_members(key, &record.members);
+        }
+    }
+
+    /// An accepted job is accounted for also when its account or class was
+    /// withdrawn since: a withdrawn stand-in is declared for it.
+    fn ensure_declared(&mut self, submission: &Submission) {
+        if self.account_named(&submission.account).is_none() {
+            let key = AccountKey(self.accounts.len() as u16);
+            let declaration = AccountDeclaration::withdrawn(&submission.account);
+            let mut account = Account::new(declaration, self.now_ms);
+            account.withdrawn = true;
+            self.accounts.push(account);
+            self.account_index.insert(submission.account.clone(), key);
+        }
+        if self.class_named(&submission.class).is_none() {
+            self.classes.push(Class {
+                declaration: ClassDeclaration::withdrawn(&submission.class),
+                withdrawn: true,
+                waiting_jobs: 0,
+                waiting_work: 0,
+            });
+        }
+    }
+
+    fn inspect_members(&mut self, key: JobKey, records: &[MemberRecord]) {
+        let mut members = Vec::with_capacity(records.len());
+        for record in records {
+            // A worker that the list no longer names is added as it was, so
+            // that its loss is concluded like any other.
+            let worker = match self.fleet.find(&record.worker) {
+                Some(worker) => worker,
+                None => {
+                    let accelerators = super::MAX_ACCELERATORS_PER_WORKER as u16;
+                    let worker = self.fleet.add(&record.worker, "unlisted", accelerators);
+                    self.fleet.reindex();
+                    self.worker_leaving(&record.worker);
+                    worker
+                }
+            };
+            let mask = record.mask as super::AcceleratorMask;
+            let held = self.fleet.update(worker, |worker| {
+                let held = mask & worker.free;
+                worker.hold(held, key, false);
+                held
+            });
+            members.push(Member {
+                worker,
+                mask,
+                held,
+                state: MemberState::Inspecting,
+                may_have_begun: true,
+            });
+        }
+        let taken = members.iter().map(|member| member.held.count_ones()).sum();
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.state = JobState::Recovering;
+        job.members = members;
+        let (attempt, account) = (job.attempt_id(), job.account);
+        self.effects
+            .extend(job.members.iter().map(|member| Effect::Inspect {
+                attempt,
+                worker: member.worker,
+            }));
+        self.charge(account, taken, true);
+    }
+
+    /// Decides once every member's worker has answered or is lost.
+    pub(super) fn settle_recovery(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let count = |state| job.members.iter().filter(|m| m.state == state).count();
+        if count(MemberState::Inspecting) > 0 {
+            return;
+        }
+        let gone = count(MemberState::Gone);
+        if gone == 0 {
+            self.adopt(key);
+        } else if gone == job.members.len() {
+            let reason = match job.may_have_begun() {
+                true => RetryReason::WorkerLost,
+                false => RetryReason::FoundNotBegun,
+            };
+            self.fail_gang(key, reason);
+        } else {
+            self.fail_gang(key, RetryReason::FoundPartial);
+        }
+    }
+
+    /// Goes on with a gang that was found whole.
+    fn adopt(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let yields = self.may_yield(job);
+        let own_pledge = self.pledges().find_map(|(at, pledge)| {
+            let inside = pledge.account == job.account
+                && job.members.iter().all(|member| {
+                    let on_worker = pledge.members.iter().find(|(w, _)| *w == member.worker);
+                    on_worker.is_some_and(|&(_, mask)| member.mask & !mask == 0)
+                });
+            inside.then_some(at)
+        });
+        let started_ms = job.running_ms;
+        let workers: Vec<_> = job.members.iter().map(|member| member.worker).collect();
+        for worker in workers {
+            self.fleet
+                .update(worker, |worker| worker.set_yielding(key, yields));
+        }
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.state = JobState::Running;
+        job.since_ms = now_ms;
+        job.first_running_ms = Some(started_ms);
+        job.yields = yields;
+        if own_pledge.is_some() && job.pledge.is_none() {
+            let held: u32 = job.members.iter().map(|m| m.held.count_ones()).sum();
+            self.accounts[job.account.index()].surplus_accelerators -= held;
+            job.pledge = own_pledge;
+        }
+        self.run_if_whole(key);
+    }
+}
--- /dev/null
+++ b/src/ledger/mod.rs
@@ -0,0 +1,49 @@
+//! What lasts of a cell, in the platform's key-value service.
+//!
+//! A ledger is a small root value, changed by one compare-and-swap for each
+//! group of changes, and pages into which older changes are folded.
+
+mod book;
+mod envelope;
+mod journal;
+mod record;
+mod root;
+
+pub use book::{
+    Book,
+    FoldedPage,
+    PageRecord, //
+};
+pub use envelope::{
+    EnvelopeError,
+    MAX_VALUE_BYTES,
+    open,
+    seal, //
+};
+pub use journal::{
+    Journal,
+    JournalEvent, //
+};
+pub use record::{
+    AdjacencyCode,
+    AnswerRecord,
+    Change,
+    ChangeKind,
+    EndedChange,
+    JobRecord,
+    MemberRecord,
+    OutcomeCode,
+    RequeuedChange,
+    StartingChange,
+    Submission, //
+};
+pub use root::{
+    PageRef,
+    RootRecord,
+    decode_page,
+    decode_root,
+    encode,
+    lease_key,
+    page_key,
+    root_key, //
+};
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! A scheduler for multi-accelerator jobs under client account guarantees.
+
+pub mod config;
+pub mod core;
+pub mod ledger;
+pub mod platform;
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,30 @@
+//! What the platform gives, as calls and answers without I/O.
+//!
+//! The adapters that carry these calls over HTTP are one file each; another
+//! platform's protocol is another such file.
+
+mod membership;
+mod store;
+mod worker;
+
+pub use membership::{
+    Membership,
+    VmKind,
+    VmRecord, //
+};
+pub use store::{
+    Store,
+    StoreAnswer,
+    StoreCall,
+    StoreFailure, //
+};
+pub use worker::{
+    PollAnswer,
+    TaskChange,
+    TaskState,
+    WorkerAnswer,
+    WorkerCall,
+    WorkerFailure,
+    WorkerRefusal,
+    Workers, //
+};
