--- a/src/bin/fuchsiaslipd.rs
+++ b/src/bin/fuchsiaslipd.rs
@@ -1,1 +1,13 @@
-fn main() {}
+//! The daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match fuchsiaslip::daemon::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/output.rs
@@ -0,0 +1,98 @@
+//! Printing for people and for scripts.
+
+use crate::core::{
+    AccountReport,
+    JobReport,
+    WorkerReport, //
+};
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct AccountsBody {
+    configuration_version: u64,
+    fragmentation: f64,
+    accounts: Vec<AccountReport>,
+}
+
+#[derive(Deserialize)]
+struct WorkersBody {
+    workers: Vec<WorkerReport>,
+}
+
+const PERCENT: f64 = 100.0;
+
+/// A job as text.
+pub fn job(body: &[u8], why: bool) -> Option<String> {
+    let report: JobReport = serde_json::from_slice(body).ok()?;
+    let mut text = format!(
+        "{}\n  account {}, class {}\n  {}, outcome {}\n  attempt {}, preempted {} times\n",
+        report.job,
+        report.account,
+        report.class,
+        report.state,
+        report.outcome,
+        report.attempt,
+        report.preemptions
+    );
+    if why {
+        let wait = &report.wait;
+        text += &format!("  waits for {}", wait.reason);
+        if wait.count > 0 {
+            text += &format!(" ({})", wait.count);
+        }
+        if wait.until_ms > 0 {
+            text += &format!(", until about {} ms since the epoch", wait.until_ms);
+        }
+        text += "\n";
+        if !report.workers.is_empty() {
+            text += &format!("  its place: {}\n", report.workers.join(" "));
+        }
+    }
+    Some(text)
+}
+
+/// Accounts as a table.
+pub fn accounts(body: &[u8]) -> Option<String> {
+    let body: AccountsBody = serde_json::from_slice(body).ok()?;
+    let mut text = format!(
+        "configuration version {}, fragmentation {:.1}%\n{:<20} {:>10} {:>6} {:>6} {:>12} {:>12} {:>8}\n",
+        body.configuration_version,
+        body.fragmentation * PERCENT,
+        "account",
+        "guaranteed",
+        "used",
+        "lent",
+        "reclaimable",
+        "back in ms",
+        "waiting"
+    );
+    for account in body.accounts {
+        text += &format!(
+            "{:<20} {:>10} {:>6} {:>6} {:>12} {:>12} {:>8}\n",
+            account.account,
+            account.guaranteed,
+            account.used,
+            account.lent,
+            account.reclaimable,
+            account.reclaim_ms,
+            account.waiting_jobs
+        );
+    }
+    Some(text)
+}
+
+/// Workers as a table.
+pub fn workers(body: &[u8]) -> Option<String> {
+    let body: WorkersBody = serde_json::from_slice(body).ok()?;
+    let mut text = format!(
+        "{:<24} {:<12} {:>12} {:>6} {:>8}\n",
+        "worker", "health", "accelerators", "free", "pledged"
+    );
+    for worker in body.workers {
+        text += &format!(
+            "{:<24} {:<12} {:>12} {:>6} {:>8}\n",
+            worker.worker, worker.health, worker.accelerators, worker.free, worker.pledged
+        );
+    }
+    Some(text)
+}
--- /dev/null
+++ b/src/cli/run.rs
@@ -0,0 +1,259 @@
+//! Carrying out what was typed.
+
+use super::arguments::{
+    Arguments,
+    Command,
+    LedgerCommand,
+    SubmitCommand, //
+};
+use super::output;
+use crate::client::{
+    Client,
+    ClientError,
+    Response,
+    Submit, //
+};
+use crate::core::Adjacency;
+use crate::daemon::token_digest;
+use crate::ledger;
+use crate::platform::{
+    HttpPlatform,
+    Store,
+    StoreAnswer,
+    StoreCall,
+    StoreFailure, //
+};
+use crate::timer::Timer;
+use bytes::Bytes;
+use std::io::Write;
+use std::path::{
+    Path,
+    PathBuf, //
+};
+use std::process::ExitCode;
+
+const EXIT_USAGE: u8 = 2;
+const EXIT_NOT_RUN: u8 = 3;
+const EXIT_UNKNOWN: u8 = 4;
+const EXIT_NOT_FOUND: u8 = 5;
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file cannot be read.
+    #[error("{path} cannot be read: {source}; name a readable file", path = .path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// An argument has a value that is not taken.
+    #[error("{argument} cannot be `{value}`; use {choices}")]
+    Argument {
+        /// The argument.
+        argument: &'static str,
+        /// Its value.
+        value: String,
+        /// What it takes.
+        choices: &'static str,
+    },
+    /// The timer or the output cannot be had.
+    #[error("the system refuses: {0}")]
+    System(#[from] std::io::Error),
+    /// The daemon did not respond.
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    /// The store did not answer.
+    #[error(transparent)]
+    Store(#[from] StoreFailure),
+    /// A ledger value cannot be read.
+    #[error("{key}: {source}")]
+    Ledger {
+        /// Its key.
+        key: String,
+        /// Why.
+        source: ledger::EnvelopeError,
+    },
+    /// A ledger value is missing.
+    #[error("{key} is missing; no daemon has owned the data centre, or its name is wrong")]
+    Missing {
+        /// Its key.
+        key: String,
+    },
+}
+
+impl Error {
+    fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Argument { .. } | Self::File { .. } => ExitCode::from(EXIT_USAGE),
+            Self::Client(_) => ExitCode::from(EXIT_UNKNOWN),
+            Self::Missing { .. } => ExitCode::from(EXIT_NOT_FOUND),
+            _ => ExitCode::FAILURE,
+        }
+    }
+}
+
+/// Runs the command line and gives its exit code.
+pub fn run() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match actix_rt::System::new().block_on(carry_out(&arguments)) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit_code()
+        }
+    }
+}
+
+async fn carry_out(arguments: &Arguments) -> Result<ExitCode, Error> {
+    let timer = Timer::spawn()?;
+    let token = match &arguments.token_file {
+        Some(path) => read(path)?.trim().to_owned(),
+        None => String::new(),
+    };
+    let client = Client::open(&arguments.daemon, &token, timer.clone());
+    let response = match &arguments.command {
+        Command::Submit(command) => submit(&client, command).await?,
+        Command::Status(command) => client.status(&command.job).await?,
+        Command::Answer(command) => client.answer(&command.job, command.wait_ms).await?,
+        Command::Cancel(command) => client.cancel(&command.jobs).await?,
+        Command::Plan(command) => client.plan(&read(&command.patch)?).await?,
+        Command::Apply(command) => client.apply(&read(&command.patch)?).await?,
+        Command::Configuration(_) => client.get("v1/configuration", 0).await?,
+        Command::Workers(command) => {
+            client
+                .get(&format!("v1/workers/{}", command.data_centre), 0)
+                .await?
+        }
+        Command::Accounts(command) => {
+            client
+                .get(&format!("v1/accounts/{}", command.data_centre), 0)
+                .await?
+        }
+        Command::Drain(_) => client.drain().await?,
+        Command::Ledger(command) => return inspect_ledger(command, timer).await,
+        Command::Digest(_) => {
+            println!("{}", token_digest(&token));
+            return Ok(ExitCode::SUCCESS);
+        }
+    };
+    show(arguments, &response)
+}
+
+fn read(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+async fn submit(client: &Client, command: &SubmitCommand) -> Result<Response, Error> {
+    let adjacency = match command.adjacency.as_str() {
+        "anywhere" => Adjacency::Anywhere,
+        "neighbouring-racks" => Adjacency::NeighbouringRacks,
+        "rack" => Adjacency::Rack,
+        other => {
+            return Err(Error::Argument {
+                argument: "--adjacency",
+                value: other.to_owned(),
+                choices: "anywhere, neighbouring-racks or rack",
+            });
+        }
+    };
+    let submit = Submit {
+        class: command.class.clone(),
+        accelerators_per_worker: command.accelerators,
+        workers: command.workers,
+        adjacency,
+        idempotent: command.idempotent,
+        declared_run_ms: command.run_ms,
+        payload: command.payload.clone(),
+    };
+    Ok(client
+        .submit(&command.key, &submit, command.wait_ms)
+        .await?)
+}
+
+fn show(arguments: &Arguments, response: &Response) -> Result<ExitCode, Error> {
+    if !response.status.is_success() {
+        let error = response.error();
+        match arguments.json || error.error.is_empty() {
+            true => eprintln!("{}", String::from_utf8_lossy(&response.body)),
+            false => eprintln!("{}: {}", error.error, error.message),
+        }
+        return Ok(match (error.not_run, response.status.as_u16()) {
+            (true, _) => ExitCode::from(EXIT_NOT_RUN),
+            (_, 404) => ExitCode::from(EXIT_NOT_FOUND),
+            (_, 504) => ExitCode::from(EXIT_UNKNOWN),
+            _ => ExitCode::FAILURE,
+        });
+    }
+    let text = match &arguments.command {
+        _ if arguments.json => None,
+        Command::Status(command) => output::job(&response.body, command.why),
+        Command::Accounts(_) => output::accounts(&response.body),
+        Command::Workers(_) => output::workers(&response.body),
+        _ => None,
+    };
+    let mut stdout = std::io::stdout();
+    match text {
+        Some(text) => stdout.write_all(text.as_bytes())?,
+        None => {
+            stdout.write_all(&response.body)?;
+            if response.job.is_none() {
+                stdout.write_all(b"\n")?;
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn inspect_ledger(command: &LedgerCommand, timer: Timer) -> Result<ExitCode, Error> {
+    let dump = match command.action.as_str() {
+        "check" => false,
+        "dump" => true,
+        other => {
+            return Err(Error::Argument {
+                argument: "ledger",
+                value: other.to_owned(),
+                choices: "check or dump",
+            });
+        }
+    };
+    let store = HttpPlatform::open(&command.platform, timer).store();
+    let key = ledger::root_key(&command.data_centre);
+    let value = fetch(&store, &key).await?;
+    let root = ledger::decode_root(value).map_err(|source| Error::Ledger { key, source })?;
+    println!(
+        "epoch {}, commit {}, owner {}, configuration version {}, {} pages, {} changes since",
+        root.epoch,
+        root.sequence,
+        root.owner,
+        root.configuration_version,
+        root.pages.len(),
+        root.tail.len()
+    );
+    for reference in &root.pages {
+        let key = ledger::page_key(&command.data_centre, reference.number, reference.slot);
+        let value = fetch(&store, &key).await?;
+        let page = ledger::decode_page(value, reference);
+        let page = page.map_err(|source| Error::Ledger { key, source })?;
+        println!("page {}: {} jobs", reference.number, page.jobs.len());
+        if dump {
+            page.jobs.iter().for_each(|job| println!("{job:#?}"));
+        }
+    }
+    if dump {
+        root.tail.iter().for_each(|change| println!("{change:#?}"));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn fetch(store: &Store, key: &str) -> Result<Bytes, Error> {
+    let key = key.to_owned();
+    match store.call(StoreCall::Get { key: key.clone() }).await? {
+        StoreAnswer::Value { value, .. } => Ok(value),
+        _ => Err(Error::Missing { key }),
+    }
+}
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -100,10 +100,10 @@
         if self.classes[class.index()].waiting_jobs >= self.class(class).queue_limit {
             return Err(refusal(RefusalReason::ClassQueueFull, FULL_RETRY_AFTER_MS));
         }
-        if self.class(class).refuse_when_late {
-            if let Some(late_ms) = self.expected_lateness_ms(job) {
-                return Err(refusal(RefusalReason::CannotMeetClass, late_ms));
-            }
+        if self.class(class).refuse_when_late
+            && let Some(late_ms) = self.expected_lateness_ms(job)
+        {
+            return Err(refusal(RefusalReason::CannotMeetClass, late_ms));
         }
         Ok(())
     }
--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -126,6 +126,7 @@
     pub(super) surplus_size: u32,
     pub(super) effects: Vec<Effect>,
     pub(super) changed: bool,
+    pub(super) paused: bool,
 }
 
 impl Cell {
@@ -152,9 +153,12 @@
             Command::WorkerLeaving(name) => self.worker_leaving(&name),
             Command::WorkerLost(name) => self.worker_lost(&name),
             Command::WorkerReturned(name) => self.worker_returned(&name),
+            Command::Reinspect(name) => self.reinspect(&name),
+            Command::Pause(paused) => self.paused = paused,
             Command::Tick => self.tick(),
         }
-        if std::mem::take(&mut self.changed) {
+        if self.changed && !self.paused {
+            self.changed = false;
             self.schedule();
         }
         std::mem::take(&mut self.effects)
@@ -323,7 +327,6 @@
             pledge: None,
             yields: false,
             progress_ms: 0,
-            stopped_progress_ms: None,
             running_ms: 0,
             first_running_ms: None,
             preemptions: 0,
@@ -373,7 +376,7 @@
 
     /// Number of jobs that wait.
     pub fn waiting(&self) -> usize {
-        self.queue.len()
+        self.queue.waiting()
     }
 
     /// Whether any worker takes work.
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -88,8 +88,12 @@
     WorkerLeaving(String),
     /// The worker's lease has certainly ended: nothing runs there any more.
     WorkerLost(String),
-    /// The worker answers again after it was lost.
+    /// The worker answers again after it was lost, or is no longer leaving.
     WorkerReturned(String),
+    /// Asks a worker again for the tasks that are believed to run there.
+    Reinspect(String),
+    /// Stops or resumes placing work; running work goes on.
+    Pause(bool),
     /// Time has passed.
     Tick,
 }
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -124,6 +124,8 @@
     TaskFailed,
     /// A worker was lost.
     WorkerLost,
+    /// The worker stopped the task by itself, as when its lease ended.
+    TaskStopped,
     /// The gang did not become whole in time.
     StartTimeout,
     /// A new owner found the attempt not begun.
@@ -142,6 +144,7 @@
             Self::StartRefused => "start_refused",
             Self::TaskFailed => "task_failed",
             Self::WorkerLost => "worker_lost",
+            Self::TaskStopped => "task_stopped",
             Self::StartTimeout => "start_timeout",
             Self::FoundNotBegun => "found_not_begun",
             Self::FoundPartial => "found_partial",
--- a/src/core/explain.rs
+++ b/src/core/explain.rs
@@ -6,107 +6,120 @@
     JobId,
     JobState,
     WorkerHealth,
+    backfill::KeptGang,
     worker::bits, //
 };
-use crate::ledger::OutcomeCode;
 
 /// What a waiting job waits for.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum WaitReason {
-    /// Nothing: it does not wait.
-    Nothing,
-    /// Accelerators that fit its shape.
-    Accelerators {
-        /// When a kept region is expected to be free, if one is kept.
-        kept_until_ms: Option<u64>,
-        /// Jobs ahead of it in latest-start order.
-        jobs_ahead: usize,
-    },
-    /// Other work of its account, which is at its quota.
-    Quota,
-    /// The end of a backoff after a failure.
-    Backoff {
-        /// When.
-        until_ms: u64,
-    },
-    /// Preempted work that is leaving its place.
-    Victims {
-        /// Accelerators still missing.
-        accelerators: u32,
-    },
-    /// Confirmations of its workers.
-    Workers {
-        /// How many are missing.
-        members: usize,
-    },
+#[derive(Clone, Eq, PartialEq, prost::Message, serde::Deserialize, serde::Serialize)]
+pub struct WaitReport {
+    /// `nothing`, `accelerators`, `quota`, `backoff`, `preempted work` or
+    /// `workers`.
+    #[prost(string, tag = "1")]
+    pub reason: String,
+    /// Until when, as far as is known; else 0.
+    #[prost(uint64, tag = "2")]
+    pub until_ms: u64,
+    /// Jobs ahead of it, accelerators still held by preempted work, or workers
+    /// that have not confirmed.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
 }
 
 /// A job as its account sees it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Eq, PartialEq, prost::Message, serde::Deserialize, serde::Serialize)]
 pub struct JobReport {
-    /// The job.
-    pub id: JobId,
+    /// The job's public name: its data centre and identity.
+    #[prost(string, tag = "1")]
+    pub job: String,
     /// Its account's name.
+    #[prost(string, tag = "2")]
     pub account: String,
     /// Its class's name.
+    #[prost(string, tag = "3")]
     pub class: String,
     /// Where it stands, in one word.
-    pub state: &'static str,
-    /// How it ended.
-    pub outcome: OutcomeCode,
+    #[prost(string, tag = "4")]
+    pub state: String,
+    /// How it ended, in one word.
+    #[prost(string, tag = "5")]
+    pub outcome: String,
     /// When it was accepted.
+    #[prost(uint64, tag = "6")]
     pub accepted_ms: u64,
     /// When its class says that it has to be answered.
+    #[prost(uint64, tag = "7")]
     pub deadline_ms: u64,
-    /// When it first ran.
-    pub first_running_ms: Option<u64>,
-    /// When it ended, or 0.
+    /// When it first ran; 0 if it has not.
+    #[prost(uint64, tag = "8")]
+    pub first_running_ms: u64,
+    /// When it ended; 0 if it has not.
+    #[prost(uint64, tag = "9")]
     pub ended_ms: u64,
     /// Number of the latest attempt.
+    #[prost(uint32, tag = "10")]
     pub attempt: u32,
     /// How often it was preempted.
+    #[prost(uint32, tag = "11")]
     pub preemptions: u32,
     /// Why it waits.
-    pub wait: WaitReason,
-    /// Workers of its place, if it has one.
+    #[prost(message, required, tag = "12")]
+    pub wait: WaitReport,
+    /// Workers of its place, or where it would go if it waits for workers that
+    /// are kept for it.
+    #[prost(string, repeated, tag = "13")]
     pub workers: Vec<String>,
 }
 
 /// An account with its guarantee and what became of it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Eq, PartialEq, prost::Message, serde::Deserialize, serde::Serialize)]
 pub struct AccountReport {
     /// The account's name.
+    #[prost(string, tag = "1")]
     pub account: String,
     /// Accelerators that it is guaranteed.
+    #[prost(uint32, tag = "2")]
     pub guaranteed: u32,
     /// Accelerators that its jobs hold.
+    #[prost(uint32, tag = "3")]
     pub used: u32,
     /// Guaranteed accelerators that other accounts use now.
+    #[prost(uint32, tag = "4")]
     pub lent: u32,
     /// Guaranteed accelerators that it can have at once or after preemptions.
+    #[prost(uint32, tag = "5")]
     pub reclaimable: u32,
     /// Longest time until all of these are back.
+    #[prost(uint64, tag = "6")]
     pub reclaim_ms: u64,
     /// Guaranteed shapes without a place.
-    pub missing_shapes: u16,
+    #[prost(uint32, tag = "7")]
+    pub missing_shapes: u32,
     /// Its waiting jobs.
+    #[prost(uint32, tag = "8")]
     pub waiting_jobs: u32,
     /// Its quota.
+    #[prost(uint32, tag = "9")]
     pub quota: u32,
 }
 
 /// A worker as operators see it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Eq, PartialEq, prost::Message, serde::Deserialize, serde::Serialize)]
 pub struct WorkerReport {
     /// The worker's name.
+    #[prost(string, tag = "1")]
     pub worker: String,
     /// Whether it takes work.
-    pub health: &'static str,
+    #[prost(string, tag = "2")]
+    pub health: String,
     /// All its accelerators.
+    #[prost(uint32, tag = "3")]
     pub accelerators: u32,
     /// Free ones.
+    #[prost(uint32, tag = "4")]
     pub free: u32,
     /// Pledged ones.
+    #[prost(uint32, tag = "5")]
     pub pledged: u32,
 }
 
@@ -114,50 +127,56 @@
     /// Explains one job.
     pub fn explain(&self, id: JobId) -> Option<JobReport> {
         let job = self.job(id)?;
-        let workers = job.members.iter();
+        let placed = job.members.iter().map(|member| member.worker);
+        let kept = self.kept_gang(id).map(|kept| kept.workers.as_slice());
+        let kept = kept.unwrap_or_default().iter().copied();
         Some(JobReport {
-            id,
+            job: public_name(&self.data_centre, id),
             account: job.submission.account.clone(),
             class: job.submission.class.clone(),
-            state: state_name(job.state),
-            outcome: job.outcome,
+            state: state_name(job.state).to_owned(),
+            outcome: job.outcome.name().to_owned(),
             accepted_ms: job.accepted_ms,
             deadline_ms: job.deadline_ms,
-            first_running_ms: job.first_running_ms,
+            first_running_ms: job.first_running_ms.unwrap_or(0),
             ended_ms: job.ended_ms,
             attempt: job.attempt,
             preemptions: job.preemptions,
-            wait: self.wait_reason(job),
-            workers: workers
-                .map(|member| self.fleet.worker(member.worker).name.clone())
+            wait: self.wait_report(job),
+            workers: placed
+                .chain(kept)
+                .map(|worker| self.fleet.worker(worker).name.clone())
                 .collect(),
         })
     }
 
-    fn wait_reason(&self, job: &Job) -> WaitReason {
+    fn kept_gang(&self, id: JobId) -> Option<&KeptGang> {
+        let key = self.by_id.get(&id)?;
+        self.kept.iter().find(|kept| kept.job == *key)
+    }
+
+    fn wait_report(&self, job: &Job) -> WaitReport {
+        let report = |reason: &str, until_ms, count| WaitReport {
+            reason: reason.to_owned(),
+            until_ms,
+            count,
+        };
         match job.state {
-            JobState::Queued if self.over_quota(job) => WaitReason::Quota,
+            JobState::Queued if self.over_quota(job) => report("quota", 0, 0),
             JobState::Queued => {
-                let kept = self
-                    .kept
-                    .iter()
-                    .find(|kept| self.by_id.get(&job.id) == Some(&kept.job));
                 let ahead = |other: &Job| {
                     other.state == JobState::Queued && other.latest_start_ms < job.latest_start_ms
                 };
-                WaitReason::Accelerators {
-                    kept_until_ms: kept.map(|kept| kept.ready_ms),
-                    jobs_ahead: self.jobs.iter().filter(|(_, other)| ahead(other)).count(),
-                }
+                let jobs_ahead = self.jobs.iter().filter(|(_, other)| ahead(other)).count();
+                let until_ms = self.kept_gang(job.id).map_or(0, |kept| kept.ready_ms);
+                report("accelerators", until_ms, jobs_ahead as u32)
+            }
+            JobState::Backoff { until_ms } => report("backoff", until_ms, 0),
+            JobState::Claiming => {
+                let missing = job.members.iter();
+                let missing = missing.map(|m| (m.mask & !m.held).count_ones());
+                report("preempted work", 0, missing.sum())
             }
-            JobState::Backoff { until_ms } => WaitReason::Backoff { until_ms },
-            JobState::Claiming => WaitReason::Victims {
-                accelerators: job
-                    .members
-                    .iter()
-                    .map(|member| (member.mask & !member.held).count_ones())
-                    .sum(),
-            },
             JobState::Reserving | JobState::Starting | JobState::Recovering => {
                 use super::MemberState::{
                     Inspecting,
@@ -166,9 +185,9 @@
                 };
                 let waiting = |state| matches!(state, Reserving | Starting | Inspecting);
                 let members = job.members.iter().filter(|m| waiting(m.state)).count();
-                WaitReason::Workers { members }
+                report("workers", 0, members as u32)
             }
-            JobState::Running | JobState::Stopping(_) | JobState::Ended => WaitReason::Nothing,
+            JobState::Running | JobState::Stopping(_) | JobState::Ended => report("nothing", 0, 0),
         }
     }
 
@@ -189,7 +208,7 @@
                     lent: 0,
                     reclaimable: 0,
                     reclaim_ms: 0,
-                    missing_shapes: shortfall.map_or(0, |shortfall| shortfall.missing),
+                    missing_shapes: shortfall.map_or(0, |shortfall| u32::from(shortfall.missing)),
                     waiting_jobs: account.waiting_jobs,
                     quota: account.declaration.quota_accelerators,
                 };
@@ -231,7 +250,8 @@
                     WorkerHealth::Quarantined { .. } => "quarantined",
                     WorkerHealth::Leaving => "leaving",
                     WorkerHealth::Lost => "lost",
-                },
+                }
+                .to_owned(),
                 accelerators: worker.all.count_ones(),
                 free: worker.free.count_ones(),
                 pledged: worker.pledged.count_ones(),
@@ -240,6 +260,18 @@
     }
 }
 
+/// A job's public name: its data centre and identity.
+pub fn public_name(data_centre: &str, id: JobId) -> String {
+    format!("{data_centre}.{id}")
+}
+
+/// Reads a public name back.
+pub fn read_public_name(name: &str) -> Option<(&str, JobId)> {
+    let (data_centre, id) = name.rsplit_once('.')?;
+    let id = u64::from_str_radix(id, 16).ok()?;
+    Some((data_centre, JobId(id)))
+}
+
 /// A job's state in one word, as answers and metrics name it.
 pub fn state_name(state: JobState) -> &'static str {
     match state {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -137,7 +137,7 @@
     }
 
     /// The index of `view`; kept workers count nothing in it.
-    pub fn index(&self, view: View) -> &Index {
+    pub fn index_in(&self, view: View) -> &Index {
         &self.views[view as usize]
     }
 
--- a/src/core/gang.rs
+++ b/src/core/gang.rs
@@ -43,7 +43,6 @@
         job.attempt += 1;
         job.state = JobState::Reserving;
         job.since_ms = now_ms;
-        job.stopped_progress_ms = None;
         for member in &mut job.members {
             member.state = MemberState::Reserving;
         }
@@ -244,14 +243,11 @@
     }
 
     fn member_stopped(&mut self, key: JobKey, worker: WorkerKey, progress_ms: u64) {
-        if let Some(job) = self.jobs.get_mut(key) {
-            let least = job
-                .stopped_progress_ms
-                .map_or(progress_ms, |p| p.min(progress_ms));
-            job.stopped_progress_ms = Some(least);
+        if let Some(member) = self.jobs.get_mut(key).and_then(|job| job.member_on(worker)) {
+            member.saved_ms = Some(progress_ms);
         }
         self.member_gone_keeping_begun(key, worker);
-        self.after_loss(key, RetryReason::StartTimeout);
+        self.after_loss(key, RetryReason::TaskStopped);
     }
 
     /// What the loss of a member means, by where its job stands.
@@ -425,7 +421,6 @@
         if let Some(job) = self.jobs.get_mut(key) {
             let begun = job.may_have_begun();
             job.preemptions += u32::from(begun);
-            job.progress_ms = job.progress_ms.max(job.stopped_progress_ms.unwrap_or(0));
         }
         self.requeue(key, RetryReason::Preempted);
         self.enqueue(key);
@@ -457,7 +452,10 @@
         }
         self.requeue(key, reason);
         match reason {
-            RetryReason::WorkerLost | RetryReason::FoundNotBegun | RetryReason::FoundPartial => {
+            RetryReason::WorkerLost
+            | RetryReason::TaskStopped
+            | RetryReason::FoundNotBegun
+            | RetryReason::FoundPartial => {
                 self.enqueue(key);
             }
             _ => self.back_off(key),
@@ -468,6 +466,7 @@
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
+        job.progress_ms = job.saved_ms();
         job.members.clear();
         job.pledge = None;
         job.yields = false;
--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -24,10 +24,10 @@
             }
             worker.failed_jobs.len()
         });
-        if let Some(job) = self.jobs.get_mut(key) {
-            if !job.failed_workers.contains(&worker) {
-                job.failed_workers.push(worker);
-            }
+        if let Some(job) = self.jobs.get_mut(key)
+            && !job.failed_workers.contains(&worker)
+        {
+            job.failed_workers.push(worker);
         }
         if failed_jobs >= self.limits.quarantine_failures {
             self.quarantine(worker);
@@ -143,7 +143,8 @@
 
     pub(super) fn worker_returned(&mut self, name: &str) {
         if let Some(worker) = self.fleet.find(name) {
-            if self.fleet.worker(worker).health == WorkerHealth::Lost {
+            let health = self.fleet.worker(worker).health;
+            if matches!(health, WorkerHealth::Lost | WorkerHealth::Leaving) {
                 self.set_health(worker, WorkerHealth::Healthy);
             }
         }
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -61,6 +61,8 @@
     pub state: MemberState,
     /// Whether a start may have reached the worker.
     pub may_have_begun: bool,
+    /// Work that the checkpoint of its stopped task saved.
+    pub saved_ms: Option<u64>,
 }
 
 /// Where a job stands.
@@ -122,8 +124,6 @@
     pub yields: bool,
     /// Work that checkpoints have saved.
     pub progress_ms: u64,
-    /// Progress reported by stopped members of this attempt, the least counts.
-    pub stopped_progress_ms: Option<u64>,
     /// When the latest attempt started to run.
     pub running_ms: u64,
     /// When the job first ran.
@@ -177,6 +177,13 @@
         self.members.iter().any(|member| member.may_have_begun)
     }
 
+    /// Work that checkpoints have saved once the attempt is over: what every
+    /// member has saved, or no more than before if one of them saved nothing.
+    pub fn saved_ms(&self) -> u64 {
+        let saved = self.members.iter().map(|m| m.saved_ms.unwrap_or(0)).min();
+        self.progress_ms.max(saved.unwrap_or(0))
+    }
+
     /// The job as the ledger keeps it.
     pub fn record(&self) -> JobRecord {
         JobRecord {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -58,8 +58,10 @@
 pub use explain::{
     AccountReport,
     JobReport,
-    WaitReason,
-    WorkerReport, //
+    WaitReport,
+    WorkerReport,
+    public_name,
+    read_public_name, //
 };
 pub use fleet::{
     Fleet,
@@ -84,7 +86,8 @@
 };
 pub use pledge::{
     Pledge,
-    Shortfall, //
+    Shortfall,
+    nominal_shortfalls, //
 };
 pub use recovery::RecoveredJob;
 pub use shape::{
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -54,7 +54,7 @@
 
     /// A place in free accelerators that `view` shows.
     fn free_plan(&self, job: &Job, view: View) -> Option<Plan> {
-        let index = self.fleet.index(view);
+        let index = self.fleet.index_in(view);
         let workers = region::find(&self.fleet, index, &job.shape)?;
         let per_worker = job.shape.accelerators_per_worker;
         let members = workers
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -177,15 +177,10 @@
     }
 
     /// Number of waiting jobs.
-    pub fn len(&self) -> usize {
+    pub fn waiting(&self) -> usize {
         self.len
     }
 
-    /// Whether nothing waits.
-    pub fn is_empty(&self) -> bool {
-        self.len == 0
-    }
-
     /// Shapes in demand with the number of jobs that wait for each.
     pub fn demand(&self) -> impl Iterator<Item = (Shape, usize)> + '_ {
         self.index
--- a/src/core/reclaim.rs
+++ b/src/core/reclaim.rs
@@ -113,7 +113,7 @@
     }
 
     fn yieldable_plan(&self, job: &Job) -> Option<Plan> {
-        let index = self.fleet.index(View::Yieldable);
+        let index = self.fleet.index_in(View::Yieldable);
         let per_worker = job.shape.accelerators_per_worker;
         let workers = match job.shape.workers {
             1 => vec![self.cheapest_worker(per_worker)?],
@@ -132,7 +132,7 @@
     }
 
     fn cheapest_worker(&self, per_worker: u16) -> Option<WorkerKey> {
-        let index = self.fleet.index(View::Yieldable);
+        let index = self.fleet.index_in(View::Yieldable);
         let counts = usize::from(per_worker)..=super::MAX_ACCELERATORS_PER_WORKER;
         counts
             .flat_map(|count| index.with_count(count))
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -119,6 +119,7 @@
                 held,
                 state: MemberState::Inspecting,
                 may_have_begun: true,
+                saved_ms: None,
             });
         }
         let taken = members.iter().map(|member| member.held.count_ones()).sum();
@@ -136,6 +137,27 @@
         self.charge(account, taken, true);
     }
 
+    /// Asks a worker again for the tasks that are believed to run there; one
+    /// that it does not know is gone.
+    pub(super) fn reinspect(&mut self, name: &str) {
+        let Some(worker) = self.fleet.find(name) else {
+            return;
+        };
+        let on_worker = self.fleet.worker(worker);
+        for key in on_worker.holders_of(on_worker.all) {
+            let running = self
+                .jobs
+                .get(key)
+                .filter(|job| job.state == JobState::Running);
+            if let Some(job) = running {
+                self.effects.push(Effect::Inspect {
+                    attempt: job.attempt_id(),
+                    worker,
+                });
+            }
+        }
+    }
+
     /// Decides once every member's worker has answered or is lost.
     pub(super) fn settle_recovery(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(key) else {
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -123,6 +123,7 @@
                 held,
                 state: MemberState::Claiming,
                 may_have_begun: false,
+                saved_ms: None,
             });
         }
         self.charge(account, taken, plan.pledge.is_none());
--- /dev/null
+++ b/src/daemon/entry/body.rs
@@ -0,0 +1,135 @@
+//! Reading requests and writing responses.
+
+use super::ApiError;
+use crate::core::{
+    Adjacency,
+    Shape, //
+};
+use crate::ledger::Submission;
+use actix_http::body::BoxBody;
+use actix_http::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use futures_util::StreamExt;
+use serde::de::DeserializeOwned;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// What a caller submits, in JSON.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubmitBody {
+    /// Class of work.
+    pub class: String,
+    /// Accelerators on each worker.
+    pub accelerators_per_worker: u16,
+    /// Workers of the gang.
+    #[serde(default = "one")]
+    pub workers: u16,
+    /// How close the workers have to be.
+    #[serde(default)]
+    pub adjacency: Adjacency,
+    /// Whether the job may be started again after it may have begun; if not
+    /// said, it runs at most once.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// The caller's estimate of the run time.
+    pub declared_run_ms: u64,
+    /// What the task is given.
+    #[serde(default)]
+    pub payload: String,
+}
+
+fn one() -> u16 {
+    1
+}
+
+impl SubmitBody {
+    /// The submission of `account` under `key`.
+    pub fn submission(self, account: &str, key: &str) -> Submission {
+        let mut submission = Submission {
+            account: account.to_owned(),
+            class: self.class,
+            idempotency_key: key.to_owned(),
+            idempotent: self.idempotent,
+            declared_run_ms: self.declared_run_ms,
+            payload: self.payload.into(),
+            ..Submission::default()
+        };
+        submission.set_shape(Shape {
+            accelerators_per_worker: self.accelerators_per_worker,
+            workers: self.workers,
+            adjacency: self.adjacency,
+        });
+        submission
+    }
+}
+
+/// Options in a query.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct WaitQuery {
+    /// How long to wait for the job's end.
+    pub wait_ms: u64,
+}
+
+/// Reads a whole body of at most `limit_bytes`.
+///
+/// # Errors
+///
+/// The body is too long or ended early.
+pub async fn read(request: &mut Request, limit_bytes: usize) -> Result<Bytes, ApiError> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| ApiError::TruncatedBody)?;
+        if body.len() + chunk.len() > limit_bytes {
+            return Err(ApiError::OversizedBody { limit_bytes });
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// Reads a body in JSON.
+///
+/// # Errors
+///
+/// The body is too long, ended early, or is not what is expected.
+pub async fn read_json<T: DeserializeOwned>(
+    request: &mut Request,
+    limit_bytes: usize,
+) -> Result<T, ApiError> {
+    let body = read(request, limit_bytes).await?;
+    serde_json::from_slice(&body).map_err(|error| ApiError::BadBody {
+        detail: error.to_string(),
+    })
+}
+
+/// Reads the query.
+///
+/// # Errors
+///
+/// A value is not what is expected.
+pub fn query<T: DeserializeOwned>(request: &Request) -> Result<T, ApiError> {
+    let text = request.uri().query().unwrap_or_default();
+    serde_urlencoded::from_str(text).map_err(|error| ApiError::BadBody {
+        detail: error.to_string(),
+    })
+}
+
+/// A response in JSON.
+pub fn json(status: StatusCode, body: &impl Serialize) -> Response<BoxBody> {
+    Response::build(status)
+        .content_type("application/json")
+        .body(serde_json::to_vec(body).unwrap_or_default())
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,30 @@
+//! The daemon: entry, candidate owner and keeper in one process.
+
+mod answer;
+mod auth;
+mod control;
+mod directory;
+mod entry;
+mod keeper;
+mod patch;
+mod peer;
+mod run;
+mod settings;
+mod status;
+mod traffic;
+mod watch;
+
+pub use auth::{
+    Caller,
+    token_digest, //
+};
+pub use directory::home_of;
+pub use run::{
+    Daemon,
+    Error,
+    run, //
+};
+pub use settings::{
+    Settings,
+    SettingsProblem, //
+};
--- /dev/null
+++ b/src/daemon/run.rs
@@ -0,0 +1,482 @@
+//! Starting, running and draining a daemon.
+
+use super::control::Control;
+use super::directory::Directory;
+use super::entry::{
+    Entry,
+    EntryCommand,
+    Shared, //
+};
+use super::keeper::Keeper;
+use super::patch;
+use super::peer::Peers;
+use super::settings::{
+    Settings,
+    SettingsProblem, //
+};
+use super::status::Status;
+use super::traffic;
+use super::watch::{
+    self,
+    Watch, //
+};
+use crate::events;
+use crate::owner::{
+    Event,
+    Owner,
+    Settings as OwnerSettings, //
+};
+use crate::platform::{
+    HttpPlatform,
+    Membership,
+    Store,
+    VmKind, //
+};
+use crate::timer::Timer;
+use actix_http::HttpService;
+use actix_http::Request;
+use argh::FromArgs;
+use metrics_exporter_prometheus::{
+    PrometheusBuilder,
+    PrometheusHandle, //
+};
+use std::convert::Infallible;
+use std::net::{
+    SocketAddr,
+    TcpListener, //
+};
+use std::path::PathBuf;
+use std::sync::{
+    Arc,
+    OnceLock, //
+};
+use std::time::Duration;
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+use tokio::sync::mpsc;
+
+const COMMAND_QUEUE_LENGTH: usize = 4_096;
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+const DRAIN_CHECK_MS: u64 = 50;
+/// The balancer and the peers learn of the drain within this time.
+const DRAIN_NOTICE_MS: u64 = 1_000;
+
+/// A process of fuchsiaslip: entry, candidate owner and keeper.
+#[derive(FromArgs)]
+#[argh(
+    name = "fuchsiaslipd",
+    example = "{command_name} --settings fuchsiaslipd.toml",
+    example = "{command_name} --settings fuchsiaslipd.toml --check"
+)]
+struct Arguments {
+    /// the TOML file with the settings
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings file and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+/// Why the daemon does not run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings file is wrong.
+    #[error("{}", problems(.0))]
+    Settings(Vec<SettingsProblem>),
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}; free it or change {field}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Field of the settings that names it.
+        field: &'static str,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A thread cannot be started.
+    #[error("cannot start a thread: {0}; raise the process limits of the VM")]
+    Thread(#[from] std::io::Error),
+    /// The log cannot be set up.
+    #[error("cannot set up the log: {0}; start only one daemon in a process")]
+    Log(String),
+}
+
+fn problems(problems: &[SettingsProblem]) -> String {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+/// Runs the daemon as the command line says.
+///
+/// # Errors
+///
+/// The settings are wrong, or an address or thread cannot be had.
+pub fn run() -> Result<(), Error> {
+    let arguments: Arguments = argh::from_env();
+    let settings = Settings::read(&arguments.settings).map_err(Error::Settings)?;
+    if arguments.check {
+        println!("{}: the settings are right", arguments.settings.display());
+        return Ok(());
+    }
+    set_up_log()?;
+    let timer = Timer::spawn()?;
+    let daemon = Daemon::spawn(settings, timer.clone())?;
+    actix_rt::System::new().block_on(drain_on_signal(&daemon))?;
+    Ok(())
+}
+
+fn set_up_log() -> Result<(), Error> {
+    use log4rs::append::console::{
+        ConsoleAppender,
+        Target, //
+    };
+    use log4rs::config::{
+        Appender,
+        Config,
+        Root, //
+    };
+    use log4rs::encode::pattern::PatternEncoder;
+    let pattern = PatternEncoder::new("{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}");
+    let console = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(pattern))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("console", Box::new(console)))
+        .build(
+            Root::builder()
+                .appender("console")
+                .build(log::LevelFilter::Info),
+        )
+        .map_err(|error| Error::Log(error.to_string()))?;
+    log4rs::init_config(config)
+        .map(|_| ())
+        .map_err(|error| Error::Log(error.to_string()))
+}
+
+/// The first signal drains; each further one says what would be lost.
+async fn drain_on_signal(daemon: &Daemon) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut checks = daemon.timer.every(DRAIN_CHECK_MS);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => daemon.signalled(),
+            _ = interrupt.recv() => daemon.signalled(),
+            _ = checks.next() => if daemon.is_drained() {
+                return Ok(());
+            },
+        }
+    }
+}
+
+/// The metrics recorder of the process, installed once.
+fn metrics_handle() -> PrometheusHandle {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    HANDLE
+        .get_or_init(|| {
+            let recorder = PrometheusBuilder::new().build_recorder();
+            let handle = recorder.handle();
+            // Another recorder may be there in a test; then nothing is shown.
+            let _ = metrics::set_global_recorder(recorder);
+            handle
+        })
+        .clone()
+}
+
+/// A running daemon.
+pub struct Daemon {
+    /// Where callers reach it.
+    pub http_address: SocketAddr,
+    /// Where peers reach it.
+    pub peer_address: SocketAddr,
+    status: Arc<Status>,
+    timer: Timer,
+    drain_seen_ms: std::sync::atomic::AtomicU64,
+}
+
+impl Daemon {
+    /// Starts a daemon; port 0 in the settings takes a free port.
+    ///
+    /// # Errors
+    ///
+    /// An address or a thread cannot be had.
+    pub fn spawn(settings: Settings, timer: Timer) -> Result<Self, Error> {
+        let http = listen(settings.http_address, "http_address")?;
+        let peer = listen(settings.peer_address, "peer_address")?;
+        let (http_address, peer_address) = (http.local_addr()?, peer.local_addr()?);
+        let status = Arc::new(Status::default());
+        let directory = Arc::new(Directory::new(&settings.daemon, &settings.data_centre));
+        let settings = Arc::new(settings);
+        let owner = Owner::open(owner_settings(&settings, timer.now_ms()));
+        let (actions, calls) = mpsc::unbounded_channel();
+        let control = Control::spawn(owner, timer.clone(), status.clone(), actions)?;
+        let (commands, received) = mpsc::channel(COMMAND_QUEUE_LENGTH);
+        let shared = Shared {
+            settings: settings.clone(),
+            status: status.clone(),
+            timer: timer.clone(),
+            commands,
+            metrics: metrics_handle(),
+        };
+        let parts = Parts {
+            settings,
+            status: status.clone(),
+            directory,
+            timer: timer.clone(),
+            control,
+        };
+        std::thread::Builder::new()
+            .name("traffic".to_owned())
+            .spawn(move || {
+                actix_rt::System::new().block_on(parts.run(peer, calls, received));
+            })?;
+        std::thread::Builder::new()
+            .name("http".to_owned())
+            .spawn(move || serve_http(http, shared))?;
+        events::log(
+            events::DAEMON_STARTED,
+            format_args!("http {http_address}, peers {peer_address}"),
+        );
+        Ok(Self {
+            http_address,
+            peer_address,
+            status,
+            timer,
+            drain_seen_ms: Default::default(),
+        })
+    }
+
+    fn signalled(&self) {
+        if self.status.is_draining() {
+            let requests = self.status.requests();
+            return events::log(events::DRAIN_HURRIED, format_args!("{requests} requests"));
+        }
+        self.drain();
+    }
+
+    /// Begins to drain.
+    pub fn drain(&self) {
+        events::log(events::DRAIN_STARTED, format_args!("{}", self.http_address));
+        self.status.drain();
+    }
+
+    /// Whether everything is handed over and nothing is in progress.
+    pub fn is_drained(&self) -> bool {
+        use std::sync::atomic::Ordering::Relaxed;
+        if !self.status.is_draining() {
+            return false;
+        }
+        let now_ms = self.timer.now_ms();
+        let _ = self
+            .drain_seen_ms
+            .compare_exchange(0, now_ms, Relaxed, Relaxed);
+        let noticed = now_ms >= self.drain_seen_ms.load(Relaxed) + DRAIN_NOTICE_MS;
+        let drained = noticed && self.status.has_handed_over() && self.status.requests() == 0;
+        if drained {
+            events::log(
+                events::DRAIN_FINISHED,
+                format_args!("{}", self.http_address),
+            );
+        }
+        drained
+    }
+
+    /// Whether this daemon owns its data centre.
+    pub fn is_owner(&self) -> bool {
+        self.status.owner_epoch() > 0
+    }
+
+    /// Version of the configuration in force here.
+    pub fn configuration_version(&self) -> u64 {
+        self.status.configuration_version()
+    }
+}
+
+fn listen(address: SocketAddr, field: &'static str) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(address).map_err(|source| Error::Listen {
+        address,
+        field,
+        source,
+    })?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+fn owner_settings(settings: &Settings, now_ms: u64) -> OwnerSettings {
+    // Two processes never share a name for a write: the range starts at a
+    // random number, and the lease holder's name carries the start time.
+    let first_write_id = rand::random::<u64>() >> 1;
+    let holder = format!("{}@{now_ms}", settings.daemon);
+    let mut owner = OwnerSettings::new(&settings.data_centre, &holder, first_write_id);
+    owner.lease_ttl_ms = settings.lease_ttl_ms;
+    owner.lease_margin_ms = settings.lease_ttl_ms / 10;
+    owner.worker_lease_ms = settings.worker_lease_ms;
+    owner.configuration_bound_ms = settings.configuration_bound_ms;
+    owner
+}
+
+fn serve_http(listener: TcpListener, shared: Shared) {
+    let threads = shared.settings.http_threads;
+    let factory = move || {
+        let entry = Entry::open(shared.clone());
+        HttpService::build()
+            .keep_alive(KEEP_ALIVE)
+            .client_request_timeout(REQUEST_HEAD_TIMEOUT)
+            .finish(move |request: Request| {
+                let entry = entry.clone();
+                async move { Ok::<_, Infallible>(entry.answer(request).await) }
+            })
+            .tcp()
+    };
+    actix_rt::System::new().block_on(async move {
+        let server = actix_server::Server::build()
+            .workers(threads)
+            .disable_signals()
+            .listen("http", listener, factory);
+        if let Ok(server) = server {
+            // Serves until the process ends; a drain is watched elsewhere.
+            let _ = server.run().await;
+        }
+    });
+}
+
+/// What the traffic thread is made of.
+struct Parts {
+    settings: Arc<Settings>,
+    status: Arc<Status>,
+    directory: Arc<Directory>,
+    timer: Timer,
+    control: Control,
+}
+
+impl Parts {
+    async fn run(
+        self,
+        listener: TcpListener,
+        calls: mpsc::UnboundedReceiver<crate::owner::Action>,
+        commands: mpsc::Receiver<EntryCommand>,
+    ) {
+        let address = self.settings.platform_address.to_string();
+        let platform = HttpPlatform::open(&address, self.timer.clone());
+        let peers = Peers::open(
+            &self.settings.daemon,
+            &self.settings.data_centre,
+            &self.settings.peer_token,
+            self.timer.clone(),
+            self.status.clone(),
+            self.directory.clone(),
+            self.control.clone(),
+        );
+        let store = platform.store();
+        let keeper = Keeper::open(
+            platform.workers(),
+            self.timer.clone(),
+            self.status.clone(),
+            self.directory.clone(),
+            peers.clone(),
+            self.settings.worker_poll_ms,
+            self.settings.worker_lease_ms,
+        );
+        let watch = Watch {
+            store: store.clone(),
+            timer: self.timer.clone(),
+            status: self.status.clone(),
+            directory: self.directory.clone(),
+            control: self.control.clone(),
+            peers: peers.clone(),
+            relay: self.settings.configuration_relay,
+        };
+        let control = self.control.clone();
+        actix_rt::spawn(traffic::run(
+            calls,
+            store.clone(),
+            platform.workers(),
+            control,
+        ));
+        if let Ok(listener) = tokio::net::TcpListener::from_std(listener) {
+            actix_rt::spawn(peers.clone().accept(listener));
+        }
+        self.list_once(&platform.membership()).await;
+        actix_rt::spawn(watch.run());
+        actix_rt::spawn(keeper.run());
+        actix_rt::spawn(peers.clone().beat());
+        let parts = std::rc::Rc::new(self);
+        actix_rt::spawn(parts.clone().follow_list(platform.membership()));
+        actix_rt::spawn(parts.clone().follow_drain(peers.clone()));
+        parts.serve_commands(commands, peers, store).await;
+    }
+
+    async fn list_once(&self, membership: &Membership) {
+        let Some(members) = membership.list().await else {
+            metrics::counter!("fuchsiaslip_retries_total", "reason" => "list_silent").increment(1);
+            return;
+        };
+        self.directory.set_members(members.clone());
+        let here = members
+            .into_iter()
+            .filter(|vm| vm.kind == VmKind::Worker && vm.data_centre == self.settings.data_centre)
+            .collect();
+        self.control.event(Event::Members(here)).await;
+    }
+
+    async fn follow_list(self: std::rc::Rc<Self>, membership: Membership) {
+        let mut ticks = self.timer.every(self.settings.list_ms);
+        loop {
+            ticks.next().await;
+            self.list_once(&membership).await;
+        }
+    }
+
+    async fn follow_drain(self: std::rc::Rc<Self>, peers: Peers) {
+        while !self.status.is_draining() {
+            self.timer.after(DRAIN_CHECK_MS).await;
+        }
+        peers.tell_peers(self.timer.now_ms());
+        self.control.event(Event::Drain).await;
+    }
+
+    async fn serve_commands(
+        self: std::rc::Rc<Self>,
+        mut commands: mpsc::Receiver<EntryCommand>,
+        peers: Peers,
+        store: Store,
+    ) {
+        while let Some(command) = commands.recv().await {
+            let parts = self.clone();
+            let (peers, store) = (peers.clone(), store.clone());
+            actix_rt::spawn(async move { parts.serve_command(command, peers, store).await });
+        }
+    }
+
+    async fn serve_command(&self, command: EntryCommand, peers: Peers, store: Store) {
+        let now_ms = self.timer.now_ms();
+        let members = self.directory.members();
+        // Whoever asked may have gone away in each of these.
+        match command {
+            EntryCommand::Route(data_centre, request, reply) => {
+                let _ = reply.send(peers.route(&data_centre, request).await);
+            }
+            EntryCommand::Patch(patch, operator, reply) => {
+                let outcome = patch::submit(&store, &patch, &operator, now_ms, &members).await;
+                if let patch::PatchOutcome::Accepted(configuration) = &outcome {
+                    let configuration = configuration.as_ref().clone();
+                    watch::put_in_force(&self.status, &self.control, configuration).await;
+                    peers.tell_peers(self.timer.now_ms());
+                }
+                let _ = reply.send(outcome);
+            }
+            EntryCommand::Plan(patch, reply) => {
+                let planned = match patch::current(&store).await {
+                    Ok((_, current)) => patch::check(&current, &patch, "", now_ms, &members)
+                        .map(|_| current.changes(&patch)),
+                    Err(_) => Err(Vec::new()),
+                };
+                let _ = reply.send(planned);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/traffic.rs
@@ -0,0 +1,57 @@
+//! Carries the owner's calls to the store and to workers.
+
+use super::control::Control;
+use crate::owner::{
+    Action,
+    Event, //
+};
+use crate::platform::{
+    Store,
+    Workers, //
+};
+use std::rc::Rc;
+use tokio::sync::{
+    Semaphore,
+    mpsc, //
+};
+
+/// Worker calls under way at a time; a wave of cancellations waits here.
+const MAX_WORKER_CALLS: usize = 256;
+
+/// Carries out actions until the control thread ends.
+pub async fn run(
+    mut actions: mpsc::UnboundedReceiver<Action>,
+    store: Store,
+    workers: Workers,
+    control: Control,
+) {
+    let permits = Rc::new(Semaphore::new(MAX_WORKER_CALLS));
+    while let Some(action) = actions.recv().await {
+        let control = control.clone();
+        match action {
+            Action::Store { call, request } => {
+                let store = store.clone();
+                actix_rt::spawn(async move {
+                    let result = store.call(request).await;
+                    control.event(Event::Store { call, result }).await;
+                });
+            }
+            Action::Worker {
+                call,
+                address,
+                request,
+                ..
+            } => {
+                let workers = workers.clone();
+                let permits = permits.clone();
+                actix_rt::spawn(async move {
+                    let permit = permits.acquire().await;
+                    let result = workers.call(address, request).await;
+                    drop(permit);
+                    control.event(Event::Worker { call, result }).await;
+                });
+            }
+            Action::Reply { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/watch.rs
@@ -0,0 +1,138 @@
+//! Learning new versions of the configuration.
+
+use super::control::Control;
+use super::directory::Directory;
+use super::peer::Peers;
+use super::status::Status;
+use crate::config::Configuration;
+use crate::events;
+use crate::ledger;
+use crate::owner::Event;
+use crate::platform::{
+    Store,
+    StoreAnswer,
+    StoreCall, //
+};
+use crate::timer::Timer;
+use bytes::Bytes;
+use std::sync::Arc;
+
+/// Key of the configuration in the store.
+pub const CONFIGURATION_KEY: &str = "configuration/current";
+const WATCH_MS: u64 = 2_000;
+const RETRY_MS: u64 = 500;
+const MAX_RETRY_MS: u64 = 4_000;
+const RELAY_CHECK_MS: u64 = 250;
+/// A relayed confirmation older than this is replaced by a watch of one's own.
+const RELAY_BOUND_MS: u64 = 3_500;
+
+/// The stored form of a configuration.
+pub fn encode(configuration: &Configuration) -> Bytes {
+    ledger::seal(&serde_json::to_vec(configuration).unwrap_or_default())
+}
+
+/// Reads the stored form.
+pub fn decode(value: &Bytes) -> Option<Configuration> {
+    let content = ledger::open(value.clone()).ok()?;
+    serde_json::from_slice(&content).ok()
+}
+
+/// Puts a version in force on this daemon, if it is newer.
+pub async fn put_in_force(status: &Status, control: &Control, configuration: Configuration) {
+    let configuration = Arc::new(configuration);
+    if status.put_in_force(configuration.clone()) {
+        events::log(
+            events::CONFIGURATION_IN_FORCE,
+            format_args!("version {}", configuration.version),
+        );
+        control.event(Event::Configuration(configuration)).await;
+    }
+}
+
+/// What the watch needs.
+pub struct Watch {
+    /// The store.
+    pub store: Store,
+    /// The timer service.
+    pub timer: Timer,
+    /// Shared facts.
+    pub status: Arc<Status>,
+    /// Who lives.
+    pub directory: Arc<Directory>,
+    /// The control thread.
+    pub control: Control,
+    /// The peers.
+    pub peers: Peers,
+    /// Rely on the owner's word while it is fresh.
+    pub relay: bool,
+}
+
+impl Watch {
+    /// Follows the configuration until the process ends.
+    pub async fn run(self) {
+        let mut failures = 0;
+        loop {
+            if self.relayed() {
+                self.timer.after(RELAY_CHECK_MS).await;
+                continue;
+            }
+            match self.watch_once().await {
+                true => failures = 0,
+                false => {
+                    failures += 1;
+                    let wait_ms = (RETRY_MS << failures.min(8)).min(MAX_RETRY_MS);
+                    self.timer.after(wait_ms).await;
+                }
+            }
+        }
+    }
+
+    /// Whether another daemon, the owner, follows the store for this one.
+    fn relayed(&self) -> bool {
+        let now_ms = self.timer.now_ms();
+        self.relay
+            && self.status.owner_epoch() == 0
+            && self.status.confirmed_ms() + RELAY_BOUND_MS > now_ms
+            && self.directory.owner(now_ms).is_some()
+    }
+
+    async fn watch_once(&self) -> bool {
+        let version = self.status.configuration_version();
+        // Before the first version is known there is nothing to wait for.
+        let wait_ms = match self.status.configuration() {
+            Some(_) => WATCH_MS,
+            None => 0,
+        };
+        let asked_ms = self.timer.now_ms();
+        let answer = self.store.call(StoreCall::Watch {
+            key: CONFIGURATION_KEY.to_owned(),
+            after_version: version,
+            wait_ms,
+        });
+        let configuration = match answer.await {
+            Ok(StoreAnswer::Value { value, .. }) => match decode(&value) {
+                Some(configuration) => configuration,
+                None => return false,
+            },
+            Ok(StoreAnswer::Absent) => Configuration::default(),
+            _ => return false,
+        };
+        let newer = configuration.version > version;
+        put_in_force(&self.status, &self.control, configuration).await;
+        // The service held the answer back until now, so it was current then;
+        // an answer that came early is counted from when it was asked for.
+        let confirmed_ms = match newer {
+            true => asked_ms,
+            false => asked_ms.max(self.timer.now_ms().min(asked_ms + wait_ms)),
+        };
+        self.status.confirm(confirmed_ms);
+        let confirmed = Event::ConfigurationConfirmed {
+            asked_ms: confirmed_ms,
+        };
+        self.control.event(confirmed).await;
+        if newer {
+            self.peers.tell_peers(self.timer.now_ms());
+        }
+        true
+    }
+}
--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,90 @@
+//! Numbered log events; docs/EVENTS.md is their catalogue.
+
+use std::fmt;
+
+/// One kind of event in the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LogEvent {
+    /// Its number, which stays the same for ever.
+    pub number: u16,
+    /// Its level.
+    pub level: log::Level,
+    /// What happened.
+    pub meaning: &'static str,
+    /// What an operator does about it.
+    pub remedy: &'static str,
+}
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $meaning:literal, $remedy:literal;)*) => {
+        $($(#[$doc])* pub const $name: LogEvent = LogEvent {
+            number: $number,
+            level: log::Level::$level,
+            meaning: $meaning,
+            remedy: $remedy,
+        };)*
+
+        /// All events, in the order of their numbers.
+        pub const ALL: &[LogEvent] = &[$($name),*];
+    };
+}
+
+events! {
+    /// The daemon serves.
+    DAEMON_STARTED = 100, Info, "the daemon serves callers and peers", "none";
+    /// The daemon begins to drain.
+    DRAIN_STARTED = 101, Info, "the daemon takes no new work and hands over what it has", "wait for 102";
+    /// The daemon has drained.
+    DRAIN_FINISHED = 102, Info, "everything is handed over; the process ends", "none";
+    /// A second signal during the drain.
+    DRAIN_HURRIED = 103, Warn, "a second signal came while requests were in progress", "wait, or accept that the callers named will see a cut connection";
+    /// This daemon became owner.
+    OWNER_STARTED = 200, Info, "this daemon owns the data centre's ledger", "none";
+    /// This daemon is no longer owner.
+    OWNER_FENCED = 201, Warn, "another owner has written the ledger; this one stepped down", "none, unless it repeats: then look for paused VMs";
+    /// This daemon gave the ownership up.
+    OWNER_RESIGNED = 202, Info, "this daemon handed the ownership over", "none";
+    /// The lease could not be renewed in time.
+    LEASE_UNCERTAIN = 203, Warn, "the owner's lease could not be renewed; nothing new starts until it is", "look at the key-value service";
+    /// A ledger value cannot be read.
+    LEDGER_DAMAGED = 204, Error, "a ledger value cannot be read; no owner starts", "run `fuchsiaslip ledger check` and restore the value named there";
+    /// The store answers again.
+    STORE_BACK = 210, Info, "the key-value service answers again", "none";
+    /// The store does not answer.
+    STORE_SILENT = 211, Warn, "the key-value service does not answer; nothing new is accepted, running work goes on", "look at the key-value service";
+    /// A worker lost.
+    WORKER_LOST = 300, Warn, "a worker's lease has ended without contact; its gangs are ended", "replace the worker";
+    /// A worker answers again.
+    WORKER_BACK = 301, Info, "a lost worker answers again", "none";
+    /// A worker leaving.
+    WORKER_LEAVING = 302, Info, "a worker is leaving and receives no new work", "none";
+    /// A worker quarantined.
+    WORKER_QUARANTINED = 303, Warn, "several different jobs failed on the worker in a row; it gets no work until probation", "inspect the worker";
+    /// A guarantee falls short.
+    GUARANTEE_SHORT = 310, Error, "an account's guaranteed shapes cannot all be had back now", "add workers or lower a guarantee";
+    /// A job cannot run anywhere.
+    JOB_UNABLE = 320, Warn, "a job failed on several healthy workers and is given up", "tell the account";
+    /// A patch accepted.
+    PATCH_ACCEPTED = 400, Info, "a configuration patch was accepted", "none";
+    /// A patch refused.
+    PATCH_REFUSED = 401, Warn, "a configuration patch was refused", "see the reasons in the answer";
+    /// A version in force.
+    CONFIGURATION_IN_FORCE = 402, Info, "a configuration version is in force on this daemon", "none";
+    /// The version cannot be confirmed.
+    CONFIGURATION_STALE = 403, Warn, "this daemon cannot confirm that its configuration is current; it starts nothing new", "look at the key-value service and the network";
+    /// A peer was refused.
+    PEER_REFUSED = 500, Warn, "a connection from a peer was refused", "check peer_token in both settings files";
+    /// A broken frame.
+    FRAME_BROKEN = 501, Warn, "a peer sent a frame that does not decode; the connection was closed", "check that all daemons run compatible versions";
+}
+
+/// Writes one event with its detail.
+pub fn log(event: LogEvent, detail: fmt::Arguments<'_>) {
+    log::log!(
+        event.level,
+        "E{:03} {}: {}",
+        event.number,
+        event.meaning,
+        detail
+    );
+}
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -125,6 +125,22 @@
     NotRun = 7,
 }
 
+impl OutcomeCode {
+    /// The outcome as answers and counters name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Served => "served",
+            Self::Failed => "failed",
+            Self::CancelledNotRun => "cancelled_not_run",
+            Self::Cancelled => "cancelled",
+            Self::MayHaveRun => "may_have_run",
+            Self::UnableToRun => "unable_to_run",
+            Self::NotRun => "not_run",
+        }
+    }
+}
+
 /// One member of a gang's attempt.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct MemberRecord {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,14 @@
 //! A scheduler for multi-accelerator jobs under client account guarantees.
 
+pub mod cli;
+pub mod client;
 pub mod config;
 pub mod core;
+pub mod daemon;
+pub mod events;
 pub mod ledger;
+pub mod owner;
 pub mod platform;
+pub mod standin;
+pub mod timer;
+pub mod wire;
--- /dev/null
+++ b/src/owner/mod.rs
@@ -0,0 +1,24 @@
+//! The owner of a data centre: the only writer of its ledger.
+//!
+//! [`Owner`] joins the decision core with the ledger and the lease. It does no
+//! I/O: events go in, actions come out, so that the daemon and the fault
+//! matrix run the same code.
+
+mod lease;
+mod message;
+mod outbox;
+mod state;
+
+pub use message::{
+    Action,
+    CallId,
+    Ended,
+    Event,
+    Reply,
+    Request,
+    WorkerNews, //
+};
+pub use state::{
+    Owner,
+    Settings, //
+};
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,10 +3,17 @@
 //! The adapters that carry these calls over HTTP are one file each; another
 //! platform's protocol is another such file.
 
+mod http;
 mod membership;
 mod store;
 mod worker;
 
+pub use http::{
+    HttpPlatform,
+    VERSION_HEADER,
+    WorkerAnswerBody,
+    WorkerQuery, //
+};
 pub use membership::{
     Membership,
     VmKind,
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -79,6 +79,28 @@
     CannotStart,
 }
 
+impl WorkerRefusal {
+    /// All refusals.
+    pub const ALL: [WorkerRefusal; 5] = [
+        Self::StaleEpoch,
+        Self::Leaving,
+        Self::Busy,
+        Self::NotReserved,
+        Self::CannotStart,
+    ];
+
+    /// The refusal as the worker's answer names it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::StaleEpoch => "stale_epoch",
+            Self::Leaving => "leaving",
+            Self::Busy => "busy",
+            Self::NotReserved => "not_reserved",
+            Self::CannotStart => "cannot_start",
+        }
+    }
+}
+
 /// Where a task stands on its worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TaskState {
--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,520 @@
+//! The messages between daemons, and their way to and from the owner's.
+
+use crate::core::{
+    AccountReport,
+    AttemptId,
+    JobId,
+    JobReport,
+    Refusal,
+    RefusalReason,
+    WorkerReport, //
+};
+use crate::ledger::{
+    AnswerRecord,
+    Submission, //
+};
+use crate::owner::{
+    Ended,
+    Reply,
+    Request,
+    WorkerNews, //
+};
+use crate::platform::{
+    TaskChange,
+    TaskState, //
+};
+use bytes::Bytes;
+
+/// One frame.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// What it carries.
+    #[prost(oneof = "FrameKind", tags = "1, 2, 3, 4")]
+    pub kind: Option<FrameKind>,
+}
+
+/// What a frame carries.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "a frame lives only while it is encoded or handled"
+)]
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum FrameKind {
+    /// The first frame of a connection.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// A daemon's sign of life.
+    #[prost(message, tag = "2")]
+    Heartbeat(Heartbeat),
+    /// A request.
+    #[prost(message, tag = "3")]
+    Request(RequestFrame),
+    /// The reply to a request.
+    #[prost(message, tag = "4")]
+    Reply(ReplyFrame),
+}
+
+/// Who opens a connection.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Digest of the token that all daemons share.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub token: Bytes,
+    /// The daemon's name.
+    #[prost(string, tag = "2")]
+    pub daemon: String,
+}
+
+/// A daemon's sign of life.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Heartbeat {
+    /// The daemon's name.
+    #[prost(string, tag = "1")]
+    pub daemon: String,
+    /// Its epoch if it owns the data centre, else 0.
+    #[prost(uint64, tag = "2")]
+    pub owner_epoch: u64,
+    /// Version of the configuration in force there.
+    #[prost(uint64, tag = "3")]
+    pub configuration_version: u64,
+    /// How long ago that version was confirmed to be the current one.
+    #[prost(uint64, tag = "4")]
+    pub confirmed_age_ms: u64,
+    /// Whether it is draining.
+    #[prost(bool, tag = "5")]
+    pub draining: bool,
+}
+
+/// A request with the number that its reply carries back.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RequestFrame {
+    /// Number of the request on its connection.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// How often it was passed on.
+    #[prost(uint32, tag = "2")]
+    pub hops: u32,
+    /// What is wanted.
+    #[prost(oneof = "RequestBody", tags = "3, 4, 5, 6, 7, 8, 9, 10")]
+    pub body: Option<RequestBody>,
+}
+
+/// What is wanted.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum RequestBody {
+    /// [`Request::Submit`].
+    #[prost(message, tag = "3")]
+    Submit(Submission),
+    /// [`Request::Wait`].
+    #[prost(uint64, tag = "4")]
+    Wait(u64),
+    /// [`Request::Explain`].
+    #[prost(uint64, tag = "5")]
+    Explain(u64),
+    /// [`Request::Cancel`].
+    #[prost(message, tag = "6")]
+    Cancel(CancelBody),
+    /// [`Request::Accounts`].
+    #[prost(bool, tag = "7")]
+    Accounts(bool),
+    /// [`Request::Workers`].
+    #[prost(bool, tag = "8")]
+    Workers(bool),
+    /// News of a worker for the owner.
+    #[prost(message, tag = "9")]
+    News(NewsBody),
+    /// The configuration in force at the peer.
+    #[prost(bool, tag = "10")]
+    Configuration(bool),
+}
+
+/// Jobs to cancel.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct CancelBody {
+    /// The account whose jobs they have to be.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// The jobs.
+    #[prost(uint64, repeated, tag = "2")]
+    pub jobs: Vec<u64>,
+}
+
+/// News of a worker.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NewsBody {
+    /// The worker's name.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// The news.
+    #[prost(oneof = "NewsKind", tags = "2, 3, 4")]
+    pub kind: Option<NewsKind>,
+}
+
+/// Kinds of news.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum NewsKind {
+    /// [`WorkerNews::Changes`].
+    #[prost(message, tag = "2")]
+    Changes(TasksBody),
+    /// [`WorkerNews::Silent`], in milliseconds.
+    #[prost(uint64, tag = "3")]
+    Silent(u64),
+    /// [`WorkerNews::Seen`].
+    #[prost(message, tag = "4")]
+    Seen(SeenBody),
+}
+
+/// Tasks that changed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TasksBody {
+    /// The tasks.
+    #[prost(message, repeated, tag = "1")]
+    pub tasks: Vec<TaskBody>,
+}
+
+/// A worker that answers.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct SeenBody {
+    /// Its incarnation.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+}
+
+/// One task.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TaskBody {
+    /// Its job.
+    #[prost(uint64, tag = "1")]
+    pub job: u64,
+    /// Its attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    /// Where it stands.
+    #[prost(enumeration = "TaskCode", tag = "3")]
+    pub code: i32,
+    /// Work that its checkpoint saved.
+    #[prost(uint64, tag = "4")]
+    pub progress_ms: u64,
+    /// Its answer.
+    #[prost(message, optional, tag = "5")]
+    pub answer: Option<AnswerRecord>,
+}
+
+/// [`TaskState`] as it is encoded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, prost::Enumeration)]
+#[repr(i32)]
+pub enum TaskCode {
+    /// [`TaskState::Unknown`].
+    Unknown = 0,
+    /// [`TaskState::NotBegun`].
+    NotBegun = 1,
+    /// [`TaskState::Running`].
+    Running = 2,
+    /// [`TaskState::Finished`].
+    Finished = 3,
+    /// [`TaskState::Failed`].
+    Failed = 4,
+    /// [`TaskState::Stopped`].
+    Stopped = 5,
+}
+
+/// The reply to a request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReplyFrame {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The reply.
+    #[prost(oneof = "ReplyBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    pub body: Option<ReplyBody>,
+}
+
+/// The reply.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum ReplyBody {
+    /// [`Reply::Accepted`].
+    #[prost(uint64, tag = "2")]
+    Accepted(u64),
+    /// [`Reply::Refused`].
+    #[prost(message, tag = "3")]
+    Refused(RefusedBody),
+    /// [`Reply::Ended`].
+    #[prost(message, tag = "4")]
+    Ended(EndedBody),
+    /// [`Reply::Job`].
+    #[prost(message, tag = "5")]
+    Job(JobReport),
+    /// [`Reply::NotFound`].
+    #[prost(bool, tag = "6")]
+    NotFound(bool),
+    /// [`Reply::Cancelled`].
+    #[prost(uint32, tag = "7")]
+    Cancelled(u32),
+    /// [`Reply::Accounts`].
+    #[prost(message, tag = "8")]
+    Accounts(AccountsBody),
+    /// [`Reply::Workers`].
+    #[prost(message, tag = "9")]
+    Workers(WorkersBody),
+    /// [`Reply::NotOwner`].
+    #[prost(bool, tag = "10")]
+    NotOwner(bool),
+    /// [`Reply::OutcomeUnknown`].
+    #[prost(bool, tag = "11")]
+    OutcomeUnknown(bool),
+    /// The news was taken in.
+    #[prost(bool, tag = "12")]
+    Taken(bool),
+    /// The configuration in force.
+    #[prost(message, tag = "13")]
+    Configuration(ConfigurationBody),
+}
+
+/// A refusal.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct RefusedBody {
+    /// Name of the reason.
+    #[prost(string, tag = "1")]
+    pub reason: String,
+    /// When to ask again; 0 for never.
+    #[prost(uint64, tag = "2")]
+    pub retry_after_ms: u64,
+}
+
+/// A job that has ended.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EndedBody {
+    /// The job.
+    #[prost(message, required, tag = "1")]
+    pub report: JobReport,
+    /// Its answer.
+    #[prost(message, optional, tag = "2")]
+    pub answer: Option<AnswerRecord>,
+    /// Address of the worker that keeps the answer.
+    #[prost(string, optional, tag = "3")]
+    pub answer_address: Option<String>,
+}
+
+/// The accounts.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AccountsBody {
+    /// The accounts.
+    #[prost(message, repeated, tag = "1")]
+    pub accounts: Vec<AccountReport>,
+    /// Fragmentation from 0 to 1.
+    #[prost(double, tag = "2")]
+    pub fragmentation: f64,
+    /// Version of the configuration in force.
+    #[prost(uint64, tag = "3")]
+    pub configuration_version: u64,
+}
+
+/// The workers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WorkersBody {
+    /// The workers.
+    #[prost(message, repeated, tag = "1")]
+    pub workers: Vec<WorkerReport>,
+}
+
+/// A configuration, encoded as it is stored.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct ConfigurationBody {
+    /// The stored value; empty if none is known.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub value: Bytes,
+}
+
+impl From<FrameKind> for Frame {
+    fn from(kind: FrameKind) -> Self {
+        Self { kind: Some(kind) }
+    }
+}
+
+impl From<Request> for RequestBody {
+    fn from(request: Request) -> Self {
+        match request {
+            Request::Submit(submission) => Self::Submit(submission),
+            Request::Wait(job) => Self::Wait(job.0),
+            Request::Explain(job) => Self::Explain(job.0),
+            Request::Cancel { account, jobs } => Self::Cancel(CancelBody {
+                account,
+                jobs: jobs.into_iter().map(|job| job.0).collect(),
+            }),
+            Request::Accounts => Self::Accounts(true),
+            Request::Workers => Self::Workers(true),
+        }
+    }
+}
+
+impl RequestBody {
+    /// The owner's request, unless it is news or a question to the daemon.
+    pub fn into_request(self) -> Option<Request> {
+        Some(match self {
+            Self::Submit(submission) => Request::Submit(submission),
+            Self::Wait(job) => Request::Wait(JobId(job)),
+            Self::Explain(job) => Request::Explain(JobId(job)),
+            Self::Cancel(body) => Request::Cancel {
+                account: body.account,
+                jobs: body.jobs.into_iter().map(JobId).collect(),
+            },
+            Self::Accounts(_) => Request::Accounts,
+            Self::Workers(_) => Request::Workers,
+            Self::News(_) | Self::Configuration(_) => return None,
+        })
+    }
+}
+
+impl From<Reply> for ReplyBody {
+    fn from(reply: Reply) -> Self {
+        match reply {
+            Reply::Accepted(job) => Self::Accepted(job.0),
+            Reply::Refused(refusal) => Self::Refused(RefusedBody {
+                reason: refusal.reason.name().to_owned(),
+                retry_after_ms: refusal.retry_after_ms,
+            }),
+            Reply::Ended(ended) => Self::Ended(EndedBody {
+                report: ended.report,
+                answer: ended.answer,
+                answer_address: ended.answer_address,
+            }),
+            Reply::Job(report) => Self::Job(*report),
+            Reply::NotFound => Self::NotFound(true),
+            Reply::Cancelled(count) => Self::Cancelled(count),
+            Reply::Accounts {
+                accounts,
+                fragmentation,
+                configuration_version,
+            } => Self::Accounts(AccountsBody {
+                accounts,
+                fragmentation,
+                configuration_version,
+            }),
+            Reply::Workers(workers) => Self::Workers(WorkersBody { workers }),
+            Reply::NotOwner => Self::NotOwner(true),
+            Reply::OutcomeUnknown => Self::OutcomeUnknown(true),
+        }
+    }
+}
+
+impl ReplyBody {
+    /// The owner's reply. A reason that this program does not know yet is
+    /// never passed on as a refusal.
+    pub fn into_reply(self) -> Option<Reply> {
+        Some(match self {
+            Self::Accepted(job) => Reply::Accepted(JobId(job)),
+            Self::Refused(body) => match RefusalReason::from_name(&body.reason) {
+                Some(reason) => Reply::Refused(Refusal {
+                    reason,
+                    retry_after_ms: body.retry_after_ms,
+                }),
+                None => Reply::OutcomeUnknown,
+            },
+            Self::Ended(body) => Reply::Ended(Box::new(Ended {
+                report: body.report,
+                answer: body.answer,
+                answer_address: body.answer_address,
+            })),
+            Self::Job(report) => Reply::Job(Box::new(report)),
+            Self::NotFound(_) => Reply::NotFound,
+            Self::Cancelled(count) => Reply::Cancelled(count),
+            Self::Accounts(body) => Reply::Accounts {
+                accounts: body.accounts,
+                fragmentation: body.fragmentation,
+                configuration_version: body.configuration_version,
+            },
+            Self::Workers(body) => Reply::Workers(body.workers),
+            Self::NotOwner(_) => Reply::NotOwner,
+            Self::OutcomeUnknown(_) => Reply::OutcomeUnknown,
+            Self::Taken(_) | Self::Configuration(_) => return None,
+        })
+    }
+}
+
+impl NewsBody {
+    /// Encodes news of `worker`.
+    pub fn new(worker: &str, news: &WorkerNews) -> Self {
+        let kind = match news {
+            WorkerNews::Changes(changes) => NewsKind::Changes(TasksBody {
+                tasks: changes.iter().map(TaskBody::from).collect(),
+            }),
+            WorkerNews::Silent { silent_ms } => NewsKind::Silent(*silent_ms),
+            WorkerNews::Seen {
+                incarnation,
+                leaving,
+            } => NewsKind::Seen(SeenBody {
+                incarnation: *incarnation,
+                leaving: *leaving,
+            }),
+        };
+        Self {
+            worker: worker.to_owned(),
+            kind: Some(kind),
+        }
+    }
+
+    /// Decodes the news.
+    pub fn into_news(self) -> Option<(String, WorkerNews)> {
+        let news = match self.kind? {
+            NewsKind::Changes(body) => {
+                WorkerNews::Changes(body.tasks.into_iter().map(TaskBody::into_change).collect())
+            }
+            NewsKind::Silent(silent_ms) => WorkerNews::Silent { silent_ms },
+            NewsKind::Seen(body) => WorkerNews::Seen {
+                incarnation: body.incarnation,
+                leaving: body.leaving,
+            },
+        };
+        Some((self.worker, news))
+    }
+}
+
+impl From<&TaskChange> for TaskBody {
+    fn from(change: &TaskChange) -> Self {
+        let mut body = TaskBody {
+            job: change.attempt.job.0,
+            attempt: change.attempt.attempt,
+            ..TaskBody::default()
+        };
+        let code = match &change.state {
+            TaskState::Unknown => TaskCode::Unknown,
+            TaskState::NotBegun => TaskCode::NotBegun,
+            TaskState::Running => TaskCode::Running,
+            TaskState::Finished(answer) => {
+                body.answer = Some(answer.clone());
+                TaskCode::Finished
+            }
+            TaskState::Failed => TaskCode::Failed,
+            TaskState::Stopped { progress_ms } => {
+                body.progress_ms = *progress_ms;
+                TaskCode::Stopped
+            }
+        };
+        body.set_code(code);
+        body
+    }
+}
+
+impl TaskBody {
+    /// Decodes the change.
+    pub fn into_change(self) -> TaskChange {
+        let attempt = AttemptId {
+            job: JobId(self.job),
+            attempt: self.attempt,
+        };
+        let state = match self.code() {
+            TaskCode::Unknown => TaskState::Unknown,
+            TaskCode::NotBegun => TaskState::NotBegun,
+            TaskCode::Running => TaskState::Running,
+            TaskCode::Finished => TaskState::Finished(self.answer.unwrap_or_default()),
+            TaskCode::Failed => TaskState::Failed,
+            TaskCode::Stopped => TaskState::Stopped {
+                progress_ms: self.progress_ms,
+            },
+        };
+        TaskChange { attempt, state }
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,32 @@
+//! Frames between daemons: length-delimited prost messages over TCP.
+
+mod codec;
+mod frame;
+
+pub use codec::{
+    Framing,
+    MAX_FRAME_BYTES,
+    WireError, //
+};
+pub use frame::{
+    AccountsBody,
+    CancelBody,
+    ConfigurationBody,
+    EndedBody,
+    Frame,
+    FrameKind,
+    Heartbeat,
+    Hello,
+    NewsBody,
+    NewsKind,
+    RefusedBody,
+    ReplyBody,
+    ReplyFrame,
+    RequestBody,
+    RequestFrame,
+    SeenBody,
+    TaskBody,
+    TaskCode,
+    TasksBody,
+    WorkersBody, //
+};
