--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -247,24 +247,37 @@
         }
     }
 
-    pub(super) fn cancel(&mut self, jobs: &[JobId]) {
+    /// Cancels jobs. The wish is made durable for each before it is confirmed,
+    /// so that the death of the owner does not bring a cancelled job back.
+    pub(super) fn cancel(&mut self, token: u64, account: &str, jobs: &[JobId]) {
+        let mut count = 0;
         for id in jobs {
             let Some(&key) = self.by_id.get(id) else {
                 continue;
             };
-            let Some(state) = self.jobs.get(key).map(|job| job.state) else {
+            let own =
+                |job: &&mut Job| job.submission.account == account && job.state != JobState::Ended;
+            let Some(job) = self.jobs.get_mut(key).filter(own) else {
                 continue;
             };
-            match state {
-                JobState::Ended => {}
-                JobState::Queued => {
-                    self.dequeue(key);
-                    self.end(key, OutcomeCode::CancelledNotRun);
-                }
-                JobState::Backoff { .. } => self.end(key, OutcomeCode::CancelledNotRun),
-                _ => self.stop_gang(key, StopKind::Cancel),
-            }
+            job.cancelling = true;
+            count += 1;
+            self.persist(ChangeKind::Cancelling(id.0));
+            self.cancel_job(key);
         }
+        self.effects.push(Effect::Cancelled { token, count });
         self.changed = true;
     }
+
+    pub(super) fn cancel_job(&mut self, key: JobKey) {
+        match self.jobs.get(key).map(|job| job.state) {
+            None | Some(JobState::Ended) => {}
+            Some(JobState::Queued) => {
+                self.dequeue(key);
+                self.end(key, OutcomeCode::CancelledNotRun);
+            }
+            Some(JobState::Backoff { .. }) => self.end(key, OutcomeCode::CancelledNotRun),
+            Some(_) => self.stop_gang(key, StopKind::Cancel),
+        }
+    }
 }
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -80,14 +80,24 @@
         /// What the caller wants.
         submission: Submission,
     },
-    /// Cancels jobs, all in one pass.
-    Cancel(Vec<JobId>),
+    /// Cancels those of the jobs that are the account's, all in one pass;
+    /// `token` comes back with the effect that answers it.
+    Cancel {
+        /// The request to answer.
+        token: u64,
+        /// The account whose jobs they have to be.
+        account: String,
+        /// The jobs.
+        jobs: Vec<JobId>,
+    },
     /// News of a member.
     Member(MemberReport),
     /// The worker itself says that it is leaving.
     WorkerLeaving(String),
     /// The worker's lease has certainly ended: nothing runs there any more.
     WorkerLost(String),
+    /// The worker restarted and has forgotten its tasks.
+    WorkerRestarted(String),
     /// The worker answers again after it was lost, or is no longer leaving.
     WorkerReturned(String),
     /// Asks a worker again for the tasks that are believed to run there.
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -228,6 +228,13 @@
         /// Why.
         refusal: Refusal,
     },
+    /// So many jobs are being cancelled and will not come back; gated.
+    Cancelled {
+        /// The request.
+        token: u64,
+        /// How many of the jobs were the account's and had not ended.
+        count: u32,
+    },
     /// An attempt is over and the job will be tried again.
     Retried {
         /// The job.
@@ -261,7 +268,10 @@
     pub fn is_gated(&self) -> bool {
         matches!(
             self,
-            Self::Start { .. } | Self::Accepted { .. } | Self::Ended { .. }
+            Self::Start { .. }
+                | Self::Accepted { .. }
+                | Self::Cancelled { .. }
+                | Self::Ended { .. }
         )
     }
 }
--- a/src/core/gang.rs
+++ b/src/core/gang.rs
@@ -107,17 +107,17 @@
             MemberEvent::Finished(answer) => self.member_finished(key, worker, answer),
             MemberEvent::ReserveRefused => {
                 self.member_gone(key, worker, false);
-                self.fail_gang(key, RetryReason::ReserveRefused);
+                self.after_loss(key, RetryReason::ReserveRefused);
             }
             MemberEvent::StartRefused => {
                 self.blame(key, worker);
                 self.member_gone(key, worker, false);
-                self.fail_gang(key, RetryReason::StartRefused);
+                self.after_loss(key, RetryReason::StartRefused);
             }
             MemberEvent::Failed => {
                 self.blame(key, worker);
                 self.member_gone(key, worker, true);
-                self.fail_gang(key, RetryReason::TaskFailed);
+                self.after_loss(key, RetryReason::TaskFailed);
             }
             MemberEvent::Stopped { progress_ms } => self.member_stopped(key, worker, progress_ms),
             MemberEvent::NotBegun => {
@@ -398,8 +398,10 @@
         };
         // All members finished before the stop reached them: the job is whole.
         let whole = !job.members.is_empty() && job.all_members(MemberState::Finished);
+        let cancelling = job.cancelling;
         match kind {
             _ if whole => self.serve(key),
+            _ if cancelling => self.end_cancelled(key),
             StopKind::Cancel => self.end_cancelled(key),
             StopKind::Preempt => self.requeue_preempted(key),
             StopKind::Failure(reason) => self.conclude_failure(key, reason),
--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -9,6 +9,7 @@
     Cell,
     Effect,
     JobKey,
+    JobState,
     MemberState,
     RetryReason,
     WorkerHealth,
@@ -113,6 +114,19 @@
             return;
         };
         self.set_health(worker, WorkerHealth::Lost);
+        self.end_members_on(worker);
+    }
+
+    /// Ends every gang with a member on a worker that has restarted and has
+    /// forgotten its tasks; the worker itself goes on.
+    pub(super) fn worker_restarted(&mut self, name: &str) {
+        if let Some(worker) = self.fleet.find(name) {
+            self.end_members_on(worker);
+            self.changed = true;
+        }
+    }
+
+    fn end_members_on(&mut self, worker: WorkerKey) {
         let all = self.fleet.worker(worker).all;
         let mut affected = self.fleet.worker(worker).holders_of(all);
         let claimants = (0..super::MAX_ACCELERATORS_PER_WORKER)
@@ -121,14 +135,15 @@
         affected.sort_unstable();
         affected.dedup();
         for key in affected {
-            let claiming = self
-                .jobs
-                .get(key)
-                .is_some_and(|job| job.state == super::JobState::Claiming);
-            if !claiming {
+            let state = self.jobs.get(key).map(|job| job.state);
+            // What has no attempt yet has lost nothing; it is placed again
+            // only if the worker takes no more work.
+            if state != Some(JobState::Claiming) {
                 self.member_gone_as_it_was(key, worker);
+                self.after_loss(key, RetryReason::WorkerLost);
+            } else if !self.fleet.worker(worker).takes_work() {
+                self.fail_gang(key, RetryReason::WorkerLost);
             }
-            self.after_loss(key, RetryReason::WorkerLost);
         }
     }
 
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -134,6 +134,8 @@
     pub failures: u32,
     /// Different workers on which it failed.
     pub failed_workers: Vec<WorkerKey>,
+    /// Whether its account has cancelled it.
+    pub cancelling: bool,
     /// The group in which it waits in the queue.
     pub queued_as: Option<GroupKey>,
     /// Estimated accelerator-milliseconds with which it waits in the queue.
@@ -199,6 +201,7 @@
             ended_ms: self.ended_ms,
             answer: self.answer.clone(),
             starting_ms: 0,
+            cancelling: self.cancelling,
         }
     }
 }
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -52,6 +52,7 @@
         job.attempt = record.attempt;
         job.progress_ms = record.progress_ms;
         job.preemptions = record.preemptions;
+        job.cancelling = record.cancelling;
         job.failures = record.failures;
         job.outcome = record.outcome();
         job.ended_ms = record.ended_ms;
@@ -62,8 +63,12 @@
             let key = self.insert_job(job);
             self.due.insert((forget_ms, key, Due::Forget));
         } else if record.members.is_empty() {
+            let cancelling = job.cancelling;
             let key = self.insert_job(job);
             self.enqueue(key);
+            if cancelling {
+                self.cancel_job(key);
+            }
         } else {
             job.running_ms = record.starting_ms;
             let key = self.insert_job(job);
@@ -214,6 +219,10 @@
             self.accounts[job.account.index()].surplus_accelerators -= held;
             job.pledge = own_pledge;
         }
+        let cancelling = job.cancelling;
         self.run_if_whole(key);
+        if cancelling {
+            self.cancel_job(key);
+        }
     }
 }
--- a/src/ledger/book.rs
+++ b/src/ledger/book.rs
@@ -87,7 +87,7 @@
             ChangeKind::Starting(change) => change.id,
             ChangeKind::Requeued(change) => change.id,
             ChangeKind::Ended(change) => change.id,
-            ChangeKind::Forgotten(id) => *id,
+            ChangeKind::Forgotten(id) | ChangeKind::Cancelling(id) => *id,
         };
         match kind {
             ChangeKind::Accepted(record) => {
@@ -234,6 +234,7 @@
                 record.starting_ms = 0;
             }
         }
+        ChangeKind::Cancelling(_) => record.cancelling = true,
         ChangeKind::Accepted(_) | ChangeKind::Forgotten(_) => {}
     }
 }
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -191,13 +191,16 @@
     /// When the latest attempt was committed to start.
     #[prost(uint64, tag = "12")]
     pub starting_ms: u64,
+    /// Whether its account has cancelled it.
+    #[prost(bool, tag = "13")]
+    pub cancelling: bool,
 }
 
 /// One change to the ledger; the variants' order in time is the ledger's.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Change {
     /// What changed.
-    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6")]
     pub kind: Option<ChangeKind>,
 }
 
@@ -219,6 +222,9 @@
     /// The job's retention is over.
     #[prost(uint64, tag = "5")]
     Forgotten(u64),
+    /// The account has cancelled the job.
+    #[prost(uint64, tag = "6")]
+    Cancelling(u64),
 }
 
 /// An attempt may start from now on.
--- a/src/owner/state.rs
+++ b/src/owner/state.rs
@@ -537,7 +537,11 @@
                 let reply = report.map_or(Reply::NotFound, |report| Reply::Job(Box::new(report)));
                 self.reply(token, reply);
             }
-            Request::Cancel { account, jobs } => self.cancel(token, &account, jobs),
+            Request::Cancel { account, jobs } => self.apply(Command::Cancel {
+                token,
+                account,
+                jobs,
+            }),
             Request::Accounts => {
                 let reply = Reply::Accounts {
                     accounts: owning.cell.account_reports(),
@@ -638,24 +642,6 @@
         }))
     }
 
-    fn cancel(&mut self, token: u64, account: &str, jobs: Vec<JobId>) {
-        let Phase::Owning(owning) = &self.phase else {
-            return;
-        };
-        let own: Vec<JobId> = jobs
-            .into_iter()
-            .filter(|&id| {
-                let job = owning.cell.job(id);
-                job.is_some_and(|job| {
-                    job.submission.account == account && job.outcome == OutcomeCode::None
-                })
-            })
-            .collect();
-        let count = own.len() as u32;
-        self.apply(Command::Cancel(own));
-        self.reply(token, Reply::Cancelled(count));
-    }
-
     fn reply(&mut self, token: u64, reply: Reply) {
         if let Reply::Refused(refusal) = &reply {
             count_refusal(refusal);
@@ -768,7 +754,7 @@
         let known = owning.incarnations.insert(worker.to_owned(), incarnation);
         match known {
             Some(known) if known != incarnation => {
-                self.apply(Command::WorkerLost(worker.to_owned()));
+                self.apply(Command::WorkerRestarted(worker.to_owned()));
             }
             Some(_) => {}
             // A new owner cannot tell whether the worker restarted since it
@@ -917,6 +903,7 @@
                 metrics::counter!("fuchsiaslip_accepted_total").increment(1);
                 self.reply(token, Reply::Accepted(job));
             }
+            Effect::Cancelled { token, count } => self.reply(token, Reply::Cancelled(count)),
             Effect::Refused { token, refusal } => self.reply(token, Reply::Refused(refusal)),
             Effect::Retried { reason, .. } => {
                 metrics::counter!("fuchsiaslip_retries_total", "reason" => reason.name())
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -106,7 +106,8 @@
 pub enum TaskState {
     /// The worker knows nothing of it.
     Unknown,
-    /// It was reserved, has not begun, and will not begin any more.
+    /// It was reserved, has not begun, and will not begin any more. Said only
+    /// by a worker that has not restarted since the reservation.
     NotBegun,
     /// It runs.
     Running,
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -166,6 +166,9 @@
     ) -> WorkerAnswer {
         if let Some(task) = self.tasks.get(&attempt) {
             return match &task.stage {
+                Stage::Over(TaskState::Unknown | TaskState::NotBegun) => {
+                    WorkerAnswer::Refused(WorkerRefusal::NotReserved)
+                }
                 Stage::Over(state) => WorkerAnswer::State(state.clone()),
                 _ => WorkerAnswer::Done,
             };
@@ -203,7 +206,7 @@
             return WorkerAnswer::Refused(WorkerRefusal::NotReserved);
         };
         match &task.stage {
-            Stage::Over(TaskState::NotBegun) => {
+            Stage::Over(TaskState::NotBegun | TaskState::Unknown) => {
                 return WorkerAnswer::Refused(WorkerRefusal::NotReserved);
             }
             Stage::Over(state) => return WorkerAnswer::State(state.clone()),
@@ -240,9 +243,11 @@
     fn stop(&mut self, attempt: AttemptId, grace_ms: u64, now_ms: u64) -> WorkerAnswer {
         let Some(task) = self.tasks.get_mut(&attempt) else {
             // Remembered, so that a start that is still on its way is refused.
+            // It is not said to be "not begun": a worker that has restarted
+            // cannot know.
             let task = Task {
                 mask: 0,
-                stage: Stage::Over(TaskState::NotBegun),
+                stage: Stage::Over(TaskState::Unknown),
                 spec: TaskSpec::default(),
                 progress_ms: 0,
                 payload: Bytes::new(),
