--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -67,6 +67,7 @@
     Fleet,
     View, //
 };
+pub use fragmentation::fragmentation_of;
 pub use index::Index;
 pub use job::{
     AttemptId,
--- a/src/core/region.rs
+++ b/src/core/region.rs
@@ -6,13 +6,12 @@
     Index,
     Shape,
     WorkerKey,
+    fragmentation::MAX_SPAN_FACTOR,
     worker::MAX_ACCELERATORS_PER_WORKER, //
 };
 
 /// How many workers of one count are compared for the least broken rack.
 const COMPARED_WORKERS: usize = 16;
-/// A run of racks may be this many times as long as the gang needs.
-const MAX_SPAN_FACTOR: usize = 2;
 
 /// The tightest set of workers for `shape` among what `index` counts.
 pub fn find(fleet: &Fleet, index: &Index, shape: &Shape) -> Option<Vec<WorkerKey>> {
@@ -90,7 +89,7 @@
 }
 
 /// The longest run of racks in which a gang of `shape` counts as adjacent.
-pub fn longest_run(fleet: &Fleet, shape: &Shape) -> usize {
+fn longest_run(fleet: &Fleet, shape: &Shape) -> usize {
     let rack_size = fleet.racks().iter().map(Vec::len).max().unwrap_or(1);
     usize::from(shape.workers).div_ceil(rack_size.max(1)) * MAX_SPAN_FACTOR
 }
