Move small work out of a waiting gang's way, leave headroom for urgent work

Change: moves of smaller reclaimable work when the gang gains twice the cost; headroom learned from urgent work; work near its latest start may preempt reclaimable work; own pledges are used by other shapes only for a minute.

--- a/src/config/declaration.rs
+++ b/src/config/declaration.rs
@@ -67,7 +67,7 @@
 }
 
 fn default_max_preemptions() -> u32 {
-    3
+    6
 }
 
 fn default_queue_limit() -> u32 {
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -26,6 +26,11 @@
 /// When a caller refused for a full queue may ask again.
 const FULL_RETRY_AFTER_MS: u64 = 5_000;
 
+/// Work is pressed when less than this part of its completion time is left
+/// before its latest start.
+const PRESSED_DIVISOR: u64 = 4;
+const MIN_PRESSED_MS: u64 = 30_000;
+
 impl Cell {
     pub(super) fn submit(&mut self, token: u64, submission: Submission) {
         let (account, class) = match self.resolve(&submission) {
@@ -163,6 +168,14 @@
         class.reclaimable && job.submission.idempotent && job.preemptions < class.max_preemptions
     }
 
+    /// Whether the job has to start soon to make its class, and cannot be put
+    /// off for others.
+    pub(super) fn is_pressed(&self, job: &Job) -> bool {
+        let class = self.class(job.class);
+        let notice_ms = (class.completion_ms / PRESSED_DIVISOR).max(MIN_PRESSED_MS);
+        class.urgent || !self.may_yield(job) && job.latest_start_ms <= self.now_ms + notice_ms
+    }
+
     pub(super) fn group_of(&self, job: &Job) -> GroupKey {
         GroupKey {
             account: job.account,
--- a/src/core/backfill.rs
+++ b/src/core/backfill.rs
@@ -50,7 +50,12 @@
         if !large || kept || self.kept.len() >= self.limits.kept_gangs || self.over_quota(job) {
             return;
         }
-        let Some((workers, ready_ms)) = self.soonest_region(job) else {
+        let soonest = self.soonest_region(job);
+        let ready_ms = soonest.as_ref().map(|(_, ready_ms)| *ready_ms);
+        if let Some(plan) = self.consolidating_plan(job, ready_ms) {
+            return self.place(key, plan);
+        }
+        let Some((workers, ready_ms)) = soonest else {
             return;
         };
         let kept_workers: usize = self.kept.iter().map(|kept| kept.workers.len()).sum();
@@ -147,20 +152,25 @@
             false => View::Surplus,
         };
         let end_ms = self.now_ms + self.remaining_ms(job);
+        // Work that would miss its class goes ahead of a gang that has time.
+        let pressed = self.is_pressed(job);
+        let can_wait = |gang: JobKey| {
+            let gang = self.jobs.get(gang);
+            gang.is_some_and(|gang| gang.latest_start_ms > end_ms)
+        };
         let per_worker = job.shape.accelerators_per_worker;
         let worker = self
             .kept
             .iter()
-            .filter(|kept| kept.job != key && end_ms <= kept.ready_ms)
+            .filter(|kept| {
+                (end_ms <= kept.ready_ms || pressed && can_wait(kept.job)) && kept.job != key
+            })
             .flat_map(|kept| kept.workers.iter().copied())
             .filter(|&at| self.fleet.mask(view, at).count_ones() >= u32::from(per_worker))
             .min_by_key(|&at| self.fleet.mask(view, at).count_ones())?;
         let mask = self.fleet.mask(view, worker);
         let mask = outside_pledges_first(self.fleet.worker(worker), mask, per_worker);
-        Some(Plan {
-            members: vec![(worker, mask)],
-            ..Plan::default()
-        })
+        Some(Plan::free(vec![(worker, mask)]))
     }
 
     /// Places the gangs whose kept workers have come free.
--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -21,6 +21,7 @@
     WorkerHealth,
     WorkerSpec,
     backfill::KeptGang,
+    headroom::Headroom,
     queue::Queue, //
 };
 use crate::config::{
@@ -124,6 +125,7 @@
     pub(super) possible: HashMap<(AccountKey, Shape, bool), bool>,
     /// Accelerators of workers that take work, outside every pledge.
     pub(super) surplus_size: u32,
+    pub(super) headroom: Headroom,
     pub(super) effects: Vec<Effect>,
     pub(super) changed: bool,
     pub(super) paused: bool,
@@ -261,6 +263,7 @@
             }
         }
         self.end_quarantines();
+        self.learn_headroom();
         self.review_kept();
         self.place_pledges();
         self.queue.unblock_all();
@@ -335,6 +338,7 @@
             running_ms: 0,
             first_running_ms: None,
             preemptions: 0,
+            moves: 0,
             failures: 0,
             failed_workers: Vec::new(),
             cancelling: false,
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -134,6 +134,8 @@
     FoundPartial,
     /// The accelerators were called back.
     Preempted,
+    /// It was moved out of the way of a large gang.
+    Moved,
 }
 
 impl RetryReason {
@@ -149,6 +151,7 @@
             Self::FoundNotBegun => "found_not_begun",
             Self::FoundPartial => "found_partial",
             Self::Preempted => "preempted",
+            Self::Moved => "moved",
         }
     }
 }
@@ -158,6 +161,8 @@
 pub enum StopKind {
     /// Its accelerators were called back.
     Preempt,
+    /// A large gang needs its place and it can go on elsewhere.
+    Move,
     /// The caller cancelled it.
     Cancel,
     /// A member failed or was lost.
--- a/src/core/gang.rs
+++ b/src/core/gang.rs
@@ -288,18 +288,13 @@
             return;
         };
         let held = std::mem::take(&mut job.members[at].held);
-        let (worker, account) = (job.members[at].worker, job.account);
-        let surplus = job.pledge.is_none();
+        let worker = job.members[at].worker;
         let (passed, free) = self.fleet.update(worker, |worker| {
             worker.unclaim(key);
             let passed = worker.release(held);
             (passed, worker.free.count_ones() as u16)
         });
-        let account = &mut self.accounts[account.index()];
-        account.used_accelerators -= held.count_ones();
-        if surplus {
-            account.surplus_accelerators -= held.count_ones();
-        }
+        self.discharge(key, held.count_ones());
         self.queue.unblock(free);
         self.changed = true;
         for (claimant, mask) in passed {
@@ -311,13 +306,13 @@
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
-        let (account, surplus, yields) = (job.account, job.pledge.is_none(), job.yields);
+        let yields = job.yields;
         if let Some(member) = job.member_on(worker) {
             member.held |= mask;
         }
         self.fleet
             .update(worker, |worker| worker.set_yielding(key, yields));
-        self.charge(account, mask.count_ones(), surplus);
+        self.charge(key, mask.count_ones());
         self.reserve_if_held(key);
     }
 
@@ -369,7 +364,9 @@
         };
         let attempt = job.attempt_id();
         let grace_ms = match kind {
-            StopKind::Preempt => self.classes[job.class.index()].declaration.grace_ms,
+            StopKind::Preempt | StopKind::Move => {
+                self.classes[job.class.index()].declaration.grace_ms
+            }
             StopKind::Cancel | StopKind::Failure(_) => 0,
         };
         for member in &mut job.members {
@@ -404,6 +401,7 @@
             _ if cancelling => self.end_cancelled(key),
             StopKind::Cancel => self.end_cancelled(key),
             StopKind::Preempt => self.requeue_preempted(key),
+            StopKind::Move => self.requeue_moved(key),
             StopKind::Failure(reason) => self.conclude_failure(key, reason),
         }
     }
@@ -428,6 +426,14 @@
         self.enqueue(key);
     }
 
+    fn requeue_moved(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.moves += 1;
+        }
+        self.requeue(key, RetryReason::Moved);
+        self.enqueue(key);
+    }
+
     fn conclude_failure(&mut self, key: JobKey, reason: RetryReason) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
--- a/src/core/index.rs
+++ b/src/core/index.rs
@@ -15,6 +15,7 @@
     counts: Vec<u8>,
     by_count: Vec<BitSet>,
     rack_at_least: Vec<Vec<u16>>,
+    total: u32,
 }
 
 impl Index {
@@ -24,6 +25,7 @@
             counts: vec![0; workers],
             by_count: vec![BitSet::with_bound(workers); COUNTS],
             rack_at_least: vec![vec![0; racks]; COUNTS],
+            total: 0,
         }
     }
 
@@ -36,6 +38,7 @@
         self.by_count[before].remove(worker.index());
         self.by_count[count].insert(worker.index());
         self.counts[worker.index()] = count as u8;
+        self.total = self.total + count as u32 - before as u32;
         for least in before.min(count) + 1..=before.max(count) {
             let reach = &mut self.rack_at_least[least][rack.index()];
             if count > before {
@@ -51,6 +54,11 @@
         u16::from(self.counts[worker.index()])
     }
 
+    /// The sum of all counts.
+    pub fn total(&self) -> u32 {
+        self.total
+    }
+
     /// Workers whose count is exactly `count`.
     pub fn with_count(&self, count: usize) -> impl Iterator<Item = WorkerKey> + '_ {
         self.by_count[count].iter().map(|at| WorkerKey(at as u32))
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -130,6 +130,8 @@
     pub first_running_ms: Option<u64>,
     /// How often it was preempted.
     pub preemptions: u32,
+    /// How often it was moved out of the way of a large gang; not durable.
+    pub moves: u32,
     /// How often it failed.
     pub failures: u32,
     /// Different workers on which it failed.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -7,6 +7,7 @@
     Job,
     JobKey,
     PledgeKey,
+    StopKind,
     View,
     Worker,
     WorkerKey,
@@ -16,28 +17,48 @@
     worker::lowest, //
 };
 
-/// Jobs of shapes up to this many members weigh every candidate; a larger gang
-/// takes the first kind of place that holds it, since comparing costs more
-/// than it gains there.
+/// What it costs to stand where another account may call its guarantee back.
 const PREEMPTION_PENALTY: f64 = 0.2;
+/// What it costs the account to break its own guaranteed shape for something
+/// smaller: the shape cannot be had back until that has ended.
+const OWN_PLEDGE_PENALTY: f64 = 2.0;
 /// What it costs to take one accelerator out of a wholly free worker.
 const BROKEN_WORKER_PENALTY: f64 = 1.0;
 
 /// A place for a gang.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Plan {
     /// Workers with the accelerators to take.
     pub members: Vec<(WorkerKey, AcceleratorMask)>,
     /// Running jobs that have to leave first.
     pub victims: Vec<JobKey>,
+    /// Why they leave.
+    pub stop: StopKind,
     /// The account's own pledge in which the place lies.
     pub pledge: Option<PledgeKey>,
 }
 
+impl Plan {
+    /// A place that is free now.
+    pub fn free(members: Vec<(WorkerKey, AcceleratorMask)>) -> Self {
+        Self {
+            members,
+            victims: Vec::new(),
+            stop: StopKind::Preempt,
+            pledge: None,
+        }
+    }
+}
+
 impl Cell {
     /// The best place for `job` right now, if there is one.
     pub(super) fn find_plan(&self, job: &Job) -> Option<Plan> {
-        let own = self.pledge_plan(job, false);
+        // Work that can be taken back finds the account's own pledges like those
+        // of others, in what is free.
+        let own = match self.may_yield(job) {
+            true => None,
+            false => self.pledge_plan(job, false),
+        };
         let surplus = self.free_plan(job, View::Surplus);
         let lent = match self.may_yield(job) {
             true => self.free_plan(job, View::Free),
@@ -67,10 +88,7 @@
                 )
             })
             .collect();
-        Some(Plan {
-            members,
-            ..Plan::default()
-        })
+        Some(Plan::free(members))
     }
 
     /// What a place costs by the two measures, each scaled to about one.
@@ -78,6 +96,14 @@
         let weights = self.weights;
         weights.completion * self.preemption_risk(job, plan)
             + weights.fragmentation * breakage(&self.fleet, &plan.members)
+            + self.own_pledge_breakage(job, plan)
+    }
+
+    fn own_pledge_breakage(&self, job: &Job, plan: &Plan) -> f64 {
+        let broken = plan
+            .pledge
+            .is_some_and(|key| self.pledges[key.index()].shape != job.shape);
+        if broken { OWN_PLEDGE_PENALTY } else { 0.0 }
     }
 
     /// Share of the place that another account may call back.
@@ -139,8 +165,5 @@
             (key, lowest(mask, job.shape.accelerators_per_worker))
         })
         .collect();
-    Some(Plan {
-        members,
-        ..Plan::default()
-    })
+    Some(Plan::free(members))
 }
--- a/src/core/reclaim.rs
+++ b/src/core/reclaim.rs
@@ -6,6 +6,7 @@
     JobKey,
     JobState,
     PledgeKey,
+    StopKind,
     View,
     Worker,
     WorkerKey,
@@ -15,20 +16,24 @@
     worker::bits, //
 };
 
+/// Work of the account itself that is smaller than the guaranteed shape uses it
+/// only if it is expected to be gone again within this time; else the account
+/// could not have its shape back when it asks.
+const OWN_USE_MS: u64 = 60_000;
 /// Workers compared when a single task looks for the cheapest victims.
 const COMPARED_WORKERS: usize = 32;
 
 impl Cell {
     /// A place that preempted work has to leave first: the account's own
-    /// guarantee, or for urgent work anything that can be taken back outside
-    /// the guarantees of others.
+    /// guarantee, or for urgent work, and for what would else miss its class,
+    /// anything that can be taken back outside the guarantees of others.
     pub(super) fn reclaiming_plan(&self, job: &Job) -> Option<Plan> {
         let class = self.class(job.class);
         let own = match class.reclaims {
             true => self.pledge_plan(job, true),
             false => None,
         };
-        own.or_else(|| match class.urgent {
+        own.or_else(|| match self.is_pressed(job) && class.reclaims {
             true => self.yieldable_plan(job),
             false => None,
         })
@@ -37,9 +42,12 @@
     /// A place in one of the account's own pledges, if `reclaiming` also in
     /// accelerators of it that other work has to leave.
     pub(super) fn pledge_plan(&self, job: &Job, reclaiming: bool) -> Option<Plan> {
+        let short = self.remaining_ms(job) <= OWN_USE_MS;
         self.pledges()
             .filter(|(_, pledge)| {
-                pledge.account == job.account && job.shape.fits_within(&pledge.shape)
+                pledge.account == job.account
+                    && job.shape.fits_within(&pledge.shape)
+                    && (short || job.shape == pledge.shape)
             })
             .filter_map(|(key, _)| self.plan_in_pledge(job, key, reclaiming))
             .min_by_key(|plan| plan.victims.len())
@@ -147,7 +155,7 @@
             })
     }
 
-    fn with_victims(
+    pub(super) fn with_victims(
         &self,
         members: Vec<(WorkerKey, AcceleratorMask)>,
         pledge: Option<PledgeKey>,
@@ -161,6 +169,7 @@
         Plan {
             members,
             victims,
+            stop: StopKind::Preempt,
             pledge,
         }
     }
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -127,19 +127,19 @@
                 saved_ms: None,
             });
         }
-        let taken = members.iter().map(|member| member.held.count_ones()).sum();
+        let taken: u32 = members.iter().map(|member| member.held.count_ones()).sum();
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
         job.state = JobState::Recovering;
         job.members = members;
-        let (attempt, account) = (job.attempt_id(), job.account);
+        let attempt = job.attempt_id();
         self.effects
             .extend(job.members.iter().map(|member| Effect::Inspect {
                 attempt,
                 worker: member.worker,
             }));
-        self.charge(account, taken, true);
+        self.charge(key, taken);
     }
 
     /// Asks a worker again for the tasks that are believed to run there; one
--- a/src/core/region.rs
+++ b/src/core/region.rs
@@ -29,19 +29,19 @@
     }
 }
 
-/// The worker that is left with the least; among equals one in the rack with
-/// the fewest whole workers, so that whole racks stay whole.
+/// A worker for a single task: one that is in use already rather than a whole
+/// one, then one in the rack with the fewest whole workers, so that whole racks
+/// stay whole, then the one that is left with the least.
 fn best_worker(fleet: &Fleet, index: &Index, per_worker: usize) -> Option<WorkerKey> {
-    (per_worker..=MAX_ACCELERATORS_PER_WORKER).find_map(|count| {
-        index
-            .with_count(count)
-            .take(COMPARED_WORKERS)
-            .min_by_key(|&key| {
-                let worker = fleet.worker(key);
-                let whole = worker.all.count_ones() as u16;
-                index.rack_at_least(whole)[worker.rack.index()]
-            })
-    })
+    (per_worker..=MAX_ACCELERATORS_PER_WORKER)
+        .flat_map(|count| index.with_count(count).take(COMPARED_WORKERS))
+        .min_by_key(|&key| {
+            let worker = fleet.worker(key);
+            let whole = worker.all.count_ones() as u16;
+            let whole_in_rack = index.rack_at_least(whole)[worker.rack.index()];
+            let breaks = worker.free == worker.all && usize::from(whole) != per_worker;
+            (breaks, whole_in_rack, index.count(key))
+        })
 }
 
 fn tightest_workers(index: &Index, shape: &Shape) -> Option<Vec<WorkerKey>> {
@@ -94,6 +94,49 @@
     usize::from(shape.workers).div_ceil(rack_size.max(1)) * MAX_SPAN_FACTOR
 }
 
+/// The set of workers for `shape` with the lowest sum of costs; a worker whose
+/// cost is `None` cannot be in it.
+pub fn find_cheapest(
+    fleet: &Fleet,
+    shape: &Shape,
+    cost: impl Fn(WorkerKey) -> Option<u64>,
+) -> Option<Vec<WorkerKey>> {
+    let wanted = usize::from(shape.workers);
+    let racks: Vec<Vec<(u64, WorkerKey)>> = fleet
+        .racks()
+        .iter()
+        .map(|rack| {
+            rack.iter()
+                .filter_map(|&key| Some((cost(key)?, key)))
+                .collect()
+        })
+        .collect();
+    let longest = match shape.adjacency {
+        Adjacency::Rack => 1,
+        Adjacency::NeighbouringRacks => longest_run(fleet, shape),
+        Adjacency::Anywhere => racks.len(),
+    };
+    let cheapest_from = |start: usize| -> Option<(u64, Vec<WorkerKey>)> {
+        let end = (start + longest).min(racks.len());
+        let mut found: Vec<(u64, WorkerKey)> = racks[start..end].concat();
+        if found.len() < wanted {
+            return None;
+        }
+        found.sort_unstable();
+        found.truncate(wanted);
+        let sum = found.iter().map(|&(cost, _)| cost).sum();
+        Some((sum, found.into_iter().map(|(_, key)| key).collect()))
+    };
+    let starts = match shape.adjacency {
+        Adjacency::Anywhere => 0..1,
+        _ => 0..racks.len(),
+    };
+    starts
+        .filter_map(cheapest_from)
+        .min_by_key(|(sum, _)| *sum)
+        .map(|(_, workers)| workers)
+}
+
 fn take_workers(
     fleet: &Fleet,
     index: &Index,
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -7,7 +7,6 @@
     JobState,
     Member,
     MemberState,
-    StopKind,
     placement::Plan,
     queue::Cursor, //
 };
@@ -84,7 +83,7 @@
         let Some(plan) = self.find_plan(job).or_else(|| self.backfill_plan(key, job)) else {
             return false;
         };
-        if plan.pledge.is_none() && self.over_quota(job) {
+        if plan.pledge.is_none() && (self.over_quota(job) || self.uses_headroom(job, &plan)) {
             return false;
         }
         self.place(key, plan);
@@ -106,7 +105,6 @@
             return;
         };
         let yields = self.may_yield(job);
-        let account = job.account;
         let mut members = Vec::with_capacity(plan.members.len());
         let mut taken = 0;
         for &(worker, mask) in &plan.members {
@@ -126,7 +124,6 @@
                 saved_ms: None,
             });
         }
-        self.charge(account, taken, plan.pledge.is_none());
         let now_ms = self.now_ms;
         if let Some(job) = self.jobs.get_mut(key) {
             job.members = members;
@@ -135,17 +132,42 @@
             job.state = JobState::Claiming;
             job.since_ms = now_ms;
         }
+        self.charge(key, taken);
         for victim in plan.victims {
-            self.stop_gang(victim, StopKind::Preempt);
+            self.stop_gang(victim, plan.stop);
         }
         self.reserve_if_held(key);
     }
 
-    pub(super) fn charge(&mut self, account: super::AccountKey, taken: u32, surplus: bool) {
-        let account = &mut self.accounts[account.index()];
+    /// Counts accelerators that `job` has taken.
+    pub(super) fn charge(&mut self, job: JobKey, taken: u32) {
+        let Some(job) = self.jobs.get(job) else {
+            return;
+        };
+        if self.class(job.class).urgent {
+            self.headroom.urgent_accelerators += taken;
+        }
+        let account = &mut self.accounts[job.account.index()];
         account.used_accelerators += taken;
-        if surplus {
+        if job.pledge.is_none() {
             account.surplus_accelerators += taken;
         }
     }
+
+    /// Counts accelerators that `job` has given back.
+    pub(super) fn discharge(&mut self, job: JobKey, given: u32) {
+        let Some(job) = self.jobs.get(job) else {
+            return;
+        };
+        if self.class(job.class).urgent {
+            // A class may have become urgent while the job held them.
+            let urgent = &mut self.headroom.urgent_accelerators;
+            *urgent = urgent.saturating_sub(given);
+        }
+        let account = &mut self.accounts[job.account.index()];
+        account.used_accelerators -= given;
+        if job.pledge.is_none() {
+            account.surplus_accelerators -= given;
+        }
+    }
 }
