Place what stays and what can be moved from opposite ends

Cause: gangs that cannot be moved stood scattered among those that can, so no run of racks could be cleared for a large gang. Change: work that stays is placed from the first rack on, work that can be taken back and the pledges from the last rack down.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -16,7 +16,8 @@
     Worker,
     cell::Due,
     queue::GroupKey,
-    region, //
+    region,
+    region::End, //
 };
 use crate::ledger::{
     ChangeKind,
@@ -129,7 +130,13 @@
             false => worker.all & !worker.pledged,
         };
         let possible = in_pledge
-            || region::find(&self.fleet, &self.fleet.index_of(open), &job.shape).is_some();
+            || region::find(
+                &self.fleet,
+                &self.fleet.index_of(open),
+                &job.shape,
+                End::First,
+            )
+            .is_some();
         self.possible.insert(cached, possible);
         possible
     }
--- a/src/core/backfill.rs
+++ b/src/core/backfill.rs
@@ -121,7 +121,12 @@
                 index.set(key, worker.rack, count);
             }
         }
-        region::find(&self.fleet, &index, &job.shape)
+        region::find(
+            &self.fleet,
+            &index,
+            &job.shape,
+            region::End::of(self.may_yield(job)),
+        )
     }
 
     fn free_at_ms(&self, worker: &Worker, bit: usize) -> u64 {
--- a/src/core/bitset.rs
+++ b/src/core/bitset.rs
@@ -36,4 +36,15 @@
             .map(move |rest| at * WORD_BITS + rest.trailing_zeros() as usize)
         })
     }
+
+    /// The members in falling order.
+    pub fn iter_down(&self) -> impl Iterator<Item = usize> + '_ {
+        self.words.iter().enumerate().rev().flat_map(|(at, &word)| {
+            std::iter::successors((word != 0).then_some(word), |&rest| {
+                let next = rest & !(1 << (WORD_BITS - 1 - rest.leading_zeros() as usize));
+                (next != 0).then_some(next)
+            })
+            .map(move |rest| at * WORD_BITS + WORD_BITS - 1 - rest.leading_zeros() as usize)
+        })
+    }
 }
--- a/src/core/consolidation.rs
+++ b/src/core/consolidation.rs
@@ -44,7 +44,8 @@
             let moved = cheapest_first(worker, mask, per_worker) & !worker.free;
             Some(u64::from(moved.count_ones()) * MOVED_ACCELERATOR_COST)
         };
-        let workers = region::find_cheapest(&self.fleet, &job.shape, cost)?;
+        let workers =
+            region::find_cheapest(&self.fleet, &job.shape, region::End::of(yields), cost)?;
         let members = workers
             .into_iter()
             .map(|key| {
--- a/src/core/index.rs
+++ b/src/core/index.rs
@@ -64,6 +64,13 @@
         self.by_count[count].iter().map(|at| WorkerKey(at as u32))
     }
 
+    /// The same from the last worker down.
+    pub fn with_count_down(&self, count: usize) -> impl Iterator<Item = WorkerKey> + '_ {
+        self.by_count[count]
+            .iter_down()
+            .map(|at| WorkerKey(at as u32))
+    }
+
     /// For each rack the number of workers that reach `least`.
     pub fn rack_at_least(&self, least: u16) -> &[u16] {
         &self.rack_at_least[usize::from(least).min(COUNTS - 1)]
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -12,6 +12,7 @@
     Worker,
     WorkerKey,
     region,
+    region::End,
     worker::AcceleratorMask,
     worker::bits,
     worker::lowest, //
@@ -76,7 +77,8 @@
     /// A place in free accelerators that `view` shows.
     fn free_plan(&self, job: &Job, view: View) -> Option<Plan> {
         let index = self.fleet.index_in(view);
-        let workers = region::find(&self.fleet, index, &job.shape)?;
+        let end = End::of(self.may_yield(job));
+        let workers = region::find(&self.fleet, index, &job.shape, end)?;
         let per_worker = job.shape.accelerators_per_worker;
         let members = workers
             .into_iter()
@@ -157,7 +159,7 @@
     job: &Job,
     usable: impl Fn(&Worker) -> AcceleratorMask,
 ) -> Option<Plan> {
-    let workers = region::find(fleet, index, &job.shape)?;
+    let workers = region::find(fleet, index, &job.shape, End::First)?;
     let members = workers
         .into_iter()
         .map(|key| {
--- a/src/core/pledge.rs
+++ b/src/core/pledge.rs
@@ -90,7 +90,7 @@
     open: impl Fn(&Worker) -> AcceleratorMask,
 ) -> Option<Vec<(WorkerKey, AcceleratorMask)>> {
     let index = fleet.index_of(&open);
-    let workers = region::find(fleet, &index, shape)?;
+    let workers = region::find(fleet, &index, shape, region::End::Last)?;
     Some(
         workers
             .into_iter()
--- a/src/core/reclaim.rs
+++ b/src/core/reclaim.rs
@@ -125,7 +125,7 @@
         let per_worker = job.shape.accelerators_per_worker;
         let workers = match job.shape.workers {
             1 => vec![self.cheapest_worker(per_worker)?],
-            _ => region::find(&self.fleet, index, &job.shape)?,
+            _ => region::find(&self.fleet, index, &job.shape, region::End::Last)?,
         };
         let members = workers
             .into_iter()
