Let work that reclaims be lent too, and order who gives way to whom

A first try let late jobs preempt each other, and a pass never ended: each requeued the other in turn. Change: a class may reclaim its own guarantee and be taken back elsewhere; late work takes only from what is due after it; a pass is bounded in placements.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -180,7 +180,7 @@
     pub(super) fn is_pressed(&self, job: &Job) -> bool {
         let class = self.class(job.class);
         let notice_ms = (class.completion_ms / PRESSED_DIVISOR).max(MIN_PRESSED_MS);
-        class.urgent || !self.may_yield(job) && job.latest_start_ms <= self.now_ms + notice_ms
+        class.urgent || class.reclaims && job.latest_start_ms <= self.now_ms + notice_ms
     }
 
     pub(super) fn group_of(&self, job: &Job) -> GroupKey {
--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -53,6 +53,8 @@
     pub kept_gangs: usize,
     /// Groups of waiting jobs tried in one pass.
     pub groups_per_pass: usize,
+    /// Jobs placed in one pass.
+    pub placements_per_pass: usize,
     /// First wait before a failed job is tried again.
     pub backoff_ms: u64,
     /// Longest such wait.
@@ -70,6 +72,7 @@
             quarantine_ms: 60_000,
             kept_gangs: 4,
             groups_per_pass: 64,
+            placements_per_pass: 512,
             backoff_ms: 200,
             max_backoff_ms: 30_000,
         }
@@ -129,6 +132,7 @@
     pub(super) effects: Vec<Effect>,
     pub(super) changed: bool,
     pub(super) paused: bool,
+    pub(super) placements_left: usize,
 }
 
 impl Cell {
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -54,11 +54,9 @@
 impl Cell {
     /// The best place for `job` right now, if there is one.
     pub(super) fn find_plan(&self, job: &Job) -> Option<Plan> {
-        // Work that can be taken back finds the account's own pledges like those
-        // of others, in what is free.
-        let own = match self.may_yield(job) {
-            true => None,
-            false => self.pledge_plan(job, false),
+        let own = match self.class(job.class).reclaims {
+            true => self.pledge_plan(job, false),
+            false => None,
         };
         let surplus = self.free_plan(job, View::Surplus);
         let lent = match self.may_yield(job) {
--- a/src/core/reclaim.rs
+++ b/src/core/reclaim.rs
@@ -20,6 +20,10 @@
 /// only if it is expected to be gone again within this time; else the account
 /// could not have its shape back when it asks.
 const OWN_USE_MS: u64 = 60_000;
+/// A preemption costs about this much time; work that has not that much to
+/// spare would miss its class and is spared if anything else can be taken.
+const ENDANGERED_MS: u64 = 120_000;
+const ENDANGERED_WEIGHT: u64 = 50;
 /// Workers compared when a single task looks for the cheapest victims.
 const COMPARED_WORKERS: usize = 32;
 
@@ -33,7 +37,7 @@
             true => self.pledge_plan(job, true),
             false => None,
         };
-        own.or_else(|| match self.is_pressed(job) && class.reclaims {
+        own.or_else(|| match self.is_pressed(job) {
             true => self.yieldable_plan(job),
             false => None,
         })
@@ -54,7 +58,6 @@
     }
 
     fn plan_in_pledge(&self, job: &Job, pledge: PledgeKey, reclaiming: bool) -> Option<Plan> {
-        let per_worker = job.shape.accelerators_per_worker;
         let mut members: Vec<(u32, WorkerKey, AcceleratorMask)> = self.pledges[pledge.index()]
             .members
             .iter()
@@ -63,7 +66,7 @@
                 if !worker.takes_work() {
                     return None;
                 }
-                let mask = self.cheapest(worker, pledged, per_worker, reclaiming)?;
+                let mask = self.cheapest(job, worker, pledged, reclaiming)?;
                 Some(((mask & !worker.free).count_ones(), key, mask))
             })
             .collect();
@@ -87,20 +90,23 @@
     /// holders that lose the least by leaving.
     fn cheapest(
         &self,
+        job: &Job,
         worker: &Worker,
         allowed: AcceleratorMask,
-        count: u16,
         reclaiming: bool,
     ) -> Option<AcceleratorMask> {
+        let count = job.shape.accelerators_per_worker;
         let free = allowed & worker.free;
         let yielding = match reclaiming {
             true => allowed & worker.yielding & !worker.claimed,
             false => 0,
         };
         let mut candidates: Vec<(u64, usize)> = bits(free | yielding)
-            .map(|bit| {
+            .filter_map(|bit| {
                 let holder = worker.holder(bit).and_then(|key| self.jobs.get(key));
-                (holder.map_or(0, |job| self.loss(job)), bit)
+                let gives_way =
+                    holder.is_none_or(|holder| self.gives_way(holder, job, worker, bit));
+                gives_way.then(|| (holder.map_or(0, |holder| self.loss(holder)), bit))
             })
             .collect();
         if candidates.len() < usize::from(count) {
@@ -111,20 +117,36 @@
         Some(chosen.fold(0, |mask, &(_, bit)| mask | 1 << bit))
     }
 
+    /// Whether `holder` leaves its accelerator to `job`: always to the account
+    /// whose guarantee it stands in and to urgent work, else only to what has
+    /// to be answered before it. Two jobs can thus never drive each other out
+    /// in turn, which would keep a pass from ending.
+    fn gives_way(&self, holder: &Job, job: &Job, worker: &Worker, bit: usize) -> bool {
+        let pledge = worker.pledge(bit).map(|key| &self.pledges[key.index()]);
+        let own = pledge.is_some_and(|pledge| pledge.account == job.account);
+        let foreign = holder.account != job.account;
+        let before = job.deadline_ms < holder.deadline_ms;
+        own && foreign || self.class(job.class).urgent || before
+    }
+
     /// What preempting `job` costs: nothing more if it is leaving anyway, else
     /// its size and how often it was preempted before.
     fn loss(&self, job: &Job) -> u64 {
         if matches!(job.state, JobState::Stopping(_)) {
             return 1;
         }
-        2 + u64::from(job.shape.accelerators()) * u64::from(1 + job.preemptions)
+        let end_ms = self.now_ms + self.remaining_ms(job) + ENDANGERED_MS;
+        let weight = match end_ms > job.deadline_ms {
+            true => ENDANGERED_WEIGHT,
+            false => 1,
+        };
+        2 + weight * u64::from(job.shape.accelerators()) * u64::from(1 + job.preemptions)
     }
 
     fn yieldable_plan(&self, job: &Job) -> Option<Plan> {
         let index = self.fleet.index_in(View::Yieldable);
-        let per_worker = job.shape.accelerators_per_worker;
         let workers = match job.shape.workers {
-            1 => vec![self.cheapest_worker(per_worker)?],
+            1 => vec![self.cheapest_worker(job)?],
             _ => region::find(&self.fleet, index, &job.shape, region::End::Last)?,
         };
         let members = workers
@@ -132,27 +154,30 @@
             .map(|key| {
                 let worker = self.fleet.worker(key);
                 let open = View::Yieldable.mask(worker);
-                let mask = self.cheapest(worker, open, per_worker, true)?;
+                let mask = self.cheapest(job, worker, open, true)?;
                 Some((key, mask))
             })
             .collect::<Option<Vec<_>>>()?;
         Some(self.with_victims(members, None))
     }
 
-    fn cheapest_worker(&self, per_worker: u16) -> Option<WorkerKey> {
+    fn cheapest_worker(&self, job: &Job) -> Option<WorkerKey> {
         let index = self.fleet.index_in(View::Yieldable);
-        let counts = usize::from(per_worker)..=super::MAX_ACCELERATORS_PER_WORKER;
+        let counts =
+            usize::from(job.shape.accelerators_per_worker)..=super::MAX_ACCELERATORS_PER_WORKER;
         counts
             .flat_map(|count| index.with_count(count))
             .take(COMPARED_WORKERS)
-            .min_by_key(|&key| {
+            .filter_map(|key| {
                 let worker = self.fleet.worker(key);
                 let open = View::Yieldable.mask(worker);
-                let mask = self.cheapest(worker, open, per_worker, true).unwrap_or(0);
+                let mask = self.cheapest(job, worker, open, true)?;
                 let victims = worker.holders_of(mask);
                 let losses = victims.iter().filter_map(|&key| self.jobs.get(key));
-                losses.map(|job| self.loss(job)).sum::<u64>()
+                Some((losses.map(|job| self.loss(job)).sum::<u64>(), key))
             })
+            .min()
+            .map(|(_, key)| key)
     }
 
     pub(super) fn with_victims(
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -24,17 +24,20 @@
     /// Places what can be placed, in the order of latest starts.
     pub(super) fn schedule(&mut self) {
         self.place_kept();
+        // A pass is bounded in what it tries and in what it places; the rest
+        // follows with the next command.
         let mut budget = self.limits.groups_per_pass;
+        self.placements_left = self.limits.placements_per_pass;
         for sweep in [Sweep::WithinShare, Sweep::All] {
             self.sweep(sweep, &mut budget);
         }
-        self.changed = false;
+        self.changed = self.placements_left == 0;
     }
 
     fn sweep(&mut self, sweep: Sweep, budget: &mut usize) {
         let share_unit = self.share_unit();
         let mut cursor: Option<Cursor> = None;
-        while *budget > 0 {
+        while *budget > 0 && self.placements_left > 0 {
             let Some((at, key)) = self.queue.next_ready(cursor) else {
                 return;
             };
@@ -46,6 +49,7 @@
                 continue;
             }
             let placed = self.try_place(key);
+            self.placements_left -= usize::from(placed);
             // After a success the group's next job is looked at in turn.
             cursor = None;
             if !placed {
@@ -104,7 +108,8 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        let yields = self.may_yield(job);
+        // Work inside its own guarantee is nobody else's to take back.
+        let yields = plan.pledge.is_none() && self.may_yield(job);
         let mut members = Vec::with_capacity(plan.members.len());
         let mut taken = 0;
         for &(worker, mask) in &plan.members {
--- a/tests/support/mixes.rs
+++ b/tests/support/mixes.rs
@@ -165,10 +165,14 @@
 name = "render"
 completion_ms = 600000
 reclaims = true
+reclaimable = true
+grace_ms = 2000
 [[class]]
 name = "translation"
 completion_ms = 7200000
 reclaims = true
+reclaimable = true
+grace_ms = 10000
 [[class]]
 name = "indexing"
 completion_ms = 28800000
@@ -232,6 +236,8 @@
 name = "pricing"
 completion_ms = 5400000
 reclaims = true
+reclaimable = true
+grace_ms = 5000
 [[class]]
 name = "forecast"
 completion_ms = 28800000
