--- a/tests/support/driver.rs
+++ b/tests/support/driver.rs
@@ -2,6 +2,11 @@
 //!
 //! No cluster is simulated: workers do what they are told after a fixed time,
 //! unless the list says that a worker is bad.
+#![allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "some figures are read by the bench only"
+)]
 
 use fuchsiaslip::config::{
     Configuration,
--- a/tests/support/naive.rs
+++ b/tests/support/naive.rs
@@ -1,5 +1,10 @@
 //! The naive version: first come first served, first fit, no lending, no
 //! preemption, no reservation. Each account's guarantee is walled off for it.
+#![allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "some figures are read by the bench only"
+)]
 
 use super::driver::{
     Figures,
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -1,5 +1,10 @@
 //! Owners, store and workers in virtual time: the pure parts joined by a queue
 //! of deliveries, with a fault switch on every wire.
+#![allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "each test file uses some of it"
+)]
 
 use fuchsiaslip::config::{
     Configuration,
