--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -107,7 +107,10 @@
         // The filling is not measured.
         driver.run_until(workers as u64 * 4 + 30_000);
         let core_mb = rss_mb() - before_mb;
-        let running = driver.cell.jobs().filter(|(_, job)| job.members.len() > 0);
+        let running = driver
+            .cell
+            .jobs()
+            .filter(|(_, job)| !job.members.is_empty());
         let tasks: usize = running.map(|(_, job)| job.members.len()).sum();
         driver.figures.decision_ns.clear();
         driver.run_until(mix.end_ms);
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: the only one that touches the owner's state.
 
+use super::kill::Killed;
 use super::status::Status;
 use crate::core::{
     Refusal,
@@ -54,6 +55,7 @@
         timer: Timer,
         status: Arc<Status>,
         actions: mpsc::UnboundedSender<Action>,
+        killed: Killed,
     ) -> std::io::Result<Self> {
         let (sender, messages) = mpsc::channel(QUEUE_LENGTH);
         std::thread::Builder::new()
@@ -67,7 +69,7 @@
                     replies: HashMap::new(),
                     next_token: 0,
                 };
-                actix_rt::System::new().block_on(thread.run(messages));
+                actix_rt::System::new().block_on(killed.or(thread.run(messages)));
             })?;
         Ok(Self { sender })
     }
@@ -164,6 +166,8 @@
         }
         self.status.set_owner_epoch(self.owner.epoch().unwrap_or(0));
         self.status.set_handed_over(self.owner.has_handed_over());
+        let epoch = self.owner.epoch().unwrap_or(0);
+        metrics::gauge!("fuchsiaslip_owner_epoch").set(epoch as f64);
         if let Some(cell) = self.owner.cell() {
             metrics::gauge!("fuchsiaslip_waiting_jobs").set(cell.waiting() as f64);
         }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod entry;
 mod keeper;
+mod kill;
 mod patch;
 mod peer;
 mod run;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -8,6 +8,10 @@
     Shared, //
 };
 use super::keeper::Keeper;
+use super::kill::{
+    Kill,
+    Killed, //
+};
 use super::patch;
 use super::peer::Peers;
 use super::settings::{
@@ -196,6 +200,7 @@
     status: Arc<Status>,
     timer: Timer,
     drain_seen_ms: std::sync::atomic::AtomicU64,
+    kill: Kill,
 }
 
 impl Daemon {
@@ -213,7 +218,8 @@
         let settings = Arc::new(settings);
         let owner = Owner::open(owner_settings(&settings, timer.now_ms()));
         let (actions, calls) = mpsc::unbounded_channel();
-        let control = Control::spawn(owner, timer.clone(), status.clone(), actions)?;
+        let kill = Kill::default();
+        let control = Control::spawn(owner, timer.clone(), status.clone(), actions, kill.killed())?;
         let (commands, received) = mpsc::channel(COMMAND_QUEUE_LENGTH);
         let shared = Shared {
             settings: settings.clone(),
@@ -231,12 +237,17 @@
         };
         std::thread::Builder::new()
             .name("traffic".to_owned())
-            .spawn(move || {
-                actix_rt::System::new().block_on(parts.run(peer, calls, received));
+            .spawn({
+                let killed = kill.killed();
+                move || {
+                    let running = killed.or(parts.run(peer, calls, received));
+                    actix_rt::System::new().block_on(running);
+                }
             })?;
-        std::thread::Builder::new()
-            .name("http".to_owned())
-            .spawn(move || serve_http(http, shared))?;
+        std::thread::Builder::new().name("http".to_owned()).spawn({
+            let killed = kill.killed();
+            move || serve_http(http, shared, killed)
+        })?;
         events::log(
             events::DAEMON_STARTED,
             format_args!("http {http_address}, peers {peer_address}"),
@@ -247,6 +258,7 @@
             status,
             timer,
             drain_seen_ms: Default::default(),
+            kill,
         })
     }
 
@@ -264,6 +276,12 @@
         self.status.drain();
     }
 
+    /// Ends the daemon at once, as the death of its VM would: nothing is handed
+    /// over and its connections are cut. For tests and the demo.
+    pub fn kill(&self) {
+        self.kill.kill();
+    }
+
     /// Whether everything is handed over and nothing is in progress.
     pub fn is_drained(&self) -> bool {
         use std::sync::atomic::Ordering::Relaxed;
@@ -319,7 +337,7 @@
     owner
 }
 
-fn serve_http(listener: TcpListener, shared: Shared) {
+fn serve_http(listener: TcpListener, shared: Shared, killed: Killed) {
     let threads = shared.settings.http_threads;
     let factory = move || {
         let entry = Entry::open(shared.clone());
@@ -339,7 +357,10 @@
             .listen("http", listener, factory);
         if let Ok(server) = server {
             // Serves until the process ends; a drain is watched elsewhere.
-            let _ = server.run().await;
+            let running = server.run();
+            let handle = running.handle();
+            killed.or(async { drop(running.await) }).await;
+            handle.stop(false).await;
         }
     });
 }
--- a/tests/fault_matrix.rs
+++ b/tests/fault_matrix.rs
@@ -219,14 +219,30 @@
     world.has_triggered().then_some(world.violations)
 }
 
-fn report(name: &str, cells: &[(Step, Vec<Fault>, Option<Vec<String>>)]) {
+/// One cell of the matrix and what came of it.
+struct CellRun {
+    step: Step,
+    faults: Vec<Fault>,
+    /// What was violated; `None` if the step was never reached.
+    violations: Option<Vec<String>>,
+}
+
+fn report(name: &str, cells: &[CellRun]) {
     let held = cells
         .iter()
-        .filter(|(_, _, result)| result.as_ref().is_some_and(Vec::is_empty))
+        .filter(|cell| cell.violations.as_ref().is_some_and(Vec::is_empty))
+        .count();
+    let not_reached = cells
+        .iter()
+        .filter(|cell| cell.violations.is_none())
         .count();
-    let not_reached = cells.iter().filter(|(_, _, r)| r.is_none()).count();
-    for (step, faults, result) in cells {
-        match result {
+    for CellRun {
+        step,
+        faults,
+        violations,
+    } in cells
+    {
+        match violations {
             None => println!("{step:?} with {faults:?}: the step was not reached"),
             Some(violations) if !violations.is_empty() => {
                 println!("{step:?} with {faults:?}: {violations:?}");
@@ -249,8 +265,11 @@
     let mut cells = Vec::new();
     for step in Step::ALL {
         for fault in Fault::ALL {
-            let result = run_cell(step, &[fault]);
-            cells.push((step, vec![fault], result));
+            cells.push(CellRun {
+                step,
+                faults: vec![fault],
+                violations: run_cell(step, &[fault]),
+            });
         }
     }
     report("one fault", &cells);
@@ -262,8 +281,11 @@
     for step in Step::ALL {
         for (at, &first) in Fault::ALL.iter().enumerate() {
             for &second in &Fault::ALL[at + 1..] {
-                let result = run_cell(step, &[first, second]);
-                cells.push((step, vec![first, second], result));
+                cells.push(CellRun {
+                    step,
+                    faults: vec![first, second],
+                    violations: run_cell(step, &[first, second]),
+                });
             }
         }
     }
--- a/tests/support/driver.rs
+++ b/tests/support/driver.rs
@@ -452,11 +452,11 @@
             return;
         }
         let met = code == OutcomeCode::Served && job.ended_ms <= job.deadline_ms;
-        if let Some(first_ms) = job.first_running_ms {
-            if job.shape.accelerators() >= LARGE_ACCELERATORS {
-                let wait_ms = first_ms.saturating_sub(job.accepted_ms);
-                self.figures.large_gang_waits_ms.push(wait_ms);
-            }
+        if let Some(first_ms) = job.first_running_ms
+            && job.shape.accelerators() >= LARGE_ACCELERATORS
+        {
+            let wait_ms = first_ms.saturating_sub(job.accepted_ms);
+            self.figures.large_gang_waits_ms.push(wait_ms);
         }
         self.figures.count_met(self.mix.jobs[at].class, met);
     }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -447,7 +447,7 @@
             self.pull_trigger();
         }
         self.now_ms = until_ms;
-        if self.now_ms % KEEPER_MS == 0 {
+        if self.now_ms.is_multiple_of(KEEPER_MS) {
             self.keep_workers();
             self.follow_configuration();
         }
