Read only what changed of the platform's list; tests of the found failures

Cause: an idle daemon with 50 workers moved 5,547 B/s, above 4,096: every 5 s it read the whole list of VMs in JSON. Change: the list is asked for by data centre and with the tag of the state that is known; the daemons elsewhere are read six times less often.

--- a/src/config/patch.rs
+++ b/src/config/patch.rs
@@ -160,6 +160,15 @@
         /// How many shapes lack a place.
         missing: u16,
     },
+    /// The platform's list of the data centre's workers cannot be had.
+    #[error(
+        "the workers of `{data_centre}` are not known now, so its guarantees cannot be checked; \
+         submit the patch again"
+    )]
+    FleetUnknown {
+        /// The data centre.
+        data_centre: String,
+    },
     /// Nobody could change the configuration any more.
     #[error("the patch would leave no operator; keep at least one")]
     NoOperator,
--- a/src/daemon/directory.rs
+++ b/src/daemon/directory.rs
@@ -26,7 +26,10 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// VMs of the own data centre.
     members: Vec<VmRecord>,
+    /// Daemons of every data centre.
+    daemons: Vec<VmRecord>,
     heard: HashMap<String, Heard>,
 }
 
@@ -63,14 +66,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in the platform's list.
+    /// Takes in the platform's list of the own data centre.
     pub fn set_members(&self, members: Vec<VmRecord>) {
         self.state().members = members;
     }
 
-    /// The platform's list.
-    pub fn members(&self) -> Vec<VmRecord> {
-        self.state().members.clone()
+    /// Takes in the platform's list of daemons everywhere.
+    pub fn set_daemons(&self, daemons: Vec<VmRecord>) {
+        self.state().daemons = daemons;
     }
 
     /// Takes in a peer's sign of life.
@@ -111,8 +114,8 @@
     /// Some daemon of another data centre; `turn` varies which.
     pub fn daemon_in(&self, data_centre: &str, turn: usize) -> Option<String> {
         let state = self.state();
-        let members = state.members.iter();
-        let there: Vec<&VmRecord> = members
+        let daemons = state.daemons.iter();
+        let there: Vec<&VmRecord> = daemons
             .filter(|vm| vm.kind == VmKind::Daemon && vm.data_centre == data_centre)
             .filter(|vm| !vm.leaving)
             .collect();
--- a/src/daemon/patch.rs
+++ b/src/daemon/patch.rs
@@ -15,6 +15,9 @@
 };
 use crate::events;
 use crate::platform::{
+    ListAnswer,
+    ListScope,
+    Membership,
     Store,
     StoreAnswer,
     StoreCall,
@@ -56,12 +59,12 @@
 /// # Errors
 ///
 /// All reasons at once why the patch is refused.
-pub fn check(
+pub async fn check(
     configuration: &Configuration,
+    membership: &Membership,
     patch: &Patch,
     operator: &str,
     now_ms: u64,
-    members: &[VmRecord],
 ) -> Result<Configuration, Vec<PatchProblem>> {
     let next = configuration.apply(patch, operator, now_ms);
     let candidate = match &next {
@@ -75,7 +78,14 @@
         .collect();
     let mut problems = Vec::new();
     for data_centre in places {
-        let fleet = nominal_fleet(members, data_centre);
+        let scope = ListScope::DataCentre(data_centre.clone());
+        let ListAnswer::Changed { vms, .. } = membership.list(scope, "").await else {
+            problems.push(PatchProblem::FleetUnknown {
+                data_centre: data_centre.clone(),
+            });
+            continue;
+        };
+        let fleet = nominal_fleet(&vms);
         for shortfall in nominal_shortfalls(&fleet, &candidate, data_centre) {
             problems.push(PatchProblem::NoWitness {
                 account: shortfall.account,
@@ -90,11 +100,10 @@
     }
 }
 
-fn nominal_fleet(members: &[VmRecord], data_centre: &str) -> Fleet {
-    let mut workers: Vec<&VmRecord> = members
+fn nominal_fleet(vms: &[VmRecord]) -> Fleet {
+    let mut workers: Vec<&VmRecord> = vms
         .iter()
-        .filter(|vm| vm.kind == VmKind::Worker && vm.data_centre == data_centre)
-        .filter(|vm| !vm.leaving)
+        .filter(|vm| vm.kind == VmKind::Worker && !vm.leaving)
         .collect();
     workers.sort_by_key(|vm| (&vm.rack, &vm.name));
     let mut fleet = Fleet::default();
@@ -109,10 +118,10 @@
 /// made, also when the answer to the first submission was lost.
 pub async fn submit(
     store: &Store,
+    membership: &Membership,
     patch: &Patch,
     operator: &str,
     now_ms: u64,
-    members: &[VmRecord],
 ) -> PatchOutcome {
     let Ok((version, configuration)) = current(store).await else {
         return PatchOutcome::Unknown;
@@ -120,7 +129,7 @@
     if configuration.accepted(&patch.id).is_some() {
         return PatchOutcome::Accepted(Box::new(configuration));
     }
-    let next = match check(&configuration, patch, operator, now_ms, members) {
+    let next = match check(&configuration, membership, patch, operator, now_ms).await {
         Ok(next) => next,
         Err(problems) => {
             let count = problems.len();
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -32,6 +32,8 @@
 };
 use crate::platform::{
     HttpPlatform,
+    ListAnswer,
+    ListScope,
     Membership,
     Store,
     VmKind, //
@@ -65,6 +67,8 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 const DRAIN_CHECK_MS: u64 = 50;
+/// The list of daemons everywhere is read so many times less often.
+const DAEMON_LIST_DIVISOR: u64 = 6;
 /// The balancer and the peers learn of the drain within this time.
 const DRAIN_NOTICE_MS: u64 = 1_000;
 
@@ -314,6 +318,10 @@
     }
 }
 
+fn list_silent() {
+    metrics::counter!("fuchsiaslip_retries_total", "reason" => "list_silent").increment(1);
+}
+
 fn listen(address: SocketAddr, field: &'static str) -> Result<TcpListener, Error> {
     let listener = TcpListener::bind(address).map_err(|source| Error::Listen {
         address,
@@ -421,34 +429,55 @@
         if let Ok(listener) = tokio::net::TcpListener::from_std(listener) {
             actix_rt::spawn(peers.clone().accept(listener));
         }
-        self.list_once(&platform.membership()).await;
         actix_rt::spawn(watch.run());
         actix_rt::spawn(keeper.run());
         actix_rt::spawn(peers.clone().beat());
         let parts = std::rc::Rc::new(self);
         actix_rt::spawn(parts.clone().follow_list(platform.membership()));
         actix_rt::spawn(parts.clone().follow_drain(peers.clone()));
-        parts.serve_commands(commands, peers, store).await;
-    }
-
-    async fn list_once(&self, membership: &Membership) {
-        let Some(members) = membership.list().await else {
-            metrics::counter!("fuchsiaslip_retries_total", "reason" => "list_silent").increment(1);
-            return;
-        };
-        self.directory.set_members(members.clone());
-        let here = members
-            .into_iter()
-            .filter(|vm| vm.kind == VmKind::Worker && vm.data_centre == self.settings.data_centre)
-            .collect();
-        self.control.event(Event::Members(here)).await;
+        let membership = platform.membership();
+        parts
+            .serve_commands(commands, peers, store, membership)
+            .await;
     }
 
+    /// Follows the platform's list: the own data centre, and less often the
+    /// daemons of the others. A list that has not changed costs a few bytes.
     async fn follow_list(self: std::rc::Rc<Self>, membership: Membership) {
         let mut ticks = self.timer.every(self.settings.list_ms);
-        loop {
+        let (mut here_tag, mut daemons_tag) = (String::new(), String::new());
+        for round in 0u64.. {
+            self.list_here(&membership, &mut here_tag).await;
+            if round % DAEMON_LIST_DIVISOR == 0 {
+                self.list_daemons(&membership, &mut daemons_tag).await;
+            }
             ticks.next().await;
-            self.list_once(&membership).await;
+        }
+    }
+
+    async fn list_here(&self, membership: &Membership, tag: &mut String) {
+        let scope = ListScope::DataCentre(self.settings.data_centre.clone());
+        match membership.list(scope, tag).await {
+            ListAnswer::Changed { tag: new, vms } => {
+                *tag = new;
+                self.directory.set_members(vms.clone());
+                let workers = vms.into_iter().filter(|vm| vm.kind == VmKind::Worker);
+                let members = Event::Members(workers.collect());
+                self.control.event(members).await;
+            }
+            ListAnswer::Unchanged => {}
+            ListAnswer::Silent => list_silent(),
+        }
+    }
+
+    async fn list_daemons(&self, membership: &Membership, tag: &mut String) {
+        match membership.list(ListScope::Daemons, tag).await {
+            ListAnswer::Changed { tag: new, vms } => {
+                *tag = new;
+                self.directory.set_daemons(vms);
+            }
+            ListAnswer::Unchanged => {}
+            ListAnswer::Silent => list_silent(),
         }
     }
 
@@ -465,24 +494,33 @@
         mut commands: mpsc::Receiver<EntryCommand>,
         peers: Peers,
         store: Store,
+        membership: Membership,
     ) {
         while let Some(command) = commands.recv().await {
             let parts = self.clone();
             let (peers, store) = (peers.clone(), store.clone());
-            actix_rt::spawn(async move { parts.serve_command(command, peers, store).await });
+            let membership = membership.clone();
+            actix_rt::spawn(async move {
+                parts.serve_command(command, peers, store, membership).await;
+            });
         }
     }
 
-    async fn serve_command(&self, command: EntryCommand, peers: Peers, store: Store) {
+    async fn serve_command(
+        &self,
+        command: EntryCommand,
+        peers: Peers,
+        store: Store,
+        membership: Membership,
+    ) {
         let now_ms = self.timer.now_ms();
-        let members = self.directory.members();
         // Whoever asked may have gone away in each of these.
         match command {
             EntryCommand::Route(data_centre, request, reply) => {
                 let _ = reply.send(peers.route(&data_centre, request).await);
             }
             EntryCommand::Patch(patch, operator, reply) => {
-                let outcome = patch::submit(&store, &patch, &operator, now_ms, &members).await;
+                let outcome = patch::submit(&store, &membership, &patch, &operator, now_ms).await;
                 if let patch::PatchOutcome::Accepted(configuration) = &outcome {
                     let configuration = configuration.as_ref().clone();
                     watch::put_in_force(&self.status, &self.control, configuration).await;
@@ -492,8 +530,10 @@
             }
             EntryCommand::Plan(patch, reply) => {
                 let planned = match patch::current(&store).await {
-                    Ok((_, current)) => patch::check(&current, &patch, "", now_ms, &members)
-                        .map(|_| current.changes(&patch)),
+                    Ok((_, current)) => {
+                        let checked = patch::check(&current, &membership, &patch, "", now_ms);
+                        checked.await.map(|_| current.changes(&patch))
+                    }
                     Err(_) => Err(Vec::new()),
                 };
                 let _ = reply.send(planned);
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -3,10 +3,13 @@
 //! Store: `GET /kv/KEY`, `GET /kv/KEY?after=V&wait_ms=N`,
 //! `PUT /kv/KEY?expect=V`, `PUT /lease/KEY?holder=H&ttl_ms=N`,
 //! `DELETE /lease/KEY?holder=H`; the version travels in `x-version`.
-//! List: `GET /vms`, in JSON. Workers: `POST /reserve`, `/start`, `/stop`,
+//! List: `GET /vms?data_centre=D` or `?kind=daemon`, in JSON, with an `etag`
+//! and `if-none-match`. Workers: `POST /reserve`, `/start`, `/stop`,
 //! `/inspect`, `/poll`, and `GET /answer` with their parameters in the query.
 
 use super::{
+    ListAnswer,
+    ListScope,
     Membership,
     PollAnswer,
     Store,
@@ -14,7 +17,6 @@
     StoreCall,
     StoreFailure,
     TaskChange,
-    VmRecord,
     WorkerAnswer,
     WorkerCall,
     WorkerFailure,
@@ -148,9 +150,12 @@
     /// The list of VMs.
     pub fn membership(&self) -> Membership {
         let platform = self.clone();
-        Membership::from_fn(move || {
+        Membership::from_fn(move |scope, tag| {
             let platform = platform.clone();
-            Box::pin(async move { platform.list().await })
+            Box::pin(async move {
+                let answer = platform.list(scope, &tag).await;
+                answer.unwrap_or(ListAnswer::Silent)
+            })
         })
     }
 
@@ -241,12 +246,29 @@
         }
     }
 
-    async fn list(&self) -> Option<Vec<VmRecord>> {
-        let request = self.client.get(format!("http://{}/vms", self.address));
+    async fn list(&self, scope: ListScope, tag: &str) -> Option<ListAnswer> {
+        let query = match scope {
+            ListScope::DataCentre(name) => format!("data_centre={name}"),
+            ListScope::Daemons => "kind=daemon".to_owned(),
+        };
+        let url = format!("http://{}/vms?{query}", self.address);
+        let mut request = self.client.get(url);
+        if !tag.is_empty() {
+            request = request.insert_header(("if-none-match", tag));
+        }
         let response = self.timer.limit(LIST_TIMEOUT_MS, request.send()).await;
         let mut response = response.ok()?.ok()?;
+        if response.status() == StatusCode::NOT_MODIFIED {
+            return Some(ListAnswer::Unchanged);
+        }
+        let header = response.headers().get("etag");
+        let tag = header
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default();
+        let tag = tag.to_owned();
         let body = response.body().limit(MAX_LIST_BYTES).await.ok()?;
-        serde_json::from_slice(&body).ok()
+        let vms = serde_json::from_slice(&body).ok()?;
+        Some(ListAnswer::Changed { tag, vms })
     }
 
     async fn call_worker(
--- a/src/platform/membership.rs
+++ b/src/platform/membership.rs
@@ -39,7 +39,32 @@
     pub leaving: bool,
 }
 
-type ListVms = dyn Fn() -> LocalBoxFuture<'static, Option<Vec<VmRecord>>>;
+/// Which part of the list is asked for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ListScope {
+    /// All VMs of one data centre.
+    DataCentre(String),
+    /// The daemons of every data centre.
+    Daemons,
+}
+
+/// What came of asking for the list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ListAnswer {
+    /// It is as it was when the caller got this tag.
+    Unchanged,
+    /// It is this.
+    Changed {
+        /// Tag of this state of the list.
+        tag: String,
+        /// The VMs.
+        vms: Vec<VmRecord>,
+    },
+    /// It cannot be had now.
+    Silent,
+}
+
+type ListVms = dyn Fn(ListScope, String) -> LocalBoxFuture<'static, ListAnswer>;
 
 /// The platform's list behind a closure.
 #[derive(Clone)]
@@ -48,17 +73,18 @@
 }
 
 impl Membership {
-    /// A list that `list` fetches; `None` when it cannot be had.
+    /// A list that `list` asks for, given the tag that the caller has.
     pub fn from_fn(
-        list: impl Fn() -> LocalBoxFuture<'static, Option<Vec<VmRecord>>> + 'static,
+        list: impl Fn(ListScope, String) -> LocalBoxFuture<'static, ListAnswer> + 'static,
     ) -> Self {
         Self {
             list: Rc::new(list),
         }
     }
 
-    /// Fetches the list.
-    pub async fn list(&self) -> Option<Vec<VmRecord>> {
-        (self.list)().await
+    /// Asks for part of the list; `tag` is of the state that the caller has,
+    /// or empty.
+    pub async fn list(&self, scope: ListScope, tag: &str) -> ListAnswer {
+        (self.list)(scope, tag.to_owned()).await
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,6 +15,8 @@
     WorkerQuery, //
 };
 pub use membership::{
+    ListAnswer,
+    ListScope,
     Membership,
     VmKind,
     VmRecord, //
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -26,6 +26,7 @@
 };
 use actix_http::body::BoxBody;
 use actix_http::{
+    HttpMessage,
     HttpService,
     Method,
     Payload,
@@ -101,6 +102,13 @@
     ttl_ms: u64,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct ListQuery {
+    data_centre: Option<String>,
+    kind: Option<VmKind>,
+}
+
 #[derive(Default, Deserialize)]
 #[serde(default)]
 struct FaultQuery {
@@ -252,15 +260,14 @@
         let method = request.method().clone();
         let path = request.path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
+        let header = request.headers().get("if-none-match");
+        let known_tag = header
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
         let body = read_body(request.take_payload()).await;
         let segments: Vec<&str> = path.trim_start_matches('/').splitn(2, '/').collect();
         match segments.as_slice() {
-            ["vms"] => {
-                let body = serde_json::to_vec(&self.state().vms).unwrap_or_default();
-                Response::build(StatusCode::OK)
-                    .body(body)
-                    .map_into_boxed_body()
-            }
+            ["vms"] => self.list(&query, known_tag.as_deref()),
             ["kv", key] => self.kv(&method, key, &query, body).await,
             ["lease", key] => self.lease(&method, key, &query).await,
             ["w", rest] => self.worker(rest, &query, body).await,
@@ -269,6 +276,28 @@
         }
     }
 
+    fn list(&self, query: &str, known_tag: Option<&str>) -> Response<BoxBody> {
+        let query: ListQuery = serde_urlencoded::from_str(query).unwrap_or_default();
+        let state = self.state();
+        let wanted = |vm: &&VmRecord| {
+            let here = query
+                .data_centre
+                .as_ref()
+                .is_none_or(|at| *at == vm.data_centre);
+            here && query.kind.is_none_or(|kind| kind == vm.kind)
+        };
+        let vms: Vec<&VmRecord> = state.vms.iter().filter(wanted).collect();
+        let body = serde_json::to_vec(&vms).unwrap_or_default();
+        let tag = format!("\"{:x}\"", xxhash_rust::xxh3::xxh3_64(&body));
+        if known_tag == Some(tag.as_str()) {
+            return status(StatusCode::NOT_MODIFIED);
+        }
+        Response::build(StatusCode::OK)
+            .insert_header(("etag", tag))
+            .body(body)
+            .map_into_boxed_body()
+    }
+
     async fn kv(&self, method: &Method, key: &str, query: &str, body: Bytes) -> Response<BoxBody> {
         let query: StoreQuery = serde_urlencoded::from_str(query).unwrap_or_default();
         let key = key.to_owned();
--- /dev/null
+++ b/tests/owner_failures.rs
@@ -0,0 +1,425 @@
+//! Failures that were found once, each with its story.
+
+#[path = "support/world.rs"]
+mod world;
+
+use fuchsiaslip::config::{
+    Configuration,
+    Declaration, //
+};
+use fuchsiaslip::core::{
+    AttemptId,
+    Cell,
+    Command,
+    Effect,
+    JobId,
+    JobState,
+    Limits,
+    MemberEvent,
+    MemberReport,
+    RefusalReason,
+    Shape,
+    Submission,
+    WorkerSpec, //
+};
+use fuchsiaslip::ledger::OutcomeCode;
+use fuchsiaslip::owner::{
+    Action,
+    Event,
+    Owner,
+    Reply,
+    Request,
+    Settings, //
+};
+use fuchsiaslip::platform::{
+    StoreCall,
+    StoreFailure,
+    VmKind,
+    VmRecord,
+    WorkerAnswer,
+    WorkerCall,
+    WorkerRefusal, //
+};
+use fuchsiaslip::standin::{
+    StoreStandIn,
+    TaskSpec,
+    WorkerStandIn, //
+};
+use std::sync::Arc;
+use world::{
+    Caller,
+    Fault,
+    World, //
+};
+
+fn declaration() -> Declaration {
+    toml::from_str(
+        r#"
+        [[class]]
+        name = "standard"
+        completion_ms = 60000
+        reclaims = true
+        [[class]]
+        name = "overnight"
+        completion_ms = 3600000
+        reclaimable = true
+        [[account]]
+        name = "a"
+        token_sha256 = ""
+        data_centres = ["zg-dubrava"]
+        quota_accelerators = 100
+        [[account.guarantees]]
+        data_centre = "zg-dubrava"
+        accelerators_per_worker = 8
+        [[account]]
+        name = "b"
+        token_sha256 = ""
+        data_centres = ["zg-dubrava"]
+        quota_accelerators = 100
+        "#,
+    )
+    .expect("the declaration is right")
+}
+
+fn configuration(version: u64) -> Arc<Configuration> {
+    Arc::new(Configuration {
+        version,
+        declaration: declaration(),
+        history: Vec::new(),
+    })
+}
+
+fn submission(key: &str, account: &str, class: &str, accelerators: u16, run_ms: u64) -> Submission {
+    let task = TaskSpec {
+        run_ms,
+        answer_bytes: 16,
+        marker: key.to_owned(),
+        ..TaskSpec::default()
+    };
+    let mut submission = Submission {
+        account: account.to_owned(),
+        class: class.to_owned(),
+        idempotency_key: key.to_owned(),
+        idempotent: class == "overnight",
+        declared_run_ms: run_ms,
+        payload: task.payload(),
+        ..Submission::default()
+    };
+    submission.set_shape(Shape::single(accelerators));
+    submission
+}
+
+fn run_for(world: &mut World, time_ms: u64) {
+    let until_ms = world.now_ms + time_ms;
+    while world.now_ms < until_ms {
+        world.step();
+    }
+}
+
+/// A cell with one worker, whose accelerators are guaranteed to account `a`.
+fn small_cell() -> Cell {
+    let mut cell = Cell::new("zg-dubrava", 1, Limits::default());
+    let worker = WorkerSpec {
+        name: "w0".to_owned(),
+        rack: "r0".to_owned(),
+        accelerators: 8,
+        leaving: false,
+    };
+    cell.apply(Command::Workers(vec![worker]), 0);
+    cell.apply(Command::Configure(configuration(1)), 0);
+    cell
+}
+
+/// A caller saw its overnight job stop for ever. Its account's neighbour called
+/// the guarantee back while the job was still being reserved, and then the
+/// worker refused the reservation. The refusal asked for a second stop, which
+/// changed nothing, and nobody noticed that the last member was gone.
+#[test]
+fn refused_reservation_ends_a_stop_that_is_under_way() {
+    let mut cell = small_cell();
+    let overnight = submission("o", "b", "overnight", 8, 1_000);
+    cell.apply(
+        Command::Submit {
+            token: 1,
+            submission: overnight,
+        },
+        0,
+    );
+    let lent = cell.jobs().next().map(|(_, job)| job.attempt_id()).unwrap();
+    let standard = submission("s", "a", "standard", 8, 1_000);
+    cell.apply(
+        Command::Submit {
+            token: 2,
+            submission: standard,
+        },
+        1,
+    );
+    let refused = MemberReport {
+        attempt: lent,
+        worker: "w0".to_owned(),
+        event: MemberEvent::ReserveRefused,
+    };
+
+    cell.apply(Command::Member(refused), 2);
+
+    assert_eq!(cell.job(lent.job).unwrap().state, JobState::Queued);
+    let reclaimed = cell.jobs().find(|(_, job)| job.submission.account == "a");
+    assert_eq!(reclaimed.unwrap().1.state, JobState::Reserving);
+}
+
+/// An order was placed twice. Its worker restarted while the job ran, the store
+/// was down, and a new owner asked the worker. The worker had forgotten the
+/// task, had then been told to stop it, and took that to mean "not begun".
+#[test]
+fn restarted_worker_does_not_let_a_non_idempotent_job_run_again() {
+    let mut world = World::new(declaration(), 2, 2);
+    let once = submission("once", "b", "standard", 1, 4_000);
+    world.callers.push(Caller::new(once, world.now_ms + 500));
+    world.callers[0].cancel_at_ms = Some(world.now_ms + 1_500);
+    let running = |world: &World| (world.state_of(0) == Some(JobState::Running)).then_some(0);
+    let faults = [Fault::StoreDown, Fault::WorkerDies, Fault::OwnerPaused];
+    world.when(Box::new(running), &faults);
+
+    run_for(&mut world, 60_000);
+
+    world.check_end();
+    assert_eq!(world.violations, Vec::<String>::new());
+    let runs: usize = world.workers.values().map(|worker| worker.runs.len()).sum();
+    assert_eq!(runs, 1);
+}
+
+/// A cancelled job ran to its end. The owner confirmed the cancellation and
+/// died before the task had stopped; the next owner found the job running and
+/// knew nothing of the wish, which was not in the ledger.
+#[test]
+fn cancellation_outlives_the_owner() {
+    let mut world = World::new(declaration(), 2, 2);
+    let long = submission("long", "b", "overnight", 1, 30_000);
+    world.callers.push(Caller::new(long, world.now_ms + 500));
+    world.callers[0].cancel_at_ms = Some(world.now_ms + 2_000);
+    let cancelling = |world: &World| {
+        let job = world.callers[0].job.and_then(|job| world.cell()?.job(job));
+        job.is_some_and(|job| job.cancelling).then_some(0)
+    };
+    world.when(Box::new(cancelling), &[Fault::OwnerCutFromWorkers]);
+    run_for(&mut world, 3_000);
+    world.inject(Fault::OwnerDies, 0);
+
+    run_for(&mut world, 60_000);
+
+    let outcome = world.callers[0]
+        .ended
+        .as_ref()
+        .map(|ended| ended.report.outcome.clone());
+    assert_eq!(outcome, Some(OutcomeCode::Cancelled.name().to_owned()));
+}
+
+/// An owner was paused beyond its lease and went on as if nothing had happened:
+/// it accepted a job that the next owner never saw. The lease has to be counted
+/// from before it was asked for, and looked at before anything is accepted.
+#[test]
+fn paused_owner_accepts_nothing_on_a_lapsed_lease() {
+    let mut store = StoreStandIn::default();
+    let mut owner = Owner::open(Settings::new("zg-dubrava", "d1", 1));
+    let start = [
+        Event::Configuration(configuration(1)),
+        Event::ConfigurationConfirmed { asked_ms: 1_000 },
+        Event::Contest(true),
+    ];
+    start
+        .into_iter()
+        .for_each(|event| drive(&mut owner, &mut store, event, 1_000));
+    assert!(owner.is_owner());
+
+    let paused_ms = 1_000 + 5_000;
+    let request = Request::Submit(submission("late", "b", "standard", 1, 10));
+    let actions = owner.handle(Event::Request { token: 7, request }, paused_ms);
+
+    let refused = actions.iter().any(|action| {
+        matches!(
+            action,
+            Action::Reply {
+                token: 7,
+                reply: Reply::Refused(refusal),
+            } if refusal.reason == RefusalReason::StoreUnavailable
+        )
+    });
+    assert!(refused, "{actions:?}");
+}
+
+/// What a daemon knows before it becomes owner.
+fn start(configuration_version: u64) -> [Event; 4] {
+    let worker = VmRecord {
+        name: "w0".to_owned(),
+        kind: VmKind::Worker,
+        data_centre: "zg-dubrava".to_owned(),
+        address: String::new(),
+        rack: "r0".to_owned(),
+        accelerators: 16,
+        leaving: false,
+    };
+    [
+        Event::Members(vec![worker]),
+        Event::Configuration(configuration(configuration_version)),
+        Event::ConfigurationConfirmed { asked_ms: 1_000 },
+        Event::Contest(true),
+    ]
+}
+
+/// Carries an event and the store calls that follow from it.
+fn drive(owner: &mut Owner, store: &mut StoreStandIn, event: Event, now_ms: u64) {
+    let mut actions = owner.handle(event, now_ms);
+    while let Some(action) = actions.pop() {
+        if let Action::Store { call, request } = action {
+            let result = store.handle(request, now_ms);
+            actions.extend(owner.handle(Event::Store { call, result }, now_ms));
+        }
+    }
+}
+
+/// A gang ran with one member too many: an owner that had been replaced woke up
+/// and started a task on a worker that the new owner had not yet talked to
+/// about it. Workers refuse an epoch that is lower than one they have seen.
+#[test]
+fn worker_refuses_a_replaced_owner() {
+    let mut worker = WorkerStandIn::new("w0");
+    let attempt = AttemptId {
+        job: JobId(1),
+        attempt: 1,
+    };
+    let reserve = |epoch| WorkerCall::Reserve {
+        epoch,
+        attempt,
+        mask: 1,
+        expires_ms: 1_000,
+    };
+    worker.handle(reserve(1), 0).unwrap();
+    worker
+        .handle(WorkerCall::Inspect { epoch: 2, attempt }, 1)
+        .unwrap();
+
+    let start = WorkerCall::Start {
+        epoch: 1,
+        attempt,
+        progress_ms: 0,
+        payload: TaskSpec::default().payload(),
+    };
+    let answer = worker.handle(start, 2).unwrap();
+
+    assert_eq!(answer, WorkerAnswer::Refused(WorkerRefusal::StaleEpoch));
+    assert!(worker.runs.is_empty());
+}
+
+/// A patch was undone for a while: a daemon that had been cut off became owner
+/// and decided with the configuration that it still had. The ledger names the
+/// version that it was written with, and an older daemon gives the lease back.
+#[test]
+fn daemon_with_an_older_configuration_does_not_become_owner() {
+    let mut store = StoreStandIn::default();
+    let mut first = Owner::open(Settings::new("zg-dubrava", "d1", 1));
+    let start = [
+        Event::Configuration(configuration(5)),
+        Event::ConfigurationConfirmed { asked_ms: 1_000 },
+        Event::Contest(true),
+    ];
+    start
+        .into_iter()
+        .for_each(|event| drive(&mut first, &mut store, event, 1_000));
+    let request = Request::Submit(submission("k", "b", "standard", 1, 10));
+    drive(
+        &mut first,
+        &mut store,
+        Event::Request { token: 1, request },
+        1_001,
+    );
+    store.lapse("cell/zg-dubrava/owner");
+
+    let mut second = Owner::open(Settings::new("zg-dubrava", "d2", 1 << 40));
+    drive(
+        &mut second,
+        &mut store,
+        Event::Configuration(configuration(4)),
+        9_000,
+    );
+    drive(&mut second, &mut store, Event::Contest(true), 9_000);
+
+    assert!(!second.is_owner());
+}
+
+/// A job was accepted twice in the ledger's history: the answer to the write
+/// was lost and the write was repeated on a guess. The write carries a name,
+/// and is read back before anything else is done.
+#[test]
+fn lost_answer_is_read_back_before_anything_is_written_again() {
+    let mut store = StoreStandIn::default();
+    let mut owner = Owner::open(Settings::new("zg-dubrava", "d1", 1));
+    let start = [
+        Event::Configuration(configuration(1)),
+        Event::ConfigurationConfirmed { asked_ms: 1_000 },
+        Event::Contest(true),
+    ];
+    start
+        .into_iter()
+        .for_each(|event| drive(&mut owner, &mut store, event, 1_000));
+    let before = store.version("cell/zg-dubrava/root");
+    store.faults.lose_answers = 1;
+    let request = Request::Submit(submission("k", "b", "standard", 1, 10));
+    let actions = owner.handle(Event::Request { token: 1, request }, 1_010);
+    let Some((call, write)) = actions.into_iter().find_map(|action| match action {
+        Action::Store { call, request } => Some((call, request)),
+        _ => None,
+    }) else {
+        panic!("the acceptance is written");
+    };
+    let lost = store.handle(write, 1_010);
+    assert_eq!(lost, Err(StoreFailure::Timeout));
+    owner.handle(Event::Store { call, result: lost }, 1_020);
+
+    let mut calls = Vec::new();
+    let mut replies = Vec::new();
+    for at_ms in (1_100..3_000).step_by(100) {
+        let mut actions = owner.handle(Event::Tick, at_ms);
+        while let Some(action) = actions.pop() {
+            match action {
+                Action::Store { call, request } => {
+                    if !matches!(request, StoreCall::AcquireLease { .. }) {
+                        calls.push(request.name());
+                    }
+                    let result = store.handle(request, at_ms);
+                    actions.extend(owner.handle(Event::Store { call, result }, at_ms));
+                }
+                Action::Reply { reply, .. } => replies.push(reply),
+                Action::Worker { .. } => {}
+            }
+        }
+    }
+
+    assert_eq!(calls, ["get"]);
+    assert_eq!(store.version("cell/zg-dubrava/root"), before + 1);
+    assert!(matches!(replies.as_slice(), [Reply::Accepted(_)]));
+}
+
+/// The effect that tells a caller "accepted" never overtakes the change that
+/// makes it so.
+#[test]
+fn acceptance_is_gated_on_its_record() {
+    let mut cell = small_cell();
+    let job = submission("k", "b", "overnight", 1, 10);
+
+    let effects = cell.apply(
+        Command::Submit {
+            token: 1,
+            submission: job,
+        },
+        0,
+    );
+
+    let persisted = effects
+        .iter()
+        .position(|effect| matches!(effect, Effect::Persist(_)));
+    let accepted = effects
+        .iter()
+        .position(|effect| matches!(effect, Effect::Accepted { .. }));
+    assert!(persisted < accepted);
+    assert!(effects[accepted.unwrap()].is_gated());
+}
