--- a/tests/owner_failures.rs
+++ b/tests/owner_failures.rs
@@ -221,12 +221,7 @@
 fn paused_owner_accepts_nothing_on_a_lapsed_lease() {
     let mut store = StoreStandIn::default();
     let mut owner = Owner::open(Settings::new("zg-dubrava", "d1", 1));
-    let start = [
-        Event::Configuration(configuration(1)),
-        Event::ConfigurationConfirmed { asked_ms: 1_000 },
-        Event::Contest(true),
-    ];
-    start
+    start(1)
         .into_iter()
         .for_each(|event| drive(&mut owner, &mut store, event, 1_000));
     assert!(owner.is_owner());
@@ -317,12 +312,7 @@
 fn daemon_with_an_older_configuration_does_not_become_owner() {
     let mut store = StoreStandIn::default();
     let mut first = Owner::open(Settings::new("zg-dubrava", "d1", 1));
-    let start = [
-        Event::Configuration(configuration(5)),
-        Event::ConfigurationConfirmed { asked_ms: 1_000 },
-        Event::Contest(true),
-    ];
-    start
+    start(5)
         .into_iter()
         .for_each(|event| drive(&mut first, &mut store, event, 1_000));
     let request = Request::Submit(submission("k", "b", "standard", 1, 10));
@@ -353,12 +343,7 @@
 fn lost_answer_is_read_back_before_anything_is_written_again() {
     let mut store = StoreStandIn::default();
     let mut owner = Owner::open(Settings::new("zg-dubrava", "d1", 1));
-    let start = [
-        Event::Configuration(configuration(1)),
-        Event::ConfigurationConfirmed { asked_ms: 1_000 },
-        Event::Contest(true),
-    ];
-    start
+    start(1)
         .into_iter()
         .for_each(|event| drive(&mut owner, &mut store, event, 1_000));
     let before = store.version("cell/zg-dubrava/root");
