--- /dev/null
+++ b/justfile
@@ -0,0 +1,35 @@
+# Lists the recipes.
+default:
+    just --list
+
+# What has to pass before a push.
+ci:
+    bash .ci/run
+
+# One data centre on loopback whose owner is killed half-way.
+demo:
+    cargo run --release --example demo
+
+# The fault matrix, with its closing lines.
+matrix:
+    cargo test --release --test fault_matrix -- --nocapture
+
+# Figures of the decisions beside the naive version; `just bench-decisions jadran.day` runs one mix.
+bench-decisions only="":
+    cargo bench --bench decisions -- {{only}} --detail
+
+# Figures of one daemon.
+bench-path:
+    cargo bench --bench path
+
+# Figures of many daemons under failures: failover, leaving, rolling, control, patches.
+bench-recovery only="":
+    cargo bench --bench recovery -- {{only}}
+
+# The plots in docs/, from the printed figures.
+plots:
+    cargo bench --bench decisions | cargo run --release --example plots
+
+# Formats everything.
+fmt:
+    cargo fmt
