Try kept workers before preempting, and guard the headroom from all patient work

Change: free places first, then kept workers, then preemption; two kept regions at most; headroom holds against everything that still has time, and counts what is free in kept workers.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -144,7 +144,7 @@
     /// By how much the job would miss its class, if it would: it cannot start
     /// now, and the work ahead of it takes longer than it can wait.
     fn expected_lateness_ms(&self, job: &Job) -> Option<u64> {
-        if self.find_plan(job).is_some() {
+        if self.find_plan(None, job).is_some() {
             return None;
         }
         let completion_ms = self.class(job.class).completion_ms;
--- a/src/core/backfill.rs
+++ b/src/core/backfill.rs
@@ -148,7 +148,7 @@
     }
 
     /// A place in kept workers for work that is expected to be gone in time.
-    pub(super) fn backfill_plan(&self, key: JobKey, job: &Job) -> Option<Plan> {
+    pub(super) fn backfill_plan(&self, key: Option<JobKey>, job: &Job) -> Option<Plan> {
         if job.shape.workers != 1 {
             return None;
         }
@@ -168,7 +168,7 @@
             .kept
             .iter()
             .filter(|kept| {
-                (end_ms <= kept.ready_ms || pressed && can_wait(kept.job)) && kept.job != key
+                (end_ms <= kept.ready_ms || pressed && can_wait(kept.job)) && Some(kept.job) != key
             })
             .flat_map(|kept| kept.workers.iter().copied())
             .filter(|&at| self.fleet.mask(view, at).count_ones() >= u32::from(per_worker))
--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -70,7 +70,7 @@
             retention_ms: 24 * 3_600_000,
             quarantine_failures: 3,
             quarantine_ms: 60_000,
-            kept_gangs: 4,
+            kept_gangs: 2,
             groups_per_pass: 64,
             placements_per_pass: 512,
             backoff_ms: 200,
--- a/src/core/headroom.rs
+++ b/src/core/headroom.rs
@@ -7,6 +7,8 @@
 use super::{
     Cell,
     Job,
+    View,
+    WorkerKey,
     placement::Plan, //
 };
 
@@ -42,22 +44,21 @@
         self.headroom.accelerators = wanted.min(most) as u32;
     }
 
-    /// Whether a place for a gang, or for work that can wait, would use up what
-    /// is left free for urgent work. Other small work may: it is gone soon.
+    /// Whether a place for work that has time would use up what is left free
+    /// for urgent work. Urgent work also finds what is free in kept workers.
     pub(super) fn uses_headroom(&self, job: &Job, plan: &Plan) -> bool {
-        let patient = job.shape.workers > 1 || self.may_yield(job);
-        if !patient || self.headroom.accelerators == 0 {
+        if self.headroom.accelerators == 0 || self.is_pressed(job) {
             return false;
         }
+        let surplus_in = |key: WorkerKey| self.fleet.mask(View::Surplus, key).count_ones();
         let taken: u32 = plan
             .members
             .iter()
-            .map(|&(key, mask)| {
-                let worker = self.fleet.worker(key);
-                (mask & worker.free & !worker.pledged).count_ones()
-            })
+            .map(|&(key, mask)| (mask & self.fleet.mask(View::Surplus, key)).count_ones())
             .sum();
-        let free = self.fleet.index_in(super::View::Surplus).total();
+        let kept = self.kept.iter().flat_map(|kept| &kept.workers);
+        let kept_free: u32 = kept.map(|&key| surplus_in(key)).sum();
+        let free = self.fleet.index_in(View::Surplus).total() + kept_free;
         taken > 0 && free < taken + self.headroom.accelerators
     }
 }
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -52,8 +52,15 @@
 }
 
 impl Cell {
-    /// The best place for `job` right now, if there is one.
-    pub(super) fn find_plan(&self, job: &Job) -> Option<Plan> {
+    /// The best place for `job` right now, if there is one: free, or kept for a
+    /// gang that will not miss it, or held by work that has to give way.
+    pub(super) fn find_plan(&self, key: Option<JobKey>, job: &Job) -> Option<Plan> {
+        self.best_free_plan(job)
+            .or_else(|| self.backfill_plan(key, job))
+            .or_else(|| self.reclaiming_plan(job))
+    }
+
+    fn best_free_plan(&self, job: &Job) -> Option<Plan> {
         let own = match self.class(job.class).reclaims {
             true => self.pledge_plan(job, false),
             false => None,
@@ -63,13 +70,12 @@
             true => self.free_plan(job, View::Free),
             false => None,
         };
-        let free = [own, surplus, lent]
+        [own, surplus, lent]
             .into_iter()
             .flatten()
             .map(|plan| (self.cost(job, &plan), plan))
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
-            .map(|(_, plan)| plan);
-        free.or_else(|| self.reclaiming_plan(job))
+            .map(|(_, plan)| plan)
     }
 
     /// A place in free accelerators that `view` shows.
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -84,7 +84,7 @@
         let Some(job) = self.jobs.get(key) else {
             return false;
         };
-        let Some(plan) = self.find_plan(job).or_else(|| self.backfill_plan(key, job)) else {
+        let Some(plan) = self.find_plan(Some(key), job) else {
             return false;
         };
         if plan.pledge.is_none() && (self.over_quota(job) || self.uses_headroom(job, &plan)) {
