Keep short work out of a pledge whose shape is waited for

Cause: an account's own short work kept coming into its pledge while a job of the guaranteed shape waited, so that the shape was never free as a whole. Change: short work stays out while such a job waits.

--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -176,6 +176,11 @@
         self.unblock(u16::MAX);
     }
 
+    /// Whether a group of jobs waits.
+    pub fn has_group(&self, key: &GroupKey) -> bool {
+        self.index.contains_key(key)
+    }
+
     /// Number of waiting jobs.
     pub fn waiting(&self) -> usize {
         self.len
--- a/src/core/reclaim.rs
+++ b/src/core/reclaim.rs
@@ -1,16 +1,20 @@
 //! Taking accelerators back from work that can wait.
 
 use super::{
+    AccountKey,
     Cell,
+    ClassKey,
     Job,
     JobKey,
     JobState,
     PledgeKey,
+    Shape,
     StopKind,
     View,
     Worker,
     WorkerKey,
     placement::Plan,
+    queue::GroupKey,
     region,
     worker::AcceleratorMask,
     worker::bits, //
@@ -51,12 +55,28 @@
             .filter(|(_, pledge)| {
                 pledge.account == job.account
                     && job.shape.fits_within(&pledge.shape)
-                    && (short || job.shape == pledge.shape)
+                    && (job.shape == pledge.shape
+                        || short && !self.waits_for_shape(job.account, pledge.shape))
             })
             .filter_map(|(key, _)| self.plan_in_pledge(job, key, reclaiming))
             .min_by_key(|plan| plan.victims.len())
     }
 
+    /// Whether a job of the account waits for its guaranteed shape. Short work
+    /// then no longer comes in, or the shape would never be free as a whole.
+    fn waits_for_shape(&self, account: AccountKey, shape: Shape) -> bool {
+        (0..self.classes.len() as u8).any(|class| {
+            [false, true].into_iter().any(|yields| {
+                self.queue.has_group(&GroupKey {
+                    account,
+                    class: ClassKey(class),
+                    shape,
+                    yields,
+                })
+            })
+        })
+    }
+
     fn plan_in_pledge(&self, job: &Job, pledge: PledgeKey, reclaiming: bool) -> Option<Plan> {
         let mut members: Vec<(u32, WorkerKey, AcceleratorMask)> = self.pledges[pledge.index()]
             .members
