An account's own lent work gives way to its guaranteed shape

Change: in an account's pledge everything that can be taken back gives way to the guaranteed shape. Poll requests lose their default headers; a gauge shows the fragmentation.

--- a/benches/recovery.rs
+++ b/benches/recovery.rs
@@ -4,7 +4,10 @@
 
 mod support;
 
-use fuchsiaslip::daemon::Daemon;
+use fuchsiaslip::daemon::{
+    Daemon,
+    Settings, //
+};
 use fuchsiaslip::standin::Platform;
 use fuchsiaslip::timer::Timer;
 use std::cell::{
@@ -36,7 +39,9 @@
 const PATCHES: u64 = 40;
 const DAEMONS_PER_DATA_CENTRE: usize = 9;
 const SETTLE_MS: u64 = 4_000;
-const CONTROL_MS: u64 = 20_000;
+const CONTROL_MS: u64 = 25_000;
+const POLL_MS: u64 = 10_000;
+const LONG_POLL_MS: u64 = 25_000;
 const DAEMON_THREADS: [&str; 4] = ["control", "traffic", "timer", "http"];
 
 fn first_start_after(platform: &Platform, since_ms: u64) -> Option<u64> {
@@ -211,10 +216,14 @@
 
 /// Bytes and processor time of control work, for each of `daemons` daemons
 /// that share `workers` workers.
-async fn control(workers: usize, count: usize, timer: &Timer) {
+async fn control(workers: usize, count: usize, poll_ms: u64, timer: &Timer) {
     let platform = Platform::spawn(timer.clone(), &[fleet(DATA_CENTRE, workers)]).expect("a port");
+    let polling = |settings: &mut Settings| {
+        settings.worker_poll_ms = poll_ms;
+        settings.worker_lease_ms = poll_ms * 3;
+    };
     let daemons: Vec<Daemon> = (0..count)
-        .map(|at| daemon(&format!("d{at}"), DATA_CENTRE, &platform, timer, |_| {}))
+        .map(|at| daemon(&format!("d{at}"), DATA_CENTRE, &platform, timer, polling))
         .collect();
     apply(
         &client(&daemons[0], OPERATOR_TOKEN, timer),
@@ -228,7 +237,8 @@
     timer.after(CONTROL_MS).await;
     let bytes = (loopback_bytes() - bytes) as f64 * MS_PER_S / CONTROL_MS as f64;
     let cpu_ms = (thread_cpu_ms(&DAEMON_THREADS) - cpu_ms) as f64;
-    let suffix = format!("{workers}_workers_{count}_daemons");
+    let seconds = poll_ms / 1_000;
+    let suffix = format!("{workers}_workers_{count}_daemons_poll_{seconds}s");
     figure(
         &format!("control_bytes_per_s_{suffix}"),
         bytes / count as f64,
@@ -396,9 +406,10 @@
             rolling_replacement(&timer).await;
         }
         if wanted("control") {
-            control(50, 1, &timer).await;
-            control(500, 5, &timer).await;
-            control(1_000, 9, &timer).await;
+            control(50, 1, POLL_MS, &timer).await;
+            control(500, 9, POLL_MS, &timer).await;
+            control(1_000, 9, POLL_MS, &timer).await;
+            control(1_000, 9, LONG_POLL_MS, &timer).await;
         }
         if wanted("patches") {
             for relay in [false, true] {
--- a/src/core/reclaim.rs
+++ b/src/core/reclaim.rs
@@ -141,12 +141,18 @@
     /// whose guarantee it stands in and to urgent work, else only to what has
     /// to be answered before it. Two jobs can thus never drive each other out
     /// in turn, which would keep a pass from ending.
+    ///
+    /// The account's own work that stands there as if lent, perhaps across two
+    /// pledges, gives way to the guaranteed shape as well: what takes its place
+    /// is inside the guarantee and gives way to nobody.
     fn gives_way(&self, holder: &Job, job: &Job, worker: &Worker, bit: usize) -> bool {
         let pledge = worker.pledge(bit).map(|key| &self.pledges[key.index()]);
-        let own = pledge.is_some_and(|pledge| pledge.account == job.account);
-        let foreign = holder.account != job.account;
+        let own = pledge.is_some_and(|pledge| {
+            let foreign = holder.account != job.account;
+            pledge.account == job.account && (foreign || pledge.shape == job.shape)
+        });
         let before = job.deadline_ms < holder.deadline_ms;
-        own && foreign || self.class(job.class).urgent || before
+        own || self.class(job.class).urgent || before
     }
 
     /// What preempting `job` costs: nothing more if it is leaving anyway, else
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -24,6 +24,9 @@
 /// Messages that may wait for the control thread before callers are refused.
 const QUEUE_LENGTH: usize = 8_192;
 const TICK_MS: u64 = 100;
+/// How often the cell is measured for the gauges.
+const MEASURE_MS: u64 = 5_000;
+const PERCENT: f64 = 100.0;
 const OVERLOADED_RETRY_AFTER_MS: u64 = 1_000;
 
 /// A message to the control thread.
@@ -68,6 +71,7 @@
                     actions,
                     replies: HashMap::new(),
                     next_token: 0,
+                    next_measure_ms: 0,
                 };
                 actix_rt::System::new().block_on(killed.or(thread.run(messages)));
             })?;
@@ -115,6 +119,7 @@
     actions: mpsc::UnboundedSender<Action>,
     replies: HashMap<u64, oneshot::Sender<Reply>>,
     next_token: u64,
+    next_measure_ms: u64,
 }
 
 impl ControlThread {
@@ -126,11 +131,24 @@
                     Some(message) => self.take(message),
                     None => return,
                 },
-                now_ms = ticks.next() => self.handle(Event::Tick, now_ms),
+                now_ms = ticks.next() => {
+                    self.handle(Event::Tick, now_ms);
+                    self.measure(now_ms);
+                }
             }
         }
     }
 
+    fn measure(&mut self, now_ms: u64) {
+        let Some(cell) = self.owner.cell().filter(|_| now_ms >= self.next_measure_ms) else {
+            return;
+        };
+        self.next_measure_ms = now_ms + MEASURE_MS;
+        let percent = PERCENT * cell.fragmentation();
+        metrics::gauge!("fuchsiaslip_fragmentation_percent").set(percent);
+        metrics::gauge!("fuchsiaslip_waiting_jobs").set(cell.waiting() as f64);
+    }
+
     fn take(&mut self, message: ControlMessage) {
         let now_ms = self.timer.now_ms();
         match message {
@@ -168,8 +186,5 @@
         self.status.set_handed_over(self.owner.has_handed_over());
         let epoch = self.owner.epoch().unwrap_or(0);
         metrics::gauge!("fuchsiaslip_owner_epoch").set(epoch as f64);
-        if let Some(cell) = self.owner.cell() {
-            metrics::gauge!("fuchsiaslip_waiting_jobs").set(cell.waiting() as f64);
-        }
     }
 }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -124,7 +124,11 @@
     pub fn open(address: &str, timer: Timer) -> Self {
         Self {
             address: address.into(),
-            client: Client::builder().disable_timeout().finish(),
+            // The default headers (a date, a name) cost bytes on every poll.
+            client: Client::builder()
+                .disable_timeout()
+                .no_default_headers()
+                .finish(),
             timer,
         }
     }
