--- a/benches/recovery.rs
+++ b/benches/recovery.rs
@@ -39,7 +39,8 @@
 const PATCHES: u64 = 40;
 const DAEMONS_PER_DATA_CENTRE: usize = 9;
 const SETTLE_MS: u64 = 4_000;
-const CONTROL_MS: u64 = 25_000;
+/// A whole number of polls of either length, which all begin together.
+const CONTROL_MS: u64 = 50_000;
 const POLL_MS: u64 = 10_000;
 const LONG_POLL_MS: u64 = 25_000;
 const DAEMON_THREADS: [&str; 4] = ["control", "traffic", "timer", "http"];
