Split the owner by what it talks to; end two import circles

Change: state, store side, requests, workers and effects in files of their own; the stored configuration and the task bodies have their own homes. No change of behaviour.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod auth;
+mod configuration;
 mod control;
 mod directory;
 mod entry;
--- a/src/daemon/patch.rs
+++ b/src/daemon/patch.rs
@@ -1,6 +1,6 @@
 //! Accepting patches: one compare-and-swap makes a version.
 
-use super::watch::{
+use super::configuration::{
     self,
     CONFIGURATION_KEY, //
 };
@@ -47,7 +47,7 @@
     let key = CONFIGURATION_KEY.to_owned();
     match store.call(StoreCall::Get { key }).await? {
         StoreAnswer::Value { version, value } => {
-            let configuration = watch::decode(&value).ok_or(StoreFailure::Unavailable)?;
+            let configuration = configuration::decode(&value).ok_or(StoreFailure::Unavailable)?;
             Ok((version, configuration))
         }
         _ => Ok((0, Configuration::default())),
@@ -143,7 +143,7 @@
     let written = store.call(StoreCall::CompareAndSwap {
         key: CONFIGURATION_KEY.to_owned(),
         expected_version: version,
-        value: watch::encode(&next),
+        value: configuration::encode(&next),
     });
     match written.await {
         Ok(StoreAnswer::Written { .. }) => {
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -1,9 +1,9 @@
 //! Connections between daemons: signs of life, passed-on requests, news.
 
+use super::configuration;
 use super::control::Control;
 use super::directory::Directory;
 use super::status::Status;
-use super::watch;
 use crate::events;
 use crate::owner::{
     Event,
@@ -211,8 +211,9 @@
         let Some(ReplyBody::Configuration(body)) = self.ask(&peer.address, body, 0).await else {
             return;
         };
-        if let Some(configuration) = watch::decode(&body.value) {
-            watch::put_in_force(&self.shared.status, &self.shared.control, configuration).await;
+        if let Some(configuration) = configuration::decode(&body.value) {
+            configuration::put_in_force(&self.shared.status, &self.shared.control, configuration)
+                .await;
         }
     }
 
@@ -230,7 +231,9 @@
             }
             Some(RequestBody::Configuration(_)) => {
                 let configuration = self.shared.status.configuration();
-                let value = configuration.map(|c| watch::encode(&c)).unwrap_or_default();
+                let value = configuration
+                    .map(|c| configuration::encode(&c))
+                    .unwrap_or_default();
                 ReplyBody::Configuration(ConfigurationBody { value })
             }
             Some(body) => match body.into_request() {
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,5 +1,6 @@
 //! Starting, running and draining a daemon.
 
+use super::configuration;
 use super::control::Control;
 use super::directory::Directory;
 use super::entry::{
@@ -20,10 +21,7 @@
 };
 use super::status::Status;
 use super::traffic;
-use super::watch::{
-    self,
-    Watch, //
-};
+use super::watch::Watch;
 use crate::events;
 use crate::owner::{
     Event,
@@ -523,7 +521,7 @@
                 let outcome = patch::submit(&store, &membership, &patch, &operator, now_ms).await;
                 if let patch::PatchOutcome::Accepted(configuration) = &outcome {
                     let configuration = configuration.as_ref().clone();
-                    watch::put_in_force(&self.status, &self.control, configuration).await;
+                    configuration::put_in_force(&self.status, &self.control, configuration).await;
                     peers.tell_peers(self.timer.now_ms());
                 }
                 let _ = reply.send(outcome);
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -1,12 +1,15 @@
 //! Learning new versions of the configuration.
 
+use super::configuration::{
+    CONFIGURATION_KEY,
+    decode,
+    put_in_force, //
+};
 use super::control::Control;
 use super::directory::Directory;
 use super::peer::Peers;
 use super::status::Status;
 use crate::config::Configuration;
-use crate::events;
-use crate::ledger;
 use crate::owner::Event;
 use crate::platform::{
     Store,
@@ -14,11 +17,8 @@
     StoreCall, //
 };
 use crate::timer::Timer;
-use bytes::Bytes;
 use std::sync::Arc;
 
-/// Key of the configuration in the store.
-pub const CONFIGURATION_KEY: &str = "configuration/current";
 const WATCH_MS: u64 = 2_000;
 const RETRY_MS: u64 = 500;
 const MAX_RETRY_MS: u64 = 4_000;
@@ -26,29 +26,6 @@
 /// A relayed confirmation older than this is replaced by a watch of one's own.
 const RELAY_BOUND_MS: u64 = 3_500;
 
-/// The stored form of a configuration.
-pub fn encode(configuration: &Configuration) -> Bytes {
-    ledger::seal(&serde_json::to_vec(configuration).unwrap_or_default())
-}
-
-/// Reads the stored form.
-pub fn decode(value: &Bytes) -> Option<Configuration> {
-    let content = ledger::open(value.clone()).ok()?;
-    serde_json::from_slice(&content).ok()
-}
-
-/// Puts a version in force on this daemon, if it is newer.
-pub async fn put_in_force(status: &Status, control: &Control, configuration: Configuration) {
-    let configuration = Arc::new(configuration);
-    if status.put_in_force(configuration.clone()) {
-        events::log(
-            events::CONFIGURATION_IN_FORCE,
-            format_args!("version {}", configuration.version),
-        );
-        control.event(Event::Configuration(configuration)).await;
-    }
-}
-
 /// What the watch needs.
 pub struct Watch {
     /// The store.
--- /dev/null
+++ b/src/owner/effects.rs
@@ -0,0 +1,145 @@
+//! Carrying out what the core decides, in the order that durability asks for.
+
+use super::{
+    Owner,
+    Reply,
+    state::Phase, //
+};
+use crate::core::{
+    Command,
+    Effect,
+    JobId, //
+};
+use crate::events;
+use crate::ledger::OutcomeCode;
+use crate::platform::WorkerCall;
+
+impl Owner {
+    /// Lets the core decide and sorts what it wants done.
+    pub(super) fn apply(&mut self, command: Command) {
+        let now_ms = self.now_ms;
+        let Phase::Owning(owning) = &mut self.phase else {
+            return;
+        };
+        for effect in owning.cell.apply(command, now_ms) {
+            let Phase::Owning(owning) = &mut self.phase else {
+                return;
+            };
+            if let Effect::Persist(change) = effect {
+                owning.journal.push(change);
+            } else if effect.is_gated() {
+                owning.gated.push_back((owning.journal.pushed(), effect));
+            } else {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    /// Carries out the effects whose changes have become durable.
+    pub(super) fn release_gated(&mut self) {
+        loop {
+            let Phase::Owning(owning) = &mut self.phase else {
+                return;
+            };
+            let durable = owning.journal.durable();
+            match owning.gated.front() {
+                Some((needed, _)) if *needed <= durable => {}
+                _ => return,
+            }
+            if let Some((_, effect)) = owning.gated.pop_front() {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, effect: Effect) {
+        let epoch = self.epoch().unwrap_or(0);
+        let expires_ms = self.settings.reservation_ms;
+        match effect {
+            Effect::Persist(_) => {}
+            Effect::Reserve {
+                attempt,
+                worker,
+                mask,
+            } => self.send(
+                worker,
+                WorkerCall::Reserve {
+                    epoch,
+                    attempt,
+                    mask,
+                    expires_ms,
+                },
+            ),
+            Effect::Start {
+                attempt,
+                worker,
+                progress_ms,
+                payload,
+            } => self.send(
+                worker,
+                WorkerCall::Start {
+                    epoch,
+                    attempt,
+                    progress_ms,
+                    payload,
+                },
+            ),
+            Effect::Stop {
+                attempt,
+                worker,
+                grace_ms,
+            } => self.send(
+                worker,
+                WorkerCall::Stop {
+                    epoch,
+                    attempt,
+                    grace_ms,
+                },
+            ),
+            Effect::Inspect { attempt, worker } => {
+                self.send(worker, WorkerCall::Inspect { epoch, attempt });
+            }
+            Effect::Accepted { token, job } => {
+                metrics::counter!("fuchsiaslip_accepted_total").increment(1);
+                self.reply(token, Reply::Accepted(job));
+            }
+            Effect::Cancelled { token, count } => self.reply(token, Reply::Cancelled(count)),
+            Effect::Refused { token, refusal } => self.reply(token, Reply::Refused(refusal)),
+            Effect::Retried { reason, .. } => {
+                metrics::counter!("fuchsiaslip_retries_total", "reason" => reason.name())
+                    .increment(1);
+            }
+            Effect::Ended { job, outcome } => self.job_ended(job, outcome.code),
+            Effect::Quarantined { worker } => {
+                let name = self
+                    .cell()
+                    .map(|cell| cell.fleet().worker(worker).name.clone());
+                events::log(
+                    events::WORKER_QUARANTINED,
+                    format_args!("{}", name.unwrap_or_default()),
+                );
+            }
+            Effect::Shortfall { account, missing } => {
+                events::log(
+                    events::GUARANTEE_SHORT,
+                    format_args!("{account}: {missing} shapes"),
+                );
+                metrics::counter!("fuchsiaslip_guarantee_shortfalls_total").increment(1);
+            }
+        }
+    }
+
+    pub(super) fn job_ended(&mut self, job: JobId, code: OutcomeCode) {
+        metrics::counter!("fuchsiaslip_ended_total", "outcome" => code.name()).increment(1);
+        if code == OutcomeCode::UnableToRun {
+            events::log(events::JOB_UNABLE, format_args!("job {job}"));
+        }
+        let Phase::Owning(owning) = &mut self.phase else {
+            return;
+        };
+        for token in owning.waiters.remove(&job).unwrap_or_default() {
+            let reply = self.ended_reply(job);
+            self.reply(token, reply);
+        }
+    }
+}
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -4,10 +4,14 @@
 //! I/O: events go in, actions come out, so that the daemon and the fault
 //! matrix run the same code.
 
+mod effects;
 mod lease;
 mod message;
 mod outbox;
+mod requests;
 mod state;
+mod store_side;
+mod workers;
 
 pub use message::{
     Action,
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -16,7 +16,9 @@
     StoreAnswer,
     StoreCall,
     StoreFailure,
+    TaskBody,
     TaskChange,
+    TasksBody,
     WorkerAnswer,
     WorkerCall,
     WorkerFailure,
@@ -24,10 +26,6 @@
 };
 use crate::core::AttemptId;
 use crate::timer::Timer;
-use crate::wire::{
-    TaskBody,
-    TasksBody, //
-};
 use awc::http::StatusCode;
 use awc::{
     Client,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod http;
 mod membership;
 mod store;
+mod task_body;
 mod worker;
 
 pub use http::{
@@ -27,6 +28,11 @@
     StoreCall,
     StoreFailure, //
 };
+pub use task_body::{
+    TaskBody,
+    TaskCode,
+    TasksBody, //
+};
 pub use worker::{
     PollAnswer,
     TaskChange,
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -11,6 +11,8 @@
 use crate::platform::{
     StoreAnswer,
     StoreCall,
+    TaskBody,
+    TasksBody,
     VERSION_HEADER,
     VmKind,
     VmRecord,
@@ -20,10 +22,6 @@
     WorkerQuery, //
 };
 use crate::timer::Timer;
-use crate::wire::{
-    TaskBody,
-    TasksBody, //
-};
 use actix_http::body::BoxBody;
 use actix_http::{
     HttpMessage,
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -2,7 +2,6 @@
 
 use crate::core::{
     AccountReport,
-    AttemptId,
     JobId,
     JobReport,
     Refusal,
@@ -20,8 +19,8 @@
     WorkerNews, //
 };
 use crate::platform::{
-    TaskChange,
-    TaskState, //
+    TaskBody,
+    TasksBody, //
 };
 use bytes::Bytes;
 
@@ -164,14 +163,6 @@
     Seen(SeenBody),
 }
 
-/// Tasks that changed.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct TasksBody {
-    /// The tasks.
-    #[prost(message, repeated, tag = "1")]
-    pub tasks: Vec<TaskBody>,
-}
-
 /// A worker that answers.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct SeenBody {
@@ -183,44 +174,6 @@
     pub leaving: bool,
 }
 
-/// One task.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct TaskBody {
-    /// Its job.
-    #[prost(uint64, tag = "1")]
-    pub job: u64,
-    /// Its attempt.
-    #[prost(uint32, tag = "2")]
-    pub attempt: u32,
-    /// Where it stands.
-    #[prost(enumeration = "TaskCode", tag = "3")]
-    pub code: i32,
-    /// Work that its checkpoint saved.
-    #[prost(uint64, tag = "4")]
-    pub progress_ms: u64,
-    /// Its answer.
-    #[prost(message, optional, tag = "5")]
-    pub answer: Option<AnswerRecord>,
-}
-
-/// [`TaskState`] as it is encoded.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, prost::Enumeration)]
-#[repr(i32)]
-pub enum TaskCode {
-    /// [`TaskState::Unknown`].
-    Unknown = 0,
-    /// [`TaskState::NotBegun`].
-    NotBegun = 1,
-    /// [`TaskState::Running`].
-    Running = 2,
-    /// [`TaskState::Finished`].
-    Finished = 3,
-    /// [`TaskState::Failed`].
-    Failed = 4,
-    /// [`TaskState::Stopped`].
-    Stopped = 5,
-}
-
 /// The reply to a request.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ReplyFrame {
@@ -471,50 +424,3 @@
         Some((self.worker, news))
     }
 }
-
-impl From<&TaskChange> for TaskBody {
-    fn from(change: &TaskChange) -> Self {
-        let mut body = TaskBody {
-            job: change.attempt.job.0,
-            attempt: change.attempt.attempt,
-            ..TaskBody::default()
-        };
-        let code = match &change.state {
-            TaskState::Unknown => TaskCode::Unknown,
-            TaskState::NotBegun => TaskCode::NotBegun,
-            TaskState::Running => TaskCode::Running,
-            TaskState::Finished(answer) => {
-                body.answer = Some(answer.clone());
-                TaskCode::Finished
-            }
-            TaskState::Failed => TaskCode::Failed,
-            TaskState::Stopped { progress_ms } => {
-                body.progress_ms = *progress_ms;
-                TaskCode::Stopped
-            }
-        };
-        body.set_code(code);
-        body
-    }
-}
-
-impl TaskBody {
-    /// Decodes the change.
-    pub fn into_change(self) -> TaskChange {
-        let attempt = AttemptId {
-            job: JobId(self.job),
-            attempt: self.attempt,
-        };
-        let state = match self.code() {
-            TaskCode::Unknown => TaskState::Unknown,
-            TaskCode::NotBegun => TaskState::NotBegun,
-            TaskCode::Running => TaskState::Running,
-            TaskCode::Finished => TaskState::Finished(self.answer.unwrap_or_default()),
-            TaskCode::Failed => TaskState::Failed,
-            TaskCode::Stopped => TaskState::Stopped {
-                progress_ms: self.progress_ms,
-            },
-        };
-        TaskChange { attempt, state }
-    }
-}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -25,8 +25,5 @@
     RequestBody,
     RequestFrame,
     SeenBody,
-    TaskBody,
-    TaskCode,
-    TasksBody,
     WorkersBody, //
 };
