Say 'not run' only where the ledger has been asked

Cause: reading the refusals against the promise found three lies. A draining or stale owner refused a key with 'not run' although its job was running; an entry said so when it had found no owner, or after a first try whose fate it did not know; and a late copy of a refused request would have been accepted. Conclusion: the promise is now the owner's alone to make.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -65,6 +65,7 @@
     fn refuse(&mut self, token: u64, reason: RefusalReason, retry_after_ms: u64) {
         let refusal = Refusal {
             reason,
+            not_run: reason != RefusalReason::KeyReused,
             retry_after_ms,
         };
         self.effects.push(Effect::Refused { token, refusal });
@@ -85,6 +86,7 @@
     fn admit(&mut self, job: &Job, account: AccountKey, class: ClassKey) -> Result<(), Refusal> {
         let refusal = |reason, retry_after_ms| Refusal {
             reason,
+            not_run: true,
             retry_after_ms,
         };
         if !self.is_possible(job) {
--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -383,6 +383,13 @@
         self.by_id.get(&id).and_then(|&key| self.jobs.get(key))
     }
 
+    /// The job that an account's idempotency key belongs to.
+    pub fn job_of_key(&self, account: &str, key: &str) -> Option<JobId> {
+        let name = (self.account_named(account)?, key.to_owned());
+        let job = self.by_key.get(&name).and_then(|&key| self.jobs.get(key));
+        job.map(|job| job.id)
+    }
+
     /// The client accounts, withdrawn ones included.
     pub fn accounts(&self) -> &[Account] {
         &self.accounts
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -104,11 +104,15 @@
     }
 }
 
-/// A refusal: the job did not run and will not run.
+/// A refusal of a submission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
     /// Why.
     pub reason: RefusalReason,
+    /// The job did not run and will not run. Only an owner whose lease stands
+    /// and whose ledger does not know the key can say so; everybody else can
+    /// only say that this request was not accepted.
+    pub not_run: bool,
     /// When it may be worth asking again; 0 for never.
     pub retry_after_ms: u64,
 }
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -105,6 +105,7 @@
             metrics::counter!("fuchsiaslip_refusals_total", "reason" => reason.name()).increment(1);
             return Reply::Refused(Refusal {
                 reason,
+                not_run: false,
                 retry_after_ms: OVERLOADED_RETRY_AFTER_MS,
             });
         }
--- a/src/daemon/entry/error.rs
+++ b/src/daemon/entry/error.rs
@@ -57,7 +57,8 @@
     /// The job has not ended.
     #[error("the job has not ended; ask again, or with wait_ms")]
     NotEnded,
-    /// The job did not run and will not run.
+    /// The request was not accepted; only if the refusal says so, the job did
+    /// not run and will not run.
     #[error("{}", .0.reason.remedy())]
     Refused(Refusal),
     /// Whether the request took effect is not known.
@@ -87,6 +88,7 @@
     metrics::counter!("fuchsiaslip_refusals_total", "reason" => reason.name()).increment(1);
     Refusal {
         reason,
+        not_run: false,
         retry_after_ms: OVERLOADED_RETRY_AFTER_MS,
     }
 }
@@ -139,7 +141,7 @@
         let body = ErrorBody {
             error: name,
             message: self.to_string(),
-            not_run: matches!(self, Self::Refused(_)),
+            not_run: matches!(self, Self::Refused(refusal) if refusal.not_run),
             retry_after_ms,
         };
         let mut response = Response::build(self.status());
--- a/src/daemon/entry/jobs.rs
+++ b/src/daemon/entry/jobs.rs
@@ -82,11 +82,16 @@
         }
         let data_centre = self.home(&account, &key)?;
         let submission = body.submission(&account, &key);
-        let reply = self.route(&data_centre, Request::Submit(submission)).await;
+        let request = Request::Submit {
+            submission,
+            asked_ms: self.shared.timer.now_ms(),
+        };
+        let reply = self.route(&data_centre, request).await;
         let job = match reply {
             Reply::Accepted(job) => job,
             Reply::Refused(refusal) => return Err(ApiError::Refused(refusal)),
-            // No owner ever saw the submission.
+            // No owner saw this request; one may have seen an earlier one with
+            // the same key.
             Reply::NotOwner => return Err(ApiError::Refused(no_owner())),
             _ => return Err(ApiError::OutcomeUnknown),
         };
@@ -261,6 +266,7 @@
     metrics::counter!("fuchsiaslip_refusals_total", "reason" => reason.name()).increment(1);
     Refusal {
         reason,
+        not_run: false,
         retry_after_ms: NO_OWNER_RETRY_AFTER_MS,
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -21,6 +21,12 @@
     token_digest, //
 };
 pub use directory::home_of;
+pub use patch::{
+    PatchOutcome,
+    check,
+    current,
+    submit, //
+};
 pub use run::{
     Daemon,
     Error,
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -269,6 +269,9 @@
             match reply {
                 Reply::NotOwner => {}
                 Reply::OutcomeUnknown => unknown = true,
+                // An earlier try of this request may have been accepted by an
+                // owner that is gone: "not run" would be a guess.
+                Reply::Refused(_) if unknown => {}
                 reply => return reply,
             }
             if self.shared.timer.now_ms() >= until_ms {
--- a/src/owner/message.rs
+++ b/src/owner/message.rs
@@ -30,7 +30,13 @@
 #[derive(Clone, Debug)]
 pub enum Request {
     /// Accept a job.
-    Submit(Submission),
+    Submit {
+        /// The job.
+        submission: Submission,
+        /// When the entry got it from the caller; tells a late copy from a new
+        /// try with the same key.
+        asked_ms: u64,
+    },
     /// Answer when the job has ended.
     Wait(JobId),
     /// Explain a job.
--- a/src/owner/requests.rs
+++ b/src/owner/requests.rs
@@ -13,7 +13,8 @@
     Effect,
     JobId,
     Refusal,
-    RefusalReason, //
+    RefusalReason,
+    Submission, //
 };
 use crate::events;
 use crate::ledger::OutcomeCode;
@@ -22,22 +23,39 @@
 /// job.
 const TRANSIENT_RETRY_AFTER_MS: u64 = 1_000;
 
+/// A submission that took longer from its entry to the owner is not decided on.
+const MAX_REQUEST_AGE_MS: u64 = 30_000;
+/// Refusals are forgotten from this number on, the old ones first.
+const MAX_REMEMBERED_REFUSALS: usize = 4_096;
+/// Waiters of one job; more are asked to come again.
+const MAX_WAITERS: usize = 64;
+
+/// Account and idempotency key of a submission.
+pub(super) type SubmissionKey = (String, String);
+
+/// A refusal that said "not run".
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RememberedRefusal {
+    refusal: Refusal,
+    asked_ms: u64,
+    at_ms: u64,
+}
+
 impl Owner {
     pub(super) fn request(&mut self, token: u64, request: Request) {
-        if let Request::Submit(_) = request
-            && let Some(reason) = self.cannot_accept()
+        if let Request::Submit {
+            submission,
+            asked_ms,
+        } = request
         {
-            let reply = match self.is_owner() {
-                true => refused(reason, TRANSIENT_RETRY_AFTER_MS),
-                false => Reply::NotOwner,
-            };
-            return self.reply(token, reply);
+            return self.submit(token, submission, asked_ms);
         }
         let Phase::Owning(owning) = &mut self.phase else {
             return self.reply(token, Reply::NotOwner);
         };
         match request {
-            Request::Submit(submission) => self.apply(Command::Submit { token, submission }),
+            // Answered above.
+            Request::Submit { .. } => {}
             Request::Wait(job) => self.wait(token, job),
             Request::Explain(job) => {
                 let report = owning.cell.explain(job);
@@ -64,6 +82,86 @@
         }
     }
 
+    fn submit(&mut self, token: u64, submission: Submission, asked_ms: u64) {
+        let now_ms = self.now_ms;
+        if !self.is_owner() {
+            return self.reply(token, Reply::NotOwner);
+        }
+        if asked_ms + MAX_REQUEST_AGE_MS < now_ms {
+            return self.reply(token, Reply::OutcomeUnknown);
+        }
+        let key = (
+            submission.account.clone(),
+            submission.idempotency_key.clone(),
+        );
+        // A copy that was on its way when the key was refused must not be
+        // accepted now: the caller was told that the job will not run. A new
+        // try of the caller was asked later than the one that was refused.
+        if let Some(earlier) = self.refused.get(&key).filter(|r| asked_ms <= r.asked_ms) {
+            let refusal = earlier.refusal;
+            return self.reply(token, Reply::Refused(refusal));
+        }
+        if let Some(reason) = self.cannot_accept() {
+            let reply = self.passing_refusal(&key, reason);
+            self.note_refusal(key, asked_ms, &reply);
+            return self.reply(token, reply);
+        }
+        self.apply(Command::Submit { token, submission });
+        let refused = self.actions.iter().rev().find_map(|action| match action {
+            Action::Reply { token: at, reply } if *at == token => Some(reply.clone()),
+            _ => None,
+        });
+        if let Some(reply) = refused {
+            self.note_refusal(key, asked_ms, &reply);
+        }
+    }
+
+    /// Refuses for a passing reason. A key that the ledger knows belongs to a
+    /// job that was accepted, so "not run" would be a lie; and an owner whose
+    /// lease may be over cannot know what the next one has accepted.
+    fn passing_refusal(&self, key: &SubmissionKey, reason: RefusalReason) -> Reply {
+        let known = self.cell().and_then(|cell| cell.job_of_key(&key.0, &key.1));
+        let vouches = self.lease.is_valid(self.now_ms);
+        match known {
+            Some(job) if self.is_durable(job) && vouches => Reply::Accepted(job),
+            Some(_) => Reply::OutcomeUnknown,
+            None => Reply::Refused(Refusal {
+                reason,
+                not_run: vouches,
+                retry_after_ms: TRANSIENT_RETRY_AFTER_MS,
+            }),
+        }
+    }
+
+    fn is_durable(&self, job: JobId) -> bool {
+        let Phase::Owning(owning) = &self.phase else {
+            return false;
+        };
+        let accepts =
+            |effect: &Effect| matches!(effect, Effect::Accepted { job: id, .. } if *id == job);
+        !owning.gated.iter().any(|(_, effect)| accepts(effect))
+    }
+
+    fn note_refusal(&mut self, key: SubmissionKey, asked_ms: u64, reply: &Reply) {
+        let Reply::Refused(refusal) = reply else {
+            return;
+        };
+        if !refusal.not_run {
+            return;
+        }
+        let now_ms = self.now_ms;
+        if self.refused.len() >= MAX_REMEMBERED_REFUSALS {
+            self.refused
+                .retain(|_, earlier| earlier.at_ms + MAX_REQUEST_AGE_MS >= now_ms);
+        }
+        let earlier = RememberedRefusal {
+            refusal: *refusal,
+            asked_ms,
+            at_ms: now_ms,
+        };
+        self.refused.insert(key, earlier);
+    }
+
     /// Why nothing can be accepted now. Each of these is found before the core
     /// has seen the job, so that "not run" is true.
     pub(super) fn cannot_accept(&self) -> Option<RefusalReason> {
@@ -127,7 +225,11 @@
             let reply = self.ended_reply(job);
             return self.reply(token, reply);
         }
-        owning.waiters.entry(job).or_default().push(token);
+        let waiters = owning.waiters.entry(job).or_default();
+        if waiters.len() >= MAX_WAITERS {
+            return self.reply(token, Reply::OutcomeUnknown);
+        }
+        waiters.push(token);
     }
 
     pub(super) fn ended_reply(&self, job: JobId) -> Reply {
@@ -157,13 +259,6 @@
     }
 }
 
-fn refused(reason: RefusalReason, retry_after_ms: u64) -> Reply {
-    Reply::Refused(Refusal {
-        reason,
-        retry_after_ms,
-    })
-}
-
 fn count_refusal(refusal: &Refusal) {
     metrics::counter!("fuchsiaslip_refusals_total", "reason" => refusal.reason.name()).increment(1);
 }
--- a/src/owner/state.rs
+++ b/src/owner/state.rs
@@ -5,7 +5,9 @@
     CallId,
     Event,
     lease::Lease,
-    outbox::Outbox, //
+    outbox::Outbox,
+    requests::RememberedRefusal,
+    requests::SubmissionKey, //
 };
 use crate::config::Configuration;
 use crate::core::{
@@ -123,6 +125,8 @@
     pub(super) journal_retry_ms: Option<u64>,
     pub(super) store_failures: u32,
     pub(super) next_write_id: u64,
+    /// Submissions refused of late, so that a late copy is not accepted.
+    pub(super) refused: HashMap<SubmissionKey, RememberedRefusal>,
     pub(super) actions: Vec<Action>,
 }
 
@@ -146,6 +150,7 @@
             lease_call: None,
             journal_retry_ms: None,
             store_failures: 0,
+            refused: HashMap::new(),
             actions: Vec::new(),
         }
     }
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -441,6 +441,12 @@
         };
     }
 
+    /// Tasks that began with a payload of `marker` and are remembered.
+    pub fn runs_of(&self, marker: &str) -> usize {
+        let marked = |task: &&Task| task.spec.marker == marker;
+        self.tasks.values().filter(marked).count()
+    }
+
     /// Number of tasks that run.
     pub fn running(&self) -> usize {
         let running = |task: &&Task| matches!(task.stage, Stage::Running { .. });
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -103,7 +103,7 @@
 pub enum RequestBody {
     /// [`Request::Submit`].
     #[prost(message, tag = "3")]
-    Submit(Submission),
+    Submit(SubmitBody),
     /// [`Request::Wait`].
     #[prost(uint64, tag = "4")]
     Wait(u64),
@@ -127,6 +127,17 @@
     Configuration(bool),
 }
 
+/// A job to accept.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct SubmitBody {
+    /// The job.
+    #[prost(message, required, tag = "1")]
+    pub submission: Submission,
+    /// When the entry got it from the caller.
+    #[prost(uint64, tag = "2")]
+    pub asked_ms: u64,
+}
+
 /// Jobs to cancel.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct CancelBody {
@@ -235,6 +246,9 @@
     /// When to ask again; 0 for never.
     #[prost(uint64, tag = "2")]
     pub retry_after_ms: u64,
+    /// Whether the job did not run and will not run.
+    #[prost(bool, tag = "3")]
+    pub not_run: bool,
 }
 
 /// A job that has ended.
@@ -290,7 +304,13 @@
 impl From<Request> for RequestBody {
     fn from(request: Request) -> Self {
         match request {
-            Request::Submit(submission) => Self::Submit(submission),
+            Request::Submit {
+                submission,
+                asked_ms,
+            } => Self::Submit(SubmitBody {
+                submission,
+                asked_ms,
+            }),
             Request::Wait(job) => Self::Wait(job.0),
             Request::Explain(job) => Self::Explain(job.0),
             Request::Cancel { account, jobs } => Self::Cancel(CancelBody {
@@ -307,7 +327,10 @@
     /// The owner's request, unless it is news or a question to the daemon.
     pub fn into_request(self) -> Option<Request> {
         Some(match self {
-            Self::Submit(submission) => Request::Submit(submission),
+            Self::Submit(body) => Request::Submit {
+                submission: body.submission,
+                asked_ms: body.asked_ms,
+            },
             Self::Wait(job) => Request::Wait(JobId(job)),
             Self::Explain(job) => Request::Explain(JobId(job)),
             Self::Cancel(body) => Request::Cancel {
@@ -328,6 +351,7 @@
             Reply::Refused(refusal) => Self::Refused(RefusedBody {
                 reason: refusal.reason.name().to_owned(),
                 retry_after_ms: refusal.retry_after_ms,
+                not_run: refusal.not_run,
             }),
             Reply::Ended(ended) => Self::Ended(EndedBody {
                 report: ended.report,
@@ -362,6 +386,7 @@
             Self::Refused(body) => match RefusalReason::from_name(&body.reason) {
                 Some(reason) => Reply::Refused(Refusal {
                     reason,
+                    not_run: body.not_run,
                     retry_after_ms: body.retry_after_ms,
                 }),
                 None => Reply::OutcomeUnknown,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -25,5 +25,6 @@
     RequestBody,
     RequestFrame,
     SeenBody,
+    SubmitBody,
     WorkersBody, //
 };
