Look for a region to keep less often and at fewer moments

Cause: at 7,300 workers the longest decision took 26.5 ms: each gang that found no place searched all moments at which any worker comes free. Change: at most 64 moments, and the same gang again after half a second.

--- a/src/core/backfill.rs
+++ b/src/core/backfill.rs
@@ -25,6 +25,10 @@
 const REVIEW_AFTER_MS: u64 = 30_000;
 /// No more than this share of the workers is kept for waiting gangs.
 const MAX_KEPT_SHARE: usize = 4;
+/// A region is looked for again after this time at the earliest.
+const KEEP_RETRY_MS: u64 = 500;
+/// Moments at which a region may be free that are looked at.
+const MAX_HORIZONS: usize = 64;
 /// A task past its estimate is expected to need this share of its run again.
 const OVERRUN_DIVISOR: u64 = 2;
 
@@ -45,16 +49,20 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        let large = job.shape.workers > 1;
+        let large = job.shape.workers > 1 && job.keep_after_ms <= self.now_ms;
         let kept = self.kept.iter().any(|kept| kept.job == key);
         if !large || kept || self.kept.len() >= self.limits.kept_gangs || self.over_quota(job) {
             return;
         }
         let soonest = self.soonest_region(job);
+        let keep_after_ms = self.now_ms + KEEP_RETRY_MS;
         let ready_ms = soonest.as_ref().map(|(_, ready_ms)| *ready_ms);
         if let Some(plan) = self.consolidating_plan(job, ready_ms) {
             return self.place(key, plan);
         }
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.keep_after_ms = keep_after_ms;
+        }
         let Some((workers, ready_ms)) = soonest else {
             return;
         };
@@ -106,6 +114,11 @@
         let mut horizons: Vec<u64> = ready.iter().flatten().copied().collect();
         horizons.sort_unstable();
         horizons.dedup();
+        // Some of the moments are enough, the last among them: the estimates
+        // are not that exact, and each look costs a pass over the fleet.
+        let stride = horizons.len().div_ceil(MAX_HORIZONS).max(1);
+        horizons = horizons.into_iter().rev().step_by(stride).collect();
+        horizons.reverse();
         // The first horizon by which some region is free; regions only grow
         // with the horizon, so halving finds it.
         let at = horizons.partition_point(|&by_ms| self.region_by(job, &ready, by_ms).is_none());
--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -345,6 +345,7 @@
             moves: 0,
             failures: 0,
             failed_workers: Vec::new(),
+            keep_after_ms: 0,
             cancelling: false,
             queued_as: None,
             waiting_work: 0,
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -136,6 +136,8 @@
     pub failures: u32,
     /// Different workers on which it failed.
     pub failed_workers: Vec<WorkerKey>,
+    /// When a region may be looked for again to keep for it.
+    pub keep_after_ms: u64,
     /// Whether its account has cancelled it.
     pub cancelling: bool,
     /// The group in which it waits in the queue.
