Lift the HTTP library's bound of 100 connections

Cause: nine daemons with 1,000 workers moved 9,542 B/s each, where the slope from 500 workers foretold about 6,200: the library opens 100 connections at most, each kept worker holds one, and beyond that polls and starts waited for a poll to end. Ruled out: heartbeats (same count at 500 workers, 3,781 B/s). Change: no bound in the library; calls under way are bounded by their callers. A test with 130 workers.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -122,8 +122,13 @@
     pub fn open(address: &str, timer: Timer) -> Self {
         Self {
             address: address.into(),
-            // The default headers (a date, a name) cost bytes on every poll.
+            // The default headers (a date, a name) cost bytes on every poll. The
+            // library's bound of 100 connections is lifted: each kept worker
+            // holds one with its long poll, and from the hundredth on a start
+            // would wait for a poll to end. What is under way is bounded by the
+            // callers of this adapter.
             client: Client::builder()
+                .connector(awc::Connector::new().limit(0))
                 .disable_timeout()
                 .no_default_headers()
                 .finish(),
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -45,6 +45,10 @@
     SocketAddr,
     TcpListener, //
 };
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
 use std::sync::{
     Arc,
     Mutex,
@@ -87,6 +91,7 @@
     address: SocketAddr,
     state: Arc<Mutex<State>>,
     written: Arc<Notify>,
+    waiting_polls: Arc<AtomicUsize>,
     timer: Timer,
 }
 
@@ -141,6 +146,7 @@
             address: listener.local_addr()?,
             state: Arc::default(),
             written: Arc::default(),
+            waiting_polls: Arc::default(),
             timer,
         };
         for fleet in fleets {
@@ -246,6 +252,11 @@
         Some(result)
     }
 
+    /// Long polls that wait for news right now.
+    pub fn waiting_polls(&self) -> usize {
+        self.waiting_polls.load(Ordering::Acquire)
+    }
+
     /// Looks into every worker.
     pub fn each_worker(&self, mut look: impl FnMut(&mut WorkerStandIn)) {
         for slot in self.state().workers.values_mut() {
@@ -407,8 +418,10 @@
             },
             "inspect" => WorkerCall::Inspect { epoch, attempt },
             "poll" => {
+                self.waiting_polls.fetch_add(1, Ordering::AcqRel);
                 self.wait_for_news(name, query.cursor, query.ms, query.lease_ms)
                     .await;
+                self.waiting_polls.fetch_sub(1, Ordering::AcqRel);
                 WorkerCall::Poll {
                     cursor: query.cursor,
                     wait_ms: query.ms,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -12,6 +12,7 @@
     client,
     configure,
     daemon,
+    eventually,
     platform,
     small_job, //
 };
@@ -47,6 +48,23 @@
     }
 }
 
+/// An urgent job waited ten seconds although its worker was idle. Each worker
+/// that a daemon keeps holds a connection with its long poll; beyond a hundred
+/// the HTTP library let new calls, a start among them, wait for a poll to end.
+#[actix_rt::test]
+async fn more_workers_than_the_library_opens_connections_are_kept_at_once() {
+    const WORKERS: usize = 130;
+    let timer = Timer::spawn().unwrap();
+    let platform = platform(&timer, WORKERS);
+    let daemon = daemon("d1", &platform, &timer);
+    configure(&daemon, &timer).await;
+
+    eventually(&timer, || async {
+        (platform.waiting_polls() == WORKERS).then_some(())
+    })
+    .await;
+}
+
 #[actix_rt::test]
 async fn repeated_key_finds_the_first_job_and_another_account_sees_none() {
     let timer = Timer::spawn().unwrap();
