A cancelled job that ran before is not said not to have run

Cause: found by reading: a job cancelled while it waited after a failure or a preemption ended as 'cancelled_not_run', although an attempt had begun. Change: a job remembers whether an earlier attempt may have begun; after a change of owner any earlier attempt counts. Code that nothing used is gone.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -19,10 +19,7 @@
     region,
     region::End, //
 };
-use crate::ledger::{
-    ChangeKind,
-    OutcomeCode, //
-};
+use crate::ledger::ChangeKind;
 
 /// When a caller refused for a full queue may ask again.
 const FULL_RETRY_AFTER_MS: u64 = 5_000;
@@ -296,9 +293,9 @@
             None | Some(JobState::Ended) => {}
             Some(JobState::Queued) => {
                 self.dequeue(key);
-                self.end(key, OutcomeCode::CancelledNotRun);
+                self.end_cancelled(key);
             }
-            Some(JobState::Backoff { .. }) => self.end(key, OutcomeCode::CancelledNotRun),
+            Some(JobState::Backoff { .. }) => self.end_cancelled(key),
             Some(_) => self.stop_gang(key, StopKind::Cancel),
         }
     }
--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -18,7 +18,6 @@
     Shortfall,
     Submission,
     Worker,
-    WorkerHealth,
     WorkerSpec,
     backfill::KeptGang,
     headroom::Headroom,
@@ -345,6 +344,7 @@
             moves: 0,
             failures: 0,
             failed_workers: Vec::new(),
+            ran_before: false,
             keep_after_ms: 0,
             cancelling: false,
             queued_as: None,
@@ -400,11 +400,4 @@
     pub fn waiting(&self) -> usize {
         self.queue.waiting()
     }
-
-    /// Whether any worker takes work.
-    pub fn has_healthy_worker(&self) -> bool {
-        self.fleet
-            .workers()
-            .any(|(_, worker)| worker.health == WorkerHealth::Healthy)
-    }
 }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -2,7 +2,6 @@
 
 use super::{
     Index,
-    JobKey,
     RackKey,
     Worker,
     WorkerKey,
@@ -149,12 +148,4 @@
         }
         index
     }
-
-    /// Workers kept for `job`.
-    pub fn kept_for(&self, job: JobKey) -> Vec<WorkerKey> {
-        self.workers()
-            .filter(|(_, worker)| worker.kept_for == Some(job))
-            .map(|(key, _)| key)
-            .collect()
-    }
 }
--- a/src/core/gang.rs
+++ b/src/core/gang.rs
@@ -406,8 +406,8 @@
         }
     }
 
-    fn end_cancelled(&mut self, key: JobKey) {
-        let begun = self.jobs.get(key).is_some_and(Job::may_have_begun);
+    pub(super) fn end_cancelled(&mut self, key: JobKey) {
+        let begun = self.jobs.get(key).is_some_and(Job::may_ever_have_begun);
         self.end(
             key,
             match begun {
@@ -475,6 +475,7 @@
             return;
         };
         job.progress_ms = job.saved_ms();
+        job.ran_before = job.may_ever_have_begun();
         job.members.clear();
         job.pledge = None;
         job.yields = false;
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -136,6 +136,8 @@
     pub failures: u32,
     /// Different workers on which it failed.
     pub failed_workers: Vec<WorkerKey>,
+    /// Whether an earlier attempt may have begun.
+    pub ran_before: bool,
     /// When a region may be looked for again to keep for it.
     pub keep_after_ms: u64,
     /// Whether its account has cancelled it.
@@ -183,6 +185,12 @@
         self.members.iter().any(|member| member.may_have_begun)
     }
 
+    /// Whether any task of any attempt may have begun: then "not run" is no
+    /// longer true of the job.
+    pub fn may_ever_have_begun(&self) -> bool {
+        self.ran_before || self.may_have_begun()
+    }
+
     /// Work that checkpoints have saved once the attempt is over: what every
     /// member has saved, or no more than before if one of them saved nothing.
     pub fn saved_ms(&self) -> u64 {
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -53,6 +53,8 @@
         job.progress_ms = record.progress_ms;
         job.preemptions = record.preemptions;
         job.cancelling = record.cancelling;
+        // The ledger does not say how far earlier attempts came.
+        job.ran_before = record.attempt > 0 && record.members.is_empty() || record.attempt > 1;
         job.failures = record.failures;
         job.outcome = record.outcome();
         job.ended_ms = record.ended_ms;
--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -125,13 +125,6 @@
             .fold(0, |mask, bit| mask | 1 << bit)
     }
 
-    /// Accelerators of `pledge`.
-    pub fn pledged_to(&self, pledge: PledgeKey) -> AcceleratorMask {
-        bits(self.pledged)
-            .filter(|&bit| self.pledges[bit] == Some(pledge))
-            .fold(0, |mask, bit| mask | 1 << bit)
-    }
-
     pub(super) fn hold(&mut self, mask: AcceleratorMask, job: JobKey, yields: bool) {
         debug_assert_eq!(mask & !self.free, 0, "accelerators have one holder");
         self.free &= !mask;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -121,8 +121,6 @@
     MayHaveRun = 5,
     /// Failed on several healthy workers.
     UnableToRun = 6,
-    /// Given up before it began; did not run and will not run.
-    NotRun = 7,
 }
 
 impl OutcomeCode {
@@ -136,7 +134,6 @@
             Self::Cancelled => "cancelled",
             Self::MayHaveRun => "may_have_run",
             Self::UnableToRun => "unable_to_run",
-            Self::NotRun => "not_run",
         }
     }
 }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -227,11 +227,6 @@
         });
     }
 
-    /// Takes a VM off the list.
-    pub fn remove_vm(&self, name: &str) {
-        self.state().vms.retain(|vm| vm.name != name);
-    }
-
     /// Looks into or changes the key-value service.
     pub fn with_store<R>(&self, look: impl FnOnce(&mut StoreStandIn) -> R) -> R {
         let result = look(&mut self.state().store);
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -5,7 +5,6 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::future::Future;
-use std::sync::Arc;
 use std::sync::mpsc::{
     self,
     RecvTimeoutError, //
@@ -105,11 +104,6 @@
             next_ms: self.now_ms() + period_ms,
         }
     }
-
-    /// A timer service that a part already has, shared.
-    pub fn shared(self) -> Arc<Self> {
-        Arc::new(self)
-    }
 }
 
 /// A subscription to periodic ticks.
--- a/tests/owner_failures.rs
+++ b/tests/owner_failures.rs
@@ -391,6 +391,53 @@
     assert!(matches!(replies.as_slice(), [Reply::Accepted(_)]));
 }
 
+/// A caller cancelled a job and was told that it had not run, and ordered the
+/// part elsewhere. It had run once and failed, and waited for its next attempt.
+#[test]
+fn cancelled_after_a_failure_is_not_said_not_to_have_run() {
+    let mut cell = small_cell();
+    let job = submission("o", "b", "overnight", 1, 1_000);
+    cell.apply(
+        Command::Submit {
+            token: 1,
+            submission: job,
+        },
+        0,
+    );
+    let attempt = cell.jobs().next().map(|(_, job)| job.attempt_id()).unwrap();
+    for (at_ms, event) in [
+        MemberEvent::Reserved,
+        MemberEvent::Started,
+        MemberEvent::Failed,
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let report = MemberReport {
+            attempt,
+            worker: "w0".to_owned(),
+            event,
+        };
+        cell.apply(Command::Member(report), at_ms as u64);
+    }
+    assert!(matches!(
+        cell.job(attempt.job).unwrap().state,
+        JobState::Backoff { .. }
+    ));
+
+    let cancel = Command::Cancel {
+        token: 2,
+        account: "b".to_owned(),
+        jobs: vec![attempt.job],
+    };
+    cell.apply(cancel, 5);
+
+    assert_eq!(
+        cell.job(attempt.job).unwrap().outcome,
+        OutcomeCode::Cancelled
+    );
+}
+
 fn reply_to(actions: &[Action], wanted: u64) -> Option<&Reply> {
     actions.iter().find_map(|action| match action {
         Action::Reply { token, reply } if *token == wanted => Some(reply),
