--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -24,7 +24,10 @@
     TaskSpec, //
 };
 use fuchsiaslip::timer::Timer;
-use std::cell::RefCell;
+use std::cell::{
+    Cell,
+    RefCell, //
+};
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -224,6 +227,26 @@
     Err("the sample configuration was not accepted in 10 s".to_owned())
 }
 
+/// Says every second how far the jobs are.
+async fn show_progress(
+    tally: Rc<RefCell<BTreeMap<&'static str, Tally>>>,
+    total: usize,
+    settled: Rc<Cell<bool>>,
+    timer: Timer,
+) {
+    let started_ms = timer.now_ms();
+    while !settled.get() {
+        let done: usize = tally
+            .borrow()
+            .values()
+            .map(|tally| tally.served + tally.refused.values().sum::<usize>())
+            .sum();
+        let after_ms = timer.now_ms() - started_ms + KILL_AFTER_MS;
+        println!("{after_ms:>5} ms: {done} of {total} jobs settled");
+        timer.after(1_000).await;
+    }
+}
+
 fn print(tally: &BTreeMap<&'static str, Tally>) -> usize {
     println!(
         "{:<12} {:>8} {:>7} {:>5} {:>10}  refused",
@@ -276,17 +299,18 @@
         running[at].kill();
     }
     let total = callers.len();
-    let mut done = 0;
+    let settled = Rc::new(Cell::new(false));
+    actix_rt::spawn(show_progress(
+        tally.clone(),
+        total,
+        settled.clone(),
+        timer.clone(),
+    ));
     for caller in callers {
         caller.await.map_err(|error| error.to_string())?;
-        done += 1;
-        if done % 15 == 0 || done == total {
-            println!(
-                "{:>5} ms: {done} of {total} jobs settled",
-                timer.now_ms() - started_ms
-            );
-        }
     }
+    settled.set(true);
+    println!("{:>5} ms: all settled", timer.now_ms() - started_ms);
     let failures = print(&tally.borrow());
     let doubled = doubled(&platform);
     println!("lost or wrong: {failures}, run twice: {doubled}");
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -142,6 +142,7 @@
     use log4rs::config::{
         Appender,
         Config,
+        Logger,
         Root, //
     };
     use log4rs::encode::pattern::PatternEncoder;
@@ -152,10 +153,11 @@
         .build();
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
+        .logger(Logger::builder().build(env!("CARGO_PKG_NAME"), log::LevelFilter::Info))
         .build(
             Root::builder()
                 .appender("console")
-                .build(log::LevelFilter::Info),
+                .build(log::LevelFilter::Warn),
         )
         .map_err(|error| Error::Log(error.to_string()))?;
     log4rs::init_config(config)
