--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -6,9 +6,11 @@
     WorkerKey,
     worker::AcceleratorMask, //
 };
-use crate::ledger::AnswerRecord;
-use crate::ledger::Change;
-use crate::ledger::OutcomeCode;
+use crate::ledger::{
+    AnswerRecord,
+    Change,
+    OutcomeCode, //
+};
 use bytes::Bytes;
 
 /// Why a submission is refused; each reason has a counter.
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -11,10 +11,12 @@
     queue::GroupKey,
     worker::AcceleratorMask, //
 };
-use crate::ledger::AnswerRecord;
-use crate::ledger::JobRecord;
-use crate::ledger::OutcomeCode;
-use crate::ledger::Submission;
+use crate::ledger::{
+    AnswerRecord,
+    JobRecord,
+    OutcomeCode,
+    Submission, //
+};
 
 /// One attempt of one job, the name under which workers know its tasks.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -9,9 +9,11 @@
     SizedStream, //
 };
 use bytes::Bytes;
-use futures_util::Stream;
-use futures_util::StreamExt;
-use futures_util::stream;
+use futures_util::{
+    Stream,
+    StreamExt,
+    stream, //
+};
 use sha2::{
     Digest,
     Sha256, //
--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -3,9 +3,11 @@
 use super::control::Control;
 use super::status::Status;
 use crate::config::Configuration;
-use crate::events;
-use crate::ledger;
 use crate::owner::Event;
+use crate::{
+    events,
+    ledger, //
+};
 use bytes::Bytes;
 use std::sync::Arc;
 
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -37,8 +37,10 @@
     VmKind, //
 };
 use crate::timer::Timer;
-use actix_http::HttpService;
-use actix_http::Request;
+use actix_http::{
+    HttpService,
+    Request, //
+};
 use argh::FromArgs;
 use metrics_exporter_prometheus::{
     PrometheusBuilder,
