Urgent work at its account's quota takes the place of its own patient work

Ruled out before: the headroom (four times as much changed nothing). Change: urgent work then preempts reclaimable work of the same account; what the account uses stays within the quota (checked after every decision in the test).

--- a/src/core/reclaim.rs
+++ b/src/core/reclaim.rs
@@ -17,7 +17,8 @@
     queue::GroupKey,
     region,
     worker::AcceleratorMask,
-    worker::bits, //
+    worker::bits,
+    worker::lowest, //
 };
 
 /// Work of the account itself that is smaller than the guaranteed shape uses it
@@ -62,6 +63,34 @@
             .min_by_key(|plan| plan.victims.len())
     }
 
+    /// A place for a single task in accelerators of the account's own running
+    /// work that can be taken back, outside the guarantees of others.
+    pub(super) fn own_work_plan(&self, job: &Job) -> Option<Plan> {
+        if job.shape.workers != 1 {
+            return None;
+        }
+        let count = job.shape.accelerators_per_worker;
+        let own = self.jobs.iter().filter(|(_, holder)| {
+            holder.account == job.account && holder.yields && holder.state == JobState::Running
+        });
+        own.filter_map(|(key, holder)| {
+            let (worker, mask) = holder.members.iter().find_map(|member| {
+                let worker = self.fleet.worker(member.worker);
+                let open = member.held & !worker.claimed & !worker.pledged;
+                let enough = worker.takes_work() && open.count_ones() >= u32::from(count);
+                enough.then(|| (member.worker, lowest(open, count)))
+            })?;
+            Some((self.loss(holder), key, worker, mask))
+        })
+        .min()
+        .map(|(_, victim, worker, mask)| Plan {
+            members: vec![(worker, mask)],
+            victims: vec![victim],
+            stop: StopKind::Preempt,
+            pledge: None,
+        })
+    }
+
     /// Whether a job of the account waits for its guaranteed shape. Short work
     /// then no longer comes in, or the shape would never be free as a whole.
     fn waits_for_shape(&self, account: AccountKey, shape: Shape) -> bool {
--- a/src/core/schedule.rs
+++ b/src/core/schedule.rs
@@ -87,13 +87,31 @@
         let Some(plan) = self.find_plan(Some(key), job) else {
             return false;
         };
-        if plan.pledge.is_none() && (self.over_quota(job) || self.uses_headroom(job, &plan)) {
+        let in_own_guarantee = plan.pledge.is_some();
+        if !in_own_guarantee && self.over_quota(job) {
+            return self.place_within_quota(key);
+        }
+        if !in_own_guarantee && self.uses_headroom(job, &plan) {
             return false;
         }
         self.place(key, plan);
         true
     }
 
+    /// Urgent work of an account at its quota takes the place of work of its
+    /// own that can wait: what the account uses stays as it is.
+    fn place_within_quota(&mut self, key: JobKey) -> bool {
+        let Some(job) = self.jobs.get(key) else {
+            return false;
+        };
+        let urgent = self.class(job.class).urgent;
+        let Some(plan) = urgent.then(|| self.own_work_plan(job)).flatten() else {
+            return false;
+        };
+        self.place(key, plan);
+        true
+    }
+
     /// A guaranteed shape is the account's own and never over its quota.
     pub(super) fn over_quota(&self, job: &Job) -> bool {
         let account = &self.accounts[job.account.index()];
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -473,6 +473,48 @@
     );
 }
 
+/// A mechanic waited although his account ran forecasts: the account was at its
+/// quota, and urgent work waited like any other for some of it to end.
+#[test]
+fn urgent_work_at_its_quota_takes_the_place_of_its_accounts_own_patient_work() {
+    let whole = Shape {
+        accelerators_per_worker: 4,
+        workers: 1,
+        adjacency: Adjacency::Rack,
+    };
+    let mut jobs: Vec<ListedJob> = (0..3)
+        .map(|at| ListedJob {
+            class: "overnight",
+            ..standard("c", whole, at, 600_000)
+        })
+        .collect();
+    jobs.push(ListedJob {
+        class: "urgent",
+        ..standard("c", Shape::single(1), 5_000, 500)
+    });
+    let mut mix = mix(jobs, HashSet::new());
+    mix.declaration.accounts[2].quota_accelerators = 12;
+    let mut driver = Driver::new(&mix);
+    driver.check = Some(|cell| {
+        check(cell);
+        assert!(
+            cell.accounts()[2].used_accelerators <= 12,
+            "the quota holds"
+        );
+    });
+
+    driver.run_until(5_000 + GRACE_MS + 500 + CALLS_MS);
+
+    let urgent = driver
+        .cell
+        .jobs()
+        .find(|(_, job)| job.submission.class == "urgent");
+    assert_eq!(
+        urgent.map(|(_, job)| job.outcome),
+        Some(OutcomeCode::Served)
+    );
+}
+
 #[test]
 fn wave_of_cancellations_takes_one_pass() {
     let small = Shape {
