Say once what work may use; look through old refusals less often

Which accelerators work may use was written in four places and its view in two; a request was matched twice with a dead arm; in a storm of refusals each one looked through all that are remembered. Change: Worker::usable_by and View::open_to serve all of them; one match; the remembered refusals are looked through when their number has doubled.

--- a/src/core/backfill.rs
+++ b/src/core/backfill.rs
@@ -84,15 +84,6 @@
         });
     }
 
-    /// The accelerators that a gang may use once they are free.
-    fn usable_later(&self, yields: bool, worker: &Worker) -> AcceleratorMask {
-        match (worker.takes_work(), yields) {
-            (false, _) => 0,
-            (true, true) => worker.all,
-            (true, false) => worker.all & !worker.pledged,
-        }
-    }
-
     fn soonest_region(&self, job: &Job) -> Option<(Vec<WorkerKey>, u64)> {
         let yields = self.may_yield(job);
         let per_worker = usize::from(job.shape.accelerators_per_worker);
@@ -103,7 +94,7 @@
             .map(|(_, worker)| {
                 let usable = match worker.kept_for {
                     Some(_) => 0,
-                    None => self.usable_later(yields, worker),
+                    None => worker.usable_by(yields),
                 };
                 times.clear();
                 times.extend(bits(usable).map(|bit| self.free_at_ms(worker, bit)));
@@ -165,10 +156,7 @@
         if job.shape.workers != 1 {
             return None;
         }
-        let view = match self.may_yield(job) {
-            true => View::Free,
-            false => View::Surplus,
-        };
+        let view = View::open_to(self.may_yield(job));
         let end_ms = self.now_ms + self.remaining_ms(job);
         // Work that would miss its class goes ahead of a gang that has time.
         let pressed = self.is_pressed(job);
@@ -199,10 +187,7 @@
                 self.release_kept(key);
                 continue;
             };
-            let view = match self.may_yield(job) {
-                true => View::Free,
-                false => View::Surplus,
-            };
+            let view = View::open_to(self.may_yield(job));
             let usable = |worker: &Worker| match worker.kept_for == Some(key) {
                 true => view.mask(worker),
                 false => 0,
--- a/src/core/cell.rs
+++ b/src/core/cell.rs
@@ -243,10 +243,7 @@
     /// before, and tries every waiting job again.
     pub(super) fn topology_changed(&mut self) {
         self.possible.clear();
-        let in_surplus = |worker: &Worker| match worker.takes_work() {
-            true => (worker.all & !worker.pledged).count_ones(),
-            false => 0,
-        };
+        let in_surplus = |worker: &Worker| worker.usable_by(false).count_ones();
         self.surplus_size = self.fleet.workers().map(|(_, w)| in_surplus(w)).sum();
         self.queue.unblock_all();
         self.changed = true;
--- a/src/core/consolidation.rs
+++ b/src/core/consolidation.rs
@@ -61,13 +61,7 @@
     /// Free accelerators that the gang may use, and those held by smaller work
     /// that may be moved once more.
     fn movable_mask(&self, gang: &Job, yields: bool, worker: &Worker) -> AcceleratorMask {
-        if !worker.takes_work() {
-            return 0;
-        }
-        let usable = match yields {
-            true => worker.all,
-            false => worker.all & !worker.pledged,
-        };
+        let usable = worker.usable_by(yields);
         let movable = bits(usable & worker.yielding & !worker.claimed & !worker.free)
             .filter(|&bit| {
                 let holder = worker.holder(bit).and_then(|key| self.jobs.get(key));
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -23,6 +23,15 @@
 impl View {
     const ALL: [View; 3] = [View::Surplus, View::Free, View::Yieldable];
 
+    /// The free accelerators that are open to work that can, or cannot, be
+    /// taken back.
+    pub fn open_to(yields: bool) -> Self {
+        match yields {
+            true => View::Free,
+            false => View::Surplus,
+        }
+    }
+
     /// The accelerators of `worker` that count.
     pub fn mask(self, worker: &Worker) -> AcceleratorMask {
         if !worker.takes_work() {
--- a/src/core/pledge.rs
+++ b/src/core/pledge.rs
@@ -208,13 +208,7 @@
 
     fn place_pledge(&mut self, key: PledgeKey) {
         let Pledge { account, shape, .. } = self.pledges[key.index()];
-        let open = |worker: &Worker| {
-            if worker.takes_work() {
-                worker.all & !worker.pledged
-            } else {
-                0
-            }
-        };
+        let open = |worker: &Worker| worker.usable_by(false);
         let unobstructed = |worker: &Worker| open(worker) & !self.obstacles(worker, account);
         // Work that cannot be taken back and is not the account's own stands in
         // the way until it ends. A place without such work is preferred; else
--- a/src/core/worker.rs
+++ b/src/core/worker.rs
@@ -95,6 +95,16 @@
         self.health == WorkerHealth::Healthy
     }
 
+    /// Accelerators, held ones too, in which work that can, or cannot, be taken
+    /// back may stand; none while the worker takes no work.
+    pub fn usable_by(&self, yields: bool) -> AcceleratorMask {
+        match (self.takes_work(), yields) {
+            (false, _) => 0,
+            (true, true) => self.all,
+            (true, false) => self.all & !self.pledged,
+        }
+    }
+
     /// The job that holds `accelerator`.
     pub fn holder(&self, accelerator: usize) -> Option<JobKey> {
         self.holders[accelerator]
--- a/src/owner/requests.rs
+++ b/src/owner/requests.rs
@@ -25,8 +25,9 @@
 
 /// A submission that took longer from its entry to the owner is not decided on.
 const MAX_REQUEST_AGE_MS: u64 = 30_000;
-/// Refusals are forgotten from this number on, the old ones first.
-const MAX_REMEMBERED_REFUSALS: usize = 4_096;
+/// From this number on refusals are looked through for those that are too old
+/// to matter, and again whenever what was left has doubled.
+pub(super) const FIRST_REVIEW_OF_REFUSALS: usize = 4_096;
 /// Waiters of one job; more are asked to come again.
 const MAX_WAITERS: usize = 64;
 
@@ -43,19 +44,14 @@
 
 impl Owner {
     pub(super) fn request(&mut self, token: u64, request: Request) {
-        if let Request::Submit {
-            submission,
-            asked_ms,
-        } = request
-        {
-            return self.submit(token, submission, asked_ms);
-        }
-        let Phase::Owning(owning) = &mut self.phase else {
+        let Phase::Owning(owning) = &self.phase else {
             return self.reply(token, Reply::NotOwner);
         };
         match request {
-            // Answered above.
-            Request::Submit { .. } => {}
+            Request::Submit {
+                submission,
+                asked_ms,
+            } => self.submit(token, submission, asked_ms),
             Request::Wait(job) => self.wait(token, job),
             Request::Explain(job) => {
                 let report = owning.cell.explain(job);
@@ -84,9 +80,6 @@
 
     fn submit(&mut self, token: u64, submission: Submission, asked_ms: u64) {
         let now_ms = self.now_ms;
-        if !self.is_owner() {
-            return self.reply(token, Reply::NotOwner);
-        }
         if asked_ms + MAX_REQUEST_AGE_MS < now_ms {
             return self.reply(token, Reply::OutcomeUnknown);
         }
@@ -150,9 +143,12 @@
             return;
         }
         let now_ms = self.now_ms;
-        if self.refused.len() >= MAX_REMEMBERED_REFUSALS {
+        if self.refused.len() >= self.review_refused_at {
             self.refused
                 .retain(|_, earlier| earlier.at_ms + MAX_REQUEST_AGE_MS >= now_ms);
+            // In a storm of refusals all of them are young; looking through
+            // them again at each one would make the storm worse.
+            self.review_refused_at = (self.refused.len() * 2).max(FIRST_REVIEW_OF_REFUSALS);
         }
         let earlier = RememberedRefusal {
             refusal: *refusal,
--- a/src/owner/state.rs
+++ b/src/owner/state.rs
@@ -6,6 +6,7 @@
     Event,
     lease::Lease,
     outbox::Outbox,
+    requests::FIRST_REVIEW_OF_REFUSALS,
     requests::RememberedRefusal,
     requests::SubmissionKey, //
 };
@@ -127,6 +128,8 @@
     pub(super) next_write_id: u64,
     /// Submissions refused of late, so that a late copy is not accepted.
     pub(super) refused: HashMap<SubmissionKey, RememberedRefusal>,
+    /// Their number at which the old ones are dropped.
+    pub(super) review_refused_at: usize,
     pub(super) actions: Vec<Action>,
 }
 
@@ -151,6 +154,7 @@
             journal_retry_ms: None,
             store_failures: 0,
             refused: HashMap::new(),
+            review_refused_at: FIRST_REVIEW_OF_REFUSALS,
             actions: Vec::new(),
         }
     }
