--- /dev/null
+++ b/src/backend/http.rs
@@ -0,0 +1,411 @@
+//! The platform's services over HTTP, as the stand-in serves them.
+//!
+//! Store: `GET /kv/KEY`, `GET /kv/KEY?after=V&wait_ms=N`,
+//! `PUT /kv/KEY?expect=V`, `PUT /lease/KEY?holder=H&ttl_ms=N`,
+//! `DELETE /lease/KEY?holder=H`; the version travels in `x-version`.
+//! List: `GET /vms?data_centre=D` or `?kind=daemon`, in JSON, with an `etag`
+//! and `if-none-match`. Workers: `POST /reserve`, `/start`, `/stop`,
+//! `/inspect`, `/poll`, and `GET /answer` with their parameters in the query.
+
+use super::{
+    ListAnswer,
+    ListScope,
+    Membership,
+    PollAnswer,
+    Store,
+    StoreAnswer,
+    StoreCall,
+    StoreFailure,
+    TaskBody,
+    TaskChange,
+    TasksBody,
+    WorkerAnswer,
+    WorkerCall,
+    WorkerFailure,
+    Workers, //
+};
+use crate::core::AttemptId;
+use crate::timer::Timer;
+use awc::http::StatusCode;
+use awc::{
+    Client,
+    ClientResponse, //
+};
+use bytes::Bytes;
+use prost::Message;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::rc::Rc;
+
+/// Header that carries a value's version.
+pub const VERSION_HEADER: &str = "x-version";
+const STORE_TIMEOUT_MS: u64 = 1_000;
+const WORKER_TIMEOUT_MS: u64 = 1_000;
+const POLL_SLACK_MS: u64 = 2_000;
+const LIST_TIMEOUT_MS: u64 = 2_000;
+const MAX_LIST_BYTES: usize = 8 << 20;
+const MAX_CALL_BYTES: usize = 2 << 20;
+
+/// A worker's answer to a call, on the wire in prost.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkerAnswerBody {
+    /// A poll's incarnation.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// A poll's word on leaving.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// A poll's cursor.
+    #[prost(uint64, tag = "3")]
+    pub cursor: u64,
+    /// A poll's news, or the one state that was asked for.
+    #[prost(message, required, tag = "4")]
+    pub tasks: TasksBody,
+}
+
+/// Parameters of worker calls in a query.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct WorkerQuery {
+    /// The caller's epoch.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub epoch: u64,
+    /// The job.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub job: u64,
+    /// The attempt.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub attempt: u64,
+    /// The accelerators.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub mask: u64,
+    /// Expiry of a reservation, grace of a stop, wait of a poll, or progress.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub ms: u64,
+    /// News up to here is known.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub cursor: u64,
+    /// Length of the worker's lease.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub lease_ms: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+impl WorkerQuery {
+    fn of(attempt: AttemptId, epoch: u64, ms: u64) -> Self {
+        Self {
+            epoch,
+            job: attempt.job.0,
+            attempt: u64::from(attempt.attempt),
+            ms,
+            ..Self::default()
+        }
+    }
+}
+
+/// The platform's services at one address; lives on one thread.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    address: Rc<str>,
+    client: Client,
+    timer: Timer,
+}
+
+impl HttpPlatform {
+    /// Opens the platform at `address`, an IP number and a port.
+    pub fn open(address: &str, timer: Timer) -> Self {
+        Self {
+            address: address.into(),
+            // The default headers (a date, a name) cost bytes on every poll. The
+            // library's bound of 100 connections is lifted: each kept worker
+            // holds one with its long poll, and from the hundredth on a start
+            // would wait for a poll to end. What is under way is bounded by the
+            // callers of this adapter.
+            client: Client::builder()
+                .connector(awc::Connector::new().limit(0))
+                .disable_timeout()
+                .no_default_headers()
+                .finish(),
+            timer,
+        }
+    }
+
+    /// The key-value service.
+    pub fn store(&self) -> Store {
+        let platform = self.clone();
+        Store::from_fn(move |call| {
+            let platform = platform.clone();
+            Box::pin(async move { platform.call_store(call).await })
+        })
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> Workers {
+        let platform = self.clone();
+        Workers::from_fn(move |address, call| {
+            let platform = platform.clone();
+            Box::pin(async move { platform.call_worker(&address, call).await })
+        })
+    }
+
+    /// The list of VMs.
+    pub fn membership(&self) -> Membership {
+        let platform = self.clone();
+        Membership::from_fn(move |scope, tag| {
+            let platform = platform.clone();
+            Box::pin(async move {
+                let answer = platform.list(scope, &tag).await;
+                answer.unwrap_or(ListAnswer::Silent)
+            })
+        })
+    }
+
+    /// Begins to read an answer from the worker at `address`.
+    pub async fn answer(&self, address: &str, attempt: AttemptId) -> Option<ClientResponse> {
+        let query = encode(&WorkerQuery::of(attempt, 0, 0));
+        let request = self.client.get(format!("http://{address}/answer?{query}"));
+        let response = self.timer.limit(WORKER_TIMEOUT_MS, request.send()).await;
+        let response = response.ok()?.ok()?;
+        (response.status() == StatusCode::OK).then(|| response.map_body(|_, body| body))
+    }
+
+    async fn call_store(&self, call: StoreCall) -> Result<StoreAnswer, StoreFailure> {
+        let wait_ms = match &call {
+            StoreCall::Watch { wait_ms, .. } => *wait_ms,
+            _ => 0,
+        };
+        let sent = self.send_store(call);
+        let answered = self.timer.limit(STORE_TIMEOUT_MS + wait_ms, sent).await;
+        answered.unwrap_or(Err(StoreFailure::Timeout))
+    }
+
+    async fn send_store(&self, call: StoreCall) -> Result<StoreAnswer, StoreFailure> {
+        let base = &self.address;
+        let (request, body) = match call {
+            StoreCall::Get { key } => (self.client.get(format!("http://{base}/kv/{key}")), None),
+            StoreCall::Watch {
+                key,
+                after_version,
+                wait_ms,
+            } => {
+                let query = format!("after={after_version}&wait_ms={wait_ms}");
+                (
+                    self.client.get(format!("http://{base}/kv/{key}?{query}")),
+                    None,
+                )
+            }
+            StoreCall::CompareAndSwap {
+                key,
+                expected_version,
+                value,
+            } => {
+                let url = format!("http://{base}/kv/{key}?expect={expected_version}");
+                (self.client.put(url), Some(value))
+            }
+            StoreCall::AcquireLease {
+                key,
+                holder,
+                ttl_ms,
+            } => {
+                let url = format!("http://{base}/lease/{key}?holder={holder}&ttl_ms={ttl_ms}");
+                (self.client.put(url), None)
+            }
+            StoreCall::ReleaseLease { key, holder } => {
+                let url = format!("http://{base}/lease/{key}?holder={holder}");
+                (self.client.delete(url), None)
+            }
+        };
+        let sent = match body {
+            Some(body) => request.send_body(body).await,
+            None => request.send().await,
+        };
+        // A connection that could not be opened carried nothing; any other
+        // failure leaves open whether the call took effect.
+        let mut response = sent.map_err(|error| match error {
+            awc::error::SendRequestError::Connect(_) => StoreFailure::Unavailable,
+            _ => StoreFailure::Timeout,
+        })?;
+        let version = version_of(&response);
+        let status = response.status();
+        let body = response.body().limit(MAX_CALL_BYTES).await;
+        let body = body.map_err(|_| StoreFailure::Timeout)?;
+        match (status, version) {
+            (StatusCode::OK, Some(version)) => Ok(StoreAnswer::Value {
+                version,
+                value: body,
+            }),
+            (StatusCode::CREATED, Some(version)) => Ok(StoreAnswer::Written { version }),
+            (StatusCode::NOT_FOUND, _) => Ok(StoreAnswer::Absent),
+            (StatusCode::CONFLICT, _) => Ok(StoreAnswer::Conflict),
+            (StatusCode::ACCEPTED, _) => Ok(StoreAnswer::Granted),
+            (StatusCode::NO_CONTENT, _) => Ok(StoreAnswer::Released),
+            (StatusCode::LOCKED, _) => Ok(StoreAnswer::Held {
+                holder: String::from_utf8_lossy(&body).into_owned(),
+            }),
+            (StatusCode::SERVICE_UNAVAILABLE, _) => Err(StoreFailure::Unavailable),
+            _ => Err(StoreFailure::Timeout),
+        }
+    }
+
+    async fn list(&self, scope: ListScope, tag: &str) -> Option<ListAnswer> {
+        let query = match scope {
+            ListScope::DataCentre(name) => format!("data_centre={name}"),
+            ListScope::Daemons => "kind=daemon".to_owned(),
+        };
+        let url = format!("http://{}/vms?{query}", self.address);
+        let mut request = self.client.get(url);
+        if !tag.is_empty() {
+            request = request.insert_header(("if-none-match", tag));
+        }
+        let response = self.timer.limit(LIST_TIMEOUT_MS, request.send()).await;
+        let mut response = response.ok()?.ok()?;
+        if response.status() == StatusCode::NOT_MODIFIED {
+            return Some(ListAnswer::Unchanged);
+        }
+        let header = response.headers().get("etag");
+        let tag = header
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default();
+        let tag = tag.to_owned();
+        let body = response.body().limit(MAX_LIST_BYTES).await.ok()?;
+        let vms = serde_json::from_slice(&body).ok()?;
+        Some(ListAnswer::Changed { tag, vms })
+    }
+
+    async fn call_worker(
+        &self,
+        address: &str,
+        call: WorkerCall,
+    ) -> Result<WorkerAnswer, WorkerFailure> {
+        let limit_ms = match &call {
+            WorkerCall::Poll { wait_ms, .. } => wait_ms + POLL_SLACK_MS,
+            _ => WORKER_TIMEOUT_MS,
+        };
+        let answered = self.timer.limit(limit_ms, self.send_worker(address, call));
+        answered.await.unwrap_or(Err(WorkerFailure::Silent))
+    }
+
+    async fn send_worker(
+        &self,
+        address: &str,
+        call: WorkerCall,
+    ) -> Result<WorkerAnswer, WorkerFailure> {
+        let polled = matches!(call, WorkerCall::Poll { .. });
+        let (path, query, body) = request_of(call);
+        let url = format!("http://{address}/{path}?{}", encode(&query));
+        let request = self.client.post(url);
+        let sent = match body.is_empty() {
+            true => request.send().await,
+            false => request.send_body(body).await,
+        };
+        let mut response = sent.map_err(|_| WorkerFailure::Silent)?;
+        let status = response.status();
+        let body = response.body().limit(MAX_CALL_BYTES).await;
+        let body = body.map_err(|_| WorkerFailure::Silent)?;
+        match status {
+            StatusCode::OK if polled => decode_poll(&body),
+            StatusCode::OK => decode_state(&body),
+            StatusCode::ACCEPTED => Ok(WorkerAnswer::Done),
+            StatusCode::CONFLICT => refusal_of(&body),
+            _ => Err(WorkerFailure::Silent),
+        }
+    }
+}
+
+fn version_of<B>(response: &ClientResponse<B>) -> Option<u64> {
+    let header = response.headers().get(VERSION_HEADER)?;
+    header.to_str().ok()?.parse().ok()
+}
+
+fn encode(query: &WorkerQuery) -> String {
+    serde_urlencoded::to_string(query).unwrap_or_default()
+}
+
+fn request_of(call: WorkerCall) -> (&'static str, WorkerQuery, Bytes) {
+    match call {
+        WorkerCall::Reserve {
+            epoch,
+            attempt,
+            mask,
+            expires_ms,
+        } => {
+            let query = WorkerQuery {
+                mask: u64::from(mask),
+                ..WorkerQuery::of(attempt, epoch, expires_ms)
+            };
+            ("reserve", query, Bytes::new())
+        }
+        WorkerCall::Start {
+            epoch,
+            attempt,
+            progress_ms,
+            payload,
+        } => (
+            "start",
+            WorkerQuery::of(attempt, epoch, progress_ms),
+            payload,
+        ),
+        WorkerCall::Stop {
+            epoch,
+            attempt,
+            grace_ms,
+        } => (
+            "stop",
+            WorkerQuery::of(attempt, epoch, grace_ms),
+            Bytes::new(),
+        ),
+        WorkerCall::Inspect { epoch, attempt } => {
+            ("inspect", WorkerQuery::of(attempt, epoch, 0), Bytes::new())
+        }
+        WorkerCall::Poll {
+            cursor,
+            wait_ms,
+            lease_ms,
+        } => {
+            let query = WorkerQuery {
+                ms: wait_ms,
+                cursor,
+                lease_ms,
+                ..WorkerQuery::default()
+            };
+            ("poll", query, Bytes::new())
+        }
+    }
+}
+
+fn decode_poll(body: &Bytes) -> Result<WorkerAnswer, WorkerFailure> {
+    let body = WorkerAnswerBody::decode(body.clone()).map_err(|_| WorkerFailure::Silent)?;
+    let changes: Vec<TaskChange> = body
+        .tasks
+        .tasks
+        .into_iter()
+        .map(TaskBody::into_change)
+        .collect();
+    Ok(WorkerAnswer::Polled(PollAnswer {
+        incarnation: body.incarnation,
+        leaving: body.leaving,
+        cursor: body.cursor,
+        changes,
+    }))
+}
+
+fn decode_state(body: &Bytes) -> Result<WorkerAnswer, WorkerFailure> {
+    let body = TaskBody::decode(body.clone()).map_err(|_| WorkerFailure::Silent)?;
+    Ok(WorkerAnswer::State(body.into_change().state))
+}
+
+fn refusal_of(body: &[u8]) -> Result<WorkerAnswer, WorkerFailure> {
+    use super::WorkerRefusal;
+    let refusal = WorkerRefusal::ALL
+        .into_iter()
+        .find(|refusal| refusal.name().as_bytes() == body);
+    refusal
+        .map(WorkerAnswer::Refused)
+        .ok_or(WorkerFailure::Silent)
+}
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -7,6 +7,13 @@
     SubmitCommand, //
 };
 use super::output;
+use crate::backend::{
+    HttpPlatform,
+    Store,
+    StoreAnswer,
+    StoreCall,
+    StoreFailure, //
+};
 use crate::client::{
     Client,
     ClientError,
@@ -16,13 +23,6 @@
 use crate::core::Adjacency;
 use crate::daemon::token_digest;
 use crate::ledger;
-use crate::platform::{
-    HttpPlatform,
-    Store,
-    StoreAnswer,
-    StoreCall,
-    StoreFailure, //
-};
 use crate::timer::Timer;
 use bytes::Bytes;
 use std::io::Write;
--- /dev/null
+++ b/src/cluster/calls.rs
@@ -0,0 +1,219 @@
+//! Carrying out what the scheduler decides.
+
+use super::control::Output;
+use super::log_lines;
+use super::node::Node;
+use crate::core::JobId;
+use crate::scheduler::{
+    Action,
+    CallOutcome,
+    Callee,
+    GroupKey,
+    Input,
+    RunName, //
+};
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Carries out decisions until the control thread ends.
+pub async fn run(node: Rc<Node>, mut outputs: UnboundedReceiver<Output>) {
+    while let Some(output) = outputs.recv().await {
+        if output.epoch == node.epoch() {
+            carry_out(&node, output);
+        }
+    }
+}
+
+fn carry_out(node: &Rc<Node>, output: Output) {
+    let epoch = output.epoch;
+    let mut forgotten: Vec<JobId> = Vec::new();
+    for action in output.actions {
+        match action {
+            Action::Hold {
+                callee,
+                last_seen,
+                lease_end_ms,
+                wait_ms,
+            } => {
+                let looking = look(
+                    node.clone(),
+                    epoch,
+                    callee,
+                    last_seen,
+                    lease_end_ms,
+                    wait_ms,
+                );
+                actix_rt::spawn(looking);
+            }
+            Action::Start {
+                callee,
+                name,
+                payload,
+                lease_end_ms,
+                checkpoint,
+                ticket,
+            } => {
+                let order = StartOrder {
+                    name,
+                    payload,
+                    lease_end_ms,
+                    checkpoint,
+                    ticket,
+                };
+                actix_rt::spawn(start(node.clone(), epoch, callee, order));
+            }
+            Action::Stop { callee, name } => {
+                actix_rt::spawn(stop(node.clone(), epoch, callee, name));
+            }
+            Action::Pace {
+                callee,
+                name,
+                percent,
+            } => {
+                actix_rt::spawn(pace(node.clone(), epoch, callee, name, percent));
+            }
+            Action::Advise { step, workers } => {
+                actix_rt::spawn(advise(node.clone(), epoch, step, workers));
+            }
+            Action::Forget { job } => forgotten.push(job),
+            Action::Deposed => {
+                node.stop_owning();
+                return;
+            }
+            Action::Decided(decision) => log_lines::decision(epoch, &decision),
+            Action::Store { .. } | Action::StoreRoster => {}
+        }
+    }
+    node.ledger.add(output.records, output.roster, forgotten);
+}
+
+struct StartOrder {
+    name: RunName,
+    payload: Arc<str>,
+    lease_end_ms: u64,
+    checkpoint: Option<Arc<str>>,
+    ticket: Option<Arc<str>>,
+}
+
+async fn look(
+    node: Rc<Node>,
+    epoch: u64,
+    callee: Callee,
+    last_seen: u64,
+    lease_end_ms: Option<u64>,
+    wait_ms: u64,
+) {
+    let sent_ms = node.now_ms();
+    let worker = callee.worker;
+    let held = node
+        .workers
+        .hold(
+            &callee.address,
+            &callee.incarnation,
+            epoch,
+            last_seen,
+            lease_end_ms,
+            wait_ms,
+        )
+        .await;
+    let input = match held {
+        Ok(report) => Input::Held {
+            worker,
+            sent_ms,
+            report,
+        },
+        Err(outcome) => Input::HoldFailed {
+            worker,
+            sent_ms,
+            outcome,
+        },
+    };
+    node.control.take(epoch, input);
+}
+
+async fn start(node: Rc<Node>, epoch: u64, callee: Callee, order: StartOrder) {
+    let sent_ms = node.now_ms();
+    let outcome = node
+        .workers
+        .start(
+            &callee.address,
+            &callee.incarnation,
+            epoch,
+            order.name,
+            &order.payload,
+            order.lease_end_ms,
+            order.checkpoint.as_deref(),
+            order.ticket.as_deref(),
+        )
+        .await;
+    note_order(&node, "start", sent_ms, outcome);
+    let input = Input::StartOver {
+        worker: callee.worker,
+        name: order.name,
+        outcome,
+    };
+    node.control.take(epoch, input);
+}
+
+async fn stop(node: Rc<Node>, epoch: u64, callee: Callee, name: RunName) {
+    let sent_ms = node.now_ms();
+    let workers = &node.workers;
+    let outcome = workers.stop(&callee.address, &callee.incarnation, epoch, name);
+    let outcome = outcome.await;
+    note_order(&node, "stop", sent_ms, outcome);
+    let input = Input::StopOver {
+        worker: callee.worker,
+        name,
+        outcome,
+    };
+    node.control.take(epoch, input);
+}
+
+async fn pace(node: Rc<Node>, epoch: u64, callee: Callee, name: RunName, percent: u32) {
+    let sent_ms = node.now_ms();
+    let workers = &node.workers;
+    let outcome = workers.pace(&callee.address, &callee.incarnation, epoch, name, percent);
+    let outcome = outcome.await;
+    note_order(&node, "pace", sent_ms, outcome);
+    let input = Input::PaceOver {
+        worker: callee.worker,
+        name,
+        outcome,
+    };
+    node.control.take(epoch, input);
+}
+
+fn note_order(node: &Node, order: &'static str, sent_ms: u64, outcome: CallOutcome) {
+    let outcome = match outcome {
+        CallOutcome::Done => "done",
+        CallOutcome::Refused(refusal) => refusal.name(),
+        CallOutcome::OtherIncarnation => "other_incarnation",
+        CallOutcome::NoAnswer => "no_answer",
+    };
+    let took_ms = (node.now_ms() - sent_ms) as f64;
+    metrics::histogram!("fuchsiaslip_order_ms", "order" => order).record(took_ms);
+    metrics::counter!("fuchsiaslip_orders_total", "order" => order, "outcome" => outcome)
+        .increment(1);
+}
+
+async fn advise(
+    node: Rc<Node>,
+    epoch: u64,
+    step: GroupKey,
+    workers: Vec<(crate::core::WorkerKey, Arc<str>)>,
+) {
+    let approved = match &node.settings.advice_address {
+        Some(address) => {
+            let names: Vec<Arc<str>> = workers.iter().map(|(_, name)| name.clone()).collect();
+            node.workers.advise(address, step, &names).await
+        }
+        None => None,
+    };
+    let input = Input::Advised {
+        step,
+        asked: workers.iter().map(|(worker, _)| *worker).collect(),
+        approved,
+    };
+    node.control.take(epoch, input);
+}
--- /dev/null
+++ b/src/cluster/control.rs
@@ -0,0 +1,213 @@
+//! The one thread that touches the scheduler's state.
+
+use crate::core::{
+    JobId,
+    WorkerKey, //
+};
+use crate::scheduler::{
+    Action,
+    Input,
+    JobView,
+    ProgressRecord,
+    Scheduler,
+    Tuning, //
+};
+use crate::timer::Timer;
+use std::collections::BTreeSet;
+use std::sync::mpsc::{
+    Receiver,
+    RecvTimeoutError,
+    Sender,
+    channel, //
+};
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+/// Wait of a thread that owns nothing.
+const IDLE_MS: u64 = 60_000;
+/// Commands taken in before a decision, so that news in a burst cost one pass.
+const MAX_BATCH: usize = 256;
+
+/// Something for the control thread.
+pub enum Command {
+    /// Begin to own under an epoch, with all that was stored.
+    Begin {
+        /// The epoch.
+        epoch: u64,
+        /// Bounds.
+        tuning: Tuning,
+        /// What was stored.
+        stored: Vec<Input>,
+    },
+    /// News under an epoch.
+    Take {
+        /// The epoch.
+        epoch: u64,
+        /// The news.
+        input: Input,
+    },
+    /// What may be told of a job; `None` when this daemon does not own, inside
+    /// it `None` when the job is not known.
+    View {
+        /// The job.
+        job: JobId,
+        /// Where the answer goes.
+        answer: oneshot::Sender<Option<Option<JobView>>>,
+    },
+    /// Jobs of a queue that wait; `None` when this daemon does not own.
+    Pending {
+        /// The queue.
+        queue: String,
+        /// Where the answer goes.
+        answer: oneshot::Sender<Option<u64>>,
+    },
+    /// Own no longer.
+    End,
+}
+
+/// A decision's result, for the traffic thread.
+pub struct Output {
+    /// The epoch under which it was decided.
+    pub epoch: u64,
+    /// What to carry out.
+    pub actions: Vec<Action>,
+    /// Progress to store: job, number of its change, and all that is noted.
+    pub records: Vec<(JobId, u64, ProgressRecord)>,
+    /// The roster to store: key, incarnation and address of each worker.
+    pub roster: Option<Vec<(WorkerKey, String, String)>>,
+}
+
+/// A handle to the control thread.
+#[derive(Clone)]
+pub struct Control {
+    commands: Sender<Command>,
+}
+
+impl Control {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// The thread cannot be started.
+    pub fn spawn(timer: Timer, outputs: UnboundedSender<Output>) -> std::io::Result<Self> {
+        let (commands, received) = channel();
+        std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || run(&timer, &received, &outputs))?;
+        Ok(Self { commands })
+    }
+
+    /// Gives the thread a command. A thread that has ended takes none: the
+    /// process is ending then.
+    pub fn send(&self, command: Command) {
+        if self.commands.send(command).is_err() {
+            log::debug!("the control thread has ended");
+        }
+    }
+
+    /// Tells news.
+    pub fn take(&self, epoch: u64, input: Input) {
+        self.send(Command::Take { epoch, input });
+    }
+
+    /// What may be told of a job.
+    pub async fn view(&self, job: JobId) -> Option<Option<JobView>> {
+        let (answer, answered) = oneshot::channel();
+        self.send(Command::View { job, answer });
+        answered.await.ok().flatten()
+    }
+
+    /// How many jobs of a queue wait.
+    pub async fn pending(&self, queue: &str) -> Option<u64> {
+        let (answer, answered) = oneshot::channel();
+        let queue = queue.to_owned();
+        self.send(Command::Pending { queue, answer });
+        answered.await.ok().flatten()
+    }
+}
+
+fn run(timer: &Timer, commands: &Receiver<Command>, outputs: &UnboundedSender<Output>) {
+    let mut scheduler: Option<Scheduler> = None;
+    loop {
+        let now_ms = timer.now_ms();
+        let wake_ms = scheduler
+            .as_ref()
+            .map_or(now_ms + IDLE_MS, Scheduler::wake_at_ms);
+        let wait = Duration::from_millis(wake_ms.saturating_sub(now_ms));
+        match commands.recv_timeout(wait) {
+            Ok(command) => apply(&mut scheduler, command, timer),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        for command in commands.try_iter().take(MAX_BATCH) {
+            apply(&mut scheduler, command, timer);
+        }
+        let Some(scheduler) = &mut scheduler else {
+            continue;
+        };
+        let output = decide(scheduler, timer.now_ms());
+        if !output.actions.is_empty() && outputs.send(output).is_err() {
+            return;
+        }
+    }
+}
+
+fn apply(scheduler: &mut Option<Scheduler>, command: Command, timer: &Timer) {
+    let now_ms = timer.now_ms();
+    match command {
+        Command::Begin {
+            epoch,
+            tuning,
+            stored,
+        } => {
+            let mut begun = Scheduler::new(epoch, tuning, now_ms);
+            for input in stored {
+                begun.take(input, now_ms);
+            }
+            *scheduler = Some(begun);
+        }
+        Command::Take { epoch, input } => {
+            let own = scheduler.as_mut().filter(|own| own.epoch() == epoch);
+            if let Some(scheduler) = own {
+                scheduler.take(input, now_ms);
+            }
+        }
+        // A caller that has left needs no answer.
+        Command::View { job, answer } => {
+            let view = scheduler.as_ref().map(|own| own.job_view(job));
+            answer.send(view).ok();
+        }
+        Command::Pending { queue, answer } => {
+            let pending = scheduler.as_ref().map(|own| own.pending(&queue) as u64);
+            answer.send(pending).ok();
+        }
+        Command::End => *scheduler = None,
+    }
+}
+
+/// Decides, and takes along what the decision asks to have stored.
+fn decide(scheduler: &mut Scheduler, now_ms: u64) -> Output {
+    let actions = scheduler.decide(now_ms);
+    let mut changed = BTreeSet::new();
+    let mut roster = false;
+    for action in &actions {
+        match action {
+            Action::Store { job } => {
+                changed.insert(*job);
+            }
+            Action::StoreRoster => roster = true,
+            _ => {}
+        }
+    }
+    let records = changed.into_iter().filter_map(|job| {
+        let (change, record) = scheduler.progress(job)?;
+        Some((job, change, record))
+    });
+    Output {
+        epoch: scheduler.epoch(),
+        records: records.collect(),
+        roster: roster.then(|| scheduler.roster()),
+        actions,
+    }
+}
--- /dev/null
+++ b/src/cluster/election.rs
@@ -0,0 +1,89 @@
+//! When a daemon takes over the ownership: pure, from what it has heard.
+//!
+//! Load pattern: owners die, freeze, drain, or lose the store, alone or many
+//! daemons at once, and urgent work has about 1.5 s of slack. Taking over is
+//! safe at any moment, since the epoch in the store admits one owner and the
+//! workers refuse the orders of an older one; waiting only keeps daemons from
+//! taking turns. So the first candidate waits as little as tells a silent owner
+//! from a late heartbeat, each further one some more, and a daemon that hears
+//! almost nobody, and is likely cut off itself, waits longest.
+
+/// An owner that is silent this long is taken for dead: two and a half of the
+/// heartbeats of a small fleet, and the delay of a busy daemon.
+const SILENT_MS: u64 = 700;
+/// Each further candidate waits this much more: a takeover takes some 50 ms.
+const RANK_STEP_MS: u64 = 300;
+/// Added for a daemon that hears less than half of the others.
+const ISOLATED_MS: u64 = 1_500;
+/// Wait after the start for the others' heartbeats.
+const START_MS: u64 = 250;
+/// An owner that lost the store is given this long to find it again.
+const STORELESS_MS: u64 = 500;
+
+/// A daemon that may own, as the others see it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Its name.
+    pub name: String,
+    /// What it can do: milli-cores of its VM; larger is better.
+    pub strength: u64,
+    /// It reaches the store and does not drain.
+    pub fit: bool,
+}
+
+/// The last sign of the owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnerSign {
+    /// When it was heard, or when this daemon began to listen for it.
+    pub heard_ms: u64,
+    /// Since when it says that it has lost the store.
+    pub storeless_since_ms: Option<u64>,
+    /// It is draining.
+    pub draining: bool,
+    /// It is an earlier life of this very daemon.
+    pub was_here: bool,
+}
+
+/// What a daemon knows when it asks itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ElectionView {
+    /// This daemon.
+    pub own: Candidate,
+    /// When it started.
+    pub started_ms: u64,
+    /// The others that it hears now.
+    pub heard: Vec<Candidate>,
+    /// Others that the store lists.
+    pub listed: usize,
+    /// The owner that is known, if there is one.
+    pub owner: Option<OwnerSign>,
+}
+
+/// When to take over, if nothing changes; `None` for not at all.
+pub fn takeover_at_ms(view: &ElectionView) -> Option<u64> {
+    if !view.own.fit {
+        return None;
+    }
+    let better = |other: &&Candidate| {
+        other.fit && (other.strength, &view.own.name) > (view.own.strength, &other.name)
+    };
+    let rank = view.heard.iter().filter(better).count() as u64;
+    let from_ms = match &view.owner {
+        None => view.started_ms + START_MS,
+        Some(sign) => {
+            let silent_ms = sign.heard_ms + SILENT_MS;
+            if sign.was_here {
+                view.started_ms + START_MS
+            } else if sign.draining {
+                sign.heard_ms
+            } else if let Some(since_ms) = sign.storeless_since_ms {
+                silent_ms.min(since_ms + STORELESS_MS)
+            } else {
+                silent_ms
+            }
+        }
+    };
+    let isolated = view.heard.len() * 2 < view.listed;
+    let isolated_ms = if isolated { ISOLATED_MS } else { 0 };
+    Some(from_ms + rank * RANK_STEP_MS + isolated_ms)
+}
--- /dev/null
+++ b/src/cluster/follow.rs
@@ -0,0 +1,309 @@
+//! Following what changes in the store.
+
+use super::node::{
+    KnownOwner,
+    Node,
+    Peer, //
+};
+use super::ownership::{
+    worker_input,
+    worker_inputs, //
+};
+use super::records::{
+    JOBS_PREFIX,
+    JobKeyKind,
+    MEMBERS_PREFIX,
+    MemberRecord,
+    ROOT_KEY,
+    RootRecord,
+    decode,
+    encode,
+    member_key,
+    read_job_key, //
+};
+use super::services::{
+    Range,
+    StoreError,
+    StoreEvent,
+    Transaction,
+    Watched, //
+};
+use crate::events;
+use crate::platform::{
+    CONFIGURATION_KEY,
+    WORKERS_PREFIX,
+    decode_configuration, //
+};
+use crate::scheduler::Input;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Wait of a watch. Short: a connection that went silent without a reset shows
+/// only by this time-out, and a version has to be in force within 2 s.
+const WATCH_WAIT_MS: u64 = 900;
+/// Wait after a call that failed.
+const AGAIN_MS: u64 = 100;
+/// Length of a member's lease: several renewals may be lost.
+const MEMBER_TTL_MS: u64 = 6_000;
+/// How often the lease is renewed and the list of members read.
+const MEMBERS_MS: u64 = 1_500;
+
+/// Follows the operator's configuration.
+pub async fn configuration(node: Rc<Node>) {
+    let mut revision = None;
+    loop {
+        let step = match revision {
+            None => read_configuration(&node).await,
+            Some(revision) => watch_configuration(&node, revision).await,
+        };
+        node.store_went(step.is_ok());
+        match step {
+            Ok(next) => revision = next,
+            Err(_) => {
+                node.timer.after(AGAIN_MS).await;
+            }
+        }
+    }
+}
+
+/// Returns the revision to watch from; `None` while there is no configuration.
+async fn read_configuration(node: &Node) -> Result<Option<u64>, StoreError> {
+    let item = node.store.get(CONFIGURATION_KEY).await?;
+    let Some(item) = item else {
+        node.timer.after(AGAIN_MS).await;
+        return Ok(None);
+    };
+    take_configuration(node, &item.value);
+    node.configuration_checked();
+    Ok(Some(item.revision))
+}
+
+async fn watch_configuration(node: &Node, revision: u64) -> Result<Option<u64>, StoreError> {
+    let watched = node
+        .store
+        .watch(CONFIGURATION_KEY, revision, WATCH_WAIT_MS)
+        .await?;
+    match watched {
+        Watched::HistoryGone => Ok(None),
+        Watched::Changes { events, revision } => {
+            for event in events {
+                if let StoreEvent::Put(item) = event
+                    && item.key == CONFIGURATION_KEY
+                {
+                    take_configuration(node, &item.value);
+                }
+            }
+            node.configuration_checked();
+            Ok(Some(revision))
+        }
+    }
+}
+
+fn take_configuration(node: &Node, value: &[u8]) {
+    match decode_configuration(value) {
+        Ok(configuration) => node.configure(configuration),
+        Err(error) => events::log(
+            events::RECORD_UNREADABLE,
+            format_args!("{CONFIGURATION_KEY}: {error}"),
+        ),
+    }
+}
+
+/// Keeps this daemon listed, and reads who else is.
+pub async fn members(node: Rc<Node>) {
+    let mut lease = 0;
+    loop {
+        let listed = list_members(&node, &mut lease).await;
+        if listed.is_err() {
+            metrics::counter!("fuchsiaslip_retries_total", "reason" => "members_unread")
+                .increment(1);
+        }
+        let wait_ms = if listed.is_ok() { MEMBERS_MS } else { AGAIN_MS };
+        node.timer.after(wait_ms).await;
+    }
+}
+
+async fn list_members(node: &Rc<Node>, lease: &mut u64) -> Result<(), StoreError> {
+    if *lease != 0 && !node.store.keep_lease(*lease).await? {
+        *lease = 0;
+    }
+    if *lease == 0 {
+        let granted = node.store.grant_lease(MEMBER_TTL_MS).await?;
+        let record = MemberRecord {
+            address: node.settings.peer_address.to_string(),
+        };
+        let key = member_key(&node.settings.daemon);
+        let transaction = Transaction {
+            puts: vec![(key, encode(&record))],
+            lease: granted,
+            ..Transaction::default()
+        };
+        node.store.commit(&transaction).await?;
+        *lease = granted;
+    }
+    let members = node.store.range(MEMBERS_PREFIX, true).await?;
+    let mut names = Vec::new();
+    for item in &members.items {
+        let name = item.key.strip_prefix(MEMBERS_PREFIX).unwrap_or_default();
+        let record: Option<MemberRecord> = decode(&item.key, &item.value);
+        let address = record.and_then(|record| record.address.parse().ok());
+        let Some(address) = address.filter(|_| name != node.settings.daemon) else {
+            continue;
+        };
+        names.push(name.to_owned());
+        node.note_peer(
+            name,
+            Peer {
+                address,
+                boot: 0,
+                heard_ms: 0,
+                has_store: true,
+                storeless_since_ms: None,
+                draining: false,
+                strength: 0,
+                listed: true,
+            },
+        );
+    }
+    node.keep_listed(&names);
+    if node.owner().is_none() {
+        let root = node.store.get(ROOT_KEY).await?;
+        let root = root.and_then(|item| decode(ROOT_KEY, &item.value));
+        learn_root(node, &root.unwrap_or_default());
+    }
+    Ok(())
+}
+
+/// Learns of the owner that the root names; whether it was news.
+pub fn learn_root(node: &Node, root: &RootRecord) -> bool {
+    let known = node.owner().map_or(0, |owner| owner.epoch);
+    let Some(address) = root.address.parse().ok().filter(|_| root.epoch > known) else {
+        return false;
+    };
+    node.learn_owner(KnownOwner {
+        epoch: root.epoch,
+        name: root.owner.clone(),
+        address,
+        boot: root.boot,
+        since_ms: node.now_ms(),
+    });
+    true
+}
+
+/// Follows accepted and cancelled jobs, for as long as this daemon owns: what
+/// daemons told of them directly may be lost.
+pub async fn jobs(node: Rc<Node>, epoch: u64, from: u64) {
+    let mut revision = from;
+    while node.epoch() == epoch {
+        let watched = node.store.watch(JOBS_PREFIX, revision, WATCH_WAIT_MS).await;
+        let events = match watched {
+            Ok(Watched::Changes {
+                events,
+                revision: next,
+            }) => {
+                revision = next;
+                events
+            }
+            Ok(Watched::HistoryGone) => match node.store.range(JOBS_PREFIX, false).await {
+                Ok(range) => {
+                    revision = range.revision;
+                    range.items.into_iter().map(StoreEvent::Put).collect()
+                }
+                Err(_) => Vec::new(),
+            },
+            Err(_) => {
+                node.timer.after(AGAIN_MS).await;
+                Vec::new()
+            }
+        };
+        for event in events {
+            if let StoreEvent::Put(item) = event {
+                take_job_value(&node, epoch, &item.key, &item.value);
+            }
+        }
+    }
+}
+
+/// Tells the scheduler of a value under the jobs' prefix.
+fn take_job_value(node: &Node, epoch: u64, key: &str, value: &[u8]) {
+    match read_job_key(key) {
+        Some(JobKeyKind::Job(id)) => {
+            if let Some(record) = decode(key, value) {
+                let input = Input::Job {
+                    id,
+                    record: Arc::new(record),
+                    progress: None,
+                };
+                node.control.take(epoch, input);
+            }
+        }
+        Some(JobKeyKind::Cancelled(id)) => node.control.take(epoch, Input::Cancelled(id)),
+        None => {}
+    }
+}
+
+/// Follows the workers' registrations, for as long as this daemon owns.
+pub async fn workers(node: Rc<Node>, epoch: u64, range: Range) {
+    let mut revision = range.revision;
+    let mut known: BTreeSet<String> = range.items.into_iter().map(|item| item.key).collect();
+    while node.epoch() == epoch {
+        let watched = node
+            .store
+            .watch(WORKERS_PREFIX, revision, WATCH_WAIT_MS)
+            .await;
+        match watched {
+            Ok(Watched::Changes {
+                events,
+                revision: next,
+            }) => {
+                revision = next;
+                for event in events {
+                    take_worker_event(&node, epoch, event, &mut known);
+                }
+            }
+            Ok(Watched::HistoryGone) => {
+                if let Ok(range) = node.store.range(WORKERS_PREFIX, false).await {
+                    revision = range.revision;
+                    relist(&node, epoch, &range, &mut known);
+                }
+            }
+            Err(_) => {
+                node.timer.after(AGAIN_MS).await;
+            }
+        }
+    }
+}
+
+fn take_worker_event(node: &Node, epoch: u64, event: StoreEvent, known: &mut BTreeSet<String>) {
+    match event {
+        StoreEvent::Put(item) => {
+            if let Some(input) = worker_input(&item.key, &item.value) {
+                node.control.take(epoch, input);
+            }
+            known.insert(item.key);
+        }
+        StoreEvent::Removed { key } => {
+            known.remove(&key);
+            unlist(node, epoch, &key);
+        }
+    }
+}
+
+fn relist(node: &Node, epoch: u64, range: &Range, known: &mut BTreeSet<String>) {
+    for input in worker_inputs(range) {
+        node.control.take(epoch, input);
+    }
+    let listed: BTreeSet<String> = range.items.iter().map(|item| item.key.clone()).collect();
+    for key in known.difference(&listed) {
+        unlist(node, epoch, key);
+    }
+    *known = listed;
+}
+
+fn unlist(node: &Node, epoch: u64, key: &str) {
+    if let Some(incarnation) = key.strip_prefix(WORKERS_PREFIX) {
+        let input = Input::WorkerUnlisted(incarnation.to_owned());
+        node.control.take(epoch, input);
+    }
+}
--- /dev/null
+++ b/src/cluster/heartbeat.rs
@@ -0,0 +1,138 @@
+//! Heartbeats between daemons, and the decision to take over.
+
+use super::election::takeover_at_ms;
+use super::node::{
+    KnownOwner,
+    Node,
+    Peer, //
+};
+use super::ownership;
+use super::peer_frame::{
+    Beat,
+    PeerBody, //
+};
+use crate::scheduler::ClusterConfiguration;
+use prost::Message;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// Time between heartbeats of a small fleet.
+const BEAT_MS: u64 = 250;
+/// Added for each daemon that is told, so that a large fleet does not spend
+/// its small processors on heartbeats; an owner keeps the short time.
+const BEAT_PER_PEER_MS: u64 = 12;
+/// How often a daemon asks itself whether to take over.
+const ELECTION_MS: u64 = 50;
+/// Largest datagram that is read.
+const MAX_BEAT_BYTES: usize = 1_200;
+/// Bound on asking a peer for a newer configuration.
+const CONFIGURATION_LIMIT_MS: u64 = 600;
+/// Wait after a takeover that failed.
+const FAILED_TAKEOVER_MS: u64 = 200;
+
+/// Sends heartbeats to all others.
+pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    loop {
+        let others = node.others();
+        let beat = Beat {
+            daemon: node.settings.daemon.clone(),
+            boot: node.boot,
+            port: u32::from(node.settings.peer_address.port()),
+            epoch: node.epoch(),
+            has_store: node.has_store(),
+            draining: node.is_draining(),
+            configuration_version: node.configuration().version,
+            strength: node.settings.strength,
+        }
+        .encode_to_vec();
+        for (_, peer) in &others {
+            // A datagram may be lost; the next one follows.
+            if let Err(error) = socket.send_to(&beat, peer.address).await {
+                log::debug!("a heartbeat was not sent: {error}");
+            }
+        }
+        let gap_ms = match node.owns() {
+            true => BEAT_MS,
+            false => BEAT_MS.max(others.len() as u64 * BEAT_PER_PEER_MS),
+        };
+        node.timer.after(gap_ms).await;
+    }
+}
+
+/// Takes heartbeats in.
+pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_BEAT_BYTES];
+    loop {
+        let received = socket.recv_from(&mut buffer).await;
+        let Ok((length, from)) = received else {
+            // As when an earlier datagram found no listener.
+            node.timer.after(1).await;
+            continue;
+        };
+        match Beat::decode(&buffer[..length]) {
+            Ok(beat) => take_beat(&node, beat, from),
+            Err(_) => metrics::counter!("fuchsiaslip_beats_unread_total").increment(1),
+        }
+    }
+}
+
+fn take_beat(node: &Rc<Node>, beat: Beat, from: SocketAddr) {
+    let now_ms = node.now_ms();
+    let address = SocketAddr::new(from.ip(), beat.port as u16);
+    let peer = Peer {
+        address,
+        boot: beat.boot,
+        heard_ms: now_ms,
+        has_store: beat.has_store,
+        storeless_since_ms: (!beat.has_store).then_some(now_ms),
+        draining: beat.draining,
+        strength: beat.strength,
+        listed: false,
+    };
+    node.note_peer(&beat.daemon, peer);
+    if beat.epoch > 0 {
+        node.learn_owner(KnownOwner {
+            epoch: beat.epoch,
+            name: beat.daemon,
+            address,
+            boot: beat.boot,
+            since_ms: now_ms,
+        });
+    }
+    let version = node.configuration().version;
+    if beat.configuration_version > version {
+        actix_rt::spawn(fetch_configuration(node.clone(), address, version));
+    }
+}
+
+/// Asks a peer for its newer configuration: a daemon that the store refuses
+/// learns of it this way.
+async fn fetch_configuration(node: Rc<Node>, address: SocketAddr, version: u64) {
+    let question = PeerBody::ConfigurationAbove(version);
+    let answer = node.peers.ask(address, question, CONFIGURATION_LIMIT_MS);
+    if let Some(PeerBody::Configuration(bytes)) = answer.await {
+        match serde_json::from_slice::<ClusterConfiguration>(&bytes) {
+            Ok(configuration) => node.configure(configuration),
+            Err(error) => log::debug!("a peer's configuration does not read: {error}"),
+        }
+    }
+}
+
+/// Takes over when that is due.
+pub async fn elect(node: Rc<Node>) {
+    loop {
+        node.timer.after(ELECTION_MS).await;
+        if node.owns() || node.is_draining() {
+            continue;
+        }
+        let due_ms = takeover_at_ms(&node.election_view());
+        if due_ms.is_some_and(|due_ms| node.now_ms() >= due_ms) {
+            if let Err(error) = ownership::take_over(&node).await {
+                metrics::counter!("fuchsiaslip_takeovers_failed_total").increment(1);
+                log::debug!("the takeover failed: {error}");
+                node.timer.after(FAILED_TAKEOVER_MS).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cluster/ledger.rs
@@ -0,0 +1,241 @@
+//! Storing what the scheduler notes.
+//!
+//! Every value has one writer, the owner, and each write is conditional on the
+//! root's revision and on the value's own last revision. A transaction whose
+//! answer was lost and that is carried out seconds later therefore fails: either
+//! the root has moved to another owner, or the value to a newer revision. Many
+//! changes share one transaction, so calls grow with time, not with tasks.
+
+use super::node::Node;
+use super::records::{
+    ROOT_KEY,
+    ROSTER_KEY,
+    RosterRow,
+    encode,
+    job_key,
+    progress_key, //
+};
+use super::services::{
+    Committed,
+    MAX_TRANSACTION_ENTRIES,
+    StoreError,
+    StoredItem,
+    Transaction, //
+};
+use crate::core::{
+    JobId,
+    WorkerKey, //
+};
+use crate::scheduler::{
+    Input,
+    ProgressRecord, //
+};
+use bytes::Bytes;
+use std::cell::RefCell;
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Time for changes to gather: 40 commits a second at most, a tenth of what
+/// the store takes; ends wait this long beside run times of seconds.
+const GATHER_MS: u64 = 20;
+/// Wait after a refused or unanswered commit.
+const RETRY_MS: u64 = 120;
+/// Values in one transaction: each needs an expectation and a put, the root an
+/// expectation more.
+const MAX_VALUES: usize = MAX_TRANSACTION_ENTRIES / 2 - 1;
+
+#[derive(Default)]
+struct Pending {
+    progress: BTreeMap<JobId, (u64, ProgressRecord)>,
+    roster: Option<Vec<(WorkerKey, String, String)>>,
+    forgotten: Vec<JobId>,
+    revisions: HashMap<String, u64>,
+}
+
+/// What waits to be stored.
+#[derive(Default)]
+pub struct Ledger {
+    pending: RefCell<Pending>,
+    added: Notify,
+}
+
+/// What one transaction carries.
+struct Batch {
+    transaction: Transaction,
+    progress: Vec<(JobId, u64)>,
+    roster: Option<Vec<WorkerKey>>,
+    forgotten: Vec<JobId>,
+}
+
+impl Ledger {
+    /// Forgets everything: another daemon owns.
+    pub fn clear(&self) {
+        *self.pending.borrow_mut() = Pending::default();
+        self.added.notify_one();
+    }
+
+    /// Notes at which revision a value was read.
+    pub fn note_revision(&self, key: &str, revision: u64) {
+        let mut pending = self.pending.borrow_mut();
+        pending.revisions.insert(key.to_owned(), revision);
+    }
+
+    /// Adds what a decision asks to have stored.
+    pub fn add(
+        &self,
+        records: Vec<(JobId, u64, ProgressRecord)>,
+        roster: Option<Vec<(WorkerKey, String, String)>>,
+        forgotten: Vec<JobId>,
+    ) {
+        if records.is_empty() && roster.is_none() && forgotten.is_empty() {
+            return;
+        }
+        let mut pending = self.pending.borrow_mut();
+        for (job, change, record) in records {
+            pending.progress.insert(job, (change, record));
+        }
+        pending.roster = roster.or(pending.roster.take());
+        pending.forgotten.extend(forgotten);
+        self.added.notify_one();
+    }
+
+    fn batch(&self, root_revision: u64) -> Option<Batch> {
+        let pending = self.pending.borrow();
+        let mut batch = Batch {
+            transaction: Transaction::default(),
+            progress: Vec::new(),
+            roster: None,
+            forgotten: Vec::new(),
+        };
+        batch
+            .transaction
+            .expected
+            .push((ROOT_KEY.to_owned(), root_revision));
+        let mut put = |key: String, value: Bytes| {
+            let revision = pending.revisions.get(&key).copied().unwrap_or(0);
+            batch.transaction.expected.push((key.clone(), revision));
+            batch.transaction.puts.push((key, value));
+        };
+        if let Some(roster) = &pending.roster {
+            let rows: Vec<RosterRow> = roster
+                .iter()
+                .map(|(_, incarnation, address)| RosterRow {
+                    incarnation: incarnation.clone(),
+                    address: address.clone(),
+                })
+                .collect();
+            put(ROSTER_KEY.to_owned(), encode(&rows));
+            batch.roster = Some(roster.iter().map(|(key, _, _)| *key).collect());
+        }
+        let room = MAX_VALUES - usize::from(batch.roster.is_some());
+        for (&job, (change, record)) in pending.progress.iter().take(room) {
+            put(progress_key(job), encode(record));
+            batch.progress.push((job, *change));
+        }
+        if batch.transaction.puts.is_empty() {
+            // Only when there is time: nobody waits for what is forgotten.
+            const REMOVED_KEYS: usize = 3;
+            for &job in pending.forgotten.iter().take(MAX_VALUES / REMOVED_KEYS) {
+                batch.forgotten.push(job);
+                let keys = [job_key(job), progress_key(job)];
+                batch.transaction.removed.extend(keys);
+                batch
+                    .transaction
+                    .removed
+                    .push(super::records::cancelled_key(job));
+            }
+        }
+        let empty = batch.transaction.puts.is_empty() && batch.forgotten.is_empty();
+        (!empty).then_some(batch)
+    }
+
+    /// What the batch carried is stored.
+    fn committed(&self, batch: &Batch, revision: u64) {
+        let mut pending = self.pending.borrow_mut();
+        for (key, _) in &batch.transaction.puts {
+            pending.revisions.insert(key.clone(), revision);
+        }
+        for (job, change) in &batch.progress {
+            let newest = pending.progress.get(job).map(|(change, _)| *change);
+            if newest == Some(*change) {
+                pending.progress.remove(job);
+            }
+        }
+        if let Some(stored) = &batch.roster {
+            let newest = pending.roster.as_ref().map(Vec::len);
+            if newest == Some(stored.len()) {
+                pending.roster = None;
+            }
+        }
+        pending
+            .forgotten
+            .retain(|job| !batch.forgotten.contains(job));
+    }
+
+    /// Takes the revisions over that a refused commit showed. Returns whether
+    /// the root is still as expected.
+    fn conflicted(&self, batch: &Batch, items: &[StoredItem], root_revision: u64) -> bool {
+        let mut pending = self.pending.borrow_mut();
+        let now = |key: &str| {
+            let item = items.iter().find(|item| item.key == key);
+            item.map_or(0, |item| item.revision)
+        };
+        for (key, _) in &batch.transaction.expected {
+            pending.revisions.insert(key.clone(), now(key));
+        }
+        now(ROOT_KEY) == root_revision
+    }
+}
+
+/// Commits what waits, for as long as this daemon owns under `epoch`.
+pub async fn run(node: Rc<Node>, epoch: u64) {
+    while node.epoch() == epoch {
+        let Some(batch) = node.ledger.batch(node.root_revision()) else {
+            node.ledger.added.notified().await;
+            node.timer.after(GATHER_MS).await;
+            continue;
+        };
+        let sent_ms = node.now_ms();
+        let outcome = node.store.commit(&batch.transaction).await;
+        if node.epoch() != epoch {
+            return;
+        }
+        node.store_went(outcome.is_ok());
+        let took_ms = (node.now_ms() - sent_ms) as f64;
+        metrics::histogram!("fuchsiaslip_commit_ms").record(took_ms);
+        match outcome {
+            Ok(Committed::Done { revision }) => {
+                node.ledger.committed(&batch, revision);
+                node.control.take(epoch, Input::Confirmed(sent_ms));
+                for (job, change) in batch.progress {
+                    node.control.take(epoch, Input::Stored { job, change });
+                }
+                if let Some(workers) = batch.roster {
+                    node.control.take(epoch, Input::RosterStored(workers));
+                }
+                node.timer.after(GATHER_MS).await;
+            }
+            Ok(Committed::Conflict(items)) => {
+                if !node.ledger.conflicted(&batch, &items, node.root_revision()) {
+                    node.stop_owning();
+                    return;
+                }
+                metrics::counter!("fuchsiaslip_retries_total", "reason" => "commit_conflict")
+                    .increment(1);
+            }
+            Ok(Committed::LeaseOver) => {}
+            Err(error) => {
+                let reason = match error {
+                    StoreError::Refused => "store_refused",
+                    StoreError::NoAnswer => "store_silent",
+                };
+                metrics::counter!("fuchsiaslip_retries_total", "reason" => reason).increment(1);
+                node.timer.after(RETRY_MS).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cluster/log_lines.rs
@@ -0,0 +1,255 @@
+//! Log lines as JSON objects, one a decision, bounded and never blocking.
+
+use crate::scheduler::Decision;
+use log4rs::append::Append;
+use serde_json::{
+    Map,
+    Value,
+    json, //
+};
+use std::io::Write;
+use std::sync::Mutex;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+use std::sync::mpsc::{
+    SyncSender,
+    sync_channel, //
+};
+use std::time::Instant;
+
+/// Lines that wait for a slow reader; more are dropped and counted.
+const MAX_WAITING_LINES: usize = 2_048;
+/// Lines a second over time. A line costs some 20 us of a processor that has a
+/// quarter of a core, so this is about 1% of it.
+const LINES_PER_S: f64 = 150.0;
+/// Lines at once.
+const BURST_LINES: f64 = 600.0;
+
+/// Writes lines through a thread of its own, within a budget.
+#[derive(Debug)]
+pub struct BoundedLines {
+    lines: SyncSender<Vec<u8>>,
+    budget: Mutex<Budget>,
+    dropped: AtomicU64,
+}
+
+#[derive(Debug)]
+struct Budget {
+    left: f64,
+    at: Instant,
+}
+
+impl Budget {
+    /// Takes a line from the budget.
+    fn take(&mut self, now: Instant) -> bool {
+        let elapsed_s = now.duration_since(self.at).as_secs_f64();
+        self.left = (self.left + elapsed_s * LINES_PER_S).min(BURST_LINES);
+        self.at = now;
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+}
+
+impl BoundedLines {
+    /// Starts the writing thread.
+    ///
+    /// # Errors
+    ///
+    /// The thread cannot be started.
+    pub fn spawn() -> std::io::Result<Self> {
+        let (lines, received) = sync_channel::<Vec<u8>>(MAX_WAITING_LINES);
+        std::thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || {
+                let mut output = std::io::stdout();
+                for line in received {
+                    // A reader that is gone wants no lines.
+                    if output.write_all(&line).is_err() {
+                        return;
+                    }
+                }
+            })?;
+        Ok(Self {
+            lines,
+            budget: Mutex::new(Budget {
+                left: BURST_LINES,
+                at: Instant::now(),
+            }),
+            dropped: AtomicU64::new(0),
+        })
+    }
+
+    fn drop_line(&self) {
+        self.dropped.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("fuchsiaslip_log_lines_dropped_total").increment(1);
+    }
+}
+
+impl Append for BoundedLines {
+    fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
+        let important = record.level() <= log::Level::Warn;
+        let within = match self.budget.lock() {
+            Ok(mut budget) => budget.take(Instant::now()),
+            Err(_) => false,
+        };
+        if !within && !important {
+            self.drop_line();
+            return Ok(());
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        let text = record.args().to_string();
+        let mut line = if text.starts_with('{') {
+            text
+        } else {
+            json!({ "level": record.level().as_str(), "message": text }).to_string()
+        };
+        if dropped > 0 {
+            line = format!("{{\"dropped_lines\":{dropped}}}\n{line}");
+        }
+        line.push('\n');
+        if self.lines.try_send(line.into_bytes()).is_err() {
+            self.drop_line();
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+/// What is logged of a client's request.
+pub struct RequestLine<'a> {
+    /// Its method.
+    pub method: &'a str,
+    /// Its path, which ends with the job's name.
+    pub path: &'a str,
+    /// The answer.
+    pub status: u16,
+    /// Why.
+    pub reason: &'static str,
+    /// How long it took.
+    pub took_ms: u64,
+    /// Version of the configuration that decided.
+    pub configuration_version: u64,
+    /// Epoch of the owner that is known.
+    pub epoch: u64,
+    /// Whether the store answers.
+    pub has_store: bool,
+}
+
+/// Logs and counts a request's answer. Questions for states that were answered
+/// are only counted: they are most of the requests and decide nothing.
+pub fn request(line: &RequestLine<'_>) {
+    let labels = [
+        ("method", line.method.to_owned()),
+        ("status", line.status.to_string()),
+        ("reason", line.reason.to_owned()),
+    ];
+    metrics::counter!("fuchsiaslip_requests_total", &labels).increment(1);
+    metrics::histogram!("fuchsiaslip_request_ms").record(line.took_ms as f64);
+    if line.method == "GET" && line.reason == "done" {
+        return;
+    }
+    let job = line.path.rsplit('/').next().unwrap_or_default();
+    emit(
+        crate::events::REQUEST_ANSWERED,
+        json!({
+            "job": job, "method": line.method, "status": line.status, "reason": line.reason,
+            "took_ms": line.took_ms, "configuration_version": line.configuration_version,
+            "epoch": line.epoch, "has_store": line.has_store,
+        }),
+    );
+}
+
+/// Logs and counts a decision of the scheduler.
+pub fn decision(epoch: u64, decision: &Decision) {
+    use crate::events;
+    let (event, kind, reason, mut fields) = match decision {
+        Decision::Placed {
+            name,
+            worker,
+            view_age_ms,
+        } => (
+            events::TASK_PLACED,
+            "placed",
+            "room",
+            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker, "view_age_ms": view_age_ms }),
+        ),
+        Decision::Stopped {
+            name,
+            worker,
+            reason,
+        } => (
+            events::TASK_STOPPED,
+            "stopped",
+            reason.name(),
+            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker }),
+        ),
+        Decision::Ended { name, worker, kind } => (
+            events::TASK_ENDED,
+            "ended",
+            *kind,
+            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker }),
+        ),
+        Decision::Retried {
+            name,
+            worker,
+            reason,
+        } => (
+            events::TASK_RETRIED,
+            "retried",
+            *reason,
+            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker }),
+        ),
+        Decision::JobEnded { job, state } => (
+            events::JOB_ENDED,
+            "job_ended",
+            *state,
+            json!({ "job": job.to_string() }),
+        ),
+        Decision::Quarantined {
+            worker,
+            for_ms,
+            reason,
+        } => (
+            events::WORKER_QUARANTINED,
+            "quarantined",
+            *reason,
+            json!({ "worker": &**worker, "for_ms": for_ms }),
+        ),
+        Decision::WorkerLost {
+            worker,
+            runs,
+            reason,
+        } => (
+            events::WORKER_LOST,
+            "worker_lost",
+            *reason,
+            json!({ "worker": &**worker, "runs": runs }),
+        ),
+    };
+    metrics::counter!("fuchsiaslip_decisions_total", "kind" => kind, "reason" => reason)
+        .increment(1);
+    if let Value::Object(fields) = &mut fields {
+        fields.insert("epoch".to_owned(), epoch.into());
+        fields.insert("reason".to_owned(), reason.into());
+    }
+    emit(event, fields);
+}
+
+fn emit(event: crate::events::LogEvent, fields: Value) {
+    if !log::log_enabled!(event.level) {
+        return;
+    }
+    let mut line = Map::new();
+    line.insert("event".to_owned(), event.number.into());
+    line.insert("what".to_owned(), event.meaning.into());
+    if let Value::Object(fields) = fields {
+        line.extend(fields);
+    }
+    log::log!(event.level, "{}", Value::Object(line));
+}
--- /dev/null
+++ b/src/cluster/mod.rs
@@ -0,0 +1,48 @@
+//! A daemon on an operator's platform: every daemon takes clients' requests,
+//! and one of them owns the fleet's scheduling by an epoch in the store.
+
+mod calls;
+mod control;
+mod daemon;
+mod election;
+mod entry;
+mod follow;
+mod heartbeat;
+mod ledger;
+mod log_lines;
+mod node;
+mod ownership;
+mod peer_frame;
+mod peers;
+mod records;
+mod services;
+mod settings;
+mod submit;
+
+pub use control::{
+    Command,
+    Control,
+    Output, //
+};
+pub use daemon::{
+    ClusterDaemon,
+    Error,
+    run, //
+};
+pub use election::{
+    Candidate,
+    ElectionView,
+    OwnerSign,
+    takeover_at_ms, //
+};
+pub use services::{
+    Committed,
+    MAX_TRANSACTION_ENTRIES,
+    Range,
+    StoreError,
+    StoreEvent,
+    StoredItem,
+    Transaction,
+    Watched, //
+};
+pub use settings::ClusterSettings;
--- /dev/null
+++ b/src/cluster/node.rs
@@ -0,0 +1,366 @@
+//! What the parts of a daemon share on its traffic thread.
+
+use super::control::{
+    Command,
+    Control, //
+};
+use super::election::{
+    Candidate,
+    ElectionView,
+    OwnerSign, //
+};
+use super::ledger::Ledger;
+use super::peers::Peers;
+use super::settings::ClusterSettings;
+use crate::events;
+use crate::platform::{
+    StoreClient,
+    WorkerClient, //
+};
+use crate::scheduler::{
+    ClusterConfiguration,
+    Input, //
+};
+use crate::timer::Timer;
+use std::cell::{
+    Cell,
+    RefCell, //
+};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::Notify;
+
+/// A peer that was heard this lately is there.
+const HEARD_MS: u64 = 1_200;
+/// A store that failed for this long is said to be lost.
+const STORE_LOST_MS: u64 = 400;
+/// A configuration that nobody confirmed for this long may be out of date.
+const CONFIGURATION_DOUBT_MS: u64 = 2_500;
+
+/// Another daemon, as its heartbeats show it.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Where it is called.
+    pub address: SocketAddr,
+    /// The life of its process.
+    pub boot: u64,
+    /// When it was last heard; 0 if only listed.
+    pub heard_ms: u64,
+    /// It reaches the store.
+    pub has_store: bool,
+    /// Since when it says that it does not.
+    pub storeless_since_ms: Option<u64>,
+    /// It is ending.
+    pub draining: bool,
+    /// Milli-cores of its VM.
+    pub strength: u64,
+    /// The store lists it.
+    pub listed: bool,
+}
+
+/// The owner, as far as known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KnownOwner {
+    /// Its epoch.
+    pub epoch: u64,
+    /// Its name.
+    pub name: String,
+    /// Where it is called.
+    pub address: SocketAddr,
+    /// The life of its process.
+    pub boot: u64,
+    /// When this daemon learned of it.
+    pub since_ms: u64,
+}
+
+/// What the parts of a daemon share.
+pub struct Node {
+    /// Settings.
+    pub settings: ClusterSettings,
+    /// The clock.
+    pub timer: Timer,
+    /// The store.
+    pub store: StoreClient,
+    /// The workers.
+    pub workers: WorkerClient,
+    /// The control thread.
+    pub control: Control,
+    /// Connections to other daemons.
+    pub peers: Peers,
+    /// What the owner stores.
+    pub ledger: Ledger,
+    /// The life of this process.
+    pub boot: u64,
+    /// When it started.
+    pub started_ms: u64,
+    /// Requests being answered.
+    pub requests: Cell<usize>,
+    /// Woken when the owner changes.
+    pub owner_changed: Notify,
+    configuration: RefCell<Arc<ClusterConfiguration>>,
+    configuration_checked_ms: Cell<u64>,
+    others: RefCell<BTreeMap<String, Peer>>,
+    owner: RefCell<Option<KnownOwner>>,
+    epoch: Cell<u64>,
+    root_revision: Cell<u64>,
+    store_failed_since_ms: Cell<Option<u64>>,
+    draining: Cell<bool>,
+}
+
+impl Node {
+    /// Puts the parts together.
+    pub fn open(
+        settings: ClusterSettings,
+        timer: Timer,
+        store: StoreClient,
+        workers: WorkerClient,
+        control: Control,
+        boot: u64,
+    ) -> Rc<Self> {
+        let started_ms = timer.now_ms();
+        Rc::new(Self {
+            peers: Peers::open(timer.clone()),
+            ledger: Ledger::default(),
+            settings,
+            store,
+            workers,
+            control,
+            boot,
+            started_ms,
+            requests: Cell::new(0),
+            owner_changed: Notify::new(),
+            configuration: RefCell::default(),
+            configuration_checked_ms: Cell::new(0),
+            others: RefCell::default(),
+            owner: RefCell::default(),
+            epoch: Cell::new(0),
+            root_revision: Cell::new(0),
+            store_failed_since_ms: Cell::new(None),
+            draining: Cell::new(false),
+            timer,
+        })
+    }
+
+    /// Milliseconds since the Unix epoch.
+    pub fn now_ms(&self) -> u64 {
+        self.timer.now_ms()
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Arc<ClusterConfiguration> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Brings a newer version into force; an older one changes nothing.
+    pub fn configure(&self, configuration: ClusterConfiguration) {
+        if configuration.version <= self.configuration.borrow().version {
+            return;
+        }
+        events::log(
+            events::CONFIGURATION_IN_FORCE,
+            format_args!("version {}", configuration.version),
+        );
+        let configuration = Arc::new(configuration);
+        *self.configuration.borrow_mut() = configuration.clone();
+        if self.owns() {
+            self.control
+                .take(self.epoch(), Input::Configure(configuration));
+        }
+    }
+
+    /// The configuration was just found to be the newest.
+    pub fn configuration_checked(&self) {
+        self.configuration_checked_ms.set(self.now_ms());
+    }
+
+    /// Whether the balancer may send new connections.
+    pub fn is_ready(&self) -> bool {
+        let fresh = self.now_ms() < self.configuration_checked_ms.get() + CONFIGURATION_DOUBT_MS;
+        let confirmed = fresh || self.fit_peer().is_some();
+        self.configuration.borrow().version > 0 && confirmed && !self.draining.get()
+    }
+
+    /// Notes how a call to the store went.
+    pub fn store_went(&self, well: bool) {
+        match (well, self.store_failed_since_ms.get()) {
+            (true, Some(since_ms)) => {
+                let for_ms = self.now_ms() - since_ms;
+                events::log(events::STORE_BACK, format_args!("after {for_ms} ms"));
+                self.store_failed_since_ms.set(None);
+            }
+            (false, None) => {
+                events::log(events::STORE_SILENT, format_args!("calls fail"));
+                self.store_failed_since_ms.set(Some(self.now_ms()));
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the store answers this daemon.
+    pub fn has_store(&self) -> bool {
+        let since_ms = self.store_failed_since_ms.get();
+        since_ms.is_none_or(|since_ms| self.now_ms() < since_ms + STORE_LOST_MS)
+    }
+
+    /// Begins to drain.
+    pub fn drain(&self) {
+        self.draining.set(true);
+    }
+
+    /// Whether this daemon is ending.
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// The epoch under which this daemon owns; 0 for none.
+    pub fn epoch(&self) -> u64 {
+        self.epoch.get()
+    }
+
+    /// Whether this daemon owns.
+    pub fn owns(&self) -> bool {
+        self.epoch() > 0
+    }
+
+    /// The revision of the root since which this daemon owns.
+    pub fn root_revision(&self) -> u64 {
+        self.root_revision.get()
+    }
+
+    /// Begins to own.
+    pub fn begin_owning(&self, epoch: u64, root_revision: u64) {
+        self.epoch.set(epoch);
+        self.root_revision.set(root_revision);
+        self.learn_owner(KnownOwner {
+            epoch,
+            name: self.settings.daemon.clone(),
+            address: self.settings.peer_address,
+            boot: self.boot,
+            since_ms: self.now_ms(),
+        });
+    }
+
+    /// Owns no longer: another daemon has the epoch.
+    pub fn stop_owning(&self) {
+        if self.owns() {
+            events::log(events::OWNER_FENCED, format_args!("epoch {}", self.epoch()));
+            metrics::counter!("fuchsiaslip_deposed_total").increment(1);
+            self.epoch.set(0);
+            self.ledger.clear();
+            self.control.send(Command::End);
+        }
+    }
+
+    /// Learns of an owner; one of an older epoch is passed over.
+    pub fn learn_owner(&self, owner: KnownOwner) {
+        let known = self.owner.borrow().as_ref().map_or(0, |known| known.epoch);
+        if owner.epoch <= known {
+            return;
+        }
+        if self.owns() && owner.epoch > self.epoch() {
+            self.stop_owning();
+        }
+        *self.owner.borrow_mut() = Some(owner);
+        self.owner_changed.notify_waiters();
+    }
+
+    /// The owner, if another daemon is it.
+    pub fn owner(&self) -> Option<KnownOwner> {
+        self.owner.borrow().clone()
+    }
+
+    /// Notes a heartbeat, or a listing with `heard_ms` 0.
+    pub fn note_peer(&self, name: &str, peer: Peer) {
+        let mut others = self.others.borrow_mut();
+        let known = others.get(name).cloned();
+        let merged = match known {
+            Some(known) if peer.heard_ms == 0 => Peer {
+                listed: true,
+                address: if known.heard_ms > 0 {
+                    known.address
+                } else {
+                    peer.address
+                },
+                ..known
+            },
+            Some(known) => Peer {
+                listed: known.listed,
+                storeless_since_ms: match peer.has_store {
+                    true => None,
+                    false => known.storeless_since_ms.or(Some(peer.heard_ms)),
+                },
+                ..peer
+            },
+            None => peer,
+        };
+        others.insert(name.to_owned(), merged);
+    }
+
+    /// Keeps only the peers that are listed now, or that were heard lately.
+    pub fn keep_listed(&self, listed: &[String]) {
+        let now_ms = self.now_ms();
+        self.others.borrow_mut().retain(|name, peer| {
+            peer.listed = listed.contains(name);
+            peer.listed || now_ms < peer.heard_ms + HEARD_MS
+        });
+    }
+
+    /// The other daemons, heard or listed.
+    pub fn others(&self) -> Vec<(String, Peer)> {
+        let others = self.others.borrow();
+        let all = others.iter();
+        all.map(|(name, peer)| (name.clone(), peer.clone()))
+            .collect()
+    }
+
+    /// A peer that is there and reaches the store: the owner first.
+    pub fn fit_peer(&self) -> Option<SocketAddr> {
+        let now_ms = self.now_ms();
+        let owner = self.owner();
+        let others = self.others.borrow();
+        let fit = others
+            .values()
+            .filter(|peer| now_ms < peer.heard_ms + HEARD_MS && peer.has_store && !peer.draining);
+        let addresses: Vec<SocketAddr> = fit.map(|peer| peer.address).collect();
+        let owner = owner.map(|owner| owner.address);
+        let own = addresses.iter().find(|address| Some(**address) == owner);
+        own.or(addresses.first()).copied()
+    }
+
+    /// What this daemon knows for the question whether to take over.
+    pub fn election_view(&self) -> ElectionView {
+        let now_ms = self.now_ms();
+        let others = self.others.borrow();
+        let is_heard = |peer: &Peer| now_ms < peer.heard_ms + HEARD_MS;
+        let heard = others.iter().filter(|(_, peer)| is_heard(peer));
+        let owner = self.owner().map(|owner| {
+            let peer = others.get(&owner.name);
+            let peer = peer.filter(|peer| peer.boot == owner.boot);
+            OwnerSign {
+                heard_ms: peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms),
+                storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
+                draining: peer.is_some_and(|peer| peer.draining),
+                was_here: owner.name == self.settings.daemon && !self.owns(),
+            }
+        });
+        ElectionView {
+            own: Candidate {
+                name: self.settings.daemon.clone(),
+                strength: self.settings.strength,
+                fit: self.has_store() && !self.draining.get(),
+            },
+            started_ms: self.started_ms,
+            heard: heard
+                .map(|(name, peer)| Candidate {
+                    name: name.clone(),
+                    strength: peer.strength,
+                    fit: peer.has_store && !peer.draining,
+                })
+                .collect(),
+            listed: others.values().filter(|peer| peer.listed).count(),
+            owner,
+        }
+    }
+}
--- /dev/null
+++ b/src/cluster/ownership.rs
@@ -0,0 +1,201 @@
+//! Taking the fleet over and keeping it.
+
+use super::follow;
+use super::ledger;
+use super::node::Node;
+use super::records::{
+    JOBS_PREFIX,
+    JobKeyKind,
+    PROGRESS_PREFIX,
+    ROOT_KEY,
+    ROSTER_KEY,
+    RootRecord,
+    RosterRow,
+    decode,
+    encode,
+    job_id,
+    read_job_key, //
+};
+use super::services::{
+    Committed,
+    Range,
+    StoreError,
+    Transaction, //
+};
+use crate::events;
+use crate::platform::{
+    WORKERS_PREFIX,
+    decode_worker, //
+};
+use crate::scheduler::{
+    Input,
+    ProgressRecord, //
+};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// How often an owner that commits nothing confirms its epoch.
+const CONFIRM_MS: u64 = 600;
+/// Wait after a confirmation that failed.
+const CONFIRM_AGAIN_MS: u64 = 200;
+
+/// Takes the next epoch, reads what is stored and begins to own.
+///
+/// # Errors
+///
+/// The store refused or did not answer; another attempt may follow.
+pub async fn take_over(node: &Rc<Node>) -> Result<(), StoreError> {
+    let began_ms = node.now_ms();
+    let root = node.store.get(ROOT_KEY).await?;
+    let revision = root.as_ref().map_or(0, |item| item.revision);
+    let known: RootRecord = root
+        .and_then(|item| decode(ROOT_KEY, &item.value))
+        .unwrap_or_default();
+    if follow::learn_root(node, &known) {
+        // Somebody took over just now: wait for its heartbeats.
+        return Ok(());
+    }
+    let next = RootRecord {
+        epoch: known.epoch + 1,
+        owner: node.settings.daemon.clone(),
+        address: node.settings.peer_address.to_string(),
+        boot: node.boot,
+    };
+    let transaction = Transaction {
+        expected: vec![(ROOT_KEY.to_owned(), revision)],
+        puts: vec![(ROOT_KEY.to_owned(), encode(&next))],
+        ..Transaction::default()
+    };
+    let taken = match node.store.commit(&transaction).await {
+        Ok(Committed::Done { revision }) => Some(revision),
+        Ok(Committed::Conflict(_) | Committed::LeaseOver) => None,
+        Err(StoreError::Refused) => return Err(StoreError::Refused),
+        // It may have been carried out: the root tells.
+        Err(StoreError::NoAnswer) => {
+            let root = node.store.get(ROOT_KEY).await?;
+            let own = root.filter(|item| decode(ROOT_KEY, &item.value) == Some(next.clone()));
+            own.map(|item| item.revision)
+        }
+    };
+    let Some(root_revision) = taken else {
+        return Ok(());
+    };
+    begin(node, next.epoch, root_revision, began_ms).await
+}
+
+async fn begin(
+    node: &Rc<Node>,
+    epoch: u64,
+    root_revision: u64,
+    began_ms: u64,
+) -> Result<(), StoreError> {
+    let jobs = node.store.range(JOBS_PREFIX, false).await?;
+    let progress = node.store.range(PROGRESS_PREFIX, false).await?;
+    let roster = node.store.get(ROSTER_KEY).await?;
+    let workers = node.store.range(WORKERS_PREFIX, false).await?;
+    node.ledger.clear();
+    node.begin_owning(epoch, root_revision);
+    let mut stored = vec![Input::Configure(node.configuration())];
+    if let Some(item) = roster {
+        node.ledger.note_revision(ROSTER_KEY, item.revision);
+        let rows: Vec<RosterRow> = decode(ROSTER_KEY, &item.value).unwrap_or_default();
+        stored.extend(rows.into_iter().map(|row| Input::KnownWorker {
+            incarnation: row.incarnation,
+            address: row.address,
+        }));
+    }
+    stored.extend(worker_inputs(&workers));
+    stored.extend(job_inputs(node, &jobs, &progress));
+    stored.push(Input::Confirmed(began_ms));
+    stored.push(Input::Recovered);
+    let (job_count, worker_count) = (jobs.items.len(), workers.items.len());
+    node.control.send(super::Command::Begin {
+        epoch,
+        tuning: node.settings.tuning,
+        stored,
+    });
+    events::log(
+        events::OWNER_STARTED,
+        format_args!(
+            "epoch {epoch}, {job_count} values of jobs, {worker_count} workers, after {} ms",
+            node.now_ms() - began_ms
+        ),
+    );
+    metrics::counter!("fuchsiaslip_takeovers_total").increment(1);
+    actix_rt::spawn(ledger::run(node.clone(), epoch));
+    actix_rt::spawn(follow::jobs(node.clone(), epoch, jobs.revision));
+    actix_rt::spawn(follow::workers(node.clone(), epoch, workers));
+    actix_rt::spawn(confirm(node.clone(), epoch));
+    Ok(())
+}
+
+/// The registrations of workers as news.
+pub fn worker_inputs(workers: &Range) -> Vec<Input> {
+    let rows = workers.items.iter();
+    rows.filter_map(|item| worker_input(&item.key, &item.value))
+        .collect()
+}
+
+/// One registration as news; one that does not read is logged and passed over.
+pub fn worker_input(key: &str, value: &[u8]) -> Option<Input> {
+    let incarnation = key.strip_prefix(WORKERS_PREFIX)?;
+    match decode_worker(incarnation, value) {
+        Ok(info) => Some(Input::Worker(info)),
+        Err(error) => {
+            events::log(events::RECORD_UNREADABLE, format_args!("{key}: {error}"));
+            None
+        }
+    }
+}
+
+/// Stored jobs with their progress and cancellations as news.
+fn job_inputs(node: &Node, jobs: &Range, progress: &Range) -> Vec<Input> {
+    let mut noted: HashMap<_, ProgressRecord> = HashMap::new();
+    for item in &progress.items {
+        node.ledger.note_revision(&item.key, item.revision);
+        let job = item.key.strip_prefix(PROGRESS_PREFIX).and_then(job_id);
+        if let (Some(job), Some(record)) = (job, decode(&item.key, &item.value)) {
+            noted.insert(job, record);
+        }
+    }
+    let mut inputs = Vec::with_capacity(jobs.items.len());
+    for item in &jobs.items {
+        match read_job_key(&item.key) {
+            Some(JobKeyKind::Job(id)) => {
+                if let Some(record) = decode(&item.key, &item.value) {
+                    inputs.push(Input::Job {
+                        id,
+                        record: Arc::new(record),
+                        progress: noted.remove(&id),
+                    });
+                }
+            }
+            Some(JobKeyKind::Cancelled(id)) => inputs.push(Input::Cancelled(id)),
+            None => {}
+        }
+    }
+    inputs
+}
+
+/// Confirms the epoch while this daemon owns.
+async fn confirm(node: Rc<Node>, epoch: u64) {
+    while node.epoch() == epoch {
+        let sent_ms = node.now_ms();
+        let root = node.store.get(ROOT_KEY).await;
+        if node.epoch() != epoch {
+            return;
+        }
+        node.store_went(root.is_ok());
+        match root {
+            Ok(Some(item)) if item.revision == node.root_revision() => {
+                node.control.take(epoch, Input::Confirmed(sent_ms));
+                node.timer.after(CONFIRM_MS).await;
+            }
+            Ok(_) => return node.stop_owning(),
+            Err(_) => {
+                node.timer.after(CONFIRM_AGAIN_MS).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cluster/records.rs
@@ -0,0 +1,113 @@
+//! Keys and values that the product keeps in the store.
+
+use crate::core::JobId;
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// The owner's epoch: every commit of an owner is conditional on it.
+pub const ROOT_KEY: &str = "owner";
+/// Workers that owners use or used.
+pub const ROSTER_KEY: &str = "roster";
+/// Accepted jobs and their cancellations.
+pub const JOBS_PREFIX: &str = "jobs/";
+/// Progress of jobs, written by the owner.
+pub const PROGRESS_PREFIX: &str = "progress/";
+/// Daemons, each under a lease.
+pub const MEMBERS_PREFIX: &str = "members/";
+const CANCELLED_SUFFIX: &str = "/cancelled";
+
+/// The value of the root.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RootRecord {
+    /// The epoch; it only rises.
+    pub epoch: u64,
+    /// The owner's name.
+    pub owner: String,
+    /// Where the owner is called.
+    pub address: String,
+    /// The life of the owner's process.
+    pub boot: u64,
+}
+
+/// A row of the roster.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RosterRow {
+    /// The worker's incarnation.
+    pub incarnation: String,
+    /// Where it is called.
+    pub address: String,
+}
+
+/// A daemon as it registers itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct MemberRecord {
+    /// Where other daemons reach it.
+    pub address: String,
+}
+
+/// What a key under [`JOBS_PREFIX`] is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobKeyKind {
+    /// The job itself.
+    Job(JobId),
+    /// Its cancellation.
+    Cancelled(JobId),
+}
+
+/// The key of a job.
+pub fn job_key(job: JobId) -> String {
+    format!("{JOBS_PREFIX}{job}")
+}
+
+/// The key of a job's cancellation.
+pub fn cancelled_key(job: JobId) -> String {
+    format!("{JOBS_PREFIX}{job}{CANCELLED_SUFFIX}")
+}
+
+/// The key of a job's progress.
+pub fn progress_key(job: JobId) -> String {
+    format!("{PROGRESS_PREFIX}{job}")
+}
+
+/// The key of a daemon.
+pub fn member_key(daemon: &str) -> String {
+    format!("{MEMBERS_PREFIX}{daemon}")
+}
+
+/// The job that a text of 16 hexadecimal digits names.
+pub fn job_id(text: &str) -> Option<JobId> {
+    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let value = digits.then(|| u64::from_str_radix(text, 16).ok()).flatten();
+    value.map(JobId)
+}
+
+/// Reads a key under [`JOBS_PREFIX`].
+pub fn read_job_key(key: &str) -> Option<JobKeyKind> {
+    let name = key.strip_prefix(JOBS_PREFIX)?;
+    match name.strip_suffix(CANCELLED_SUFFIX) {
+        Some(job) => job_id(job).map(JobKeyKind::Cancelled),
+        None => job_id(name).map(JobKeyKind::Job),
+    }
+}
+
+/// A value as it is stored.
+pub fn encode<T: Serialize>(value: &T) -> Bytes {
+    // Plain structs of numbers and texts always encode.
+    Bytes::from(serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// A stored value; one that does not read is logged and passed over.
+pub fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Option<T> {
+    let read = serde_json::from_slice(value);
+    read.inspect_err(|error| {
+        crate::events::log(
+            crate::events::RECORD_UNREADABLE,
+            format_args!("{key}: {error}"),
+        );
+    })
+    .ok()
+}
--- /dev/null
+++ b/src/cluster/submit.rs
@@ -0,0 +1,362 @@
+//! Storing accepted jobs and cancellations, and what a caller may be told.
+//!
+//! Any daemon stores a job itself, so jobs are accepted while the owner
+//! changes. The store's answer decides: carried out, or a key that is there
+//! already, is accepted; refused before anything was sent is not accepted; no
+//! answer is neither, and the caller is told to ask again with the same name.
+
+use super::node::Node;
+use super::peer_frame::{
+    JobBytes,
+    PeerBody, //
+};
+use super::peers::view_of;
+use super::records::{
+    ROOT_KEY,
+    cancelled_key,
+    decode,
+    encode,
+    job_key,
+    progress_key, //
+};
+use super::services::{
+    Committed,
+    StoreError,
+    Transaction, //
+};
+use crate::core::JobId;
+use crate::scheduler::{
+    Input,
+    JobRecord,
+    JobView,
+    ProgressRecord, //
+};
+use bytes::Bytes;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Wait before a call without an answer is made again.
+const AGAIN_MS: u64 = 40;
+/// Bound on asking a peer to store something for this daemon.
+const FORWARD_LIMIT_MS: u64 = 1_500;
+/// Bound on one question to the owner: it answers in a few milliseconds.
+const OWNER_LIMIT_MS: u64 = 350;
+/// An owner that changes is waited for this long, about a takeover; then the
+/// store is asked.
+const OWNER_WAIT_MS: u64 = 900;
+const OWNER_AGAIN_MS: u64 = 60;
+
+/// What became of storing something.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stored {
+    /// It is stored.
+    Done,
+    /// It is not and will not be.
+    Refused,
+    /// It may be, or may be later.
+    Unknown,
+    /// There is nothing that it belongs to.
+    NoSuchJob,
+}
+
+impl Stored {
+    /// The outcome as a number, for peers.
+    pub fn code(self) -> u32 {
+        match self {
+            Self::Done => 1,
+            Self::Refused => 2,
+            Self::Unknown => 3,
+            Self::NoSuchJob => 4,
+        }
+    }
+
+    /// The outcome of a number; an unknown one tells nothing.
+    pub fn of_code(code: u32) -> Self {
+        match code {
+            1 => Self::Done,
+            2 => Self::Refused,
+            4 => Self::NoSuchJob,
+            _ => Self::Unknown,
+        }
+    }
+}
+
+/// Accepts a job: stores it, here or through a peer, and tells the owner.
+pub async fn accept(node: &Rc<Node>, job: JobId, record: &JobRecord, until_ms: u64) -> Stored {
+    let bytes = encode(record);
+    let mut stored = store_job(node, job, bytes.clone(), until_ms).await;
+    if stored == Stored::Refused
+        && let Some(peer) = node.fit_peer()
+    {
+        metrics::counter!("fuchsiaslip_forwarded_total", "call" => "submit").increment(1);
+        let body = PeerBody::Submit(JobBytes {
+            job: job.0,
+            record: bytes.to_vec(),
+        });
+        stored = forwarded(node.peers.ask(peer, body, FORWARD_LIMIT_MS).await);
+    } else if stored == Stored::Done {
+        tell_owner_of_job(node, job, bytes);
+    }
+    stored
+}
+
+/// Stores a job in the store.
+pub async fn store_job(node: &Rc<Node>, job: JobId, record: Bytes, until_ms: u64) -> Stored {
+    let transaction = Transaction {
+        expected: vec![(job_key(job), 0)],
+        puts: vec![(job_key(job), record)],
+        ..Transaction::default()
+    };
+    let mut sure = true;
+    loop {
+        let outcome = node.store.commit(&transaction).await;
+        node.store_went(outcome.is_ok());
+        match outcome {
+            // A key that is there is this very job, sent again.
+            Ok(Committed::Done { .. } | Committed::Conflict(_)) => return Stored::Done,
+            Ok(Committed::LeaseOver) => return Stored::Refused,
+            Err(StoreError::Refused) if sure => return Stored::Refused,
+            Err(StoreError::Refused) => {}
+            Err(StoreError::NoAnswer) => sure = false,
+        }
+        if node.now_ms() + AGAIN_MS >= until_ms {
+            return Stored::Unknown;
+        }
+        node.timer.after(AGAIN_MS).await;
+    }
+}
+
+fn forwarded(answer: Option<PeerBody>) -> Stored {
+    match answer {
+        Some(PeerBody::Stored(code)) => Stored::of_code(code),
+        _ => Stored::Unknown,
+    }
+}
+
+/// Tells the owner of a stored job; it also follows the store, so a lost
+/// message costs only time.
+pub fn tell_owner_of_job(node: &Rc<Node>, job: JobId, record: Bytes) {
+    if node.owns() {
+        if let Some(record) = decode(&job_key(job), &record) {
+            let input = Input::Job {
+                id: job,
+                record: Arc::new(record),
+                progress: None,
+            };
+            node.control.take(node.epoch(), input);
+        }
+        return;
+    }
+    let body = PeerBody::Accepted(JobBytes {
+        job: job.0,
+        record: record.to_vec(),
+    });
+    tell_owner(node, body);
+}
+
+fn tell_owner(node: &Rc<Node>, body: PeerBody) {
+    let Some(owner) = node.owner() else {
+        return;
+    };
+    let node = node.clone();
+    actix_rt::spawn(async move {
+        if node
+            .peers
+            .ask(owner.address, body, OWNER_LIMIT_MS)
+            .await
+            .is_none()
+        {
+            metrics::counter!("fuchsiaslip_retries_total", "reason" => "owner_not_told")
+                .increment(1);
+        }
+    });
+}
+
+/// Cancels a job: stores that, here or through a peer, and tells the owner.
+pub async fn cancel(node: &Rc<Node>, job: JobId, until_ms: u64) -> Stored {
+    let mut stored = store_cancellation(node, job, until_ms).await;
+    if stored == Stored::Refused
+        && let Some(peer) = node.fit_peer()
+    {
+        metrics::counter!("fuchsiaslip_forwarded_total", "call" => "cancel").increment(1);
+        let body = PeerBody::Cancel(job.0);
+        stored = forwarded(node.peers.ask(peer, body, FORWARD_LIMIT_MS).await);
+    } else if stored == Stored::Done {
+        tell_owner_of_cancellation(node, job);
+    }
+    stored
+}
+
+/// Tells the owner of a stored cancellation.
+pub fn tell_owner_of_cancellation(node: &Rc<Node>, job: JobId) {
+    if node.owns() {
+        node.control.take(node.epoch(), Input::Cancelled(job));
+    } else {
+        tell_owner(node, PeerBody::Cancelled(job.0));
+    }
+}
+
+/// Stores a cancellation in the store.
+pub async fn store_cancellation(node: &Rc<Node>, job: JobId, until_ms: u64) -> Stored {
+    loop {
+        let outcome = try_cancellation(node, job).await;
+        node.store_went(outcome.is_ok());
+        match outcome {
+            Ok(stored) => return stored,
+            // Cancelling again does no harm, so a refusal may be told as one.
+            Err(StoreError::Refused) => return Stored::Refused,
+            Err(StoreError::NoAnswer) if node.now_ms() + AGAIN_MS >= until_ms => {
+                return Stored::Unknown;
+            }
+            Err(StoreError::NoAnswer) => {
+                node.timer.after(AGAIN_MS).await;
+            }
+        }
+    }
+}
+
+async fn try_cancellation(node: &Node, job: JobId) -> Result<Stored, StoreError> {
+    let Some(item) = node.store.get(&job_key(job)).await? else {
+        return Ok(Stored::NoSuchJob);
+    };
+    let transaction = Transaction {
+        expected: vec![(item.key, item.revision)],
+        puts: vec![(cancelled_key(job), Bytes::from_static(b"{}"))],
+        ..Transaction::default()
+    };
+    match node.store.commit(&transaction).await? {
+        Committed::Done { .. } => Ok(Stored::Done),
+        // The job was forgotten in between.
+        Committed::Conflict(_) | Committed::LeaseOver => Ok(Stored::NoSuchJob),
+    }
+}
+
+/// What a caller may be told of a job; the outer `None` when nobody can say.
+pub async fn view(node: &Rc<Node>, job: JobId, until_ms: u64) -> Option<Option<JobView>> {
+    let wait_until_ms = until_ms.min(node.now_ms() + OWNER_WAIT_MS);
+    loop {
+        match ask_owner(node, job).await {
+            Some(Some(view)) => return Some(Some(view)),
+            // The owner may not have heard of it yet.
+            Some(None) => break,
+            None if node.now_ms() + OWNER_AGAIN_MS >= wait_until_ms => break,
+            None => {
+                node.timer.after(OWNER_AGAIN_MS).await;
+            }
+        }
+    }
+    view_in_store(node, job).await.ok()
+}
+
+async fn ask_owner(node: &Rc<Node>, job: JobId) -> Option<Option<JobView>> {
+    if node.owns() {
+        return node.control.view(job).await;
+    }
+    let owner = node.owner()?;
+    let answer = node
+        .peers
+        .ask(owner.address, PeerBody::ViewOf(job.0), OWNER_LIMIT_MS);
+    match answer.await? {
+        PeerBody::View(code) => Some(view_of(code)),
+        _ => None,
+    }
+}
+
+/// What the store tells of a job; ends are stored before they are shown.
+async fn view_in_store(node: &Rc<Node>, job: JobId) -> Result<Option<JobView>, StoreError> {
+    use crate::scheduler::FinalState;
+    let Some(item) = node.store.get(&job_key(job)).await? else {
+        return Ok(None);
+    };
+    if node.store.get(&cancelled_key(job)).await?.is_some() {
+        return Ok(Some(JobView::Cancelled));
+    }
+    let key = progress_key(job);
+    let progress = node.store.get(&key).await?;
+    let progress: Option<ProgressRecord> = progress.and_then(|item| decode(&key, &item.value));
+    let view = match progress.map(|progress| progress.ended) {
+        Some(Some(FinalState::Completed)) => JobView::Completed,
+        Some(Some(FinalState::Failed)) => JobView::Failed,
+        Some(None) => JobView::Running,
+        None => JobView::Queued,
+    };
+    if view == JobView::Queued {
+        tell_owner_of_job(node, job, item.value);
+    }
+    Ok(Some(view))
+}
+
+/// How many accepted jobs of a queue wait; `None` when nobody can say.
+pub async fn pending(node: &Rc<Node>, queue: &str, until_ms: u64) -> Option<u64> {
+    loop {
+        let answer = if node.owns() {
+            node.control.pending(queue).await
+        } else if let Some(owner) = node.owner() {
+            let body = PeerBody::PendingOf(queue.to_owned());
+            match node.peers.ask(owner.address, body, OWNER_LIMIT_MS).await {
+                Some(PeerBody::Pending(pending)) => Some(pending),
+                _ => None,
+            }
+        } else {
+            None
+        };
+        if answer.is_some() || node.now_ms() + OWNER_AGAIN_MS >= until_ms {
+            return answer;
+        }
+        node.timer.after(OWNER_AGAIN_MS).await;
+    }
+}
+
+/// Answers a peer's question.
+pub async fn answer(node: Rc<Node>, body: PeerBody) -> Option<PeerBody> {
+    let until_ms = node.now_ms() + FORWARD_LIMIT_MS;
+    match body {
+        PeerBody::ViewOf(job) => {
+            let view = node.control.view(JobId(job)).await?;
+            Some(PeerBody::View(super::peers::code_of(view)))
+        }
+        PeerBody::PendingOf(queue) => node.control.pending(&queue).await.map(PeerBody::Pending),
+        PeerBody::Accepted(job) => {
+            if !node.owns() {
+                return None;
+            }
+            tell_owner_of_job(&node, JobId(job.job), job.record.into());
+            Some(PeerBody::Stored(Stored::Done.code()))
+        }
+        PeerBody::Cancelled(job) => {
+            if !node.owns() {
+                return None;
+            }
+            tell_owner_of_cancellation(&node, JobId(job));
+            Some(PeerBody::Stored(Stored::Done.code()))
+        }
+        PeerBody::Submit(job) => {
+            let (id, record) = (JobId(job.job), Bytes::from(job.record));
+            let stored = store_job(&node, id, record.clone(), until_ms).await;
+            if stored == Stored::Done {
+                tell_owner_of_job(&node, id, record);
+            }
+            Some(PeerBody::Stored(stored.code()))
+        }
+        PeerBody::Cancel(job) => {
+            let stored = store_cancellation(&node, JobId(job), until_ms).await;
+            if stored == Stored::Done {
+                tell_owner_of_cancellation(&node, JobId(job));
+            }
+            Some(PeerBody::Stored(stored.code()))
+        }
+        PeerBody::ConfigurationAbove(version) => {
+            let own = node.configuration();
+            let newer = own.version > version;
+            let bytes = if newer { encode(&*own) } else { Bytes::new() };
+            Some(PeerBody::Configuration(bytes.to_vec()))
+        }
+        PeerBody::View(_)
+        | PeerBody::Pending(_)
+        | PeerBody::Stored(_)
+        | PeerBody::Configuration(_) => {
+            log::debug!("an answer came as a question; the key {ROOT_KEY} tells who owns");
+            None
+        }
+    }
+}
--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -1,8 +1,8 @@
 //! Passing a job's answer on, whole or not at all.
 
+use crate::backend::HttpPlatform;
 use crate::core::AttemptId;
 use crate::ledger::AnswerRecord;
-use crate::platform::HttpPlatform;
 use crate::timer::Timer;
 use actix_http::body::{
     BoxBody,
--- a/src/daemon/directory.rs
+++ b/src/daemon/directory.rs
@@ -1,6 +1,6 @@
 //! Which daemons live, who owns the data centre, and who keeps which worker.
 
-use crate::platform::{
+use crate::backend::{
     VmKind,
     VmRecord, //
 };
--- a/src/daemon/entry/mod.rs
+++ b/src/daemon/entry/mod.rs
@@ -14,6 +14,7 @@
 use super::patch::PatchOutcome;
 use super::settings::Settings;
 use super::status::Status;
+use crate::backend::HttpPlatform;
 use crate::config::{
     Configuration,
     Patch,
@@ -23,7 +24,6 @@
     Reply,
     Request, //
 };
-use crate::platform::HttpPlatform;
 use crate::timer::Timer;
 use actix_http::body::BoxBody;
 use actix_http::{
--- a/src/daemon/keeper.rs
+++ b/src/daemon/keeper.rs
@@ -4,14 +4,14 @@
 use super::directory::Directory;
 use super::peer::Peers;
 use super::status::Status;
-use crate::owner::WorkerNews;
-use crate::platform::{
+use crate::backend::{
     PollAnswer,
     VmRecord,
     WorkerAnswer,
     WorkerCall,
     Workers, //
 };
+use crate::owner::WorkerNews;
 use crate::timer::Timer;
 use crate::wire::NewsBody;
 use std::cell::RefCell;
--- a/src/daemon/patch.rs
+++ b/src/daemon/patch.rs
@@ -4,17 +4,7 @@
     self,
     CONFIGURATION_KEY, //
 };
-use crate::config::{
-    Configuration,
-    Patch,
-    PatchProblem, //
-};
-use crate::core::{
-    Fleet,
-    nominal_shortfalls, //
-};
-use crate::events;
-use crate::platform::{
+use crate::backend::{
     ListAnswer,
     ListScope,
     Membership,
@@ -25,6 +15,16 @@
     VmKind,
     VmRecord, //
 };
+use crate::config::{
+    Configuration,
+    Patch,
+    PatchProblem, //
+};
+use crate::core::{
+    Fleet,
+    nominal_shortfalls, //
+};
+use crate::events;
 use std::collections::BTreeSet;
 
 /// What became of a patch.
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -22,13 +22,7 @@
 use super::status::Status;
 use super::traffic;
 use super::watch::Watch;
-use crate::events;
-use crate::owner::{
-    Event,
-    Owner,
-    Settings as OwnerSettings, //
-};
-use crate::platform::{
+use crate::backend::{
     HttpPlatform,
     ListAnswer,
     ListScope,
@@ -36,6 +30,12 @@
     Store,
     VmKind, //
 };
+use crate::events;
+use crate::owner::{
+    Event,
+    Owner,
+    Settings as OwnerSettings, //
+};
 use crate::timer::Timer;
 use actix_http::{
     HttpService,
@@ -77,12 +77,16 @@
 #[argh(
     name = "fuchsiaslipd",
     example = "{command_name} --settings fuchsiaslipd.toml",
-    example = "{command_name} --settings fuchsiaslipd.toml --check"
+    example = "{command_name} --settings fuchsiaslipd.toml --check",
+    example = "{command_name} --platform"
 )]
 struct Arguments {
     /// the TOML file with the settings
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+    /// run on an operator's platform, with the settings file that it names
+    #[argh(switch)]
+    platform: bool,
     /// check the settings file and exit
     #[argh(switch)]
     check: bool,
@@ -94,6 +98,12 @@
     /// The settings file is wrong.
     #[error("{}", problems(.0))]
     Settings(Vec<SettingsProblem>),
+    /// Neither settings nor a platform are named.
+    #[error("no settings are named; use --settings FILE or --platform")]
+    NoSettings,
+    /// The daemon on an operator's platform does not run.
+    #[error(transparent)]
+    Cluster(#[from] crate::cluster::Error),
     /// An address cannot be listened on.
     #[error("cannot listen on {address}: {source}; free it or change {field}")]
     Listen {
@@ -124,9 +134,13 @@
 /// The settings are wrong, or an address or thread cannot be had.
 pub fn run() -> Result<(), Error> {
     let arguments: Arguments = argh::from_env();
-    let settings = Settings::read(&arguments.settings).map_err(Error::Settings)?;
+    if arguments.platform {
+        return Ok(crate::cluster::run()?);
+    }
+    let path = arguments.settings.ok_or(Error::NoSettings)?;
+    let settings = Settings::read(&path).map_err(Error::Settings)?;
     if arguments.check {
-        println!("{}: the settings are right", arguments.settings.display());
+        println!("{}: the settings are right", path.display());
         return Ok(());
     }
     set_up_log()?;
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -1,14 +1,14 @@
 //! Carries the owner's calls to the store and to workers.
 
 use super::control::Control;
+use crate::backend::{
+    Store,
+    Workers, //
+};
 use crate::owner::{
     Action,
     Event, //
 };
-use crate::platform::{
-    Store,
-    Workers, //
-};
 use std::rc::Rc;
 use tokio::sync::{
     Semaphore,
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -9,13 +9,13 @@
 use super::directory::Directory;
 use super::peer::Peers;
 use super::status::Status;
-use crate::config::Configuration;
-use crate::owner::Event;
-use crate::platform::{
+use crate::backend::{
     Store,
     StoreAnswer,
     StoreCall, //
 };
+use crate::config::Configuration;
+use crate::owner::Event;
 use crate::timer::Timer;
 use std::sync::Arc;
 
--- a/src/events.rs
+++ b/src/events.rs
@@ -38,6 +38,12 @@
     DRAIN_FINISHED = 102, Info, "everything is handed over; the process ends", "none";
     /// A second signal during the drain.
     DRAIN_HURRIED = 103, Warn, "a second signal came while requests were in progress", "wait, or accept that the callers named will see a cut connection";
+    /// The settings were read again.
+    SETTINGS_RELOADED = 104, Info, "the settings file was read again", "restart the daemon if it says that changes wait";
+    /// The settings file is wrong; the daemon goes on with the old ones.
+    SETTINGS_REFUSED = 105, Warn, "the settings file is wrong; the daemon goes on with the ones before", "mend the file and send SIGHUP again";
+    /// A client's request was answered.
+    REQUEST_ANSWERED = 110, Info, "a request was answered", "docs/OPERATIONS.md follows a refused one to its cause";
     /// This daemon became owner.
     OWNER_STARTED = 200, Info, "this daemon owns the data centre's ledger", "none";
     /// This daemon is no longer owner.
@@ -48,6 +54,8 @@
     LEASE_UNCERTAIN = 203, Warn, "the owner's lease could not be renewed; nothing new starts until it is", "look at the key-value service";
     /// A ledger value cannot be read.
     LEDGER_DAMAGED = 204, Error, "a ledger value cannot be read; no owner starts", "run `fuchsiaslip ledger check` and restore the value named there";
+    /// A stored value cannot be read.
+    RECORD_UNREADABLE = 205, Error, "a value in the store cannot be read and is passed over", "look at the key named; an older version may have written it";
     /// The store answers again.
     STORE_BACK = 210, Info, "the key-value service answers again", "none";
     /// The store does not answer.
@@ -60,10 +68,20 @@
     WORKER_LEAVING = 302, Info, "a worker is leaving and receives no new work", "none";
     /// A worker quarantined.
     WORKER_QUARANTINED = 303, Warn, "several different jobs failed on the worker in a row; it gets no work until probation", "inspect the worker";
+    /// A task was given to a worker.
+    TASK_PLACED = 304, Info, "a task was given to a worker", "none";
+    /// A task was stopped.
+    TASK_STOPPED = 305, Info, "a task's run is stopped for the reason named", "none";
+    /// A run ended.
+    TASK_ENDED = 306, Info, "a worker listed the end of a run", "none, unless one worker lists failures only";
+    /// An order was refused or not answered.
+    TASK_RETRIED = 307, Info, "an order to a worker was refused or not answered", "none, unless it repeats on one worker";
     /// A guarantee falls short.
     GUARANTEE_SHORT = 310, Error, "an account's guaranteed shapes cannot all be had back now", "add workers or lower a guarantee";
     /// A job cannot run anywhere.
     JOB_UNABLE = 320, Warn, "a job failed on several healthy workers and is given up", "tell the account";
+    /// A job ended.
+    JOB_ENDED = 321, Info, "a job ended", "none";
     /// A patch accepted.
     PATCH_ACCEPTED = 400, Info, "a configuration patch was accepted", "none";
     /// A patch refused.
--- a/src/ledger/journal.rs
+++ b/src/ledger/journal.rs
@@ -8,7 +8,7 @@
     RootRecord,
     root, //
 };
-use crate::platform::{
+use crate::backend::{
     StoreAnswer,
     StoreCall,
     StoreFailure, //
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,9 @@
 //! A scheduler for multi-accelerator jobs under client account guarantees.
 
+pub mod backend;
 pub mod cli;
 pub mod client;
+pub mod cluster;
 pub mod config;
 pub mod core;
 pub mod daemon;
@@ -9,6 +11,7 @@
 pub mod ledger;
 pub mod owner;
 pub mod platform;
+pub mod scheduler;
 pub mod standin;
 pub mod timer;
 pub mod wire;
--- a/src/owner/effects.rs
+++ b/src/owner/effects.rs
@@ -5,6 +5,7 @@
     Reply,
     state::Phase, //
 };
+use crate::backend::WorkerCall;
 use crate::core::{
     Command,
     Effect,
@@ -12,7 +13,6 @@
 };
 use crate::events;
 use crate::ledger::OutcomeCode;
-use crate::platform::WorkerCall;
 
 impl Owner {
     /// Lets the core decide and sorts what it wants done.
--- a/src/owner/message.rs
+++ b/src/owner/message.rs
@@ -1,5 +1,15 @@
 //! What goes into an owner and what comes out.
 
+use crate::backend::{
+    StoreAnswer,
+    StoreCall,
+    StoreFailure,
+    TaskChange,
+    VmRecord,
+    WorkerAnswer,
+    WorkerCall,
+    WorkerFailure, //
+};
 use crate::config::Configuration;
 use crate::core::{
     AccountReport,
@@ -10,16 +20,6 @@
     WorkerReport, //
 };
 use crate::ledger::AnswerRecord;
-use crate::platform::{
-    StoreAnswer,
-    StoreCall,
-    StoreFailure,
-    TaskChange,
-    VmRecord,
-    WorkerAnswer,
-    WorkerCall,
-    WorkerFailure, //
-};
 use std::sync::Arc;
 
 /// Identity of a call under way; answers to any other are dropped.
--- a/src/owner/outbox.rs
+++ b/src/owner/outbox.rs
@@ -1,16 +1,16 @@
 //! Calls to workers that are under way or to be repeated.
 
 use super::CallId;
-use crate::core::{
-    AttemptId,
-    MemberEvent, //
-};
-use crate::platform::{
+use crate::backend::{
     TaskState,
     WorkerAnswer,
     WorkerCall,
     WorkerRefusal, //
 };
+use crate::core::{
+    AttemptId,
+    MemberEvent, //
+};
 use std::collections::{
     BTreeMap,
     HashMap, //
--- a/src/owner/state.rs
+++ b/src/owner/state.rs
@@ -10,6 +10,10 @@
     requests::RememberedRefusal,
     requests::SubmissionKey, //
 };
+use crate::backend::{
+    StoreCall,
+    VmRecord, //
+};
 use crate::config::Configuration;
 use crate::core::{
     Cell,
@@ -19,10 +23,6 @@
     Limits, //
 };
 use crate::ledger::Journal;
-use crate::platform::{
-    StoreCall,
-    VmRecord, //
-};
 use std::collections::{
     BTreeMap,
     HashMap,
--- a/src/owner/store_side.rs
+++ b/src/owner/store_side.rs
@@ -11,6 +11,11 @@
     state::Owning,
     state::Phase, //
 };
+use crate::backend::{
+    StoreAnswer,
+    StoreCall,
+    StoreFailure, //
+};
 use crate::core::{
     Cell,
     Command,
@@ -23,11 +28,6 @@
     JournalEvent,
     lease_key, //
 };
-use crate::platform::{
-    StoreAnswer,
-    StoreCall,
-    StoreFailure, //
-};
 
 use std::collections::{
     HashMap,
--- a/src/owner/workers.rs
+++ b/src/owner/workers.rs
@@ -9,6 +9,13 @@
     outbox::Meaning,
     state::Phase, //
 };
+use crate::backend::{
+    VmKind,
+    VmRecord,
+    WorkerAnswer,
+    WorkerCall,
+    WorkerFailure, //
+};
 use crate::config::Configuration;
 use crate::core::{
     Cell,
@@ -20,13 +27,6 @@
     WorkerSpec, //
 };
 use crate::events;
-use crate::platform::{
-    VmKind,
-    VmRecord,
-    WorkerAnswer,
-    WorkerCall,
-    WorkerFailure, //
-};
 use std::sync::Arc;
 
 impl Owner {
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,144 @@
+//! The operator's configuration on the wire.
+
+use crate::scheduler::{
+    AccountDeclaration,
+    AdviceTerms,
+    ClusterConfiguration,
+    Queue,
+    RequestLimits, //
+};
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct ConfigurationBody {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteBody>,
+    #[serde(default)]
+    services: Vec<ServiceBody>,
+    #[serde(default)]
+    tenants: Vec<TenantBody>,
+    #[serde(default)]
+    limits: LimitsBody,
+}
+
+/// A route is a queue.
+#[derive(Deserialize)]
+struct RouteBody {
+    name: String,
+    #[serde(default)]
+    host: String,
+    #[serde(default)]
+    prefix: String,
+    #[serde(default)]
+    service: String,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default = "one_attempt")]
+    max_attempts: u32,
+    #[serde(default = "plain_stretch")]
+    stretch_factor: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    recommendation: Option<AdviceTerms>,
+}
+
+fn one_attempt() -> u32 {
+    1
+}
+
+fn plain_stretch() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+struct ServiceBody {
+    name: String,
+    #[serde(default)]
+    standby: bool,
+}
+
+#[derive(Deserialize)]
+struct TenantBody {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    #[serde(default)]
+    guaranteed: GuaranteeBody,
+}
+
+#[derive(Default, Deserialize)]
+struct GuaranteeBody {
+    #[serde(default)]
+    gpu: u32,
+}
+
+#[derive(Default, Deserialize)]
+struct LimitsBody {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<u64>,
+    idle_timeout_ms: Option<u64>,
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+///
+/// The bytes are no configuration.
+pub fn decode_configuration(value: &[u8]) -> Result<ClusterConfiguration, serde_json::Error> {
+    let body: ConfigurationBody = serde_json::from_slice(value)?;
+    let default = RequestLimits::default();
+    let limits = RequestLimits {
+        max_header_bytes: body
+            .limits
+            .max_header_bytes
+            .unwrap_or(default.max_header_bytes),
+        max_body_bytes: body.limits.max_body_bytes.unwrap_or(default.max_body_bytes),
+        header_timeout_ms: body
+            .limits
+            .header_timeout_ms
+            .unwrap_or(default.header_timeout_ms),
+        idle_timeout_ms: body
+            .limits
+            .idle_timeout_ms
+            .unwrap_or(default.idle_timeout_ms),
+    };
+    let routes = body.routes.into_iter();
+    let tenants = body.tenants.into_iter();
+    let services = body.services.into_iter();
+    Ok(ClusterConfiguration {
+        version: body.version,
+        queues: routes.map(queue_of).collect(),
+        accounts: tenants
+            .map(|tenant| AccountDeclaration {
+                name: tenant.name,
+                keys: tenant.api_keys,
+                guaranteed_accelerators: tenant.guaranteed.gpu,
+            })
+            .collect(),
+        standby_services: services
+            .filter(|service| service.standby)
+            .map(|service| service.name)
+            .collect(),
+        limits,
+    })
+}
+
+fn queue_of(route: RouteBody) -> Queue {
+    Queue {
+        name: route.name,
+        host: route.host,
+        path_prefix: route.prefix,
+        service: route.service,
+        priority: route.priority,
+        max_attempts: route.max_attempts,
+        stretch_factor: route.stretch_factor,
+        target_latency_ms: route.target_latency_ms as u64,
+        public: route.public,
+        advice: route.recommendation,
+    }
+}
--- /dev/null
+++ b/src/platform/ingress.rs
@@ -0,0 +1,215 @@
+//! Bodies and headers of clients' requests, and of what workers register.
+
+use crate::scheduler::{
+    JobSpec,
+    JobView,
+    Resources,
+    Schedule,
+    StepSpec,
+    WorkerInfo, //
+};
+use awc::http::header::HeaderMap;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Path of the balancer's question.
+pub const READINESS_PATH: &str = "/-/readiness";
+
+#[derive(Deserialize)]
+struct JobBody {
+    #[serde(default)]
+    spec: String,
+    steps: Vec<StepBody>,
+    #[serde(default)]
+    repetitions: u32,
+    #[serde(default)]
+    start_at_ms: f64,
+    #[serde(default)]
+    interval_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct StepBody {
+    #[serde(default = "one_task")]
+    count: u32,
+    #[serde(default)]
+    cpu: u32,
+    #[serde(default)]
+    mem_mb: u32,
+    #[serde(default)]
+    gpu: u32,
+    #[serde(default)]
+    estimated_ms: f64,
+    #[serde(default)]
+    after: Vec<u32>,
+    #[serde(default)]
+    checkpoints: bool,
+    #[serde(default)]
+    gang: bool,
+    #[serde(default)]
+    same_rack: bool,
+    #[serde(default)]
+    requirements: String,
+    /// Names a rack: where the data lies.
+    #[serde(default)]
+    affinity: String,
+    /// Not against other jobs: most tasks of this step on one worker.
+    #[serde(default)]
+    anti_affinity: u32,
+    #[serde(default)]
+    allow_duplicates: bool,
+    #[serde(default)]
+    long_running: bool,
+    #[serde(default)]
+    image: String,
+    #[serde(default)]
+    target_ms: f64,
+    #[serde(default)]
+    fills: bool,
+    #[serde(default)]
+    max_unavailable: Option<u32>,
+}
+
+fn one_task() -> u32 {
+    1
+}
+
+/// Reads a job.
+///
+/// # Errors
+///
+/// The bytes are no job.
+pub fn decode_job(body: &[u8]) -> Result<JobSpec, serde_json::Error> {
+    let body: JobBody = serde_json::from_slice(body)?;
+    let schedule = (body.repetitions > 0).then_some(Schedule {
+        repetitions: body.repetitions,
+        start_at_ms: body.start_at_ms as u64,
+        interval_ms: body.interval_ms as u64,
+    });
+    Ok(JobSpec {
+        payload: body.spec,
+        steps: body.steps.into_iter().map(step_of).collect(),
+        schedule,
+    })
+}
+
+fn step_of(body: StepBody) -> StepSpec {
+    StepSpec {
+        count: body.count,
+        needs: Resources {
+            cpu_millis: body.cpu,
+            memory_mb: body.mem_mb,
+            accelerators: body.gpu,
+        },
+        estimated_ms: body.estimated_ms as u64,
+        after: body.after,
+        checkpoints: body.checkpoints,
+        gang: body.gang,
+        same_rack: body.same_rack,
+        required_label: body.requirements,
+        data_rack: body.affinity,
+        max_per_worker: body.anti_affinity,
+        allow_duplicates: body.allow_duplicates,
+        long_running: body.long_running,
+        image: body.image,
+        tail_target_ms: body.target_ms as u64,
+        fills: body.fills,
+        max_unavailable: body.max_unavailable,
+    }
+}
+
+#[derive(Deserialize)]
+struct WorkerBody {
+    #[serde(default)]
+    service: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    state: String,
+    #[serde(default)]
+    capacity: CapacityBody,
+    #[serde(default)]
+    labels: Vec<String>,
+    #[serde(default)]
+    remaining_ms: Option<f64>,
+}
+
+#[derive(Default, Deserialize)]
+struct CapacityBody {
+    #[serde(default)]
+    cpu: u32,
+    #[serde(default)]
+    mem_mb: u32,
+    #[serde(default)]
+    gpu: u32,
+}
+
+/// Reads what a worker registered under its incarnation.
+///
+/// # Errors
+///
+/// The bytes are no registration.
+pub fn decode_worker(incarnation: &str, value: &[u8]) -> Result<WorkerInfo, serde_json::Error> {
+    let body: WorkerBody = serde_json::from_slice(value)?;
+    Ok(WorkerInfo {
+        incarnation: incarnation.to_owned(),
+        address: body.address,
+        service: body.service,
+        data_centre: body.zone,
+        labels: body.labels,
+        capacity: Resources {
+            cpu_millis: body.capacity.cpu,
+            memory_mb: body.capacity.mem_mb,
+            accelerators: body.capacity.gpu,
+        },
+        draining: body.state == "draining",
+        remaining_ms: body.remaining_ms.map(|remaining_ms| remaining_ms as u64),
+    })
+}
+
+#[derive(Serialize)]
+struct StateBody {
+    state: &'static str,
+}
+
+/// What a client is told of its job.
+pub fn encode_state(view: JobView) -> Vec<u8> {
+    let state = match view {
+        JobView::Queued => "queued",
+        JobView::Running => "running",
+        JobView::Completed => "completed",
+        JobView::Failed => "failed",
+        JobView::Cancelled => "cancelled",
+    };
+    serde_json::to_vec(&StateBody { state }).unwrap_or_default()
+}
+
+#[derive(Serialize)]
+struct PendingBody {
+    pending: u64,
+}
+
+/// What a client is told of a queue.
+pub fn encode_pending(pending: u64) -> Vec<u8> {
+    serde_json::to_vec(&PendingBody { pending }).unwrap_or_default()
+}
+
+/// The key that a client shows.
+pub fn key_header(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get("authorization")?.to_str().ok()?;
+    value.strip_prefix("Token ").map(str::trim)
+}
+
+/// How long a client waits for its answer.
+pub fn deadline_header(headers: &HeaderMap) -> Option<u64> {
+    headers
+        .get("deadline-ms")?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,45 +1,32 @@
-//! What the platform gives, as calls and answers without I/O.
-//!
-//! The adapters that carry these calls over HTTP are one file each; another
-//! platform's protocol is another such file.
+//! The operators' platform: everything that only translates between its wire
+//! and the product. Nothing outside this folder knows its paths and fields.
 
+mod configuration;
 mod http;
-mod membership;
+mod ingress;
+mod settings;
 mod store;
-mod task_body;
-mod worker;
+mod workers;
 
-pub use http::{
-    HttpPlatform,
-    VERSION_HEADER,
-    WorkerAnswerBody,
-    WorkerQuery, //
+pub use configuration::decode_configuration;
+pub use http::HttpClient;
+pub use ingress::{
+    READINESS_PATH,
+    deadline_header,
+    decode_job,
+    decode_worker,
+    encode_pending,
+    encode_state,
+    key_header, //
 };
-pub use membership::{
-    ListAnswer,
-    ListScope,
-    Membership,
-    VmKind,
-    VmRecord, //
+pub use settings::{
+    BOOT_VARIABLE,
+    SettingsError,
+    read_settings, //
 };
 pub use store::{
-    Store,
-    StoreAnswer,
-    StoreCall,
-    StoreFailure, //
-};
-pub use task_body::{
-    TaskBody,
-    TaskCode,
-    TasksBody, //
-};
-pub use worker::{
-    PollAnswer,
-    TaskChange,
-    TaskState,
-    WorkerAnswer,
-    WorkerCall,
-    WorkerFailure,
-    WorkerRefusal,
-    Workers, //
+    CONFIGURATION_KEY,
+    StoreClient,
+    WORKERS_PREFIX, //
 };
+pub use workers::WorkerClient;
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,134 @@
+//! The platform's settings file: lines of the form `a.b=value`.
+
+use crate::cluster::ClusterSettings;
+use crate::scheduler::Tuning;
+use std::collections::HashMap;
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
+use std::str::FromStr;
+
+/// The environment variable with the path of the settings file.
+pub const BOOT_VARIABLE: &str = "FUCHSIASLIP_BOOT";
+
+/// The second port of the internal range shows the metrics; the deploy file
+/// names the same number.
+const METRICS_PORT_OFFSET: u16 = 1;
+
+/// Why a settings file cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("cannot read {path}: {problem}; check {BOOT_VARIABLE}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the system said.
+        problem: String,
+    },
+    /// A field is missing.
+    #[error("the settings lack {0}; the platform has to give it")]
+    Missing(&'static str),
+    /// A field has a value that does not read.
+    #[error("the settings have {field}={value}; expected {expected}")]
+    Malformed {
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: String,
+        /// What would do.
+        expected: &'static str,
+    },
+}
+
+struct Fields(HashMap<String, String>);
+
+impl Fields {
+    fn text(&self, field: &'static str) -> Result<&str, SettingsError> {
+        let value = self.0.get(field).map(String::as_str);
+        value
+            .filter(|value| !value.is_empty())
+            .ok_or(SettingsError::Missing(field))
+    }
+
+    fn parsed<T: FromStr>(
+        &self,
+        field: &'static str,
+        expected: &'static str,
+    ) -> Result<T, SettingsError> {
+        let value = self.text(field)?;
+        value.parse().map_err(|_| SettingsError::Malformed {
+            field,
+            value: value.to_owned(),
+            expected,
+        })
+    }
+
+    /// A bound in `unit_ms`, or `default_ms` where the installation has none.
+    fn bound_ms(
+        &self,
+        field: &'static str,
+        unit_ms: f64,
+        default_ms: u64,
+    ) -> Result<u64, SettingsError> {
+        if !self.0.contains_key(field) {
+            return Ok(default_ms);
+        }
+        let value: f64 = self.parsed(field, "a number")?;
+        Ok((value * unit_ms) as u64)
+    }
+}
+
+/// Reads settings from the text of the platform's file. Fields that the
+/// product does not know are passed over, as the platform asks.
+///
+/// # Errors
+///
+/// A field that the product needs is missing or does not read.
+pub fn read_settings(text: &str) -> Result<ClusterSettings, SettingsError> {
+    let lines = text.lines().filter_map(|line| line.split_once('='));
+    let fields = Fields(
+        lines
+            .map(|(field, value)| (field.trim().to_owned(), value.trim().to_owned()))
+            .collect(),
+    );
+    let ip: IpAddr = fields.parsed("ip", "an address")?;
+    let range = fields.text("internal_port_range")?;
+    let first_port = range.split(',').next().unwrap_or_default().trim();
+    let first_port: u16 = first_port.parse().map_err(|_| SettingsError::Malformed {
+        field: "internal_port_range",
+        value: range.to_owned(),
+        expected: "two ports",
+    })?;
+    let default = Tuning::default();
+    let tuning = Tuning {
+        stop_ms: fields.bound_ms("bounds.stop_timeout_ms", 1.0, default.stop_ms)?,
+        lease_ms: default.lease_ms.min(fields.bound_ms(
+            "bounds.max_hold_ms",
+            1.0,
+            default.lease_ms,
+        )?),
+        retention_ms: fields.bound_ms("bounds.status_s", 1_000.0, default.retention_ms)? + 30_000,
+        reclaim_ms: fields.bound_ms("bounds.reclaim_ms", 1.0, default.reclaim_ms)?,
+        remote_factor: fields.bound_ms("bounds.remote_factor", 1_000.0, 3_000)? as f64 / 1_000.0,
+        restore_ms: fields.bound_ms("bounds.restore_ms", 1.0, default.restore_ms)?,
+        checkpoint_ms: fields.bound_ms("bounds.checkpoint_s", 1_000.0, default.checkpoint_ms)?,
+        ..default
+    };
+    Ok(ClusterSettings {
+        daemon: fields.text("node_name")?.to_owned(),
+        data_centre: fields.text("zone")?.to_owned(),
+        ip,
+        client_address: fields.parsed("listen_addresses.frontend", "IP:PORT")?,
+        readiness_address: fields.parsed("listen_addresses.readiness", "IP:PORT")?,
+        peer_address: SocketAddr::new(ip, first_port),
+        metrics_address: SocketAddr::new(ip, first_port + METRICS_PORT_OFFSET),
+        store_address: fields.text("platform.address")?.to_owned(),
+        advice_address: fields.text("recommendation").ok().map(str::to_owned),
+        strength: (fields.bound_ms("limits.cpu_share", 1_000.0, 1_000)?)
+            * fields.bound_ms("limits.cores", 1.0, 1)?.max(1),
+        grace_ms: fields.bound_ms("bounds.grace_period_s", 1_000.0, 6_000)?,
+        tuning,
+    })
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,134 +1,336 @@
-//! The platform's key-value service.
+//! The platform's store.
 
+use super::http::{
+    CallFailure,
+    HttpClient, //
+};
+use crate::cluster::{
+    Committed,
+    Range,
+    StoreError,
+    StoreEvent,
+    StoredItem,
+    Transaction,
+    Watched, //
+};
+use awc::http::{
+    Method,
+    StatusCode, //
+};
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
-use futures_util::future::LocalBoxFuture;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::rc::Rc;
 
-/// A call to the key-value service.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum StoreCall {
-    /// Reads a value.
-    Get {
-        /// The key.
-        key: String,
-    },
-    /// Waits until the value's version is above `after_version`, or answers
-    /// what there is after `wait_ms`.
-    Watch {
-        /// The key.
-        key: String,
-        /// The version that the caller knows.
-        after_version: u64,
-        /// How long to wait.
-        wait_ms: u64,
-    },
-    /// Writes a value if its version is still `expected_version`.
-    CompareAndSwap {
-        /// The key.
-        key: String,
-        /// The version that the caller knows; 0 for none.
-        expected_version: u64,
-        /// The new value; at most 1 MB.
-        value: Bytes,
-    },
-    /// Takes or renews a lease.
-    AcquireLease {
-        /// The key.
-        key: String,
-        /// Who holds it.
-        holder: String,
-        /// For how long.
-        ttl_ms: u64,
-    },
-    /// Gives a lease up.
-    ReleaseLease {
-        /// The key.
-        key: String,
-        /// Who held it.
-        holder: String,
-    },
-}
-
-impl StoreCall {
-    /// The kind of call, as counters name it.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Get { .. } => "get",
-            Self::Watch { .. } => "watch",
-            Self::CompareAndSwap { .. } => "compare_and_swap",
-            Self::AcquireLease { .. } => "acquire_lease",
-            Self::ReleaseLease { .. } => "release_lease",
-        }
+/// Where the operator keeps the newest configuration.
+pub const CONFIGURATION_KEY: &str = "op/config";
+/// Under which workers register themselves.
+pub const WORKERS_PREFIX: &str = "servers/";
+
+/// Bound on a call: the store answers in 4 ms, and in some 300 ms on a slow day.
+const CALL_LIMIT_MS: u64 = 1_000;
+/// What a waiting watch may take beyond its wait.
+const WATCH_SLACK_MS: u64 = 700;
+
+#[derive(Deserialize)]
+struct ItemBody {
+    key: String,
+    #[serde(default)]
+    value: String,
+    revision: u64,
+    #[serde(default)]
+    deleted: bool,
+}
+
+#[derive(Deserialize)]
+struct RangeBody {
+    #[serde(default)]
+    items: Vec<ItemBody>,
+    #[serde(default)]
+    has_more: bool,
+    #[serde(default)]
+    current_rev: u64,
+}
+
+#[derive(Deserialize)]
+struct WatchBody {
+    #[serde(default)]
+    events: Vec<ItemBody>,
+    current_rev: u64,
+}
+
+#[derive(Deserialize)]
+struct ConflictBody {
+    #[serde(default)]
+    items: Vec<ItemBody>,
+}
+
+#[derive(Deserialize)]
+struct RevisionBody {
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct LeaseBody {
+    lease: u64,
+}
+
+#[derive(Serialize)]
+struct ExpectedRow<'a> {
+    key: &'a str,
+    revision: u64,
+}
+
+#[derive(Serialize)]
+struct PutRow<'a> {
+    key: &'a str,
+    value: String,
+    #[serde(skip_serializing_if = "is_zero")]
+    lease: u64,
+}
+
+#[derive(Serialize)]
+struct TransactionBody<'a> {
+    expected_revision: Vec<ExpectedRow<'a>>,
+    puts: Vec<PutRow<'a>>,
+    remove: &'a [String],
+}
+
+#[derive(Serialize)]
+struct TtlBody {
+    ttl_ms: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+impl ItemBody {
+    fn into_item(self) -> Result<StoredItem, StoreError> {
+        // A value that is no base64 is an answer that cannot be trusted.
+        let value = BASE64_STANDARD.decode(&self.value);
+        Ok(StoredItem {
+            key: self.key,
+            value: Bytes::from(value.map_err(|_| StoreError::NoAnswer)?),
+            revision: self.revision,
+        })
     }
 }
 
-/// An answer of the key-value service.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum StoreAnswer {
-    /// The value with its version.
-    Value {
-        /// Its version, from 1.
-        version: u64,
-        /// The value.
-        value: Bytes,
-    },
-    /// There is no value; counts as version 0.
-    Absent,
-    /// The write took effect.
-    Written {
-        /// The new version.
-        version: u64,
-    },
-    /// The version was another one; nothing was written.
-    Conflict,
-    /// The lease is the caller's for the time that it asked for.
-    Granted,
-    /// The lease is somebody else's.
-    Held {
-        /// Whose.
-        holder: String,
-    },
-    /// The lease is given up.
-    Released,
-}
-
-/// A call without an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-pub enum StoreFailure {
-    /// The service refused; the call had no effect.
-    #[error("the key-value service refuses calls; wait for it to come back")]
-    Unavailable,
-    /// No answer came; the call may have taken effect.
-    #[error("the key-value service did not answer in time; read back what took effect")]
-    Timeout,
-}
-
-/// The closure that carries calls to the service.
-type CallStore = dyn Fn(StoreCall) -> LocalBoxFuture<'static, Result<StoreAnswer, StoreFailure>>;
-
-/// The key-value service behind a closure.
+/// The client of the store; lives on one thread.
 #[derive(Clone)]
-pub struct Store {
-    call: Rc<CallStore>,
+pub struct StoreClient {
+    http: HttpClient,
+    address: Rc<str>,
 }
 
-impl Store {
-    /// A service that `call` carries calls to.
-    pub fn from_fn(
-        call: impl Fn(StoreCall) -> LocalBoxFuture<'static, Result<StoreAnswer, StoreFailure>> + 'static,
-    ) -> Self {
+impl StoreClient {
+    /// Opens the store at `address`.
+    pub fn open(http: HttpClient, address: &str) -> Self {
         Self {
-            call: Rc::new(call),
+            http,
+            address: address.into(),
         }
     }
 
-    /// Carries one call.
+    fn url(&self, call: &str) -> String {
+        format!("http://{}/-/{call}", self.address)
+    }
+
+    /// Reads a value; linearizable.
     ///
     /// # Errors
     ///
-    /// Tells a call that had no effect from one that may have had.
-    pub async fn call(&self, call: StoreCall) -> Result<StoreAnswer, StoreFailure> {
-        metrics::counter!("fuchsiaslip_store_calls_total", "call" => call.name()).increment(1);
-        (self.call)(call).await
+    /// The store refused or did not answer.
+    pub async fn get(&self, key: &str) -> Result<Option<StoredItem>, StoreError> {
+        let url = self.url(&format!("kv-key?key={key}"));
+        let answer = self.http.call(Method::GET, url, &[], None, CALL_LIMIT_MS);
+        let (status, body) = answered(answer.await)?;
+        match status {
+            StatusCode::OK => decode::<ItemBody>(&body)?.into_item().map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            other => Err(refused(other)),
+        }
     }
+
+    /// Reads the values under `prefix`, page by page. The pages are not a
+    /// snapshot: a watch from the revision returned shows what changed since.
+    ///
+    /// # Errors
+    ///
+    /// The store refused or did not answer.
+    pub async fn range(&self, prefix: &str, stale: bool) -> Result<Range, StoreError> {
+        let mut range = Range::default();
+        let mut after = String::new();
+        loop {
+            let mut call = format!("kv-range?prefix={prefix}");
+            if stale {
+                call.push_str("&serializable=1");
+            }
+            if !after.is_empty() {
+                call.push_str(&format!("&after={after}"));
+            }
+            let answer = self
+                .http
+                .call(Method::GET, self.url(&call), &[], None, CALL_LIMIT_MS);
+            let (status, body) = answered(answer.await)?;
+            if status != StatusCode::OK {
+                return Err(refused(status));
+            }
+            let page: RangeBody = decode(&body)?;
+            if range.items.is_empty() && after.is_empty() {
+                range.revision = page.current_rev;
+            }
+            for item in page.items {
+                range.items.push(item.into_item()?);
+            }
+            match range.items.last() {
+                Some(last) if page.has_more => after.clone_from(&last.key),
+                _ => return Ok(range),
+            }
+        }
+    }
+
+    /// Waits for changes under `prefix` after `revision`.
+    ///
+    /// # Errors
+    ///
+    /// The store refused or did not answer.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait_ms: u64,
+    ) -> Result<Watched, StoreError> {
+        let call = format!("kv-watch?prefix={prefix}&after={revision}&wait_ms={wait_ms}");
+        let limit_ms = wait_ms + WATCH_SLACK_MS;
+        let answer = self
+            .http
+            .call(Method::GET, self.url(&call), &[], None, limit_ms);
+        let (status, body) = answered(answer.await)?;
+        match status {
+            StatusCode::OK => {
+                let body: WatchBody = decode(&body)?;
+                let events = body.events.into_iter().map(|event| {
+                    if event.deleted {
+                        return Ok(StoreEvent::Removed { key: event.key });
+                    }
+                    event.into_item().map(StoreEvent::Put)
+                });
+                Ok(Watched::Changes {
+                    events: events.collect::<Result<_, _>>()?,
+                    revision: body.current_rev,
+                })
+            }
+            StatusCode::GONE => Ok(Watched::HistoryGone),
+            other => Err(refused(other)),
+        }
+    }
+
+    /// Carries out a transaction.
+    ///
+    /// # Errors
+    ///
+    /// The store refused or did not answer.
+    pub async fn commit(&self, transaction: &Transaction) -> Result<Committed, StoreError> {
+        let expected = transaction.expected.iter();
+        let puts = transaction.puts.iter();
+        let body = TransactionBody {
+            expected_revision: expected
+                .map(|(key, revision)| ExpectedRow {
+                    key,
+                    revision: *revision,
+                })
+                .collect(),
+            puts: puts
+                .map(|(key, value)| PutRow {
+                    key,
+                    value: BASE64_STANDARD.encode(value),
+                    lease: transaction.lease,
+                })
+                .collect(),
+            remove: &transaction.removed,
+        };
+        let answer = self
+            .http
+            .post(self.url("kv-txn"), &[], &body, CALL_LIMIT_MS);
+        let (status, body) = answered(answer.await)?;
+        match status {
+            StatusCode::OK => Ok(Committed::Done {
+                revision: decode::<RevisionBody>(&body)?.revision,
+            }),
+            StatusCode::PRECONDITION_FAILED => {
+                let items = decode::<ConflictBody>(&body)?.items.into_iter();
+                // A key that does not exist may be shown with revision 0.
+                let items = items.filter(|item| item.revision > 0 && !item.deleted);
+                let items = items.map(ItemBody::into_item).collect::<Result<_, _>>()?;
+                Ok(Committed::Conflict(items))
+            }
+            StatusCode::NOT_FOUND => Ok(Committed::LeaseOver),
+            other => Err(refused(other)),
+        }
+    }
+
+    /// Takes a lease.
+    ///
+    /// # Errors
+    ///
+    /// The store refused or did not answer.
+    pub async fn grant_lease(&self, ttl_ms: u64) -> Result<u64, StoreError> {
+        let body = TtlBody { ttl_ms };
+        let answer = self
+            .http
+            .post(self.url("kv-lease"), &[], &body, CALL_LIMIT_MS);
+        let (status, body) = answered(answer.await)?;
+        match status {
+            StatusCode::OK => Ok(decode::<LeaseBody>(&body)?.lease),
+            other => Err(refused(other)),
+        }
+    }
+
+    /// Renews a lease; `false` when it is over.
+    ///
+    /// # Errors
+    ///
+    /// The store refused or did not answer.
+    pub async fn keep_lease(&self, lease: u64) -> Result<bool, StoreError> {
+        let url = self.url(&format!("kv-keep/{lease}"));
+        let answer = self.http.call(Method::POST, url, &[], None, CALL_LIMIT_MS);
+        let (status, _) = answered(answer.await)?;
+        match status {
+            StatusCode::OK => Ok(true),
+            StatusCode::NOT_FOUND => Ok(false),
+            other => Err(refused(other)),
+        }
+    }
+}
+
+fn answered(
+    answer: Result<(StatusCode, Bytes), CallFailure>,
+) -> Result<(StatusCode, Bytes), StoreError> {
+    answer.map_err(|failure| match failure {
+        CallFailure::NotSent => StoreError::Refused,
+        CallFailure::NoAnswer => StoreError::NoAnswer,
+    })
+}
+
+fn refused(status: StatusCode) -> StoreError {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => StoreError::Refused,
+        status if status.is_client_error() => StoreError::Refused,
+        _ => StoreError::NoAnswer,
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| {
+        metrics::counter!("fuchsiaslip_store_answers_unread_total").increment(1);
+        log::debug!("an answer of the store does not read: {error}");
+        StoreError::NoAnswer
+    })
 }
--- /dev/null
+++ b/src/platform/workers.rs
@@ -0,0 +1,325 @@
+//! Calls to workers and to the policy that decides on them.
+
+use super::http::{
+    CallFailure,
+    HttpClient, //
+};
+use crate::scheduler::{
+    CallOutcome,
+    EndKind,
+    EndedRow,
+    GroupKey,
+    HoldReport,
+    RunName,
+    RunningRow,
+    StartRefusal,
+    TaskId, //
+};
+use awc::http::StatusCode;
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::sync::Arc;
+
+/// Bound on an order: a worker answers in a few milliseconds, so this much
+/// silence is a lost answer, and an order is sent again within the time that
+/// the members of a gang wait for each other.
+const ORDER_LIMIT_MS: u64 = 450;
+/// What a look may take beyond its wait.
+const LOOK_SLACK_MS: u64 = 600;
+/// Bound on a question to the policy outside.
+const ADVICE_LIMIT_MS: u64 = 3_000;
+const INCARNATION_HEADER: &str = "Expected-Instance";
+
+#[derive(Serialize)]
+struct StartBody<'a> {
+    task: String,
+    run_id: u64,
+    spec: &'a str,
+    deadline_ms: u64,
+    fencing_token: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    checkpoint: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct StopBody {
+    task: String,
+    run_id: u64,
+    fencing_token: u64,
+}
+
+#[derive(Serialize)]
+struct PaceBody {
+    task: String,
+    run_id: u64,
+    percent: u32,
+    fencing_token: u64,
+}
+
+#[derive(Serialize)]
+struct HoldBody {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    deadline_ms: Option<u64>,
+    fencing_token: u64,
+    last_seen: u64,
+    wait_ms: u64,
+}
+
+#[derive(Serialize)]
+struct AdviseBody<'a> {
+    step: String,
+    workers: Vec<&'a str>,
+}
+
+/// Work unit, run, saved, percent, and where it is told its use.
+#[derive(Deserialize)]
+struct RunningBody(
+    String,
+    u64,
+    #[serde(default)] Option<String>,
+    #[serde(default)] Option<f64>,
+    #[serde(default)] Option<f64>,
+);
+
+/// Number, work unit, run, how, saved.
+#[derive(Deserialize)]
+struct EndedBody(u64, String, u64, String, #[serde(default)] Option<String>);
+
+#[derive(Deserialize)]
+struct HoldAnswer {
+    clock_ms: u64,
+    #[serde(default)]
+    running: Vec<RunningBody>,
+    #[serde(default)]
+    finished: Vec<EndedBody>,
+}
+
+#[derive(Default, Deserialize)]
+struct RefusalBody {
+    #[serde(default)]
+    reason: String,
+}
+
+#[derive(Deserialize)]
+struct AdviseAnswer {
+    #[serde(default)]
+    approved: Vec<(String, String)>,
+}
+
+/// The client of workers; lives on one thread.
+#[derive(Clone)]
+pub struct WorkerClient {
+    http: HttpClient,
+}
+
+impl WorkerClient {
+    /// Opens the client.
+    pub fn open(http: HttpClient) -> Self {
+        Self { http }
+    }
+
+    /// Starts a run.
+    #[expect(clippy::too_many_arguments, reason = "the fields of one order")]
+    pub async fn start(
+        &self,
+        address: &str,
+        incarnation: &str,
+        epoch: u64,
+        name: RunName,
+        payload: &str,
+        lease_end_ms: u64,
+        checkpoint: Option<&str>,
+        ticket: Option<&str>,
+    ) -> CallOutcome {
+        let body = StartBody {
+            task: name.task.to_string(),
+            run_id: name.run,
+            spec: payload,
+            deadline_ms: lease_end_ms,
+            fencing_token: epoch,
+            checkpoint,
+            ticket,
+        };
+        self.order(address, incarnation, "run-start", &body).await
+    }
+
+    /// Stops a run.
+    pub async fn stop(
+        &self,
+        address: &str,
+        incarnation: &str,
+        epoch: u64,
+        name: RunName,
+    ) -> CallOutcome {
+        let body = StopBody {
+            task: name.task.to_string(),
+            run_id: name.run,
+            fencing_token: epoch,
+        };
+        self.order(address, incarnation, "run-stop", &body).await
+    }
+
+    /// Lets a run work at a share.
+    pub async fn pace(
+        &self,
+        address: &str,
+        incarnation: &str,
+        epoch: u64,
+        name: RunName,
+        percent: u32,
+    ) -> CallOutcome {
+        let body = PaceBody {
+            task: name.task.to_string(),
+            run_id: name.run,
+            percent,
+            fencing_token: epoch,
+        };
+        self.order(address, incarnation, "pace", &body).await
+    }
+
+    async fn order<T: Serialize>(
+        &self,
+        address: &str,
+        incarnation: &str,
+        call: &str,
+        body: &T,
+    ) -> CallOutcome {
+        let url = format!("http://{address}/-/{call}");
+        let headers = [(INCARNATION_HEADER, incarnation)];
+        match self.http.post(url, &headers, body, ORDER_LIMIT_MS).await {
+            Ok((status, body)) => outcome_of(status, &body),
+            // A connection that did not open may also mean that the opening
+            // packet is still under way; nothing of the order was sent.
+            Err(CallFailure::NotSent | CallFailure::NoAnswer) => CallOutcome::NoAnswer,
+        }
+    }
+
+    /// Renews the lease of what runs on a worker and looks at it.
+    ///
+    /// # Errors
+    ///
+    /// The worker refused or did not answer; never `Done`.
+    pub async fn hold(
+        &self,
+        address: &str,
+        incarnation: &str,
+        epoch: u64,
+        last_seen: u64,
+        lease_end_ms: Option<u64>,
+        wait_ms: u64,
+    ) -> Result<HoldReport, CallOutcome> {
+        let url = format!("http://{address}/-/hold");
+        let body = HoldBody {
+            deadline_ms: lease_end_ms,
+            fencing_token: epoch,
+            last_seen,
+            wait_ms,
+        };
+        let headers = [(INCARNATION_HEADER, incarnation)];
+        let limit_ms = wait_ms + LOOK_SLACK_MS;
+        let answer = self.http.post(url, &headers, &body, limit_ms).await;
+        let (status, body) = answer.map_err(|_| CallOutcome::NoAnswer)?;
+        if status != StatusCode::OK {
+            return Err(outcome_of(status, &body));
+        }
+        decode_hold(&body).ok_or_else(|| {
+            metrics::counter!("fuchsiaslip_worker_answers_unread_total").increment(1);
+            CallOutcome::NoAnswer
+        })
+    }
+
+    /// Asks the policy at `address` which of the workers may run a step; the
+    /// approved ones come with their tickets. `None` when it does not answer.
+    pub async fn advise(
+        &self,
+        address: &str,
+        step: GroupKey,
+        workers: &[Arc<str>],
+    ) -> Option<Vec<(String, Arc<str>)>> {
+        let body = AdviseBody {
+            step: format!("{}.{}.{}", step.job, step.occurrence, step.step),
+            workers: workers.iter().map(|worker| &**worker).collect(),
+        };
+        let url = format!("http://{address}/-/advise");
+        let answer = self.http.post(url, &[], &body, ADVICE_LIMIT_MS).await;
+        let (status, body) = answer.ok()?;
+        if status != StatusCode::OK {
+            return None;
+        }
+        let answer: AdviseAnswer = serde_json::from_slice(&body).ok()?;
+        let rows = answer.approved.into_iter();
+        Some(rows.map(|(id, ticket)| (id, ticket.into())).collect())
+    }
+}
+
+fn outcome_of(status: StatusCode, body: &Bytes) -> CallOutcome {
+    match status {
+        StatusCode::OK => CallOutcome::Done,
+        StatusCode::MISDIRECTED_REQUEST => CallOutcome::OtherIncarnation,
+        StatusCode::BAD_REQUEST => CallOutcome::Refused(StartRefusal::Malformed),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            CallOutcome::Refused(StartRefusal::Unhealthy)
+        }
+        StatusCode::CONFLICT => {
+            // An unknown reason is treated like the mildest: try elsewhere.
+            let body: RefusalBody = serde_json::from_slice(body).unwrap_or_default();
+            CallOutcome::Refused(match body.reason.as_str() {
+                "fence" => StartRefusal::Fenced,
+                "old" => StartRefusal::OldRun,
+                "late" => StartRefusal::Late,
+                "ticket" => StartRefusal::NoTicket,
+                "room" => StartRefusal::NoRoom,
+                _ => StartRefusal::Unhealthy,
+            })
+        }
+        _ => CallOutcome::NoAnswer,
+    }
+}
+
+fn decode_hold(body: &[u8]) -> Option<HoldReport> {
+    let answer: HoldAnswer = serde_json::from_slice(body)
+        .inspect_err(|error| log::debug!("a worker's answer does not read: {error}"))
+        .ok()?;
+    let name = |task: &str, run| {
+        let task: TaskId = task.parse().ok()?;
+        Some(RunName { task, run })
+    };
+    let running = answer.running.into_iter().map(|row| {
+        Some(RunningRow {
+            name: name(&row.0, row.1)?,
+            checkpoint: row.2.unwrap_or_default().into(),
+            percent: row.3.unwrap_or_default() as u32,
+            usage: row.4,
+        })
+    });
+    let ended = answer.finished.into_iter().map(|row| {
+        Some(EndedRow {
+            number: row.0,
+            name: name(&row.1, row.2)?,
+            kind: end_kind(&row.3)?,
+            checkpoint: row.4.unwrap_or_default().into(),
+        })
+    });
+    Some(HoldReport {
+        clock_ms: answer.clock_ms,
+        running: running.collect::<Option<_>>()?,
+        ended: ended.collect::<Option<_>>()?,
+    })
+}
+
+fn end_kind(word: &str) -> Option<EndKind> {
+    match word {
+        "done" => Some(EndKind::Done),
+        "failed" => Some(EndKind::Failed),
+        "stopped" => Some(EndKind::Stopped),
+        "lapsed" => Some(EndKind::Lapsed),
+        "broken" => Some(EndKind::Broken),
+        "alone" => Some(EndKind::Alone),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/scheduler/action.rs
@@ -0,0 +1,196 @@
+//! What the scheduler asks for.
+
+use super::{
+    GroupKey,
+    RunName, //
+};
+use crate::core::{
+    JobId,
+    WorkerKey, //
+};
+use std::sync::Arc;
+
+/// A worker and the incarnation that a call is meant for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Callee {
+    /// Its key, for the answer.
+    pub worker: WorkerKey,
+    /// Where it is called.
+    pub address: Arc<str>,
+    /// The incarnation that may answer.
+    pub incarnation: Arc<str>,
+}
+
+/// Something to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Renew the lease of what runs on a worker and look at it.
+    Hold {
+        /// Whom to call.
+        callee: Callee,
+        /// Ends up to here are durable.
+        last_seen: u64,
+        /// End of the lease on the worker's clock; `None` leaves it.
+        lease_end_ms: Option<u64>,
+        /// How long the worker may wait for an end.
+        wait_ms: u64,
+    },
+    /// Start a run.
+    Start {
+        /// Whom to call.
+        callee: Callee,
+        /// The run.
+        name: RunName,
+        /// What the task is given.
+        payload: Arc<str>,
+        /// The order is void after this time on the worker's clock.
+        lease_end_ms: u64,
+        /// Where to go on from.
+        checkpoint: Option<Arc<str>>,
+        /// Approval of a policy outside.
+        ticket: Option<Arc<str>>,
+    },
+    /// Stop a run, also one that has not arrived yet.
+    Stop {
+        /// Whom to call.
+        callee: Callee,
+        /// The run.
+        name: RunName,
+    },
+    /// Let a run work at a share.
+    Pace {
+        /// Whom to call.
+        callee: Callee,
+        /// The run.
+        name: RunName,
+        /// The share.
+        percent: u32,
+    },
+    /// Ask a policy outside which workers may run a step.
+    Advise {
+        /// The step.
+        step: GroupKey,
+        /// The workers, with their incarnations.
+        workers: Vec<(WorkerKey, Arc<str>)>,
+    },
+    /// Store the progress of a job; several may be asked for before the first
+    /// is carried out, and the last one holds.
+    Store {
+        /// The job.
+        job: JobId,
+    },
+    /// Store the roster of workers before any of the new ones is used.
+    StoreRoster,
+    /// Forget what is stored of a job.
+    Forget {
+        /// The job.
+        job: JobId,
+    },
+    /// A worker has seen a higher epoch: somebody else owns the fleet.
+    Deposed,
+    /// A decision, for the log and the counters.
+    Decided(Decision),
+}
+
+/// A decision with what it rested on.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// A run was given to a worker.
+    Placed {
+        /// The run.
+        name: RunName,
+        /// The worker's incarnation.
+        worker: Arc<str>,
+        /// Age of what is known of the worker.
+        view_age_ms: u64,
+    },
+    /// A run is stopped.
+    Stopped {
+        /// The run.
+        name: RunName,
+        /// The worker's incarnation.
+        worker: Arc<str>,
+        /// Why.
+        reason: StopReason,
+    },
+    /// A run ended.
+    Ended {
+        /// The run.
+        name: RunName,
+        /// The worker's incarnation.
+        worker: Arc<str>,
+        /// How, as workers say it.
+        kind: &'static str,
+    },
+    /// A start was refused or not answered.
+    Retried {
+        /// The run.
+        name: RunName,
+        /// The worker's incarnation.
+        worker: Arc<str>,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A job ended.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// How.
+        state: &'static str,
+    },
+    /// A worker gets no work for a while.
+    Quarantined {
+        /// The worker's incarnation.
+        worker: Arc<str>,
+        /// For how long.
+        for_ms: u64,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A worker was lost with all that ran there.
+    WorkerLost {
+        /// The worker's incarnation.
+        worker: Arc<str>,
+        /// Runs that were lost.
+        runs: usize,
+        /// How that is known.
+        reason: &'static str,
+    },
+}
+
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopReason {
+    /// Its job is over.
+    JobOver,
+    /// Another member of its gang cannot run.
+    GangBroken,
+    /// Its room is needed by more urgent work.
+    Preempted,
+    /// It stands still.
+    Hanging,
+    /// Its worker is far slower than others.
+    Slow,
+    /// Nobody knows what it belongs to, or a newer run took its place.
+    Stray,
+    /// Its worker is leaving.
+    WorkerLeaving,
+    /// It harms a task that serves.
+    Harm,
+}
+
+impl StopReason {
+    /// The reason as logs and counters name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::JobOver => "job_over",
+            Self::GangBroken => "gang_broken",
+            Self::Preempted => "preempted",
+            Self::Hanging => "hanging",
+            Self::Slow => "slow",
+            Self::Stray => "stray",
+            Self::WorkerLeaving => "worker_leaving",
+            Self::Harm => "harm",
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/blind.rs
@@ -0,0 +1,87 @@
+//! What a new owner may assume of workers that it cannot reach.
+//!
+//! An earlier owner gives leases for as long as `authority_ms` after it last
+//! confirmed its epoch, each at most `lease_ms` long. Runs that it started on
+//! workers that do not answer this owner can therefore go on until
+//! `authority_ms + lease_ms` after this owner took the epoch. Until then, or
+//! until every worker of the roster has answered, tasks of jobs that the
+//! earlier owner knew are not started anew: they could run twice.
+
+use super::scheduler::Scheduler;
+use super::worker::Contact;
+use super::{
+    GroupKey,
+    TaskState, //
+};
+use crate::core::WorkerKey;
+
+/// A worker's clock may be this much slow, in thousandths.
+const CLOCK_DRIFT_PERMILLE: u64 = 25;
+const MARGIN_MS: u64 = 100;
+
+impl Scheduler {
+    /// All that was stored is told; from here on the workers are asked.
+    pub(super) fn begin_recovery(&mut self) {
+        if self.recovered {
+            return;
+        }
+        self.recovered = true;
+        let lease_ms = self.tuning.lease_ms;
+        let wait_ms = self.tuning.authority_ms + lease_ms + lease_ms * CLOCK_DRIFT_PERMILLE / 1_000;
+        self.blind_until_ms = Some(self.began_ms + wait_ms + MARGIN_MS);
+        for group in self.groups.values_mut() {
+            group.blind = true;
+        }
+        for at in 0..self.workers.len() {
+            self.look_if_due(WorkerKey(at as u32));
+        }
+        self.review_blindness();
+    }
+
+    /// Whether an earlier owner may have started tasks of a job that becomes
+    /// known now.
+    pub(super) fn is_blind(&self) -> bool {
+        match self.blind_until_ms {
+            Some(_) => self.now_ms < self.began_ms + self.tuning.authority_ms,
+            None => !self.recovered,
+        }
+    }
+
+    /// Ends the blindness once every worker of the roster answered, or the
+    /// longest lease of an earlier owner is over.
+    pub(super) fn review_blindness(&mut self) {
+        let Some(until_ms) = self.blind_until_ms else {
+            return;
+        };
+        let unheard = self
+            .workers
+            .iter()
+            .any(|worker| worker.on_roster && worker.contact == Contact::Unfenced);
+        if unheard && self.now_ms < until_ms {
+            return;
+        }
+        self.blind_until_ms = None;
+        self.changed = true;
+        let keys: Vec<GroupKey> = self.groups.keys().copied().collect();
+        for key in keys {
+            self.end_blindness(key);
+        }
+    }
+
+    /// A gang of which only some members were found cannot become whole.
+    fn end_blindness(&mut self, key: GroupKey) {
+        let Some(group) = self.groups.get_mut(&key) else {
+            return;
+        };
+        group.blind = false;
+        let placed = |state: &TaskState| matches!(state, TaskState::Placed { .. });
+        let found = group
+            .tasks
+            .iter()
+            .filter(|task| placed(&task.state))
+            .count();
+        if group.step.gang && found > 0 && found < group.tasks.len() {
+            self.end_gang(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/ends.rs
@@ -0,0 +1,165 @@
+//! Taking in the ends of runs.
+
+use super::action::Decision;
+use super::progress::FinalState;
+use super::scheduler::Scheduler;
+use super::{
+    EndKind,
+    EndedRow,
+    GroupKey,
+    RunName,
+    RunPhase,
+    TaskState, //
+};
+use crate::core::WorkerKey;
+use std::sync::Arc;
+
+impl Scheduler {
+    /// Takes in an end that a worker lists. It counts as seen only once what
+    /// it changed is durable.
+    pub(super) fn take_end(&mut self, key: WorkerKey, row: EndedRow) {
+        let worker = self.worker(key).incarnation();
+        self.decided(Decision::Ended {
+            name: row.name,
+            worker,
+            kind: row.kind.name(),
+        });
+        self.keep_end_checkpoint(&row);
+        let change = match row.kind {
+            EndKind::Done => self.take_done(key, row.name),
+            EndKind::Failed => self.take_failed(key, row.name),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => 0,
+        };
+        self.run_gone(key, row.name);
+        let worker = self.worker_mut(key);
+        worker
+            .undurable
+            .push_back((row.number, row.name.task.job, change));
+    }
+
+    fn keep_end_checkpoint(&mut self, row: &EndedRow) {
+        if row.checkpoint.is_empty() || row.kind == EndKind::Done {
+            return;
+        }
+        let Some(group) = self.groups.get_mut(&GroupKey::of(row.name.task)) else {
+            return;
+        };
+        let checkpoint: Arc<str> = row.checkpoint.clone();
+        if group.step.gang {
+            for task in &mut group.tasks {
+                task.checkpoint = Some(checkpoint.clone());
+            }
+        } else if let Some(task) = group.tasks.get_mut(row.name.task.index as usize) {
+            task.checkpoint = Some(checkpoint);
+        }
+    }
+
+    /// Returns the number of the change to store, 0 for none.
+    fn take_done(&mut self, key: WorkerKey, name: RunName) -> u64 {
+        let group_key = GroupKey::of(name.task);
+        self.note_run_time(key, name);
+        let Some(group) = self.groups.get_mut(&group_key) else {
+            return 0;
+        };
+        if group.step.long_running {
+            return 0;
+        }
+        let Some(task) = group.tasks.get(name.task.index as usize) else {
+            return 0;
+        };
+        let own = TaskState::Placed {
+            worker: key,
+            run: name.run,
+        };
+        // A done end whose lease had lapsed comes after the task was started
+        // anew: the new run counts then.
+        if task.state != own && task.state != TaskState::Waiting {
+            return 0;
+        }
+        if group.step.gang {
+            self.gang_done(group_key, name.run);
+        } else {
+            group.set_state(name.task.index, TaskState::Done);
+        }
+        let change = self.job_changed(name.task.job);
+        if self.groups[&group_key].is_done() {
+            self.group_done(group_key);
+        }
+        change
+    }
+
+    /// One end of a gang stands for all: the other members have ended too, but
+    /// their room is free only when their own ends are listed.
+    fn gang_done(&mut self, key: GroupKey, run: u64) {
+        let Some(group) = self.groups.get_mut(&key) else {
+            return;
+        };
+        let mut others = Vec::new();
+        for index in 0..group.tasks.len() as u32 {
+            if let TaskState::Placed { worker, run: own } = group.tasks[index as usize].state {
+                if own == run {
+                    others.push((worker, key.task(index)));
+                }
+            }
+            group.set_state(index, TaskState::Done);
+        }
+        group.gang_run = None;
+        for (worker, task) in others {
+            if let Some(entry) = self.worker_mut(worker).runs.get_mut(&RunName { task, run }) {
+                entry.phase = RunPhase::Ending;
+            }
+        }
+    }
+
+    fn take_failed(&mut self, key: WorkerKey, name: RunName) -> u64 {
+        let group_key = GroupKey::of(name.task);
+        let Some(group) = self.groups.get_mut(&group_key) else {
+            return 0;
+        };
+        // A gang fails as one: its first task carries the count.
+        let counted = if group.step.gang { 0 } else { name.task.index };
+        let long_running = group.step.long_running;
+        let Some(task) = group.tasks.get_mut(counted as usize) else {
+            return 0;
+        };
+        if task.state == TaskState::Done || name.run <= task.failed_run {
+            return 0;
+        }
+        task.failures += 1;
+        task.failed_run = name.run;
+        let failures = task.failures;
+        if let Some(task) = group.tasks.get_mut(name.task.index as usize) {
+            task.avoid = Some(key);
+        }
+        self.note_failure(key, name);
+        let change = self.job_changed(name.task.job);
+        let max_attempts = self.jobs[&name.task.job].max_attempts;
+        if !long_running && failures >= max_attempts {
+            self.end_job(name.task.job, FinalState::Failed);
+        }
+        change
+    }
+
+    /// Moves `last_seen` of the workers past the ends that are durable.
+    pub(super) fn advance_last_seen(&mut self) {
+        let now_ms = self.now_ms;
+        let jobs = &self.jobs;
+        for worker in &mut self.workers {
+            let waited = !worker.undurable.is_empty();
+            while let Some(&(number, job, change)) = worker.undurable.front() {
+                let durable = change == 0 || jobs.get(&job).is_none_or(|job| job.stored >= change);
+                if !durable {
+                    break;
+                }
+                worker.undurable.pop_front();
+                worker.last_seen = number;
+            }
+            if waited && worker.undurable.is_empty() {
+                worker.look_at_ms = worker.look_at_ms.min(now_ms);
+            }
+        }
+        for at in 0..self.workers.len() {
+            self.look_if_due(WorkerKey(at as u32));
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/evidence.rs
@@ -0,0 +1,127 @@
+//! Judging workers by what their runs show.
+//!
+//! Load pattern: a tenth of the workers fail, or stall, all that they are given
+//! for some seconds while they look healthy. A worker that fails at once looks
+//! empty and draws the next tasks, each of which loses one of its few
+//! attempts. Limits: two different jobs have to fail in a row, so that one
+//! hopeless job does not close a worker; the first quarantine is short, so
+//! that a wrong judgement costs little, and doubles while it proves right.
+
+use super::action::{
+    Decision,
+    StopReason, //
+};
+use super::scheduler::Scheduler;
+use super::{
+    GroupKey,
+    RunName,
+    RunPhase, //
+};
+use crate::core::WorkerKey;
+use std::collections::HashSet;
+
+/// Different jobs that fail in a row on a worker before it is closed.
+const FAILED_JOBS: usize = 2;
+/// Failures longer ago than this say nothing.
+const FAILURE_MEMORY_MS: u64 = 6_000;
+/// First length of a quarantine: half of the shortest fault seen in days.
+const FIRST_QUARANTINE_MS: u64 = 2_000;
+/// Longest quarantine.
+const MAX_QUARANTINE_MS: u64 = 8_000;
+/// A run whose progress stands still for this long hangs. Progress is told in
+/// hundredths at each look, so a run of 30 s moves every 300 ms, or every
+/// 2,400 ms on a worker that is eight times as slow.
+const STALL_MS: u64 = 2_600;
+/// Weight of a new run time in a worker's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.3;
+/// A run time tells at most this much of slowness.
+const MAX_SLOWNESS: f64 = 8.0;
+
+impl Scheduler {
+    /// A run failed on a worker.
+    pub(super) fn note_failure(&mut self, key: WorkerKey, name: RunName) {
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        worker.failures.push((now_ms, name.task.job));
+        worker
+            .failures
+            .retain(|(at_ms, _)| now_ms - at_ms < FAILURE_MEMORY_MS);
+        let jobs: HashSet<_> = worker.failures.iter().map(|(_, job)| job).collect();
+        if jobs.len() >= FAILED_JOBS {
+            self.quarantine(key, "failures");
+        }
+    }
+
+    fn quarantine(&mut self, key: WorkerKey, reason: &'static str) {
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        if now_ms < worker.quarantined_until_ms {
+            return;
+        }
+        worker.quarantine_ms = match worker.quarantine_ms {
+            0 => FIRST_QUARANTINE_MS,
+            before => (before * 2).min(MAX_QUARANTINE_MS),
+        };
+        worker.quarantined_until_ms = now_ms + worker.quarantine_ms;
+        worker.failures.clear();
+        let decision = Decision::Quarantined {
+            worker: worker.incarnation(),
+            for_ms: worker.quarantine_ms,
+            reason,
+        };
+        self.decided(decision);
+    }
+
+    /// A run was done: the worker does its work, at this speed.
+    pub(super) fn note_run_time(&mut self, key: WorkerKey, name: RunName) {
+        let now_ms = self.now_ms;
+        let group = self.groups.get(&GroupKey::of(name.task));
+        let estimated_ms = group.map_or(0, |group| group.step.estimated_ms);
+        let gang = group.is_some_and(|group| group.step.gang);
+        let worker = self.worker_mut(key);
+        worker.failures.clear();
+        worker.quarantine_ms = 0;
+        let Some(run) = worker.runs.get(&name) else {
+            return;
+        };
+        // A gang is as slow as its slowest member: it tells of no one worker.
+        if gang || estimated_ms == 0 || run.sends == 0 {
+            return;
+        }
+        let took_ms = now_ms.saturating_sub(run.ordered_ms) as f64;
+        let slowness = (took_ms / estimated_ms as f64).min(MAX_SLOWNESS);
+        worker.slowness += SLOWNESS_WEIGHT * (slowness - worker.slowness);
+    }
+
+    /// Stops runs that stand still, and closes their workers for a while.
+    pub(super) fn review_evidence(&mut self) {
+        let now_ms = self.now_ms;
+        let mut stalled = Vec::new();
+        for worker in &self.workers {
+            if worker.failed_looks > 0 {
+                continue;
+            }
+            for (&name, run) in &worker.runs {
+                let works =
+                    run.phase == RunPhase::Running && !run.long_running && run.pace_percent == 100;
+                let heard = worker.heard_ms > run.advanced_ms + STALL_MS;
+                if works && heard && now_ms >= run.advanced_ms + STALL_MS {
+                    stalled.push((worker.key, name));
+                }
+            }
+        }
+        for (key, name) in stalled {
+            let gang = self
+                .groups
+                .get(&GroupKey::of(name.task))
+                .is_some_and(|group| group.step.gang);
+            if !gang {
+                self.quarantine(key, "stalled");
+            }
+            if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) {
+                group.tasks[name.task.index as usize].avoid = Some(key);
+            }
+            self.stop_run(key, name, StopReason::Hanging);
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/group.rs
@@ -0,0 +1,189 @@
+//! The tasks of one step of one occurrence.
+
+use super::{
+    Resources,
+    StepSpec,
+    TaskId, //
+};
+use crate::core::{
+    JobId,
+    WorkerKey, //
+};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Names the tasks of a step in an occurrence of a job.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct GroupKey {
+    /// The job.
+    pub job: JobId,
+    /// The occurrence.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u32,
+}
+
+impl GroupKey {
+    /// One of its tasks.
+    pub fn task(self, index: u32) -> TaskId {
+        TaskId {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+            index,
+        }
+    }
+
+    /// The group of a task.
+    pub fn of(task: TaskId) -> Self {
+        Self {
+            job: task.job,
+            occurrence: task.occurrence,
+            step: task.step,
+        }
+    }
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TaskState {
+    /// It has no run.
+    Waiting,
+    /// Its run is, or may be, on a worker.
+    Placed {
+        /// The worker.
+        worker: WorkerKey,
+        /// The number of the run.
+        run: u64,
+    },
+    /// A run ended done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// Where it stands.
+    pub state: TaskState,
+    /// Runs that ended failed.
+    pub failures: u32,
+    /// The highest run whose failure is counted.
+    pub failed_run: u64,
+    /// The highest number given to a run.
+    pub last_run: u64,
+    /// Where the next run goes on from.
+    pub checkpoint: Option<Arc<str>>,
+    /// The worker on which it last failed or hung.
+    pub avoid: Option<WorkerKey>,
+    /// When it last lost its run; for a task that lasts.
+    pub away_since_ms: u64,
+}
+
+impl Default for Task {
+    fn default() -> Self {
+        Self {
+            state: TaskState::Waiting,
+            failures: 0,
+            failed_run: 0,
+            last_run: 0,
+            checkpoint: None,
+            avoid: None,
+            away_since_ms: 0,
+        }
+    }
+}
+
+/// A ticket for a step on a worker.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    /// What the start carries.
+    pub ticket: Arc<str>,
+    /// Not to be used from then on.
+    pub until_ms: u64,
+}
+
+/// Workers that a policy outside allows for a step.
+#[derive(Clone, Debug, Default)]
+pub struct Advice {
+    /// A question is on its way.
+    pub asking: bool,
+    /// When to ask again at the earliest.
+    pub ask_at_ms: u64,
+    /// Approved workers.
+    pub tickets: BTreeMap<WorkerKey, Ticket>,
+    /// Workers that were not approved.
+    pub declined: Vec<WorkerKey>,
+}
+
+/// The tasks of a step.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// Its name.
+    pub key: GroupKey,
+    /// The step.
+    pub step: Arc<StepSpec>,
+    /// What each task takes.
+    pub room: Resources,
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// How many are waiting.
+    pub waiting: u32,
+    /// How many are done.
+    pub done: u32,
+    /// From when on tasks may start.
+    pub released_ms: u64,
+    /// When it is to be done to be on time.
+    pub objective_ms: u64,
+    /// The length of the objective.
+    pub objective_length_ms: u64,
+    /// The run of the gang that is on workers.
+    pub gang_run: Option<u64>,
+    /// That run is being given up.
+    pub gang_ending: bool,
+    /// An earlier owner may have started tasks where this one cannot look.
+    pub blind: bool,
+    /// Workers that a policy outside allows.
+    pub advice: Advice,
+    /// Since when it could not be placed.
+    pub unplaced_since_ms: Option<u64>,
+    /// Preemption for it is tried again from then on.
+    pub preempt_at_ms: u64,
+}
+
+impl Group {
+    /// Whether a pass has something to place.
+    pub fn is_ready(&self, now_ms: u64) -> bool {
+        if self.waiting == 0 || now_ms < self.released_ms || self.blind {
+            return false;
+        }
+        // A gang starts with all members, so all have to be without a run.
+        !self.step.gang || self.waiting == self.tasks.len() as u32
+    }
+
+    /// Changes a task's state and the counts with it.
+    pub fn set_state(&mut self, index: u32, state: TaskState) {
+        let task = &mut self.tasks[index as usize];
+        match task.state {
+            TaskState::Waiting => self.waiting -= 1,
+            TaskState::Done => self.done -= 1,
+            TaskState::Placed { .. } => {}
+        }
+        task.state = state;
+        match state {
+            TaskState::Waiting => self.waiting += 1,
+            TaskState::Done => self.done += 1,
+            TaskState::Placed { .. } => {}
+        }
+    }
+
+    /// Whether all tasks are done.
+    pub fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Tasks on `worker`.
+    pub fn on_worker(&self, worker: WorkerKey) -> u32 {
+        let there = |task: &&Task| matches!(task.state, TaskState::Placed { worker: own, .. } if own == worker);
+        self.tasks.iter().filter(there).count() as u32
+    }
+}
--- /dev/null
+++ b/src/scheduler/held.rs
@@ -0,0 +1,240 @@
+//! Taking in what a worker says of itself.
+
+use super::action::StopReason;
+use super::scheduler::Scheduler;
+use super::worker::Contact;
+use super::{
+    Action,
+    CallOutcome,
+    GroupKey,
+    HoldReport,
+    Run,
+    RunName,
+    RunPhase,
+    RunningRow,
+    StartRefusal,
+    TaskState, //
+};
+use crate::core::WorkerKey;
+use std::collections::HashSet;
+
+/// Wait before a look that brought an undurable end is repeated, if its end
+/// does not become durable before.
+const UNDURABLE_LOOK_MS: u64 = 300;
+/// First wait after a look without an answer; it doubles.
+const FAILED_LOOK_MS: u64 = 100;
+/// Longest such wait: a worker that returns is found this soon.
+const MAX_FAILED_LOOK_MS: u64 = 400;
+
+impl Scheduler {
+    /// Takes in the answer to a look.
+    pub(super) fn held(&mut self, key: WorkerKey, sent_ms: u64, report: HoldReport) {
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        worker.look_in_flight = false;
+        if worker.contact == Contact::Gone {
+            return;
+        }
+        if worker.contact != Contact::Answering || worker.failed_looks > 0 {
+            self.changed = true;
+        }
+        let worker = self.worker_mut(key);
+        worker.contact = Contact::Answering;
+        worker.failed_looks = 0;
+        worker.heard_ms = now_ms;
+        worker.clock = Some((report.clock_ms, now_ms));
+        let listed: HashSet<RunName> = report.ended.iter().map(|row| row.name).collect();
+        let mut ended = report.ended;
+        ended.sort_by_key(|row| row.number);
+        for row in ended {
+            if row.number > self.worker(key).taken_in {
+                self.worker_mut(key).taken_in = row.number;
+                self.take_end(key, row);
+            }
+        }
+        let mut seen = HashSet::with_capacity(report.running.len());
+        for row in report.running {
+            seen.insert(row.name);
+            if !listed.contains(&row.name) {
+                self.take_running(key, row);
+            }
+        }
+        self.settle_absent(key, sent_ms, &seen);
+        self.advance_last_seen();
+        let worker = self.worker_mut(key);
+        worker.look_at_ms = match worker.undurable.is_empty() {
+            true => now_ms,
+            false => now_ms + UNDURABLE_LOOK_MS,
+        };
+        self.look_if_due(key);
+    }
+
+    /// Takes in that a look failed.
+    pub(super) fn hold_failed(&mut self, key: WorkerKey, _sent_ms: u64, outcome: CallOutcome) {
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        worker.look_in_flight = false;
+        worker.failed_looks += 1;
+        let wait_ms = FAILED_LOOK_MS << (worker.failed_looks - 1).min(2);
+        worker.look_at_ms = now_ms + wait_ms.min(MAX_FAILED_LOOK_MS);
+        match outcome {
+            CallOutcome::OtherIncarnation => self.worker_gone(key, "other_incarnation"),
+            CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::Deposed),
+            _ if worker.contact == Contact::Answering => {
+                worker.contact = Contact::Silent;
+                self.changed = true;
+            }
+            _ => {}
+        }
+    }
+
+    fn take_running(&mut self, key: WorkerKey, row: RunningRow) {
+        let now_ms = self.now_ms;
+        self.keep_checkpoint(&row);
+        let worker = self.worker_mut(key);
+        let Some(run) = worker.runs.get_mut(&row.name) else {
+            self.adopt(key, &row);
+            return;
+        };
+        if run.phase == RunPhase::Starting {
+            // The answer to the start was lost or is still on its way.
+            run.phase = RunPhase::Running;
+            run.conclusive_ms = Some(now_ms);
+            if let Some(job) = self.jobs.get_mut(&row.name.task.job) {
+                job.started = true;
+            }
+        }
+        let worker = self.worker_mut(key);
+        let Some(run) = worker.runs.get_mut(&row.name) else {
+            return;
+        };
+        if row.percent != run.percent {
+            run.percent = row.percent;
+            run.advanced_ms = now_ms;
+            run.working_since_ms.get_or_insert(now_ms);
+        }
+        run.usage = row.usage;
+    }
+
+    /// Keeps the checkpoint of a run that is its task's present one.
+    fn keep_checkpoint(&mut self, row: &RunningRow) {
+        if row.checkpoint.is_empty() {
+            return;
+        }
+        let Some(group) = self.groups.get_mut(&GroupKey::of(row.name.task)) else {
+            return;
+        };
+        if group.step.gang {
+            // A member's checkpoint holds for all, and all carry the same.
+            let same = group.tasks[0].checkpoint.as_deref() == Some(&*row.checkpoint);
+            if !same {
+                for task in &mut group.tasks {
+                    task.checkpoint = Some(row.checkpoint.clone());
+                }
+            }
+        } else if let Some(task) = group.tasks.get_mut(row.name.task.index as usize) {
+            task.checkpoint = Some(row.checkpoint.clone());
+        }
+    }
+
+    /// Takes over a run that an earlier owner started, or stops one that has
+    /// no place any more.
+    fn adopt(&mut self, key: WorkerKey, row: &RunningRow) {
+        let now_ms = self.now_ms;
+        let group_key = GroupKey::of(row.name.task);
+        let index = row.name.task.index;
+        let (mut fits, mut run) = (false, stray(now_ms, group_key));
+        if let Some(group) = self.groups.get_mut(&group_key) {
+            run.room = group.room;
+            run.fills = group.step.fills;
+            run.pace_percent = if run.fills { u32::MAX } else { 100 };
+            run.serves = group.step.serves();
+            run.long_running = group.step.long_running;
+            let gang_fits = !group.step.gang
+                || (!group.gang_ending && group.gang_run.is_none_or(|run| run == row.name.run));
+            let waits = group.tasks.get(index as usize).is_some_and(|task| {
+                task.state == TaskState::Waiting && task.last_run <= row.name.run
+            });
+            fits = gang_fits && waits;
+            if fits {
+                let state = TaskState::Placed {
+                    worker: key,
+                    run: row.name.run,
+                };
+                group.set_state(index, state);
+                group.tasks[index as usize].last_run = row.name.run;
+                if group.step.gang {
+                    group.gang_run = Some(row.name.run);
+                }
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&row.name.task.job) {
+            run.priority = job.priority;
+            job.started = true;
+        }
+        run.percent = row.percent;
+        run.usage = row.usage;
+        self.worker_mut(key).add_run(row.name, run);
+        if !fits {
+            self.stop_run(key, row.name, StopReason::Stray);
+        }
+    }
+
+    /// Runs that a conclusive look does not show are off the worker.
+    fn settle_absent(&mut self, key: WorkerKey, sent_ms: u64, seen: &HashSet<RunName>) {
+        let absent: Vec<RunName> = self
+            .worker(key)
+            .runs
+            .iter()
+            .filter(|(name, run)| {
+                let conclusive = run.conclusive_ms.is_some_and(|at_ms| sent_ms >= at_ms);
+                conclusive && !seen.contains(name)
+            })
+            .map(|(&name, _)| name)
+            .collect();
+        for name in absent {
+            self.retried(key, name, "absent");
+            self.run_gone(key, name);
+        }
+    }
+
+    /// A change of pace was answered, or not.
+    pub(super) fn pace_over(&mut self, key: WorkerKey, name: RunName, outcome: CallOutcome) {
+        let Some(run) = self.worker_mut(key).runs.get_mut(&name) else {
+            return;
+        };
+        run.pace_in_flight = false;
+        match outcome {
+            CallOutcome::Done => {}
+            CallOutcome::OtherIncarnation => self.worker_gone(key, "other_incarnation"),
+            CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::Deposed),
+            // Unknown: the next review sends the pace again.
+            CallOutcome::Refused(_) | CallOutcome::NoAnswer => run.pace_percent = u32::MAX,
+        }
+    }
+}
+
+/// A run found on a worker.
+fn stray(now_ms: u64, group: GroupKey) -> Run {
+    Run {
+        group,
+        room: Default::default(),
+        phase: RunPhase::Running,
+        ordered_ms: now_ms,
+        sends: 1,
+        in_flight: false,
+        resend_ms: now_ms,
+        conclusive_ms: Some(now_ms),
+        percent: 0,
+        advanced_ms: now_ms,
+        working_since_ms: Some(now_ms),
+        usage: None,
+        pace_percent: u32::MAX,
+        pace_in_flight: false,
+        fills: false,
+        serves: false,
+        long_running: false,
+        priority: u32::MAX,
+        over_target_since_ms: None,
+    }
+}
