--- /dev/null
+++ b/src/scheduler/job.rs
@@ -0,0 +1,444 @@
+//! A job and its way through its occurrences.
+
+use super::progress::{
+    FinalState,
+    GroupProgress, //
+};
+use super::scheduler::Scheduler;
+use super::{
+    Action, Group, GroupKey, JobRecord, ProgressRecord, StepSpec, Task, TaskState,
+    action::{
+        Decision,
+        StopReason, //
+    },
+};
+use crate::core::JobId;
+use std::sync::Arc;
+
+/// Occurrences of one job that are kept in memory at a time; later ones wait.
+const MAX_OPEN_OCCURRENCES: usize = 64;
+/// A step wider than this part of the fleet's room runs in waves.
+const WAVE_SHARE: f64 = 0.25;
+/// A job whose work is this many times its queue's mean earns no more.
+const MAX_WORK_RATIO: f64 = 4.0;
+
+/// A job.
+#[derive(Clone, Debug)]
+pub struct GraphJob {
+    /// Its name.
+    pub id: JobId,
+    /// What its caller asked for.
+    pub record: Arc<JobRecord>,
+    /// Priority of its queue.
+    pub priority: u32,
+    /// Failures of one task that end it.
+    pub max_attempts: u32,
+    /// When the scheduler learned of it.
+    pub known_ms: u64,
+    /// Its caller cancelled it.
+    pub cancelled: bool,
+    /// How it ended by itself.
+    pub ended: Option<FinalState>,
+    /// When it ended or was cancelled.
+    pub ended_ms: u64,
+    /// A task has begun.
+    pub started: bool,
+    /// The next occurrence to open.
+    pub next_occurrence: u32,
+    /// Occurrences that are done.
+    pub done_occurrences: Vec<u32>,
+    /// Occurrences that are open.
+    pub open_occurrences: Vec<u32>,
+    /// Number of the last change that has to be stored.
+    pub change: u64,
+    /// Number of the last change that is durable.
+    pub stored: u64,
+    /// Work of an occurrence in thousandths of a core times milliseconds.
+    pub work: f64,
+    /// Accelerators of its first step.
+    pub first_step_accelerators: u32,
+    /// Steps, shared with the groups.
+    pub steps: Vec<Arc<StepSpec>>,
+    restored: Option<ProgressRecord>,
+}
+
+/// What a caller may be told of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobView {
+    /// No task has begun.
+    Queued,
+    /// A task has begun.
+    Running,
+    /// All tasks are done, durably.
+    Completed,
+    /// A task failed too often, durably.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+impl GraphJob {
+    fn repetitions(&self) -> u32 {
+        let schedule = self.record.spec.schedule.as_ref();
+        schedule.map_or(1, |schedule| schedule.repetitions.max(1))
+    }
+
+    /// Whether nothing of it may start any more.
+    pub fn is_over(&self) -> bool {
+        self.cancelled || self.ended.is_some()
+    }
+
+    /// What its caller may be told: an end only once it is durable.
+    pub fn view(&self) -> JobView {
+        match self.ended {
+            _ if self.cancelled => JobView::Cancelled,
+            Some(FinalState::Completed) if self.stored >= self.change => JobView::Completed,
+            Some(FinalState::Failed) if self.stored >= self.change => JobView::Failed,
+            _ if self.started => JobView::Running,
+            _ => JobView::Queued,
+        }
+    }
+
+    /// Whether it is urgent work that counts against its account's guarantee.
+    pub fn is_urgent(&self) -> bool {
+        self.priority == 0
+    }
+}
+
+impl Scheduler {
+    /// Takes in a stored job; one that is known stays as it is.
+    pub(super) fn take_job(
+        &mut self,
+        id: JobId,
+        record: Arc<JobRecord>,
+        progress: Option<ProgressRecord>,
+    ) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let queue = self.queue_terms(&record.queue);
+        let steps: Vec<Arc<StepSpec>> = record.spec.steps.iter().cloned().map(Arc::new).collect();
+        let work = work_of(&steps);
+        self.note_work(&record.queue, work);
+        let progress = progress.unwrap_or_default();
+        let first = steps.first();
+        let job = GraphJob {
+            id,
+            priority: queue.priority,
+            max_attempts: queue.max_attempts.max(1),
+            known_ms: self.now_ms,
+            cancelled: false,
+            ended: progress.ended,
+            ended_ms: self.now_ms,
+            started: !progress.groups.is_empty() || !progress.done_occurrences.is_empty(),
+            next_occurrence: 0,
+            done_occurrences: progress.done_occurrences.clone(),
+            open_occurrences: Vec::new(),
+            change: 0,
+            stored: 0,
+            work,
+            first_step_accelerators: first.map_or(0, |step| step.count * step.needs.accelerators),
+            steps,
+            record,
+            restored: Some(progress),
+        };
+        let over = job.is_over();
+        self.jobs.insert(id, job);
+        if !over {
+            self.open_occurrences(id);
+            self.end_job_if_done(id);
+        }
+        self.changed = true;
+    }
+
+    /// Opens the occurrences that are due and asks to be woken for the next.
+    pub(super) fn open_occurrences(&mut self, id: JobId) {
+        loop {
+            let Some(job) = self.jobs.get(&id) else {
+                return;
+            };
+            if job.is_over() || job.next_occurrence >= job.repetitions() {
+                return;
+            }
+            let occurrence = job.next_occurrence;
+            if job.done_occurrences.contains(&occurrence) {
+                self.job_mut(id).next_occurrence += 1;
+                continue;
+            }
+            let due_ms = match &job.record.spec.schedule {
+                Some(schedule) => schedule.due_ms(occurrence),
+                None => job.record.received_ms.min(self.now_ms),
+            };
+            if due_ms > self.now_ms || job.open_occurrences.len() >= MAX_OPEN_OCCURRENCES {
+                self.due.insert((due_ms.max(self.now_ms + 1), id));
+                return;
+            }
+            self.job_mut(id).next_occurrence += 1;
+            self.open_occurrence(id, occurrence, due_ms);
+        }
+    }
+
+    fn open_occurrence(&mut self, id: JobId, occurrence: u32, due_ms: u64) {
+        let job = &self.jobs[&id];
+        let queue = self.queue_terms(&job.record.queue);
+        let chain_ms = self.chain_ms(&job.steps);
+        let length_ms = (queue.stretch_factor.max(1.0) * chain_ms) as u64 + queue.target_latency_ms;
+        let blind = self.is_blind();
+        let mut groups = Vec::new();
+        for (at, step) in job.steps.iter().enumerate() {
+            let key = GroupKey {
+                job: id,
+                occurrence,
+                step: at as u32,
+            };
+            let mut group = Group {
+                key,
+                room: step.room(),
+                tasks: vec![Task::default(); step.count as usize],
+                waiting: step.count,
+                done: 0,
+                released_ms: if step.after.is_empty() {
+                    due_ms
+                } else {
+                    u64::MAX
+                },
+                objective_ms: due_ms + length_ms,
+                objective_length_ms: length_ms,
+                gang_run: None,
+                gang_ending: false,
+                blind,
+                advice: Default::default(),
+                unplaced_since_ms: None,
+                preempt_at_ms: 0,
+                step: step.clone(),
+            };
+            let restored = job.restored.as_ref().and_then(|record| record.group(key));
+            if let Some(progress) = restored {
+                progress.restore(&mut group);
+            }
+            groups.push(group);
+        }
+        for group in groups {
+            self.groups.insert(group.key, group);
+        }
+        self.job_mut(id).open_occurrences.push(occurrence);
+        for step in 0..self.jobs[&id].steps.len() as u32 {
+            self.release_after(GroupKey {
+                job: id,
+                occurrence,
+                step,
+            });
+        }
+        self.end_occurrence_if_done(id, occurrence);
+        self.changed = true;
+    }
+
+    /// The longest chain of work by the estimates, wide steps in waves.
+    fn chain_ms(&self, steps: &[Arc<StepSpec>]) -> f64 {
+        let room = self.fleet_room();
+        let mut ends: Vec<f64> = Vec::with_capacity(steps.len());
+        for step in steps {
+            let begins = step.after.iter().map(|&at| ends.get(at as usize).copied());
+            let begin = begins.flatten().fold(0.0, f64::max);
+            let fits = f64::from(room.times(&step.room()).max(1)) * WAVE_SHARE;
+            let waves = (f64::from(step.count) / fits.max(1.0)).ceil().max(1.0);
+            ends.push(begin + step.estimated_ms as f64 * waves);
+        }
+        ends.into_iter().fold(0.0, f64::max)
+    }
+
+    /// Releases the steps that only waited for `done`, or `done` itself if it
+    /// waits for nothing that is open.
+    pub(super) fn release_after(&mut self, done: GroupKey) {
+        let Some(job) = self.jobs.get(&done.job) else {
+            return;
+        };
+        let key_of = |step: u32| GroupKey { step, ..done };
+        let is_done = |step: u32| self.groups.get(&key_of(step)).is_none_or(Group::is_done);
+        let ready: Vec<u32> = (0..job.steps.len() as u32)
+            .filter(|&step| {
+                let after = &job.steps[step as usize].after;
+                !after.is_empty() && after.iter().all(|&before| is_done(before))
+            })
+            .collect();
+        for step in ready {
+            if let Some(group) = self.groups.get_mut(&key_of(step)) {
+                if group.released_ms == u64::MAX {
+                    group.released_ms = self.now_ms;
+                    self.changed = true;
+                }
+            }
+        }
+    }
+
+    /// Follows up on a group whose last task is done.
+    pub(super) fn group_done(&mut self, key: GroupKey) {
+        self.release_after(key);
+        self.end_occurrence_if_done(key.job, key.occurrence);
+    }
+
+    fn end_occurrence_if_done(&mut self, id: JobId, occurrence: u32) {
+        let steps = self.jobs.get(&id).map_or(0, |job| job.steps.len() as u32);
+        let keys = (0..steps).map(|step| GroupKey {
+            job: id,
+            occurrence,
+            step,
+        });
+        let all_done = keys
+            .clone()
+            .all(|key| self.groups.get(&key).is_some_and(Group::is_done));
+        if !all_done {
+            return;
+        }
+        for key in keys {
+            self.groups.remove(&key);
+        }
+        let job = self.job_mut(id);
+        job.open_occurrences.retain(|&open| open != occurrence);
+        if !job.done_occurrences.contains(&occurrence) {
+            job.done_occurrences.push(occurrence);
+        }
+        self.end_job_if_done(id);
+    }
+
+    fn end_job_if_done(&mut self, id: JobId) {
+        let job = &self.jobs[&id];
+        if job.is_over() || (job.done_occurrences.len() as u32) < job.repetitions() {
+            return;
+        }
+        self.end_job(id, FinalState::Completed);
+    }
+
+    /// Ends a job by itself: nothing of it starts any more.
+    pub(super) fn end_job(&mut self, id: JobId, state: FinalState) {
+        let now_ms = self.now_ms;
+        let job = self.job_mut(id);
+        if job.is_over() {
+            return;
+        }
+        job.ended = Some(state);
+        job.ended_ms = now_ms;
+        self.job_changed(id);
+        let name = match state {
+            FinalState::Completed => "completed",
+            FinalState::Failed => "failed",
+        };
+        self.close_job(id, name);
+    }
+
+    /// Takes in a stored cancellation.
+    pub(super) fn cancel_job(&mut self, id: JobId) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.cancelled_early.insert(id);
+            return;
+        };
+        if job.is_over() {
+            return;
+        }
+        job.cancelled = true;
+        job.ended_ms = now_ms;
+        self.close_job(id, "cancelled");
+    }
+
+    fn close_job(&mut self, id: JobId, state: &'static str) {
+        self.decided(Decision::JobEnded { job: id, state });
+        let keys: Vec<GroupKey> = self.groups_of(id).collect();
+        for key in keys {
+            self.stop_group(key, StopReason::JobOver);
+            self.groups.remove(&key);
+        }
+        self.job_mut(id).open_occurrences.clear();
+        self.changed = true;
+    }
+
+    /// Stops whatever runs of a group.
+    pub(super) fn stop_group(&mut self, key: GroupKey, reason: StopReason) {
+        let Some(group) = self.groups.get(&key) else {
+            return;
+        };
+        let runs: Vec<_> = (0u32..)
+            .zip(&group.tasks)
+            .filter_map(|(index, task)| match task.state {
+                TaskState::Placed { worker, run } => Some((worker, key.task(index), run)),
+                _ => None,
+            })
+            .collect();
+        for (worker, task, run) in runs {
+            self.stop_run(worker, super::RunName { task, run }, reason);
+        }
+    }
+
+    /// Marks a job as changed; the change's number is returned.
+    pub(super) fn job_changed(&mut self, id: JobId) -> u64 {
+        let job = self.job_mut(id);
+        job.change += 1;
+        let change = job.change;
+        self.actions.push(Action::Store { job: id });
+        change
+    }
+
+    /// Everything up to `change` of a job is durable.
+    pub(super) fn stored(&mut self, id: JobId, change: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.stored = job.stored.max(change);
+        self.advance_last_seen();
+    }
+
+    /// What has to be stored of a job, and the number of its last change.
+    pub fn progress(&self, id: JobId) -> Option<(u64, ProgressRecord)> {
+        let job = self.jobs.get(&id)?;
+        let groups = self.groups_of(id);
+        let record = ProgressRecord {
+            ended: job.ended,
+            done_occurrences: job.done_occurrences.clone(),
+            groups: groups
+                .filter_map(|key| GroupProgress::of(&self.groups[&key]))
+                .collect(),
+        };
+        Some((job.change, record))
+    }
+
+    /// The groups of a job that are open.
+    pub(super) fn groups_of(&self, id: JobId) -> impl Iterator<Item = GroupKey> + '_ {
+        let from = GroupKey {
+            job: id,
+            occurrence: 0,
+            step: 0,
+        };
+        self.groups
+            .range(from..)
+            .map(|(&key, _)| key)
+            .take_while(move |key| key.job == id)
+    }
+
+    /// What a caller may be told of a job.
+    pub fn job_view(&self, id: JobId) -> Option<JobView> {
+        self.jobs.get(&id).map(GraphJob::view)
+    }
+
+    /// Accepted jobs of a queue of which no task has begun.
+    pub fn pending(&self, queue: &str) -> usize {
+        self.jobs
+            .values()
+            .filter(|job| job.record.queue == queue && !job.started && !job.is_over())
+            .count()
+    }
+}
+
+/// Work of an occurrence in thousandths of a core times milliseconds.
+fn work_of(steps: &[Arc<StepSpec>]) -> f64 {
+    let work = |step: &Arc<StepSpec>| {
+        step.needs.weight() as f64 * f64::from(step.count) * step.estimated_ms as f64
+    };
+    steps.iter().map(work).sum::<f64>().max(1.0)
+}
+
+/// A job's worth against the mean of its queue: small jobs have a part of
+/// their own, and very large ones earn no more than four means.
+pub(super) fn worth_ratio(work: f64, mean_work: f64) -> f64 {
+    const FIXED_PART: f64 = 0.3;
+    FIXED_PART + (1.0 - FIXED_PART) * (work / mean_work.max(1.0)).min(MAX_WORK_RATIO)
+}
--- /dev/null
+++ b/src/scheduler/mod.rs
@@ -0,0 +1,83 @@
+//! The scheduler of job graphs: pure, single-threaded, without I/O and clock.
+//!
+//! A [`Scheduler`] holds every job, worker and run of one fleet. It takes an
+//! [`Input`] and the current time and returns the [`Action`]s to carry out.
+//! The daemon, the replay of loads and the tests of failures run this code.
+
+mod action;
+mod blind;
+mod configuration;
+mod ends;
+mod evidence;
+mod group;
+mod held;
+mod id;
+mod input;
+mod job;
+mod order;
+mod pass;
+mod placement;
+mod preempt;
+mod progress;
+mod scheduler;
+mod sharing;
+mod spec;
+mod worker;
+
+pub use action::{
+    Action,
+    Callee,
+    Decision,
+    StopReason, //
+};
+pub use configuration::{
+    AccountDeclaration,
+    AdviceTerms,
+    ClusterConfiguration,
+    Queue,
+    RequestLimits, //
+};
+pub use group::{
+    Group,
+    GroupKey,
+    Task,
+    TaskState, //
+};
+pub use id::{
+    RunName,
+    TaskId, //
+};
+pub use input::{
+    CallOutcome,
+    EndKind,
+    EndedRow,
+    HoldReport,
+    Input,
+    RunningRow,
+    StartRefusal,
+    WorkerInfo, //
+};
+pub use job::{
+    GraphJob,
+    JobView, //
+};
+pub use progress::{
+    FinalState,
+    ProgressRecord, //
+};
+pub use scheduler::{
+    Scheduler,
+    Tuning, //
+};
+pub use spec::{
+    JobRecord,
+    JobSpec,
+    Resources,
+    Schedule,
+    StepSpec, //
+};
+pub use worker::{
+    Run,
+    RunPhase,
+    Worker, //
+};
--- /dev/null
+++ b/src/scheduler/order.rs
@@ -0,0 +1,166 @@
+//! In which order waiting work is offered room.
+//!
+//! Load pattern: far more work is asked for than the fleet can do, in classes
+//! whose jobs differ a hundredfold in size, with bursts of urgent ones. What is
+//! served on time earns its worth, what is late a part of it, so room goes
+//! first to what earns most for the room and time that it still takes. Limits:
+//! work that can no longer earn anything comes last, but comes.
+
+use super::job::worth_ratio;
+use super::scheduler::Scheduler;
+use super::{
+    Group,
+    GroupKey, //
+};
+use crate::core::JobId;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
+
+/// Worth of a job by the priority of its queue; the configuration does not
+/// tell it, and the order of priorities is what operators do tell.
+const WORTH_BY_PRIORITY: [f64; 3] = [4.0, 3.0, 1.0];
+/// Worth of a job of any lower priority.
+const LEAST_WORTH: f64 = 0.5;
+/// Part of its worth that late work earns, about as far as operators say.
+const LATE_PART: f64 = 0.25;
+/// Work that earns nothing any more still has an order.
+const HOPELESS_PART: f64 = 0.005;
+/// Late work earns up to this many times the objective.
+const LATE_FACTOR: u64 = 3;
+
+/// Which work is offered room first, whatever it earns.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Tier {
+    /// Work that has to run all the time.
+    Lasting,
+    /// Urgent work within its account's guarantee.
+    Guaranteed,
+    /// All other work.
+    Earning,
+}
+
+/// What a job still earns, and what it still costs.
+#[derive(Clone, Copy, Debug)]
+pub struct Prospect {
+    /// Worth of a job of its queue.
+    pub worth: f64,
+    /// The job's work against its queue's mean.
+    pub worth_ratio: f64,
+    /// Work left, in thousandths of a core times milliseconds.
+    pub work_left: f64,
+    /// Time that it takes from now, if it starts now.
+    pub chain_left_ms: u64,
+    /// When it is late.
+    pub objective_ms: u64,
+    /// Length of its objective.
+    pub objective_length_ms: u64,
+}
+
+impl Prospect {
+    /// What it earns for each unit of work, if it starts at `now_ms`.
+    pub fn density(&self, now_ms: u64) -> f64 {
+        let end_ms = now_ms + self.chain_left_ms;
+        let last_ms = self.objective_ms + (LATE_FACTOR - 1) * self.objective_length_ms;
+        let part = if end_ms <= self.objective_ms {
+            1.0
+        } else if end_ms <= last_ms {
+            LATE_PART
+        } else {
+            HOPELESS_PART
+        };
+        self.worth * self.worth_ratio * part / self.work_left.max(1.0)
+    }
+}
+
+/// A group that waits for room, with its place in the order.
+#[derive(Clone, Copy, Debug)]
+pub struct Ranked {
+    /// The group.
+    pub key: GroupKey,
+    /// Its tier.
+    pub tier: Tier,
+    /// What it earns for each unit of work.
+    pub density: f64,
+}
+
+/// Worth of a job by priority.
+pub fn worth_of(priority: u32) -> f64 {
+    let known = WORTH_BY_PRIORITY.get(priority as usize);
+    known.copied().unwrap_or(LEAST_WORTH)
+}
+
+impl Scheduler {
+    /// The groups that wait for room, first the one to be offered it first.
+    pub(super) fn ranked(&mut self) -> Vec<Ranked> {
+        self.guaranteed = self.guaranteed_jobs();
+        let mut ranked: Vec<Ranked> = self
+            .groups
+            .values()
+            .filter(|group| group.is_ready(self.now_ms))
+            .map(|group| self.rank(group))
+            .collect();
+        ranked.sort_by(|a, b| {
+            let by_density = b.density.total_cmp(&a.density);
+            a.tier.cmp(&b.tier).then(by_density).then(a.key.cmp(&b.key))
+        });
+        ranked
+    }
+
+    fn rank(&self, group: &Group) -> Ranked {
+        let job = &self.jobs[&group.key.job];
+        let tier = if group.step.long_running {
+            Tier::Lasting
+        } else if self.guaranteed.contains(&job.id) {
+            Tier::Guaranteed
+        } else {
+            Tier::Earning
+        };
+        let mut work_left = 0.0;
+        for step in 0..job.steps.len() as u32 {
+            if let Some(other) = self.groups.get(&GroupKey { step, ..group.key }) {
+                let left = f64::from(other.tasks.len() as u32 - other.done);
+                work_left +=
+                    left * other.step.needs.weight() as f64 * other.step.estimated_ms as f64;
+            }
+        }
+        let prospect = Prospect {
+            worth: worth_of(job.priority),
+            worth_ratio: worth_ratio(job.work, self.mean_work(&job.record.queue)),
+            work_left,
+            chain_left_ms: group.step.estimated_ms,
+            objective_ms: group.objective_ms,
+            objective_length_ms: group.objective_length_ms,
+        };
+        Ranked {
+            key: group.key,
+            tier,
+            density: prospect.density(self.now_ms),
+        }
+    }
+
+    /// Urgent jobs of accounts whose urgent jobs together need no more than
+    /// their guarantee.
+    fn guaranteed_jobs(&self) -> HashSet<JobId> {
+        let mut needs: HashMap<&str, u32> = HashMap::new();
+        let open = || {
+            self.jobs
+                .values()
+                .filter(|job| job.is_urgent() && !job.is_over())
+        };
+        for job in open() {
+            *needs.entry(&job.record.account).or_default() += job.first_step_accelerators;
+        }
+        let within = |account: &str| {
+            let declared = self.configuration.accounts.iter();
+            let mut own = declared.filter(|declared| declared.name == account);
+            let need = needs.get(account).copied().unwrap_or(0);
+            own.any(|declared| need <= declared.guaranteed_accelerators)
+        };
+        open()
+            .filter(|job| within(&job.record.account))
+            .map(|job| job.id)
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/scheduler/pass.rs
@@ -0,0 +1,307 @@
+//! One pass: waiting work is offered the room there is.
+
+use super::action::Action;
+use super::order::{
+    Ranked,
+    Tier, //
+};
+use super::placement::{
+    Ask,
+    Placing,
+    Seat,
+    place, //
+};
+use super::scheduler::Scheduler;
+use super::{
+    Group,
+    GroupKey,
+    Queue,
+    Resources,
+    TaskState, //
+};
+use crate::core::WorkerKey;
+use std::collections::HashMap;
+
+/// Starts that one pass gives; more follow at once in the next, so that news
+/// is not kept waiting behind a burst.
+const MAX_STARTS: usize = 96;
+/// Work leaves the rack of its data after it waited this long.
+const LEAVE_RACK_MS: u64 = 1_500;
+/// It leaves whatever it costs after this long: below the 3 s for which work
+/// may wait beside idle workers.
+const LEAVE_RACK_ANYWAY_MS: u64 = 2_600;
+/// A ticket is not used in the last moments of its life.
+const TICKET_MARGIN_MS: u64 = 300;
+/// Workers named in one question to a policy outside.
+const MAX_ADVISED_WORKERS: usize = 30;
+
+/// Needs that found no room in this pass; what needs as much or more is passed
+/// over, so that 200 like tasks do not cost 200 searches.
+#[derive(Debug, Default)]
+struct Misses {
+    needs: Vec<Resources>,
+}
+
+impl Misses {
+    fn covers(&self, needs: &Resources) -> bool {
+        self.needs.iter().any(|missed| needs.holds(missed))
+    }
+}
+
+impl Scheduler {
+    /// Offers room to waiting work, in order.
+    pub(super) fn pass(&mut self) {
+        if !self.has_authority() || self.configuration.version == 0 {
+            return;
+        }
+        let mut seats = self.seats();
+        let mut misses = Misses::default();
+        let mut starts = 0;
+        for ranked in self.ranked() {
+            if starts >= MAX_STARTS {
+                self.changed = true;
+                break;
+            }
+            starts += self.offer(ranked, &mut seats, &mut misses);
+        }
+    }
+
+    /// Workers that take work, with their room.
+    fn seats(&self) -> Vec<Seat> {
+        let now_ms = self.now_ms;
+        let takes = self
+            .workers
+            .iter()
+            .filter(|worker| worker.takes_work(now_ms));
+        takes
+            .map(|worker| Seat {
+                worker: worker.key,
+                free: worker.free(),
+                rack: worker.rack().into(),
+                slowness: worker.slowness,
+                serves: worker.runs.values().any(|run| run.serves),
+                fills: worker.runs.values().any(|run| run.fills),
+            })
+            .collect()
+    }
+
+    fn offer(&mut self, ranked: Ranked, seats: &mut [Seat], misses: &mut Misses) -> usize {
+        let key = ranked.key;
+        let group = &self.groups[&key];
+        let plain = !group.step.gang
+            && group.step.required_label.is_empty()
+            && group.step.data_rack.is_empty()
+            && group.step.max_per_worker == 0;
+        let queue = self.queue_terms(&self.jobs[&key.job].record.queue);
+        if plain && queue.advice.is_none() && misses.covers(&group.room) {
+            return 0;
+        }
+        if !self.has_advice(key, &queue, seats) {
+            return 0;
+        }
+        let group = &self.groups[&key];
+        let avoid: Vec<WorkerKey> = group.tasks.iter().filter_map(|task| task.avoid).collect();
+        let placings = self.with_ask(group, &queue, &avoid, |ask| place(seats, ask));
+        let placed: u32 = placings.iter().map(|placing| placing.count).sum();
+        let complete = placed == group.waiting;
+        let started = self.start_placings(key, &placings, seats);
+        if !complete {
+            if plain {
+                misses.needs.push(self.groups[&key].room);
+            }
+            let now_ms = self.now_ms;
+            if let Some(group) = self.groups.get_mut(&key) {
+                group.unplaced_since_ms.get_or_insert(now_ms);
+            }
+            self.preempt_for(ranked, &queue, seats);
+        } else if let Some(group) = self.groups.get_mut(&key) {
+            group.unplaced_since_ms = None;
+        }
+        started
+    }
+
+    /// Calls `then` with what the waiting tasks of a group ask for.
+    pub(super) fn with_ask<T>(
+        &self,
+        group: &Group,
+        queue: &Queue,
+        avoid: &[WorkerKey],
+        then: impl FnOnce(&Ask<'_>) -> T,
+    ) -> T {
+        let step = &group.step;
+        let mut there: HashMap<WorkerKey, u32> = HashMap::new();
+        if step.max_per_worker > 0 {
+            for task in &group.tasks {
+                if let TaskState::Placed { worker, .. } = task.state {
+                    *there.entry(worker).or_default() += 1;
+                }
+            }
+        }
+        let allowed = |key: WorkerKey| -> u32 {
+            let worker = self.worker(key);
+            let serves_queue = worker.info.service == queue.service;
+            if !serves_queue || !worker.has_label(&step.required_label) {
+                return 0;
+            }
+            if queue.advice.is_some() && !self.has_ticket(group, key) {
+                return 0;
+            }
+            match step.max_per_worker {
+                0 => u32::MAX,
+                most => most.saturating_sub(there.get(&key).copied().unwrap_or(0)),
+            }
+        };
+        then(&Ask {
+            room: group.room,
+            count: group.waiting,
+            gang: step.gang,
+            one_rack: step.same_rack,
+            data_rack: &step.data_rack,
+            may_leave_rack: self.may_leave_rack(group),
+            fills: step.fills,
+            serves: step.serves(),
+            avoid,
+            allowed: &allowed,
+        })
+    }
+
+    /// Leaving the rack makes work several times as long: worth it when it is
+    /// on time even so, or late in any case, and after a while anyway.
+    fn may_leave_rack(&self, group: &Group) -> bool {
+        let now_ms = self.now_ms;
+        let waited_ms = now_ms.saturating_sub(group.released_ms);
+        if waited_ms >= LEAVE_RACK_ANYWAY_MS {
+            return true;
+        }
+        let near_ms = group.step.estimated_ms;
+        let far_ms = (near_ms as f64 * self.tuning.remote_factor) as u64;
+        let late_anyway = now_ms + near_ms > group.objective_ms;
+        let on_time_even_so = now_ms + far_ms <= group.objective_ms;
+        waited_ms >= LEAVE_RACK_MS && (late_anyway || on_time_even_so)
+    }
+
+    fn start_placings(&mut self, key: GroupKey, placings: &[Placing], seats: &mut [Seat]) -> usize {
+        let group = &self.groups[&key];
+        let mut waiting = (0u32..)
+            .zip(&group.tasks)
+            .filter(|(_, task)| task.state == TaskState::Waiting)
+            .map(|(index, _)| index)
+            .collect::<Vec<_>>()
+            .into_iter();
+        let (room, gang) = (group.room, group.step.gang);
+        let (fills, serves) = (group.step.fills, group.step.serves());
+        let gang_run = gang.then(|| self.next_run(key, None));
+        let mut started = 0;
+        for placing in placings {
+            let seat = &mut seats[placing.seat];
+            for _ in 0..placing.count {
+                let Some(index) = waiting.next() else {
+                    return started;
+                };
+                seat.free = seat.free.minus(&room);
+                seat.fills |= fills;
+                seat.serves |= serves;
+                let run = gang_run.unwrap_or_else(|| self.next_run(key, Some(index)));
+                if gang && let Some(group) = self.groups.get_mut(&key) {
+                    group.gang_run = Some(run);
+                    group.gang_ending = false;
+                }
+                self.start_run(seat.worker, key, index, run);
+                started += 1;
+            }
+        }
+        started
+    }
+
+    fn has_ticket(&self, group: &Group, key: WorkerKey) -> bool {
+        let ticket = group.advice.tickets.get(&key);
+        ticket.is_some_and(|ticket| self.now_ms + TICKET_MARGIN_MS < ticket.until_ms)
+    }
+
+    /// Whether a policy outside has to be asked first; if so, it is asked.
+    fn has_advice(&mut self, key: GroupKey, queue: &Queue, seats: &[Seat]) -> bool {
+        if queue.advice.is_none() {
+            return true;
+        }
+        let group = &self.groups[&key];
+        let fits = |seat: &&Seat| group.room.times(&seat.free) == 0 || seat.free.holds(&group.room);
+        let useful = |seat: &&Seat| {
+            let worker = self.worker(seat.worker);
+            worker.info.service == queue.service
+                && worker.has_label(&group.step.required_label)
+                && fits(seat)
+        };
+        let ticketed = seats
+            .iter()
+            .filter(useful)
+            .filter(|seat| self.has_ticket(group, seat.worker))
+            .map(|seat| seat.free.times(&group.room))
+            .fold(0u32, u32::saturating_add);
+        if ticketed >= group.waiting {
+            return true;
+        }
+        let workers: Vec<_> = seats
+            .iter()
+            .filter(useful)
+            .filter(|seat| !group.advice.declined.contains(&seat.worker))
+            .filter(|seat| !self.has_ticket(group, seat.worker))
+            .take(MAX_ADVISED_WORKERS)
+            .map(|seat| (seat.worker, self.worker(seat.worker).incarnation()))
+            .collect();
+        let now_ms = self.now_ms;
+        if let Some(group) = self.groups.get_mut(&key) {
+            let may_ask = !group.advice.asking && now_ms >= group.advice.ask_at_ms;
+            if may_ask && !workers.is_empty() {
+                group.advice.asking = true;
+                self.actions.push(Action::Advise { step: key, workers });
+            }
+        }
+        ticketed > 0
+    }
+
+    /// Takes in what a policy outside said.
+    pub(super) fn advised(
+        &mut self,
+        key: GroupKey,
+        asked: &[WorkerKey],
+        approved: Option<Vec<(String, std::sync::Arc<str>)>>,
+    ) {
+        /// Wait before an unanswered question is put again.
+        const ASK_AGAIN_MS: u64 = 200;
+        let now_ms = self.now_ms;
+        let validity_ms = self.jobs.get(&key.job).map_or(0, |job| {
+            let advice = self.queue_terms(&job.record.queue).advice;
+            advice.map_or(0, |terms| terms.validity_ms)
+        });
+        let index = &self.worker_index;
+        let Some(group) = self.groups.get_mut(&key) else {
+            return;
+        };
+        group.advice.asking = false;
+        self.changed = true;
+        let Some(approved) = approved else {
+            group.advice.ask_at_ms = now_ms + ASK_AGAIN_MS;
+            return;
+        };
+        for (name, ticket) in approved {
+            if let Some(&worker) = index.get(&name) {
+                let until_ms = now_ms + validity_ms;
+                let ticket = super::group::Ticket { ticket, until_ms };
+                group.advice.tickets.insert(worker, ticket);
+            }
+        }
+        for worker in asked {
+            if !group.advice.tickets.contains_key(worker) {
+                group.advice.declined.push(*worker);
+            }
+        }
+    }
+
+    /// Whether urgent work may take room from other work for this group.
+    pub(super) fn may_preempt(&self, ranked: &Ranked) -> bool {
+        let job = &self.jobs[&ranked.key.job];
+        let group = &self.groups[&ranked.key];
+        let on_time = self.now_ms + group.step.estimated_ms <= group.objective_ms;
+        ranked.tier == Tier::Guaranteed || (job.is_urgent() && on_time)
+    }
+}
--- /dev/null
+++ b/src/scheduler/placement.rs
@@ -0,0 +1,186 @@
+//! Choosing workers for like tasks: pure, over a view of the room left.
+//!
+//! Load pattern: tasks of 1, 2, 4 and 8 accelerators share workers of 8, and a
+//! few large gangs wait behind a stream of small tasks. Each task goes where it
+//! leaves the least room behind (best fit), so whole workers stay whole. Tasks
+//! with data on a rack, and gangs that want one rack, take several times as
+//! long elsewhere, so they leave their rack only when the caller says so.
+
+use super::Resources;
+use crate::core::WorkerKey;
+use std::sync::Arc;
+
+/// Costs of a place, in accelerators left over beside it; each is larger than
+/// any sum of those after it.
+const AVOIDED_COST: f64 = 500.0;
+const CONFLICT_COST: f64 = 200.0;
+const SLOWNESS_COST: f64 = 12.0;
+/// Room of cores left over breaks ties.
+const CORE_COST: f64 = 0.00001;
+
+/// A worker with the room that this pass has left.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// The room left.
+    pub free: Resources,
+    /// Its rack.
+    pub rack: Arc<str>,
+    /// Run times there against the estimates.
+    pub slowness: f64,
+    /// Tasks that serve are there.
+    pub serves: bool,
+    /// Tasks that fill are there.
+    pub fills: bool,
+}
+
+/// Like tasks that look for a place.
+pub struct Ask<'a> {
+    /// What each takes.
+    pub room: Resources,
+    /// How many.
+    pub count: u32,
+    /// All or none.
+    pub gang: bool,
+    /// On one rack, if possible.
+    pub one_rack: bool,
+    /// The rack of the data; empty for none.
+    pub data_rack: &'a str,
+    /// They may go where they take longer.
+    pub may_leave_rack: bool,
+    /// They fill.
+    pub fills: bool,
+    /// They serve.
+    pub serves: bool,
+    /// Workers on which they failed.
+    pub avoid: &'a [WorkerKey],
+    /// How many a worker may take, its room aside.
+    pub allowed: &'a dyn Fn(WorkerKey) -> u32,
+}
+
+/// So many tasks on the seat at this place of the list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Placing {
+    /// Place in the list of seats.
+    pub seat: usize,
+    /// Tasks.
+    pub count: u32,
+}
+
+impl Ask<'_> {
+    /// How many tasks a seat with this room takes.
+    pub fn fit(&self, seat: &Seat, free: &Resources) -> u32 {
+        let fit = free.times(&self.room).min(self.count);
+        if fit == 0 {
+            return 0;
+        }
+        fit.min((self.allowed)(seat.worker))
+    }
+
+    fn cost(&self, seat: &Seat) -> f64 {
+        let left = seat.free.minus(&self.room);
+        let mut cost = f64::from(left.accelerators) + f64::from(left.cpu_millis) * CORE_COST;
+        cost += SLOWNESS_COST * (seat.slowness - 1.0).max(0.0);
+        if self.avoid.contains(&seat.worker) {
+            cost += AVOIDED_COST;
+        }
+        if (self.fills && seat.serves) || (self.serves && seat.fills) {
+            cost += CONFLICT_COST;
+        }
+        cost
+    }
+}
+
+/// Places tasks; a gang whole or not at all, others as far as there is room.
+pub fn place(seats: &[Seat], ask: &Ask<'_>) -> Vec<Placing> {
+    let all: Vec<usize> = (0..seats.len()).collect();
+    if !ask.data_rack.is_empty() {
+        let near: Vec<usize> = on_rack(seats, &all, ask.data_rack);
+        let placings = fill(seats, &near, ask, ask.count);
+        let placed = total(&placings);
+        if placed == ask.count || (!ask.may_leave_rack && !ask.gang) {
+            return placings;
+        }
+        if !ask.may_leave_rack {
+            return Vec::new();
+        }
+        if !ask.gang {
+            let far: Vec<usize> = all.into_iter().filter(|at| !near.contains(at)).collect();
+            let mut placings = placings;
+            placings.extend(fill(seats, &far, ask, ask.count - placed));
+            return placings;
+        }
+    }
+    if ask.one_rack && ask.count > 1 {
+        if let Some(placings) = place_on_one_rack(seats, ask) {
+            return placings;
+        }
+        if !ask.may_leave_rack {
+            return Vec::new();
+        }
+    }
+    let placings = fill(seats, &all, ask, ask.count);
+    if ask.gang && total(&placings) < ask.count {
+        return Vec::new();
+    }
+    placings
+}
+
+fn total(placings: &[Placing]) -> u32 {
+    placings.iter().map(|placing| placing.count).sum()
+}
+
+fn on_rack(seats: &[Seat], all: &[usize], rack: &str) -> Vec<usize> {
+    let there = |at: &usize| &*seats[*at].rack == rack;
+    all.iter().copied().filter(there).collect()
+}
+
+/// The rack that keeps the fewest accelerators free beside the gang.
+fn place_on_one_rack(seats: &[Seat], ask: &Ask<'_>) -> Option<Vec<Placing>> {
+    let mut racks: Vec<&Arc<str>> = seats.iter().map(|seat| &seat.rack).collect();
+    racks.sort();
+    racks.dedup();
+    let all: Vec<usize> = (0..seats.len()).collect();
+    let mut best: Option<(f64, Vec<Placing>)> = None;
+    for rack in racks {
+        let there = on_rack(seats, &all, rack);
+        let placings = fill(seats, &there, ask, ask.count);
+        if total(&placings) < ask.count {
+            continue;
+        }
+        let free: u32 = there.iter().map(|&at| seats[at].free.accelerators).sum();
+        let slowest = placings
+            .iter()
+            .map(|placing| seats[placing.seat].slowness)
+            .fold(1.0, f64::max);
+        let cost = f64::from(free) + SLOWNESS_COST * (slowest - 1.0);
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            best = Some((cost, placings));
+        }
+    }
+    best.map(|(_, placings)| placings)
+}
+
+/// Takes the cheapest seats first, each as far as it goes.
+fn fill(seats: &[Seat], among: &[usize], ask: &Ask<'_>, count: u32) -> Vec<Placing> {
+    let mut costs: Vec<(f64, usize, u32)> = among
+        .iter()
+        .filter_map(|&at| {
+            let fit = ask.fit(&seats[at], &seats[at].free);
+            (fit > 0).then(|| (ask.cost(&seats[at]), at, fit))
+        })
+        .collect();
+    costs.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    let mut left = count;
+    let mut placings = Vec::new();
+    for (_, seat, fit) in costs {
+        if left == 0 {
+            break;
+        }
+        let count = fit.min(left);
+        left -= count;
+        placings.push(Placing { seat, count });
+    }
+    placings
+}
--- /dev/null
+++ b/src/scheduler/scheduler.rs
@@ -0,0 +1,814 @@
+//! The state of one fleet and the way news changes it.
+
+use super::action::{
+    Action,
+    Decision,
+    StopReason, //
+};
+use super::worker::Contact;
+use super::{
+    CallOutcome,
+    ClusterConfiguration,
+    GraphJob,
+    Group,
+    GroupKey,
+    Input,
+    Queue,
+    Resources,
+    RunName,
+    RunPhase,
+    StartRefusal,
+    TaskState,
+    Worker,
+    WorkerInfo, //
+};
+use crate::core::{
+    JobId,
+    WorkerKey, //
+};
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    HashMap,
+    HashSet, //
+};
+use std::sync::Arc;
+
+/// Numbers of runs that one epoch may give to a task.
+const RUNS_PER_EPOCH: u64 = 1_000;
+/// How often runs and workers are looked through for what has become due.
+const REVIEW_MS: u64 = 50;
+/// Waiting work is tried again at least this often: what hinders it may pass
+/// with time alone, as a quarantine does.
+const RETRY_PASS_MS: u64 = 250;
+
+/// Bounds of the scheduler.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// How long an owner that cannot confirm its epoch goes on giving leases
+    /// and starts. Longer than the outages of the store that work should
+    /// survive unharmed; a new owner waits it out for workers it cannot reach.
+    pub authority_ms: u64,
+    /// Length of a worker's lease: survives a cut of that length.
+    pub lease_ms: u64,
+    /// A start that arrives later than this does nothing. Short, so that a
+    /// start without an answer is settled early.
+    pub start_window_ms: u64,
+    /// Most that a stop takes on a worker.
+    pub stop_ms: u64,
+    /// Wait of a look at a worker.
+    pub look_wait_ms: u64,
+    /// How long an ended job is remembered.
+    pub retention_ms: u64,
+    /// Time within which guaranteed work has to begin.
+    pub reclaim_ms: u64,
+    /// Tasks with data on a rack, or tight gangs, take this many times as long
+    /// elsewhere.
+    pub remote_factor: f64,
+    /// Time that a run loses by going on from a checkpoint.
+    pub restore_ms: u64,
+    /// Time between two checkpoints.
+    pub checkpoint_ms: u64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            authority_ms: 6_000,
+            lease_ms: 7_000,
+            start_window_ms: 1_500,
+            stop_ms: 200,
+            look_wait_ms: 1_000,
+            retention_ms: 150_000,
+            reclaim_ms: 2_700,
+            remote_factor: 3.0,
+            restore_ms: 600,
+            checkpoint_ms: 2_000,
+        }
+    }
+}
+
+/// What was learned of a queue's jobs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct QueueHistory {
+    pub jobs: f64,
+    pub mean_work: f64,
+}
+
+/// The jobs, workers and runs of one fleet.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(super) epoch: u64,
+    pub(super) tuning: Tuning,
+    pub(super) now_ms: u64,
+    pub(super) began_ms: u64,
+    pub(super) confirmed_ms: u64,
+    pub(super) recovered: bool,
+    /// Until then earlier owners' starts may run where this one cannot look.
+    pub(super) blind_until_ms: Option<u64>,
+    pub(super) configuration: Arc<ClusterConfiguration>,
+    pub(super) terms: HashMap<String, Queue>,
+    pub(super) history: HashMap<String, QueueHistory>,
+    pub(super) workers: Vec<Worker>,
+    pub(super) worker_index: HashMap<String, WorkerKey>,
+    pub(super) jobs: BTreeMap<JobId, GraphJob>,
+    /// Urgent jobs within their account's guarantee, as of the last pass.
+    pub(super) guaranteed: HashSet<JobId>,
+    pub(super) cancelled_early: HashSet<JobId>,
+    pub(super) groups: BTreeMap<GroupKey, Group>,
+    pub(super) due: BTreeSet<(u64, JobId)>,
+    pub(super) review_at_ms: u64,
+    pub(super) pass_at_ms: u64,
+    pub(super) changed: bool,
+    pub(super) roster_asked: bool,
+    pub(super) actions: Vec<Action>,
+}
+
+impl Scheduler {
+    /// An empty scheduler of the owner with this epoch.
+    pub fn new(epoch: u64, tuning: Tuning, now_ms: u64) -> Self {
+        Self {
+            epoch,
+            tuning,
+            now_ms,
+            began_ms: now_ms,
+            confirmed_ms: now_ms,
+            recovered: false,
+            blind_until_ms: None,
+            configuration: Arc::default(),
+            terms: HashMap::new(),
+            history: HashMap::new(),
+            workers: Vec::new(),
+            worker_index: HashMap::new(),
+            jobs: BTreeMap::new(),
+            guaranteed: HashSet::new(),
+            cancelled_early: HashSet::new(),
+            groups: BTreeMap::new(),
+            due: BTreeSet::new(),
+            review_at_ms: 0,
+            pass_at_ms: 0,
+            changed: false,
+            roster_asked: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes in news; what follows is returned by [`Scheduler::decide`].
+    pub fn take(&mut self, input: Input, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        match input {
+            Input::Configure(configuration) => self.configure(configuration),
+            Input::Job {
+                id,
+                record,
+                progress,
+            } => {
+                self.take_job(id, record, progress);
+                if self.cancelled_early.remove(&id) {
+                    self.cancel_job(id);
+                }
+            }
+            Input::Cancelled(id) => self.cancel_job(id),
+            Input::Worker(info) => self.take_worker(info),
+            Input::KnownWorker {
+                incarnation,
+                address,
+            } => self.take_known_worker(incarnation, address),
+            Input::WorkerUnlisted(name) => self.worker_unlisted(&name),
+            Input::Recovered => self.begin_recovery(),
+            Input::RosterStored(workers) => self.roster_stored(&workers),
+            Input::Held {
+                worker,
+                sent_ms,
+                report,
+            } => self.held(worker, sent_ms, report),
+            Input::HoldFailed {
+                worker,
+                sent_ms,
+                outcome,
+            } => self.hold_failed(worker, sent_ms, outcome),
+            Input::StartOver {
+                worker,
+                name,
+                outcome,
+            } => self.start_over(worker, name, outcome),
+            Input::StopOver {
+                worker,
+                name,
+                outcome,
+            } => self.stop_over(worker, name, outcome),
+            Input::PaceOver {
+                worker,
+                name,
+                outcome,
+            } => self.pace_over(worker, name, outcome),
+            Input::Advised {
+                step,
+                asked,
+                approved,
+            } => self.advised(step, &asked, approved),
+            Input::Stored { job, change } => self.stored(job, change),
+            Input::Confirmed(at_ms) => self.confirmed_ms = self.confirmed_ms.max(at_ms),
+            Input::Tick => {}
+        }
+    }
+
+    /// Decides what follows from the news and the time.
+    pub fn decide(&mut self, now_ms: u64) -> Vec<Action> {
+        self.now_ms = self.now_ms.max(now_ms);
+        if self.recovered {
+            self.open_due();
+            if self.now_ms >= self.review_at_ms {
+                self.review_at_ms = self.now_ms + REVIEW_MS;
+                self.review();
+            }
+            if self.changed || self.now_ms >= self.pass_at_ms {
+                self.changed = false;
+                self.pass_at_ms = self.now_ms + RETRY_PASS_MS;
+                self.pass();
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When to decide again without news.
+    pub fn wake_at_ms(&self) -> u64 {
+        let due_ms = self.due.first().map_or(u64::MAX, |&(due_ms, _)| due_ms);
+        due_ms.min(self.review_at_ms)
+    }
+
+    fn open_due(&mut self) {
+        while let Some(&(due_ms, id)) = self.due.first() {
+            if due_ms > self.now_ms {
+                break;
+            }
+            self.due.pop_first();
+            self.open_occurrences(id);
+        }
+    }
+
+    /// Whether orders may be given: the epoch was confirmed lately.
+    pub fn has_authority(&self) -> bool {
+        self.now_ms < self.confirmed_ms + self.tuning.authority_ms
+    }
+
+    /// The epoch under which orders are given.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &GraphJob> {
+        self.jobs.values()
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> &[Worker] {
+        &self.workers
+    }
+
+    /// The open groups.
+    pub fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.groups.values()
+    }
+
+    /// Workers that the stored roster has to name: key, incarnation, address.
+    pub fn roster(&self) -> Vec<(WorkerKey, String, String)> {
+        let used = self
+            .workers
+            .iter()
+            .filter(|worker| worker.contact != Contact::Gone);
+        used.map(|worker| {
+            let info = &worker.info;
+            (worker.key, info.incarnation.clone(), info.address.clone())
+        })
+        .collect()
+    }
+
+    fn configure(&mut self, configuration: Arc<ClusterConfiguration>) {
+        if configuration.version <= self.configuration.version {
+            return;
+        }
+        for queue in &configuration.queues {
+            self.terms.insert(queue.name.clone(), queue.clone());
+        }
+        self.configuration = configuration;
+        self.changed = true;
+    }
+
+    /// The terms of a queue; those of a removed queue stay, for its jobs.
+    pub(super) fn queue_terms(&self, name: &str) -> Queue {
+        let known = self.terms.get(name).cloned();
+        known.unwrap_or_else(|| Queue {
+            name: name.to_owned(),
+            priority: 1,
+            max_attempts: 1,
+            stretch_factor: 2.0,
+            ..Queue::default()
+        })
+    }
+
+    pub(super) fn job_mut(&mut self, id: JobId) -> &mut GraphJob {
+        self.jobs
+            .get_mut(&id)
+            .expect("jobs are removed only by review, which asks for none")
+    }
+
+    pub(super) fn worker(&self, key: WorkerKey) -> &Worker {
+        &self.workers[key.index()]
+    }
+
+    pub(super) fn worker_mut(&mut self, key: WorkerKey) -> &mut Worker {
+        &mut self.workers[key.index()]
+    }
+
+    pub(super) fn decided(&mut self, decision: Decision) {
+        self.actions.push(Action::Decided(decision));
+    }
+
+    pub(super) fn fleet_room(&self) -> Resources {
+        let live = self.workers.iter().filter(|worker| worker.listed);
+        live.fold(Resources::default(), |sum, worker| {
+            sum.plus(&worker.info.capacity)
+        })
+    }
+
+    pub(super) fn note_work(&mut self, queue: &str, work: f64) {
+        let history = self.history.entry(queue.to_owned()).or_default();
+        history.jobs += 1.0;
+        history.mean_work += (work - history.mean_work) / history.jobs;
+    }
+
+    pub(super) fn mean_work(&self, queue: &str) -> f64 {
+        self.history
+            .get(queue)
+            .map_or(1.0, |history| history.mean_work)
+    }
+
+    fn take_worker(&mut self, info: WorkerInfo) {
+        let known = self.worker_index.get(&info.incarnation).copied();
+        let draining = info.draining;
+        let key = known.unwrap_or_else(|| self.add_worker(info.clone()));
+        // A restarted worker has the address of the one before: that one is over.
+        let replaced: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|other| {
+                other.key != key
+                    && other.contact != Contact::Gone
+                    && other.info.address == info.address
+                    && !other.listed
+            })
+            .map(|other| other.key)
+            .collect();
+        let worker = self.worker_mut(key);
+        worker.update(info);
+        let unknown = !worker.on_roster;
+        for old in replaced {
+            self.worker_gone(old, "replaced");
+        }
+        if draining {
+            self.changed = true;
+        }
+        if unknown && !self.roster_asked {
+            self.roster_asked = true;
+            self.actions.push(Action::StoreRoster);
+        }
+        self.changed = true;
+    }
+
+    fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
+        let key = WorkerKey(self.workers.len() as u32);
+        self.worker_index.insert(info.incarnation.clone(), key);
+        self.workers.push(Worker::new(key, info));
+        key
+    }
+
+    fn take_known_worker(&mut self, incarnation: String, address: String) {
+        let known = self.worker_index.get(&incarnation).copied();
+        let key = known.unwrap_or_else(|| {
+            self.add_worker(WorkerInfo {
+                incarnation,
+                address,
+                ..WorkerInfo::default()
+            })
+        });
+        self.worker_mut(key).on_roster = true;
+    }
+
+    fn worker_unlisted(&mut self, name: &str) {
+        if let Some(&key) = self.worker_index.get(name) {
+            self.worker_mut(key).listed = false;
+            self.changed = true;
+        }
+    }
+
+    fn roster_stored(&mut self, workers: &[WorkerKey]) {
+        for &key in workers {
+            self.worker_mut(key).on_roster = true;
+        }
+        self.roster_asked = self.workers.iter().any(|worker| !worker.on_roster);
+        if self.roster_asked {
+            self.actions.push(Action::StoreRoster);
+        }
+        self.changed = true;
+    }
+
+    /// Looks through workers and runs for what has become due.
+    fn review(&mut self) {
+        self.review_blindness();
+        for at in 0..self.workers.len() {
+            let key = WorkerKey(at as u32);
+            if self.workers[at].contact == Contact::Gone {
+                continue;
+            }
+            self.review_lapse(key);
+            self.review_runs(key);
+            self.look_if_due(key);
+        }
+        self.review_evidence();
+        self.review_sharing();
+        self.forget_old_jobs();
+    }
+
+    fn forget_old_jobs(&mut self) {
+        let before_ms = self.now_ms.saturating_sub(self.tuning.retention_ms);
+        let old: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|job| job.is_over() && job.ended_ms < before_ms && job.stored >= job.change)
+            .map(|job| job.id)
+            .collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.actions.push(Action::Forget { job: id });
+        }
+    }
+
+    /// After the end of the longest lease nothing runs there any more.
+    fn review_lapse(&mut self, key: WorkerKey) {
+        let now_ms = self.now_ms;
+        let worker = self.worker(key);
+        let silent = matches!(worker.contact, Contact::Silent | Contact::Unfenced);
+        if silent && !worker.runs.is_empty() {
+            if worker
+                .lapsed_at_ms()
+                .is_some_and(|lapsed_ms| now_ms >= lapsed_ms)
+            {
+                self.lose_runs(key, "lease_over");
+            }
+        }
+    }
+
+    /// Sends again what was not answered, and stops what was never confirmed.
+    fn review_runs(&mut self, key: WorkerKey) {
+        let now_ms = self.now_ms;
+        let due: Vec<(RunName, RunPhase)> = self
+            .worker(key)
+            .runs
+            .iter()
+            .filter(|(_, run)| {
+                let waits = matches!(run.phase, RunPhase::Starting | RunPhase::Stopping)
+                    && run.conclusive_ms.is_none();
+                waits && !run.in_flight && now_ms >= run.resend_ms
+            })
+            .map(|(&name, run)| (name, run.phase))
+            .collect();
+        for (name, phase) in due {
+            match phase {
+                RunPhase::Starting => self.send_start(key, name),
+                _ => self.send_stop(key, name),
+            }
+        }
+    }
+
+    pub(super) fn look_if_due(&mut self, key: WorkerKey) {
+        let now_ms = self.now_ms;
+        let authority = self.has_authority();
+        let (lease_ms, wait_ms) = (self.tuning.lease_ms, self.tuning.look_wait_ms);
+        let worker = self.worker_mut(key);
+        if worker.look_in_flight || now_ms < worker.look_at_ms || !worker.on_roster {
+            return;
+        }
+        worker.look_in_flight = true;
+        // A worker that does not answer is asked for a quick sign of life, and
+        // ends that are not durable yet would answer a waiting look at once.
+        let quick = worker.contact != Contact::Answering || !worker.undurable.is_empty();
+        let shares =
+            worker.runs.values().any(|run| run.serves) && worker.runs.values().any(|run| run.fills);
+        let wait_ms = match (quick, shares) {
+            (true, _) => 0,
+            (false, true) => super::sharing::SHARED_LOOK_WAIT_MS,
+            (false, false) => wait_ms,
+        };
+        let lease_end_ms = if authority && worker.contact == Contact::Answering {
+            worker.grant(now_ms, lease_ms)
+        } else {
+            None
+        };
+        let (callee, last_seen) = (worker.callee(), worker.last_seen);
+        self.actions.push(Action::Hold {
+            callee,
+            last_seen,
+            lease_end_ms,
+            wait_ms,
+        });
+    }
+
+    /// Gives a run to a worker; the caller has checked the room.
+    pub(super) fn start_run(&mut self, key: WorkerKey, group_key: GroupKey, index: u32, run: u64) {
+        let name = RunName {
+            task: group_key.task(index),
+            run,
+        };
+        let now_ms = self.now_ms;
+        let priority = self.jobs[&group_key.job].priority;
+        let group = self
+            .groups
+            .get_mut(&group_key)
+            .expect("the pass starts only open groups");
+        group.set_state(index, TaskState::Placed { worker: key, run });
+        group.tasks[index as usize].last_run = run;
+        let step = group.step.clone();
+        let entry = super::Run {
+            group: group_key,
+            room: group.room,
+            phase: RunPhase::Starting,
+            ordered_ms: now_ms,
+            sends: 0,
+            in_flight: false,
+            resend_ms: now_ms,
+            conclusive_ms: None,
+            percent: 0,
+            advanced_ms: now_ms,
+            working_since_ms: None,
+            usage: None,
+            pace_percent: 100,
+            pace_in_flight: false,
+            fills: step.fills,
+            serves: step.serves(),
+            long_running: step.long_running,
+            priority,
+            over_target_since_ms: None,
+        };
+        let worker = self.worker_mut(key);
+        worker.add_run(name, entry);
+        let decision = Decision::Placed {
+            name,
+            worker: worker.incarnation(),
+            view_age_ms: now_ms.saturating_sub(worker.heard_ms),
+        };
+        self.decided(decision);
+        self.send_start(key, name);
+    }
+
+    fn send_start(&mut self, key: WorkerKey, name: RunName) {
+        /// Starts without an answer after which the run is stopped instead.
+        const MAX_SENDS: u32 = 3;
+        let now_ms = self.now_ms;
+        let group_key = GroupKey::of(name.task);
+        let sends = self.worker(key).runs.get(&name).map_or(0, |run| run.sends);
+        let known = self.groups.get(&group_key);
+        let Some(group) = known.filter(|_| sends < MAX_SENDS && self.has_authority()) else {
+            self.stop_run(key, name, StopReason::GangBroken);
+            return;
+        };
+        let checkpoint = group.tasks[name.task.index as usize].checkpoint.clone();
+        let ticket = group
+            .advice
+            .tickets
+            .get(&key)
+            .map(|ticket| ticket.ticket.clone());
+        let payload: Arc<str> = self.jobs[&name.task.job]
+            .record
+            .spec
+            .payload
+            .as_str()
+            .into();
+        let window_ms = self.tuning.start_window_ms;
+        let worker = self.worker_mut(key);
+        let Some(lease_end_ms) = worker.grant(now_ms, window_ms) else {
+            return;
+        };
+        let callee = worker.callee();
+        if let Some(run) = worker.runs.get_mut(&name) {
+            run.sends += 1;
+            run.in_flight = true;
+        }
+        self.actions.push(Action::Start {
+            callee,
+            name,
+            payload,
+            lease_end_ms,
+            checkpoint,
+            ticket,
+        });
+    }
+
+    fn start_over(&mut self, key: WorkerKey, name: RunName, outcome: CallOutcome) {
+        /// Wait before a start without an answer is sent again.
+        const RESEND_MS: u64 = 30;
+        let now_ms = self.now_ms;
+        let Some(run) = self.worker_mut(key).runs.get_mut(&name) else {
+            return;
+        };
+        run.in_flight = false;
+        match outcome {
+            CallOutcome::Done if run.phase == RunPhase::Starting => {
+                run.phase = RunPhase::Running;
+                run.conclusive_ms = Some(now_ms);
+                run.advanced_ms = now_ms;
+                self.note_started(name);
+            }
+            CallOutcome::Done => {}
+            CallOutcome::NoAnswer => {
+                run.resend_ms = now_ms + RESEND_MS;
+                if run.phase == RunPhase::Starting {
+                    self.retried(key, name, "no_answer");
+                }
+            }
+            CallOutcome::OtherIncarnation => self.worker_gone(key, "other_incarnation"),
+            CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::Deposed),
+            CallOutcome::Refused(refusal) => self.start_refused(key, name, refusal),
+        }
+    }
+
+    fn start_refused(&mut self, key: WorkerKey, name: RunName, refusal: StartRefusal) {
+        /// The sums of a worker that said it is full are doubted this long.
+        const DOUBT_MS: u64 = 150;
+        let now_ms = self.now_ms;
+        self.retried(key, name, refusal.name());
+        let worker = self.worker_mut(key);
+        let Some(run) = worker.runs.get_mut(&name) else {
+            return;
+        };
+        if run.phase != RunPhase::Starting {
+            return;
+        }
+        if run.sends > 1 {
+            // An earlier copy of the order may have been carried out, and may
+            // have ended already: only a later look can tell.
+            run.phase = RunPhase::Stopping;
+            run.resend_ms = now_ms;
+            return;
+        }
+        match refusal {
+            StartRefusal::NoRoom => worker.full_until_ms = now_ms + DOUBT_MS,
+            StartRefusal::Unhealthy => worker.full_until_ms = now_ms + 4 * DOUBT_MS,
+            StartRefusal::NoTicket => {
+                if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) {
+                    group.advice.tickets.remove(&key);
+                }
+            }
+            _ => {}
+        }
+        self.run_gone(key, name);
+    }
+
+    pub(super) fn retried(&mut self, key: WorkerKey, name: RunName, reason: &'static str) {
+        let worker = self.worker(key).incarnation();
+        self.decided(Decision::Retried {
+            name,
+            worker,
+            reason,
+        });
+    }
+
+    fn note_started(&mut self, name: RunName) {
+        if let Some(job) = self.jobs.get_mut(&name.task.job) {
+            job.started = true;
+        }
+    }
+
+    /// Stops a run unless that is under way.
+    pub(super) fn stop_run(&mut self, key: WorkerKey, name: RunName, reason: StopReason) {
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        let Some(run) = worker.runs.get_mut(&name) else {
+            return;
+        };
+        if run.phase == RunPhase::Stopping || run.phase == RunPhase::Ending {
+            return;
+        }
+        run.phase = RunPhase::Stopping;
+        run.conclusive_ms = None;
+        run.resend_ms = now_ms;
+        let worker = worker.incarnation();
+        self.decided(Decision::Stopped {
+            name,
+            worker,
+            reason,
+        });
+        self.send_stop(key, name);
+    }
+
+    fn send_stop(&mut self, key: WorkerKey, name: RunName) {
+        let worker = self.worker_mut(key);
+        let callee = worker.callee();
+        if let Some(run) = worker.runs.get_mut(&name) {
+            run.in_flight = true;
+            self.actions.push(Action::Stop { callee, name });
+        }
+    }
+
+    fn stop_over(&mut self, key: WorkerKey, name: RunName, outcome: CallOutcome) {
+        /// Wait before a stop without an answer is sent again.
+        const RESEND_MS: u64 = 200;
+        let (now_ms, stop_ms) = (self.now_ms, self.tuning.stop_ms);
+        let worker = self.worker_mut(key);
+        let Some(run) = worker.runs.get_mut(&name) else {
+            return;
+        };
+        run.in_flight = false;
+        match outcome {
+            CallOutcome::Done => {
+                run.conclusive_ms = Some(now_ms + stop_ms);
+                worker.look_at_ms = worker.look_at_ms.min(now_ms + stop_ms);
+            }
+            CallOutcome::OtherIncarnation => self.worker_gone(key, "other_incarnation"),
+            CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::Deposed),
+            CallOutcome::Refused(_) | CallOutcome::NoAnswer => run.resend_ms = now_ms + RESEND_MS,
+        }
+    }
+
+    /// A run is off its worker without being done: its task waits again.
+    pub(super) fn run_gone(&mut self, key: WorkerKey, name: RunName) {
+        self.worker_mut(key).remove_run(&name);
+        self.changed = true;
+        let group_key = GroupKey::of(name.task);
+        let now_ms = self.now_ms;
+        let Some(group) = self.groups.get_mut(&group_key) else {
+            return;
+        };
+        let index = name.task.index;
+        let placed = TaskState::Placed {
+            worker: key,
+            run: name.run,
+        };
+        let Some(task) = group.tasks.get_mut(index as usize) else {
+            return;
+        };
+        if task.state == placed {
+            task.away_since_ms = now_ms;
+            group.set_state(index, TaskState::Waiting);
+        }
+        if group.step.gang && group.gang_run == Some(name.run) {
+            self.end_gang(group_key);
+        }
+    }
+
+    /// Gives up the run of a gang: the others stop, and once all are off their
+    /// workers the gang waits again.
+    pub(super) fn end_gang(&mut self, key: GroupKey) {
+        let Some(group) = self.groups.get_mut(&key) else {
+            return;
+        };
+        if group.is_done() {
+            return;
+        }
+        if group.waiting as usize == group.tasks.len() {
+            group.gang_run = None;
+            group.gang_ending = false;
+            self.changed = true;
+            return;
+        }
+        if !group.gang_ending {
+            group.gang_ending = true;
+            self.stop_group(key, StopReason::GangBroken);
+        }
+    }
+
+    /// Whatever ran on a worker is lost.
+    fn lose_runs(&mut self, key: WorkerKey, reason: &'static str) {
+        let names: Vec<RunName> = self.worker(key).runs.keys().copied().collect();
+        let worker = self.worker(key).incarnation();
+        self.decided(Decision::WorkerLost {
+            worker,
+            runs: names.len(),
+            reason,
+        });
+        for name in names {
+            self.run_gone(key, name);
+        }
+    }
+
+    /// The worker's incarnation is over.
+    pub(super) fn worker_gone(&mut self, key: WorkerKey, reason: &'static str) {
+        if self.worker(key).contact == Contact::Gone {
+            return;
+        }
+        self.worker_mut(key).contact = Contact::Gone;
+        self.lose_runs(key, reason);
+    }
+
+    /// The number of the next run of a group's tasks; a gang's members share it.
+    pub(super) fn next_run(&self, key: GroupKey, index: Option<u32>) -> u64 {
+        let tasks = &self.groups[&key].tasks;
+        let highest = match index {
+            Some(index) => tasks[index as usize].last_run,
+            None => tasks.iter().map(|task| task.last_run).max().unwrap_or(0),
+        };
+        let base = (self.epoch.saturating_sub(1)) * RUNS_PER_EPOCH;
+        highest.max(base) + 1
+    }
+}
--- /dev/null
+++ b/src/scheduler/worker.rs
@@ -0,0 +1,269 @@
+//! A worker as the scheduler sees it, and the arithmetic of its lease.
+
+use super::action::Callee;
+use super::{
+    GroupKey,
+    Resources,
+    RunName,
+    WorkerInfo, //
+};
+use crate::core::{
+    JobId,
+    WorkerKey, //
+};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+use std::sync::Arc;
+
+/// A worker's clock may run this much slow, in thousandths; the platform's
+/// bound is 20.
+const CLOCK_DRIFT_PERMILLE: u64 = 25;
+/// Added to the end of a lease, for the worker to kill what it runs.
+const LAPSE_MARGIN_MS: u64 = 100;
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunPhase {
+    /// Ordered; the worker has not confirmed it.
+    Starting,
+    /// On the worker.
+    Running,
+    /// Told to stop; its end is not listed yet.
+    Stopping,
+    /// Its gang is done; its own end is not listed yet.
+    Ending,
+}
+
+/// One run on a worker, from its order to its listed end.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The step that it belongs to.
+    pub group: GroupKey,
+    /// What it takes.
+    pub room: Resources,
+    /// Where it stands.
+    pub phase: RunPhase,
+    /// When it was ordered.
+    pub ordered_ms: u64,
+    /// Orders sent for the present phase.
+    pub sends: u32,
+    /// An order is on its way.
+    pub in_flight: bool,
+    /// When to send the order again.
+    pub resend_ms: u64,
+    /// A look sent from here on shows the run or its end, if it ever ran;
+    /// `None` while a start may still arrive.
+    pub conclusive_ms: Option<u64>,
+    /// How far it was when last seen.
+    pub percent: u32,
+    /// When `percent` last rose.
+    pub advanced_ms: u64,
+    /// When it was first seen at work.
+    pub working_since_ms: Option<u64>,
+    /// What the worker said of its use: response tail or cores.
+    pub usage: Option<f64>,
+    /// The share at which it works.
+    pub pace_percent: u32,
+    /// A pace on its way to the worker.
+    pub pace_in_flight: bool,
+    /// Its cores are not counted.
+    pub fills: bool,
+    /// It serves users under a target.
+    pub serves: bool,
+    /// It runs until its job is cancelled.
+    pub long_running: bool,
+    /// Priority of its queue.
+    pub priority: u32,
+    /// When its response times were first seen over the target.
+    pub over_target_since_ms: Option<u64>,
+}
+
+/// How well a worker is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contact {
+    /// It has not answered this owner yet.
+    Unfenced,
+    /// It has seen this owner's epoch and answers.
+    Answering,
+    /// It has seen this owner's epoch and does not answer now.
+    Silent,
+    /// Its incarnation is over.
+    Gone,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Its key.
+    pub key: WorkerKey,
+    /// As it registered itself.
+    pub info: WorkerInfo,
+    /// Its registration is there.
+    pub listed: bool,
+    /// The roster in the store names it.
+    pub on_roster: bool,
+    /// How well it is known.
+    pub contact: Contact,
+    /// Its clock and when that was read.
+    pub clock: Option<(u64, u64)>,
+    /// Highest end of a lease ever sent to it, on its clock.
+    pub lease_end_ms: u64,
+    /// When it last answered.
+    pub heard_ms: u64,
+    /// Looks that failed in a row.
+    pub failed_looks: u32,
+    /// What is there, from the order to the listed end.
+    pub runs: BTreeMap<RunName, Run>,
+    /// Room taken by them.
+    pub used: Resources,
+    /// Ends up to here are durable.
+    pub last_seen: u64,
+    /// Ends up to here are taken in.
+    pub taken_in: u64,
+    /// Ends taken in that are not durable: number, job and its change.
+    pub undurable: VecDeque<(u64, JobId, u64)>,
+    /// A look is on its way.
+    pub look_in_flight: bool,
+    /// When to look next.
+    pub look_at_ms: u64,
+    /// No room there until then, whatever the sums say.
+    pub full_until_ms: u64,
+    /// Gets nothing until then.
+    pub quarantined_until_ms: u64,
+    /// Length of the last quarantine.
+    pub quarantine_ms: u64,
+    /// Jobs that failed there since the last one was done, with the times.
+    pub failures: Vec<(u64, JobId)>,
+    /// Run times there against the estimates, 1 for as estimated.
+    pub slowness: f64,
+    address: Arc<str>,
+    incarnation: Arc<str>,
+}
+
+impl Worker {
+    /// A worker that registered itself.
+    pub fn new(key: WorkerKey, info: WorkerInfo) -> Self {
+        Self {
+            key,
+            address: info.address.as_str().into(),
+            incarnation: info.incarnation.as_str().into(),
+            info,
+            listed: false,
+            on_roster: false,
+            contact: Contact::Unfenced,
+            clock: None,
+            lease_end_ms: 0,
+            heard_ms: 0,
+            failed_looks: 0,
+            runs: BTreeMap::new(),
+            used: Resources::default(),
+            last_seen: 0,
+            taken_in: 0,
+            undurable: VecDeque::new(),
+            look_in_flight: false,
+            look_at_ms: 0,
+            full_until_ms: 0,
+            quarantined_until_ms: 0,
+            quarantine_ms: 0,
+            failures: Vec::new(),
+            slowness: 1.0,
+        }
+    }
+
+    /// Takes in what it says of itself now.
+    pub fn update(&mut self, info: WorkerInfo) {
+        self.address = info.address.as_str().into();
+        self.info = info;
+        self.listed = true;
+    }
+
+    /// Whom to call.
+    pub fn callee(&self) -> Callee {
+        Callee {
+            worker: self.key,
+            address: self.address.clone(),
+            incarnation: self.incarnation.clone(),
+        }
+    }
+
+    /// Its incarnation, for logs.
+    pub fn incarnation(&self) -> Arc<str> {
+        self.incarnation.clone()
+    }
+
+    /// The room left.
+    pub fn free(&self) -> Resources {
+        self.info.capacity.minus(&self.used)
+    }
+
+    /// Whether new work may go there.
+    pub fn takes_work(&self, now_ms: u64) -> bool {
+        self.contact == Contact::Answering
+            && self.listed
+            && self.on_roster
+            && !self.info.draining
+            && self.failed_looks == 0
+            && self.clock.is_some()
+            && now_ms >= self.full_until_ms
+            && now_ms >= self.quarantined_until_ms
+    }
+
+    /// Whether it has the label; an empty one always.
+    pub fn has_label(&self, label: &str) -> bool {
+        label.is_empty() || self.info.labels.iter().any(|own| own == label)
+    }
+
+    /// Its rack: the second of its labels.
+    pub fn rack(&self) -> &str {
+        self.info.labels.get(1).map_or("", String::as_str)
+    }
+
+    /// Its clock at `now_ms`, as far as known.
+    pub fn clock_at(&self, now_ms: u64) -> Option<u64> {
+        let (clock_ms, read_ms) = self.clock?;
+        Some(clock_ms + now_ms.saturating_sub(read_ms))
+    }
+
+    /// Notes a lease that an order carries and returns its end on the worker's
+    /// clock.
+    pub fn grant(&mut self, now_ms: u64, length_ms: u64) -> Option<u64> {
+        let end_ms = self.clock_at(now_ms)? + length_ms;
+        self.lease_end_ms = self.lease_end_ms.max(end_ms);
+        Some(end_ms)
+    }
+
+    /// From when on nothing that this owner ordered can run there, without a
+    /// further answer: the end of the longest lease that was ever sent, on a
+    /// clock that is as slow as the platform allows.
+    pub fn lapsed_at_ms(&self) -> Option<u64> {
+        let (clock_ms, read_ms) = self.clock?;
+        let left_ms = self.lease_end_ms.saturating_sub(clock_ms);
+        Some(read_ms + left_ms + left_ms * CLOCK_DRIFT_PERMILLE / 1_000 + LAPSE_MARGIN_MS)
+    }
+
+    /// Takes in a run.
+    pub fn add_run(&mut self, name: RunName, run: Run) {
+        self.used = self.used.plus(&run.room);
+        if let Some(before) = self.runs.insert(name, run) {
+            self.used = self.used.minus(&before.room);
+        }
+    }
+
+    /// Lets a run go with its room.
+    pub fn remove_run(&mut self, name: &RunName) -> Option<Run> {
+        let run = self.runs.remove(name)?;
+        self.used = self.used.minus(&run.room);
+        Some(run)
+    }
+
+    /// The room left once everything that is stopping has ended.
+    pub fn free_soon(&self) -> Resources {
+        let leaving = self
+            .runs
+            .values()
+            .filter(|run| matches!(run.phase, RunPhase::Stopping | RunPhase::Ending));
+        leaving.fold(self.free(), |sum, run| sum.plus(&run.room))
+    }
+}
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -4,11 +4,7 @@
     StoreStandIn,
     WorkerStandIn, //
 };
-use crate::core::{
-    AttemptId,
-    JobId, //
-};
-use crate::platform::{
+use crate::backend::{
     StoreAnswer,
     StoreCall,
     TaskBody,
@@ -21,6 +17,10 @@
     WorkerCall,
     WorkerQuery, //
 };
+use crate::core::{
+    AttemptId,
+    JobId, //
+};
 use crate::timer::Timer;
 use actix_http::body::BoxBody;
 use actix_http::{
@@ -375,10 +375,10 @@
             Ok(StoreAnswer::Held { holder }) => Response::build(StatusCode::LOCKED)
                 .body(holder)
                 .map_into_boxed_body(),
-            Err(crate::platform::StoreFailure::Unavailable) => {
+            Err(crate::backend::StoreFailure::Unavailable) => {
                 status(StatusCode::SERVICE_UNAVAILABLE)
             }
-            Err(crate::platform::StoreFailure::Timeout) => status(StatusCode::GATEWAY_TIMEOUT),
+            Err(crate::backend::StoreFailure::Timeout) => status(StatusCode::GATEWAY_TIMEOUT),
         }
     }
 
@@ -546,7 +546,7 @@
             .body(refusal.name())
             .map_into_boxed_body(),
         WorkerAnswer::State(state) => {
-            let change = crate::platform::TaskChange {
+            let change = crate::backend::TaskChange {
                 attempt: AttemptId::default(),
                 state,
             };
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the platform's key-value service.
 
-use crate::platform::{
+use crate::backend::{
     StoreAnswer,
     StoreCall,
     StoreFailure, //
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -1,12 +1,7 @@
 //! A stand-in for a worker.
 
 use super::TaskSpec;
-use crate::core::{
-    AcceleratorMask,
-    AttemptId, //
-};
-use crate::ledger::AnswerRecord;
-use crate::platform::{
+use crate::backend::{
     PollAnswer,
     TaskChange,
     TaskState,
@@ -15,6 +10,11 @@
     WorkerFailure,
     WorkerRefusal, //
 };
+use crate::core::{
+    AcceleratorMask,
+    AttemptId, //
+};
+use crate::ledger::AnswerRecord;
 use bytes::Bytes;
 use sha2::{
     Digest,
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -2,6 +2,10 @@
 //!
 //! Other parts ask it for the time, subscribe to ticks, or wait for a moment.
 
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::future::Future;
@@ -11,7 +15,6 @@
 };
 use std::time::{
     Duration,
-    Instant,
     SystemTime,
     UNIX_EPOCH, //
 };
@@ -37,7 +40,7 @@
 #[derive(Clone)]
 pub struct Timer {
     base_ms: u64,
-    started: Instant,
+    started_ms: u64,
     register: mpsc::Sender<Waiting>,
 }
 
@@ -51,21 +54,21 @@
     pub fn spawn() -> std::io::Result<Self> {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let base_ms = since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64);
-        let started = Instant::now();
+        let started_ms = since_boot_ms();
         let (register, registrations) = mpsc::channel();
         std::thread::Builder::new()
             .name("timer".to_owned())
-            .spawn(move || run(base_ms, started, &registrations))?;
+            .spawn(move || run(base_ms, started_ms, &registrations))?;
         Ok(Self {
             base_ms,
-            started,
+            started_ms,
             register,
         })
     }
 
     /// Milliseconds since the Unix epoch; never goes back.
     pub fn now_ms(&self) -> u64 {
-        now_ms(self.base_ms, self.started)
+        now_ms(self.base_ms, self.started_ms)
     }
 
     /// Waits for `delay_ms`.
@@ -122,16 +125,24 @@
     }
 }
 
-fn now_ms(base_ms: u64, started: Instant) -> u64 {
-    base_ms + started.elapsed().as_millis() as u64
+fn now_ms(base_ms: u64, started_ms: u64) -> u64 {
+    base_ms + since_boot_ms() - started_ms
+}
+
+/// Time since the machine started, suspensions included: a daemon on a VM that
+/// was suspended must see that its leases are old, which the monotonic clock
+/// does not show.
+fn since_boot_ms() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
 }
 
-fn run(base_ms: u64, started: Instant, registrations: &mpsc::Receiver<Waiting>) {
+fn run(base_ms: u64, started_ms: u64, registrations: &mpsc::Receiver<Waiting>) {
     let mut due: BinaryHeap<Entry> = BinaryHeap::new();
     let mut wakes: std::collections::HashMap<u64, oneshot::Sender<u64>> = Default::default();
     let mut rank = 0;
     loop {
-        let now = now_ms(base_ms, started);
+        let now = now_ms(base_ms, started_ms);
         while let Some(&Reverse((at_ms, at))) = due.peek() {
             if at_ms > now {
                 break;
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -1,5 +1,9 @@
 //! The messages between daemons, and their way to and from the owner's.
 
+use crate::backend::{
+    TaskBody,
+    TasksBody, //
+};
 use crate::core::{
     AccountReport,
     JobId,
@@ -18,10 +22,6 @@
     Request,
     WorkerNews, //
 };
-use crate::platform::{
-    TaskBody,
-    TasksBody, //
-};
 use bytes::Bytes;
 
 /// One frame.
--- a/tests/owner_failures.rs
+++ b/tests/owner_failures.rs
@@ -3,6 +3,15 @@
 #[path = "support/world.rs"]
 mod world;
 
+use fuchsiaslip::backend::{
+    StoreCall,
+    StoreFailure,
+    VmKind,
+    VmRecord,
+    WorkerAnswer,
+    WorkerCall,
+    WorkerRefusal, //
+};
 use fuchsiaslip::config::{
     Configuration,
     Declaration, //
@@ -31,15 +40,6 @@
     Request,
     Settings, //
 };
-use fuchsiaslip::platform::{
-    StoreCall,
-    StoreFailure,
-    VmKind,
-    VmRecord,
-    WorkerAnswer,
-    WorkerCall,
-    WorkerRefusal, //
-};
 use fuchsiaslip::standin::{
     StoreStandIn,
     TaskSpec,
--- a/tests/patch_faults.rs
+++ b/tests/patch_faults.rs
@@ -4,6 +4,14 @@
 //! read back. A fault happens at one of them; then the operator submits the
 //! same patch again, as the answer says, until the outcome is known.
 
+use fuchsiaslip::backend::{
+    ListAnswer,
+    Membership,
+    Store,
+    StoreAnswer,
+    StoreCall,
+    StoreFailure, //
+};
 use fuchsiaslip::config::{
     Configuration,
     Patch,
@@ -15,14 +23,6 @@
     submit,
     token_digest, //
 };
-use fuchsiaslip::platform::{
-    ListAnswer,
-    Membership,
-    Store,
-    StoreAnswer,
-    StoreCall,
-    StoreFailure, //
-};
 use fuchsiaslip::standin::StoreStandIn;
 use std::cell::{
     Cell,
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -6,6 +6,14 @@
     reason = "each test file uses some of it"
 )]
 
+use fuchsiaslip::backend::{
+    StoreCall,
+    TaskState,
+    VmKind,
+    VmRecord,
+    WorkerAnswer,
+    WorkerCall, //
+};
 use fuchsiaslip::config::{
     Configuration,
     Declaration, //
@@ -30,14 +38,6 @@
     Settings,
     WorkerNews, //
 };
-use fuchsiaslip::platform::{
-    StoreCall,
-    TaskState,
-    VmKind,
-    VmRecord,
-    WorkerAnswer,
-    WorkerCall, //
-};
 use fuchsiaslip::standin::{
     StoreStandIn,
     TaskSpec,
@@ -367,12 +367,12 @@
                 match lost {
                     true => {
                         self.lost_frames -= 1;
-                        Err(fuchsiaslip::platform::WorkerFailure::Silent)
+                        Err(fuchsiaslip::backend::WorkerFailure::Silent)
                     }
                     false => answer,
                 }
             }
-            _ => Err(fuchsiaslip::platform::WorkerFailure::Silent),
+            _ => Err(fuchsiaslip::backend::WorkerFailure::Silent),
         };
         let delay_ms = match result {
             Ok(_) => WORKER_MS,
