Keep room that is being freed from later groups; settle looks after the answer's millisecond

Cause: (1) while an urgent group waited for its victims to stop, later groups took the freed room, often the victims themselves, and were stopped again; (2) a look sent in the same millisecond as a start's answer, but before it, was taken to show that the run is gone: the task ran twice. Ruled out: overtaking stops, late orders (the look's send time equalled the answer's in every case logged).

--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -148,6 +148,9 @@
     pub unplaced_since_ms: Option<u64>,
     /// Preemption for it is tried again from then on.
     pub preempt_at_ms: u64,
+    /// Room that is being freed for it, in tasks on each worker. Until then
+    /// nothing that comes later in the order takes it.
+    pub claims: Vec<(WorkerKey, u32)>,
 }
 
 impl Group {
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -2,7 +2,10 @@
 
 use super::action::StopReason;
 use super::scheduler::Scheduler;
-use super::worker::Contact;
+use super::worker::{
+    CONCLUSIVE_MS,
+    Contact, //
+};
 use super::{
     Action,
     CallOutcome,
@@ -99,7 +102,7 @@
         if run.phase == RunPhase::Starting {
             // The answer to the start was lost or is still on its way.
             run.phase = RunPhase::Running;
-            run.conclusive_ms = Some(now_ms);
+            run.conclusive_ms = Some(now_ms + CONCLUSIVE_MS);
             if let Some(job) = self.jobs.get_mut(&row.name.task.job) {
                 job.started = true;
             }
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -210,6 +210,7 @@
                 advice: Default::default(),
                 unplaced_since_ms: None,
                 preempt_at_ms: 0,
+                claims: Vec::new(),
                 step: step.clone(),
             };
             let restored = job.restored.as_ref().and_then(|record| record.group(key));
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -27,6 +27,7 @@
     RunPhase, //
 };
 use crate::core::WorkerKey;
+use std::collections::BTreeMap;
 
 /// Time for victims to stop before more are chosen.
 const SETTLE_MS: u64 = 350;
@@ -77,7 +78,11 @@
     /// Frees room for the waiting tasks of an urgent group, and keeps it from
     /// later groups of this pass.
     pub(super) fn preempt_for(&mut self, ranked: Ranked, queue: &Queue, seats: &mut [Seat]) {
-        if !self.may_preempt(&ranked) || self.now_ms < self.groups[&ranked.key].preempt_at_ms {
+        if !self.may_preempt(&ranked) {
+            return;
+        }
+        if self.now_ms < self.groups[&ranked.key].preempt_at_ms {
+            self.keep_claims(ranked.key, seats);
             return;
         }
         let group = &self.groups[&ranked.key];
@@ -91,14 +96,17 @@
         };
         let settle_ms = self.now_ms + SETTLE_MS;
         let mut stops = Vec::new();
+        let mut claims: BTreeMap<WorkerKey, u32> = BTreeMap::new();
         for (seat, worker, slot) in chosen {
             seats[seat].free = seats[seat].free.minus(&room);
+            *claims.entry(worker).or_default() += 1;
             stops.extend(slot.victims.into_iter().map(|name| (worker, name)));
         }
         if !stops.is_empty()
             && let Some(group) = self.groups.get_mut(&ranked.key)
         {
             group.preempt_at_ms = settle_ms;
+            group.claims = claims.into_iter().collect();
         }
         for (worker, name) in stops {
             self.stop_run(worker, name, StopReason::Preempted);
@@ -114,6 +122,19 @@
         }
     }
 
+    /// Keeps what is being freed for a group from the groups after it: its
+    /// victims would take the freed room back, and be stopped again.
+    fn keep_claims(&self, key: GroupKey, seats: &mut [Seat]) {
+        let group = &self.groups[&key];
+        for &(worker, count) in &group.claims {
+            for seat in seats.iter_mut().filter(|seat| seat.worker == worker) {
+                for _ in 0..count {
+                    seat.free = seat.free.minus(&group.room);
+                }
+            }
+        }
+    }
+
     /// The cheapest slots for `count` tasks; on one rack where that is asked
     /// for and possible.
     fn cheapest(
--- a/src/scheduler/scheduler.rs
+++ b/src/scheduler/scheduler.rs
@@ -5,7 +5,10 @@
     Decision,
     StopReason, //
 };
-use super::worker::Contact;
+use super::worker::{
+    CONCLUSIVE_MS,
+    Contact, //
+};
 use super::{
     CallOutcome,
     ClusterConfiguration,
@@ -616,7 +619,7 @@
         match outcome {
             CallOutcome::Done if run.phase == RunPhase::Starting => {
                 run.phase = RunPhase::Running;
-                run.conclusive_ms = Some(now_ms);
+                run.conclusive_ms = Some(now_ms + CONCLUSIVE_MS);
                 run.advanced_ms = now_ms;
                 self.note_started(name);
             }
@@ -722,7 +725,7 @@
         run.in_flight = false;
         match outcome {
             CallOutcome::Done => {
-                run.conclusive_ms = Some(now_ms + stop_ms);
+                run.conclusive_ms = Some(now_ms + stop_ms + CONCLUSIVE_MS);
                 worker.look_at_ms = worker.look_at_ms.min(now_ms + stop_ms);
             }
             CallOutcome::OtherIncarnation => self.worker_gone(key, "other_incarnation"),
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -23,6 +23,11 @@
 /// Added to the end of a lease, for the worker to kill what it runs.
 const LAPSE_MARGIN_MS: u64 = 100;
 
+/// A look shows what an order did only if it was sent this much after the
+/// order's answer: both are known to the millisecond, and a look sent in the
+/// same one may have been sent before. A run held to be gone would run twice.
+pub(super) const CONCLUSIVE_MS: u64 = 2;
+
 /// Where a run stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
