--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -127,12 +127,12 @@
             continue;
         }
         let due_ms = takeover_at_ms(&node.election_view());
-        if due_ms.is_some_and(|due_ms| node.now_ms() >= due_ms) {
-            if let Err(error) = ownership::take_over(&node).await {
-                metrics::counter!("fuchsiaslip_takeovers_failed_total").increment(1);
-                log::debug!("the takeover failed: {error}");
-                node.timer.after(FAILED_TAKEOVER_MS).await;
-            }
+        if due_ms.is_some_and(|due_ms| node.now_ms() >= due_ms)
+            && let Err(error) = ownership::take_over(&node).await
+        {
+            metrics::counter!("fuchsiaslip_takeovers_failed_total").increment(1);
+            log::debug!("the takeover failed: {error}");
+            node.timer.after(FAILED_TAKEOVER_MS).await;
         }
     }
 }
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -183,11 +183,14 @@
             name,
             worker,
             reason,
+            priority,
+            lost_core_s,
         } => (
             events::TASK_STOPPED,
             "stopped",
             reason.name(),
-            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker }),
+            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker,
+                "priority": priority, "lost_core_s": lost_core_s.round() }),
         ),
         Decision::Ended { name, worker, kind } => (
             events::TASK_ENDED,
--- a/src/cluster/peers.rs
+++ b/src/cluster/peers.rs
@@ -113,10 +113,10 @@
 
     fn link(&self, address: SocketAddr) -> Link {
         let mut links = self.links.borrow_mut();
-        if let Some(link) = links.get(&address) {
-            if !link.frames.is_closed() {
-                return link.clone();
-            }
+        if let Some(link) = links.get(&address)
+            && !link.frames.is_closed()
+        {
+            return link.clone();
         }
         let (frames, outgoing) = mpsc::unbounded_channel();
         let link = Link {
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -112,6 +112,10 @@
         worker: Arc<str>,
         /// Why.
         reason: StopReason,
+        /// Priority of its queue.
+        priority: u32,
+        /// Core-seconds that are lost with it, as far as known.
+        lost_core_s: f64,
     },
     /// A run ended.
     Ended {
--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -7,7 +7,7 @@
 //! until every worker of the roster has answered, tasks of jobs that the
 //! earlier owner knew are not started anew: they could run twice.
 
-use super::scheduler::Scheduler;
+use super::state::Scheduler;
 use super::worker::Contact;
 use super::{
     GroupKey,
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -2,7 +2,7 @@
 
 use super::action::Decision;
 use super::progress::FinalState;
-use super::scheduler::Scheduler;
+use super::state::Scheduler;
 use super::{
     EndKind,
     EndedRow,
@@ -96,10 +96,10 @@
         };
         let mut others = Vec::new();
         for index in 0..group.tasks.len() as u32 {
-            if let TaskState::Placed { worker, run: own } = group.tasks[index as usize].state {
-                if own == run {
-                    others.push((worker, key.task(index)));
-                }
+            if let TaskState::Placed { worker, run: own } = group.tasks[index as usize].state
+                && own == run
+            {
+                others.push((worker, key.task(index)));
             }
             group.set_state(index, TaskState::Done);
         }
--- a/src/scheduler/evidence.rs
+++ b/src/scheduler/evidence.rs
@@ -11,11 +11,13 @@
     Decision,
     StopReason, //
 };
-use super::scheduler::Scheduler;
+use super::state::Scheduler;
 use super::{
     GroupKey,
+    Run,
     RunName,
-    RunPhase, //
+    RunPhase,
+    TaskState, //
 };
 use crate::core::WorkerKey;
 use std::collections::HashSet;
@@ -32,6 +34,11 @@
 /// hundredths at each look, so a run of 30 s moves every 300 ms, or every
 /// 2,400 ms on a worker that is eight times as slow.
 const STALL_MS: u64 = 2_600;
+/// A run this far waits for its end, or for the end of its gang.
+const NEARLY_DONE_PERCENT: u32 = 98;
+/// A member of a gang that stands still is behind the others by this much; they
+/// go on, or stand at their end.
+const BEHIND_PERCENT: u32 = 10;
 /// Weight of a new run time in a worker's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.3;
 /// A run time tells at most this much of slowness.
@@ -95,33 +102,53 @@
 
     /// Stops runs that stand still, and closes their workers for a while.
     pub(super) fn review_evidence(&mut self) {
-        let now_ms = self.now_ms;
         let mut stalled = Vec::new();
         for worker in &self.workers {
             if worker.failed_looks > 0 {
                 continue;
             }
             for (&name, run) in &worker.runs {
-                let works =
-                    run.phase == RunPhase::Running && !run.long_running && run.pace_percent == 100;
-                let heard = worker.heard_ms > run.advanced_ms + STALL_MS;
-                if works && heard && now_ms >= run.advanced_ms + STALL_MS {
+                if self.hangs(worker.heard_ms, name, run) {
                     stalled.push((worker.key, name));
                 }
             }
         }
         for (key, name) in stalled {
-            let gang = self
-                .groups
-                .get(&GroupKey::of(name.task))
-                .is_some_and(|group| group.step.gang);
-            if !gang {
-                self.quarantine(key, "stalled");
-            }
+            self.quarantine(key, "stalled");
             if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) {
                 group.tasks[name.task.index as usize].avoid = Some(key);
             }
             self.stop_run(key, name, StopReason::Hanging);
         }
     }
+
+    /// Whether a run stands still through its worker's fault. What fills may
+    /// get no processor for a while, and a member of a gang waits at its start
+    /// and its end for the others: only one that is behind them hangs.
+    fn hangs(&self, heard_ms: u64, name: RunName, run: &Run) -> bool {
+        let excused = run.phase != RunPhase::Running
+            || run.long_running
+            || run.fills
+            || run.percent >= NEARLY_DONE_PERCENT;
+        let still_ms = heard_ms.saturating_sub(run.advanced_ms);
+        if excused || still_ms < STALL_MS {
+            return false;
+        }
+        let Some(group) = self.groups.get(&GroupKey::of(name.task)) else {
+            return false;
+        };
+        if !group.step.gang || group.tasks.len() == 1 {
+            return true;
+        }
+        let members = (0u32..).zip(&group.tasks);
+        let foremost = members.filter_map(|(index, task)| match task.state {
+            TaskState::Placed { worker, run } => {
+                let task = group.key.task(index);
+                let run = self.worker(worker).runs.get(&RunName { task, run })?;
+                Some(run.percent)
+            }
+            _ => None,
+        });
+        foremost.max().unwrap_or(0) >= run.percent + BEHIND_PERCENT
+    }
 }
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -1,7 +1,7 @@
 //! Taking in what a worker says of itself.
 
 use super::action::StopReason;
-use super::scheduler::Scheduler;
+use super::state::Scheduler;
 use super::worker::{
     CONCLUSIVE_MS,
     Contact, //
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -4,7 +4,7 @@
     FinalState,
     GroupProgress, //
 };
-use super::scheduler::Scheduler;
+use super::state::Scheduler;
 use super::{
     Action, Group, GroupKey, JobRecord, ProgressRecord, StepSpec, Task, TaskState,
     action::{
@@ -263,11 +263,11 @@
             })
             .collect();
         for step in ready {
-            if let Some(group) = self.groups.get_mut(&key_of(step)) {
-                if group.released_ms == u64::MAX {
-                    group.released_ms = self.now_ms;
-                    self.changed = true;
-                }
+            if let Some(group) = self.groups.get_mut(&key_of(step))
+                && group.released_ms == u64::MAX
+            {
+                group.released_ms = self.now_ms;
+                self.changed = true;
             }
         }
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -15,13 +15,14 @@
 mod input;
 mod job;
 mod order;
+mod orders;
 mod pass;
 mod placement;
 mod preempt;
 mod progress;
-mod scheduler;
 mod sharing;
 mod spec;
+mod state;
 mod worker;
 
 pub use action::{
@@ -65,10 +66,6 @@
     FinalState,
     ProgressRecord, //
 };
-pub use scheduler::{
-    Scheduler,
-    Tuning, //
-};
 pub use spec::{
     JobRecord,
     JobSpec,
@@ -76,6 +73,10 @@
     Schedule,
     StepSpec, //
 };
+pub use state::{
+    Scheduler,
+    Tuning, //
+};
 pub use worker::{
     Run,
     RunPhase,
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -7,7 +7,7 @@
 //! work that can no longer earn anything comes last, but comes.
 
 use super::job::worth_ratio;
-use super::scheduler::Scheduler;
+use super::state::Scheduler;
 use super::{
     Group,
     GroupKey, //
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -11,7 +11,7 @@
     Seat,
     place, //
 };
-use super::scheduler::Scheduler;
+use super::state::Scheduler;
 use super::{
     Group,
     GroupKey,
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -17,8 +17,9 @@
     Ask,
     Seat, //
 };
-use super::scheduler::Scheduler;
+use super::state::Scheduler;
 use super::{
+    Group,
     GroupKey,
     Queue,
     Resources,
@@ -216,8 +217,7 @@
         }
     }
 
-    /// What is lost with a run, in thousandths of a core times milliseconds;
-    /// `None` if it may not be taken.
+    /// What is lost with a run, in core-seconds; `None` if it may not be taken.
     fn loss(&self, ranked: Ranked, name: RunName, run: &Run) -> Option<f64> {
         let taken = matches!(run.phase, RunPhase::Starting | RunPhase::Running);
         if !taken || run.long_running || ranked.key.job == name.task.job {
@@ -232,18 +232,30 @@
         if urgent && group.is_none() {
             return None;
         }
+        let members = match group {
+            Some(group) if group.step.gang => group.tasks.len() as f64,
+            _ => 1.0,
+        };
+        let factor = if urgent { URGENT_VICTIM_FACTOR } else { 1.0 };
+        Some(self.lost_by(run, group) * members * factor)
+    }
+}
+
+impl Scheduler {
+    /// Core-seconds that are lost if a run is stopped now.
+    pub(super) fn lost_core_s(&self, key: WorkerKey, name: RunName) -> f64 {
+        let run = self.worker(key).runs.get(&name);
+        let group = self.groups.get(&GroupKey::of(name.task));
+        run.map_or(0.0, |run| self.lost_by(run, group))
+    }
+
+    fn lost_by(&self, run: &Run, group: Option<&Group>) -> f64 {
+        const MILLI_CORE_MS: f64 = 1e6;
         let mut lost_ms = self.now_ms.saturating_sub(run.ordered_ms);
-        let mut members = 1.0;
-        if let Some(group) = group {
-            if group.step.checkpoints {
-                lost_ms = lost_ms.min(self.tuning.checkpoint_ms / 2) + self.tuning.restore_ms;
-            }
-            if group.step.gang {
-                members = group.tasks.len() as f64;
-            }
+        if group.is_some_and(|group| group.step.checkpoints) {
+            lost_ms = lost_ms.min(self.tuning.checkpoint_ms / 2) + self.tuning.restore_ms;
         }
-        let factor = if urgent { URGENT_VICTIM_FACTOR } else { 1.0 };
-        Some(run.room.weight() as f64 * (lost_ms + 1) as f64 * members * factor)
+        run.room.weight() as f64 * (lost_ms + 1) as f64 / MILLI_CORE_MS
     }
 }
 
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -9,7 +9,7 @@
 //! is a pace of 0.
 
 use super::action::Action;
-use super::scheduler::Scheduler;
+use super::state::Scheduler;
 use super::{
     GroupKey,
     RunName,
--- a/src/scheduler/scheduler.rs
+++ b/src/scheduler/state.rs
@@ -5,12 +5,8 @@
     Decision,
     StopReason, //
 };
-use super::worker::{
-    CONCLUSIVE_MS,
-    Contact, //
-};
+use super::worker::Contact;
 use super::{
-    CallOutcome,
     ClusterConfiguration,
     GraphJob,
     Group,
@@ -19,8 +15,6 @@
     Queue,
     Resources,
     RunName,
-    RunPhase,
-    StartRefusal,
     TaskState,
     Worker,
     WorkerInfo, //
@@ -453,35 +447,13 @@
         let now_ms = self.now_ms;
         let worker = self.worker(key);
         let silent = matches!(worker.contact, Contact::Silent | Contact::Unfenced);
-        if silent && !worker.runs.is_empty() {
-            if worker
+        if silent
+            && !worker.runs.is_empty()
+            && worker
                 .lapsed_at_ms()
                 .is_some_and(|lapsed_ms| now_ms >= lapsed_ms)
-            {
-                self.lose_runs(key, "lease_over");
-            }
-        }
-    }
-
-    /// Sends again what was not answered, and stops what was never confirmed.
-    fn review_runs(&mut self, key: WorkerKey) {
-        let now_ms = self.now_ms;
-        let due: Vec<(RunName, RunPhase)> = self
-            .worker(key)
-            .runs
-            .iter()
-            .filter(|(_, run)| {
-                let waits = matches!(run.phase, RunPhase::Starting | RunPhase::Stopping)
-                    && run.conclusive_ms.is_none();
-                waits && !run.in_flight && now_ms >= run.resend_ms
-            })
-            .map(|(&name, run)| (name, run.phase))
-            .collect();
-        for (name, phase) in due {
-            match phase {
-                RunPhase::Starting => self.send_start(key, name),
-                _ => self.send_stop(key, name),
-            }
+        {
+            self.lose_runs(key, "lease_over");
         }
     }
 
@@ -518,222 +490,6 @@
         });
     }
 
-    /// Gives a run to a worker; the caller has checked the room.
-    pub(super) fn start_run(&mut self, key: WorkerKey, group_key: GroupKey, index: u32, run: u64) {
-        let name = RunName {
-            task: group_key.task(index),
-            run,
-        };
-        let now_ms = self.now_ms;
-        let priority = self.jobs[&group_key.job].priority;
-        let group = self
-            .groups
-            .get_mut(&group_key)
-            .expect("the pass starts only open groups");
-        group.set_state(index, TaskState::Placed { worker: key, run });
-        group.tasks[index as usize].last_run = run;
-        let step = group.step.clone();
-        let entry = super::Run {
-            group: group_key,
-            room: group.room,
-            phase: RunPhase::Starting,
-            ordered_ms: now_ms,
-            sends: 0,
-            in_flight: false,
-            resend_ms: now_ms,
-            conclusive_ms: None,
-            percent: 0,
-            advanced_ms: now_ms,
-            working_since_ms: None,
-            usage: None,
-            pace_percent: 100,
-            pace_in_flight: false,
-            fills: step.fills,
-            serves: step.serves(),
-            long_running: step.long_running,
-            priority,
-            over_target_since_ms: None,
-        };
-        let worker = self.worker_mut(key);
-        worker.add_run(name, entry);
-        let decision = Decision::Placed {
-            name,
-            worker: worker.incarnation(),
-            view_age_ms: now_ms.saturating_sub(worker.heard_ms),
-        };
-        self.decided(decision);
-        self.send_start(key, name);
-    }
-
-    fn send_start(&mut self, key: WorkerKey, name: RunName) {
-        /// Starts without an answer after which the run is stopped instead.
-        const MAX_SENDS: u32 = 3;
-        let now_ms = self.now_ms;
-        let group_key = GroupKey::of(name.task);
-        let sends = self.worker(key).runs.get(&name).map_or(0, |run| run.sends);
-        let known = self.groups.get(&group_key);
-        let Some(group) = known.filter(|_| sends < MAX_SENDS && self.has_authority()) else {
-            self.stop_run(key, name, StopReason::GangBroken);
-            return;
-        };
-        let checkpoint = group.tasks[name.task.index as usize].checkpoint.clone();
-        let ticket = group
-            .advice
-            .tickets
-            .get(&key)
-            .map(|ticket| ticket.ticket.clone());
-        let payload: Arc<str> = self.jobs[&name.task.job]
-            .record
-            .spec
-            .payload
-            .as_str()
-            .into();
-        let window_ms = self.tuning.start_window_ms;
-        let worker = self.worker_mut(key);
-        let Some(lease_end_ms) = worker.grant(now_ms, window_ms) else {
-            return;
-        };
-        let callee = worker.callee();
-        if let Some(run) = worker.runs.get_mut(&name) {
-            run.sends += 1;
-            run.in_flight = true;
-        }
-        self.actions.push(Action::Start {
-            callee,
-            name,
-            payload,
-            lease_end_ms,
-            checkpoint,
-            ticket,
-        });
-    }
-
-    fn start_over(&mut self, key: WorkerKey, name: RunName, outcome: CallOutcome) {
-        /// Wait before a start without an answer is sent again.
-        const RESEND_MS: u64 = 30;
-        let now_ms = self.now_ms;
-        let Some(run) = self.worker_mut(key).runs.get_mut(&name) else {
-            return;
-        };
-        run.in_flight = false;
-        match outcome {
-            CallOutcome::Done if run.phase == RunPhase::Starting => {
-                run.phase = RunPhase::Running;
-                run.conclusive_ms = Some(now_ms + CONCLUSIVE_MS);
-                run.advanced_ms = now_ms;
-                self.note_started(name);
-            }
-            CallOutcome::Done => {}
-            CallOutcome::NoAnswer => {
-                run.resend_ms = now_ms + RESEND_MS;
-                if run.phase == RunPhase::Starting {
-                    self.retried(key, name, "no_answer");
-                }
-            }
-            CallOutcome::OtherIncarnation => self.worker_gone(key, "other_incarnation"),
-            CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::Deposed),
-            CallOutcome::Refused(refusal) => self.start_refused(key, name, refusal),
-        }
-    }
-
-    fn start_refused(&mut self, key: WorkerKey, name: RunName, refusal: StartRefusal) {
-        /// The sums of a worker that said it is full are doubted this long.
-        const DOUBT_MS: u64 = 150;
-        let now_ms = self.now_ms;
-        self.retried(key, name, refusal.name());
-        let worker = self.worker_mut(key);
-        let Some(run) = worker.runs.get_mut(&name) else {
-            return;
-        };
-        if run.phase != RunPhase::Starting {
-            return;
-        }
-        if run.sends > 1 {
-            // An earlier copy of the order may have been carried out, and may
-            // have ended already: only a later look can tell.
-            run.phase = RunPhase::Stopping;
-            run.resend_ms = now_ms;
-            return;
-        }
-        match refusal {
-            StartRefusal::NoRoom => worker.full_until_ms = now_ms + DOUBT_MS,
-            StartRefusal::Unhealthy => worker.full_until_ms = now_ms + 4 * DOUBT_MS,
-            StartRefusal::NoTicket => {
-                if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) {
-                    group.advice.tickets.remove(&key);
-                }
-            }
-            _ => {}
-        }
-        self.run_gone(key, name);
-    }
-
-    pub(super) fn retried(&mut self, key: WorkerKey, name: RunName, reason: &'static str) {
-        let worker = self.worker(key).incarnation();
-        self.decided(Decision::Retried {
-            name,
-            worker,
-            reason,
-        });
-    }
-
-    fn note_started(&mut self, name: RunName) {
-        if let Some(job) = self.jobs.get_mut(&name.task.job) {
-            job.started = true;
-        }
-    }
-
-    /// Stops a run unless that is under way.
-    pub(super) fn stop_run(&mut self, key: WorkerKey, name: RunName, reason: StopReason) {
-        let now_ms = self.now_ms;
-        let worker = self.worker_mut(key);
-        let Some(run) = worker.runs.get_mut(&name) else {
-            return;
-        };
-        if run.phase == RunPhase::Stopping || run.phase == RunPhase::Ending {
-            return;
-        }
-        run.phase = RunPhase::Stopping;
-        run.conclusive_ms = None;
-        run.resend_ms = now_ms;
-        let worker = worker.incarnation();
-        self.decided(Decision::Stopped {
-            name,
-            worker,
-            reason,
-        });
-        self.send_stop(key, name);
-    }
-
-    fn send_stop(&mut self, key: WorkerKey, name: RunName) {
-        let worker = self.worker_mut(key);
-        let callee = worker.callee();
-        if let Some(run) = worker.runs.get_mut(&name) {
-            run.in_flight = true;
-            self.actions.push(Action::Stop { callee, name });
-        }
-    }
-
-    fn stop_over(&mut self, key: WorkerKey, name: RunName, outcome: CallOutcome) {
-        /// Wait before a stop without an answer is sent again.
-        const RESEND_MS: u64 = 200;
-        let (now_ms, stop_ms) = (self.now_ms, self.tuning.stop_ms);
-        let worker = self.worker_mut(key);
-        let Some(run) = worker.runs.get_mut(&name) else {
-            return;
-        };
-        run.in_flight = false;
-        match outcome {
-            CallOutcome::Done => {
-                run.conclusive_ms = Some(now_ms + stop_ms + CONCLUSIVE_MS);
-                worker.look_at_ms = worker.look_at_ms.min(now_ms + stop_ms);
-            }
-            CallOutcome::OtherIncarnation => self.worker_gone(key, "other_incarnation"),
-            CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::Deposed),
-            CallOutcome::Refused(_) | CallOutcome::NoAnswer => run.resend_ms = now_ms + RESEND_MS,
-        }
-    }
-
     /// A run is off its worker without being done: its task waits again.
     pub(super) fn run_gone(&mut self, key: WorkerKey, name: RunName) {
         self.worker_mut(key).remove_run(&name);
