Forget workers that left; take a restarted owner's earlier life for over

Ruled out: the takeover itself (owner 0.4 s after the VMs' power). Change: a worker that is unlisted and past its lease leaves the roster; the earlier owner's authority ends with its process; jobs that become known a second after a takeover are never held back. Conclusion: the wait is kept where the proof is missing, and only there.

--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -40,8 +40,8 @@
     pub storeless_since_ms: Option<u64>,
     /// It is draining.
     pub draining: bool,
-    /// It is an earlier life of this very daemon.
-    pub was_here: bool,
+    /// Its process has ended: its daemon has another life now.
+    pub over: bool,
 }
 
 /// What a daemon knows when it asks itself.
@@ -72,7 +72,7 @@
         None => view.started_ms + START_MS,
         Some(sign) => {
             let silent_ms = sign.heard_ms + SILENT_MS;
-            if sign.was_here {
+            if sign.over {
                 view.started_ms + START_MS
             } else if sign.draining {
                 sign.heard_ms
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -315,6 +315,19 @@
             .collect()
     }
 
+    /// Whether a daemon's life is certainly over: it has another one now.
+    pub fn is_over(&self, daemon: &str, boot: u64) -> bool {
+        self.is_over_among(&self.others.borrow(), daemon, boot)
+    }
+
+    fn is_over_among(&self, others: &BTreeMap<String, Peer>, daemon: &str, boot: u64) -> bool {
+        if daemon == self.settings.daemon {
+            return boot != self.boot;
+        }
+        let peer = others.get(daemon);
+        peer.is_some_and(|peer| peer.heard_ms > 0 && peer.boot != boot)
+    }
+
     /// A peer that is there and reaches the store: the owner first.
     pub fn fit_peer(&self) -> Option<SocketAddr> {
         let now_ms = self.now_ms();
@@ -342,7 +355,7 @@
                 heard_ms: peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms),
                 storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
                 draining: peer.is_some_and(|peer| peer.draining),
-                was_here: owner.name == self.settings.daemon && !self.owns(),
+                over: !self.owns() && self.is_over_among(&others, &owner.name, owner.boot),
             }
         });
         ElectionView {
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -52,7 +52,7 @@
     let known: RootRecord = root
         .and_then(|item| decode(ROOT_KEY, &item.value))
         .unwrap_or_default();
-    if follow::learn_root(node, &known) {
+    if follow::learn_root(node, &known) && !node.is_over(&known.owner, known.boot) {
         // Somebody took over just now: wait for its heartbeats.
         return Ok(());
     }
@@ -81,7 +81,17 @@
     let Some(root_revision) = taken else {
         return Ok(());
     };
-    begin(node, next.epoch, root_revision, began_ms).await
+    // A daemon that was restarted ended its earlier life; a peer is heard with
+    // the life that it has now.
+    let earlier_owner_over = known.epoch == 0 || node.is_over(&known.owner, known.boot);
+    begin(
+        node,
+        next.epoch,
+        root_revision,
+        began_ms,
+        earlier_owner_over,
+    )
+    .await
 }
 
 async fn begin(
@@ -89,6 +99,7 @@
     epoch: u64,
     root_revision: u64,
     began_ms: u64,
+    earlier_owner_over: bool,
 ) -> Result<(), StoreError> {
     let jobs = node.store.range(JOBS_PREFIX, false).await?;
     let progress = node.store.range(PROGRESS_PREFIX, false).await?;
@@ -108,7 +119,7 @@
     stored.extend(worker_inputs(&workers));
     stored.extend(job_inputs(node, &jobs, &progress));
     stored.push(Input::Confirmed(began_ms));
-    stored.push(Input::Recovered);
+    stored.push(Input::Recovered { earlier_owner_over });
     let (job_count, worker_count) = (jobs.items.len(), workers.items.len());
     node.control.send(super::Command::Begin {
         epoch,
--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -6,6 +6,11 @@
 //! `authority_ms + lease_ms` after this owner took the epoch. Until then, or
 //! until every worker of the roster has answered, tasks of jobs that the
 //! earlier owner knew are not started anew: they could run twice.
+//!
+//! An earlier owner whose process has ended gives no more leases. One that is
+//! cut off learns of no new jobs, and one that is not hears of its successor
+//! within a heartbeat or two; so jobs that become known later than that are
+//! started at once.
 
 use super::state::Scheduler;
 use super::worker::Contact;
@@ -18,16 +23,22 @@
 /// A worker's clock may be this much slow, in thousandths.
 const CLOCK_DRIFT_PERMILLE: u64 = 25;
 const MARGIN_MS: u64 = 100;
+/// An earlier owner may hear of new jobs for this long: four heartbeats.
+const DEPOSED_MS: u64 = 1_000;
 
 impl Scheduler {
     /// All that was stored is told; from here on the workers are asked.
-    pub(super) fn begin_recovery(&mut self) {
+    pub(super) fn begin_recovery(&mut self, earlier_owner_over: bool) {
         if self.recovered {
             return;
         }
         self.recovered = true;
         let lease_ms = self.tuning.lease_ms;
-        let wait_ms = self.tuning.authority_ms + lease_ms + lease_ms * CLOCK_DRIFT_PERMILLE / 1_000;
+        let authority_ms = match earlier_owner_over {
+            true => 0,
+            false => self.tuning.authority_ms,
+        };
+        let wait_ms = authority_ms + lease_ms + lease_ms * CLOCK_DRIFT_PERMILLE / 1_000;
         self.blind_until_ms = Some(self.began_ms + wait_ms + MARGIN_MS);
         for group in self.groups.values_mut() {
             group.blind = true;
@@ -42,7 +53,7 @@
     /// known now.
     pub(super) fn is_blind(&self) -> bool {
         match self.blind_until_ms {
-            Some(_) => self.now_ms < self.began_ms + self.tuning.authority_ms,
+            Some(_) => self.now_ms < self.began_ms + DEPOSED_MS,
             None => !self.recovered,
         }
     }
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -178,7 +178,10 @@
     /// The worker's entry is gone.
     WorkerUnlisted(String),
     /// All that was stored before this owner began is told.
-    Recovered,
+    Recovered {
+        /// The process of the earlier owner has certainly ended.
+        earlier_owner_over: bool,
+    },
     /// The roster that names these workers is durable.
     RosterStored(Vec<WorkerKey>),
     /// A worker answered a look that was sent at `sent_ms`.
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -172,7 +172,7 @@
                 address,
             } => self.take_known_worker(incarnation, address),
             Input::WorkerUnlisted(name) => self.worker_unlisted(&name),
-            Input::Recovered => self.begin_recovery(),
+            Input::Recovered { earlier_owner_over } => self.begin_recovery(earlier_owner_over),
             Input::RosterStored(workers) => self.roster_stored(&workers),
             Input::Held {
                 worker,
@@ -360,6 +360,10 @@
             .collect();
         let worker = self.worker_mut(key);
         worker.update(info);
+        if worker.contact == Contact::Gone {
+            // It was silent and not listed for a whole lease, and is back.
+            worker.contact = Contact::Unfenced;
+        }
         let unknown = !worker.on_roster;
         for old in replaced {
             self.worker_gone(old, "replaced");
@@ -402,9 +406,13 @@
 
     fn roster_stored(&mut self, workers: &[WorkerKey]) {
         for &key in workers {
-            self.worker_mut(key).on_roster = true;
+            let worker = self.worker_mut(key);
+            worker.on_roster = worker.contact != Contact::Gone;
         }
-        self.roster_asked = self.workers.iter().any(|worker| !worker.on_roster);
+        self.roster_asked = self
+            .workers
+            .iter()
+            .any(|worker| !worker.on_roster && worker.contact != Contact::Gone);
         if self.roster_asked {
             self.actions.push(Action::StoreRoster);
         }
@@ -442,19 +450,25 @@
         }
     }
 
-    /// After the end of the longest lease nothing runs there any more.
+    /// After the end of the longest lease nothing runs there any more. A
+    /// worker that is not listed either has left: the roster forgets it, or it
+    /// would hold up the next owner, who could not reach it.
     fn review_lapse(&mut self, key: WorkerKey) {
         let now_ms = self.now_ms;
         let worker = self.worker(key);
         let silent = matches!(worker.contact, Contact::Silent | Contact::Unfenced);
-        if silent
-            && !worker.runs.is_empty()
-            && worker
-                .lapsed_at_ms()
-                .is_some_and(|lapsed_ms| now_ms >= lapsed_ms)
-        {
+        let never_used = worker.clock.is_none() && self.blind_until_ms.is_none();
+        let lapsed_ms = worker.lapsed_at_ms().or(never_used.then_some(0));
+        if !silent || lapsed_ms.is_none_or(|lapsed_ms| now_ms < lapsed_ms) {
+            return;
+        }
+        let listed = worker.listed;
+        if !worker.runs.is_empty() {
             self.lose_runs(key, "lease_over");
         }
+        if !listed {
+            self.worker_gone(key, "left");
+        }
     }
 
     pub(super) fn look_if_due(&mut self, key: WorkerKey) {
@@ -556,7 +570,12 @@
         if self.worker(key).contact == Contact::Gone {
             return;
         }
-        self.worker_mut(key).contact = Contact::Gone;
+        let worker = self.worker_mut(key);
+        worker.contact = Contact::Gone;
+        if worker.on_roster {
+            worker.on_roster = false;
+            self.actions.push(Action::StoreRoster);
+        }
         self.lose_runs(key, reason);
     }
 
