Let large answers take as long as they go on coming; ask peers for a version only when the store lags

Change: the head of an answer has a bound, its body only a bound on standing still; a peer is asked once, and only for a version that the store has not brought for 700 ms. Conclusion: bounds on silence, not on size.

--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -26,8 +26,9 @@
 const ELECTION_MS: u64 = 50;
 /// Largest datagram that is read.
 const MAX_BEAT_BYTES: usize = 1_200;
-/// Bound on asking a peer for a newer configuration.
-const CONFIGURATION_LIMIT_MS: u64 = 600;
+/// Bound on asking a peer for a newer configuration: half a megabyte over the
+/// links of small VMs.
+const CONFIGURATION_LIMIT_MS: u64 = 2_500;
 /// Wait after a takeover that failed.
 const FAILED_TAKEOVER_MS: u64 = 200;
 
@@ -100,15 +101,15 @@
             since_ms: now_ms,
         });
     }
-    let version = node.configuration().version;
-    if beat.configuration_version > version {
-        actix_rt::spawn(fetch_configuration(node.clone(), address, version));
+    if node.lags_behind(beat.configuration_version) {
+        actix_rt::spawn(fetch_configuration(node.clone(), address));
     }
 }
 
 /// Asks a peer for its newer configuration: a daemon that the store refuses
 /// learns of it this way.
-async fn fetch_configuration(node: Rc<Node>, address: SocketAddr, version: u64) {
+async fn fetch_configuration(node: Rc<Node>, address: SocketAddr) {
+    let version = node.configuration().version;
     let question = PeerBody::ConfigurationAbove(version);
     let answer = node.peers.ask(address, question, CONFIGURATION_LIMIT_MS);
     if let Some(PeerBody::Configuration(bytes)) = answer.await {
@@ -117,6 +118,7 @@
             Err(error) => log::debug!("a peer's configuration does not read: {error}"),
         }
     }
+    node.fetched();
 }
 
 /// Takes over when that is due.
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -39,6 +39,10 @@
 /// A configuration that nobody confirmed for this long may be out of date.
 const CONFIGURATION_DOUBT_MS: u64 = 2_500;
 
+/// A version that the store has not brought for this long is asked of a peer:
+/// less than half of the time in which it has to be in force.
+const BEHIND_MS: u64 = 700;
+
 /// Another daemon, as its heartbeats show it.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -107,6 +111,8 @@
     root_revision: Cell<u64>,
     store_failed_since_ms: Cell<Option<u64>>,
     draining: Cell<bool>,
+    behind_since_ms: Cell<Option<u64>>,
+    fetching: Cell<bool>,
 }
 
 impl Node {
@@ -139,6 +145,8 @@
             root_revision: Cell::new(0),
             store_failed_since_ms: Cell::new(None),
             draining: Cell::new(false),
+            behind_since_ms: Cell::new(None),
+            fetching: Cell::new(false),
             timer,
         })
     }
@@ -170,6 +178,26 @@
         }
     }
 
+    /// Whether a peer has to be asked for its newer configuration: the store
+    /// has not brought it for a while, and no peer is being asked. Asking at
+    /// once would carry every version twice over the links of small VMs.
+    pub fn lags_behind(&self, version: u64) -> bool {
+        let now_ms = self.now_ms();
+        if version <= self.configuration.borrow().version {
+            self.behind_since_ms.set(None);
+            return false;
+        }
+        let since_ms = self.behind_since_ms.get().unwrap_or(now_ms);
+        self.behind_since_ms.set(Some(since_ms));
+        let lost = !self.has_store() || now_ms >= since_ms + BEHIND_MS;
+        lost && !self.fetching.replace(true)
+    }
+
+    /// A peer was asked for its configuration.
+    pub fn fetched(&self) {
+        self.fetching.set(false);
+    }
+
     /// The configuration was just found to be the newest.
     pub fn configuration_checked(&self) {
         self.configuration_checked_ms.set(self.now_ms());
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -6,13 +6,21 @@
     Method,
     StatusCode, //
 };
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use futures_util::StreamExt;
 use serde::Serialize;
 
 /// Largest answer that is read: a page of the store is about a megabyte, in
 /// base64 and JSON.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// An answer whose body stands still this long will not be whole: a busy link
+/// of 10 Mbit/s delays a packet by some 100 ms.
+const STALL_LIMIT_MS: u64 = 700;
+
 /// Why a call brought no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallFailure {
@@ -44,8 +52,11 @@
         Self { client, timer }
     }
 
-    /// Makes a call that may take `limit_ms`. A connection that went silent is
-    /// dropped with its call, so the next call opens another.
+    /// Makes a call whose answer has to begin within `limit_ms`; its body may
+    /// then take longer, as long as it goes on coming: a configuration of a
+    /// thousand queues takes seconds on the links of small VMs. A connection
+    /// that went silent is dropped with its call, so the next call opens
+    /// another.
     ///
     /// # Errors
     ///
@@ -70,17 +81,26 @@
                 }
                 None => request.send().await,
             };
-            let mut response = sent.map_err(|error| match error {
+            sent.map_err(|error| match error {
                 awc::error::SendRequestError::Connect(_) => CallFailure::NotSent,
                 _ => CallFailure::NoAnswer,
-            })?;
-            let status = response.status();
-            let body = response.body().limit(MAX_ANSWER_BYTES).await;
-            let body = body.map_err(|_| CallFailure::NoAnswer)?;
-            Ok((status, body))
+            })
         };
-        let answered = self.timer.limit(limit_ms, sent).await;
-        answered.unwrap_or(Err(CallFailure::NoAnswer))
+        let begun = self.timer.limit(limit_ms, sent).await;
+        let mut response = begun.unwrap_or(Err(CallFailure::NoAnswer))?;
+        let status = response.status();
+        let mut body = BytesMut::new();
+        while let Ok(chunk) = self.timer.limit(STALL_LIMIT_MS, response.next()).await {
+            let Some(chunk) = chunk else {
+                return Ok((status, body.freeze()));
+            };
+            let chunk = chunk.map_err(|_| CallFailure::NoAnswer)?;
+            if body.len() + chunk.len() > MAX_ANSWER_BYTES {
+                break;
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Err(CallFailure::NoAnswer)
     }
 
     /// Posts a JSON body.
