--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -64,6 +64,7 @@
         }
         self.settle_absent(key, sent_ms, &seen);
         self.advance_last_seen();
+        self.review_blindness();
         let worker = self.worker_mut(key);
         worker.look_at_ms = match worker.undurable.is_empty() {
             true => now_ms,
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -408,6 +408,7 @@
         for &key in workers {
             let worker = self.worker_mut(key);
             worker.on_roster = worker.contact != Contact::Gone;
+            self.look_if_due(key);
         }
         self.roster_asked = self
             .workers
--- /dev/null
+++ b/tests/scheduler.rs
@@ -0,0 +1,470 @@
+//! The scheduler of job graphs: what a job can ask, and the failures found.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{
+    BEGIN_MS,
+    Fleet,
+    record,
+    step, //
+};
+use fuchsiaslip::core::JobId;
+use fuchsiaslip::scheduler::{
+    EndKind,
+    HoldReport,
+    Input,
+    JobView,
+    RunName,
+    Schedule,
+    StepSpec,
+    TaskId, //
+};
+
+fn run_of(job: JobId, step: u32, index: u32, run: u64) -> RunName {
+    RunName {
+        task: TaskId {
+            job,
+            occurrence: 0,
+            step,
+            index,
+        },
+        run,
+    }
+}
+
+#[test]
+fn a_step_starts_only_after_all_tasks_of_the_steps_before_it_are_done() {
+    let mut fleet = Fleet::with_workers(2);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 1)
+    };
+    let job = fleet.submit(1, record("plain", vec![step(2, 1), second]));
+    fleet.advance(50);
+    assert_eq!(fleet.running().len(), 2, "both tasks of the first step run");
+
+    let first = fleet.running()[0].clone();
+    let fake = fleet.workers.get_mut(&first.0).unwrap();
+    fake.end(first.1, EndKind::Done);
+    fleet.advance(50);
+    let second_started = fleet.starts.iter().any(|start| start.0.task.step == 1);
+    assert!(!second_started, "one task of the first step still runs");
+
+    fleet.end_all(job, EndKind::Done);
+    fleet.advance(50);
+    assert_eq!(
+        fleet.running(),
+        [(fleet.starts[2].1.clone(), run_of(job, 1, 0, 1))]
+    );
+}
+
+#[test]
+fn a_job_is_shown_completed_only_once_that_is_stored() {
+    let mut fleet = Fleet::with_workers(1);
+    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(20);
+    fleet.store_answers = false;
+
+    fleet.end_all(job, EndKind::Done);
+    fleet.advance(200);
+    assert_eq!(fleet.scheduler.job_view(job), Some(JobView::Running));
+    assert_eq!(fleet.highest_last_seen["w0"], 0, "the end is not durable");
+
+    let (change, _) = fleet.scheduler.progress(job).unwrap();
+    fleet.tell(Input::Stored { job, change });
+    fleet.advance(200);
+    assert_eq!(fleet.scheduler.job_view(job), Some(JobView::Completed));
+    assert_eq!(fleet.highest_last_seen["w0"], 1);
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut fleet = Fleet::with_workers(2);
+    let small = fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(20);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 8)
+    };
+    fleet.submit(2, record("plain", vec![gang]));
+    fleet.advance(100);
+    assert_eq!(fleet.running().len(), 1, "one worker is taken in part");
+
+    fleet.end_all(small, EndKind::Done);
+    fleet.advance(100);
+    let runs: Vec<u64> = fleet.running().iter().map(|row| row.1.run).collect();
+    assert_eq!(runs, [1, 1], "both members run under one number");
+}
+
+#[test]
+fn one_done_end_stands_for_the_whole_gang() {
+    let mut fleet = Fleet::with_workers(2);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 8)
+    };
+    let job = fleet.submit(1, record("plain", vec![gang]));
+    fleet.advance(20);
+
+    let first = fleet.running()[0].clone();
+    let fake = fleet.workers.get_mut(&first.0).unwrap();
+    fake.end(first.1, EndKind::Done);
+    fleet.advance(50);
+
+    assert_eq!(fleet.scheduler.job_view(job), Some(JobView::Completed));
+}
+
+#[test]
+fn a_failed_member_ends_its_gang_which_starts_again_under_a_higher_number() {
+    let mut fleet = Fleet::with_workers(2);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 8)
+    };
+    let job = fleet.submit(1, record("plain", vec![gang]));
+    fleet.advance(20);
+
+    let first = fleet.running()[0].clone();
+    let fake = fleet.workers.get_mut(&first.0).unwrap();
+    fake.end(first.1, EndKind::Failed);
+    fleet.advance(100);
+    assert_eq!(fleet.stops.len(), 1, "the other member is stopped");
+    let runs: Vec<u64> = fleet.running().iter().map(|row| row.1.run).collect();
+    assert_eq!(runs, [2, 2]);
+
+    fleet.end_all(job, EndKind::Failed);
+    fleet.advance(100);
+    assert_eq!(fleet.scheduler.job_view(job), Some(JobView::Failed));
+    assert!(fleet.running().is_empty(), "two attempts were allowed");
+}
+
+#[test]
+fn labels_and_bounds_on_one_worker_are_kept() {
+    let mut fleet = Fleet::with_workers(2);
+    let apart = StepSpec {
+        max_per_worker: 1,
+        ..step(3, 1)
+    };
+    let elsewhere = StepSpec {
+        required_label: "b".to_owned(),
+        ..step(1, 1)
+    };
+    fleet.submit(1, record("plain", vec![apart]));
+    fleet.submit(2, record("plain", vec![elsewhere]));
+    fleet.advance(100);
+
+    let mut workers: Vec<String> = fleet.running().into_iter().map(|row| row.0).collect();
+    workers.dedup();
+    assert_eq!(workers, ["w0", "w1"], "one task a worker, the third waits");
+}
+
+#[test]
+fn occurrences_start_when_they_are_due_and_not_before() {
+    let mut fleet = Fleet::with_workers(1);
+    let mut timed = record("plain", vec![step(1, 1)]);
+    timed.spec.schedule = Some(Schedule {
+        repetitions: 2,
+        start_at_ms: BEGIN_MS + 500,
+        interval_ms: 1_000,
+    });
+    let job = fleet.submit(1, timed);
+    fleet.advance(1_700);
+
+    let times: Vec<u64> = fleet.starts.iter().map(|start| start.2).collect();
+    assert_eq!(times, [BEGIN_MS + 500, BEGIN_MS + 1_500]);
+    fleet.end_all(job, EndKind::Done);
+    fleet.advance(50);
+    assert_eq!(fleet.scheduler.job_view(job), Some(JobView::Completed));
+}
+
+#[test]
+fn work_that_lasts_is_started_again_however_it_ends() {
+    let mut fleet = Fleet::with_workers(1);
+    let lasting = StepSpec {
+        long_running: true,
+        ..step(1, 1)
+    };
+    let job = fleet.submit(1, record("plain", vec![lasting]));
+    fleet.advance(20);
+    for kind in [
+        EndKind::Failed,
+        EndKind::Failed,
+        EndKind::Failed,
+        EndKind::Lapsed,
+    ] {
+        fleet.end_all(job, kind);
+        fleet.advance(100);
+        assert_eq!(fleet.running().len(), 1, "after {kind:?}");
+    }
+
+    fleet.tell(Input::Cancelled(job));
+    fleet.advance(50);
+    assert!(fleet.running().is_empty());
+    assert_eq!(fleet.scheduler.job_view(job), Some(JobView::Cancelled));
+}
+
+/// Urgent work finds its accelerators lent to patient work. The victims are
+/// stopped in the pass that offers it room, so it begins within the time of a
+/// stop.
+#[test]
+fn guaranteed_work_takes_its_accelerators_back_at_once() {
+    let mut fleet = Fleet::with_workers(2);
+    fleet.submit(1, record("patient", vec![step(16, 1)]));
+    fleet.advance(100);
+    assert_eq!(fleet.running().len(), 16);
+
+    let urgent = fleet.submit(2, record("urgent", vec![step(1, 8)]));
+    fleet.advance(100);
+
+    let runs = fleet.running();
+    assert!(runs.iter().any(|row| row.1.task.job == urgent));
+    assert_eq!(fleet.stops.len(), 8, "no more than what it needs");
+}
+
+/// A user sees urgent work wait for seconds while its victims are stopped
+/// again and again. The room that a victim frees is free before the others
+/// have stopped; the next pass gave it to a later job, most often the victim
+/// itself, which then was stopped again.
+#[test]
+fn room_that_is_being_freed_is_not_given_back_to_the_victims() {
+    let mut fleet = Fleet::with_workers(2);
+    fleet.submit(1, record("patient", vec![step(16, 1)]));
+    fleet.advance(100);
+    fleet.silent.push("w1".to_owned());
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 8)
+    };
+
+    fleet.submit(2, record("urgent", vec![gang]));
+    fleet.settle();
+    fleet.advance(40);
+
+    let again = fleet.starts.iter().filter(|start| start.0.run > 1).count();
+    assert_eq!(again, 0, "victims on w0 took their room back");
+}
+
+/// A task runs twice: its start is answered, and a look that was sent in the
+/// same millisecond, but before the start reached the worker, does not show
+/// it. Taken for gone, it was started elsewhere.
+#[test]
+fn a_look_sent_in_the_millisecond_of_a_start_proves_nothing() {
+    let mut fleet = Fleet::with_workers(1);
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.settle();
+    let worker = fleet.scheduler.workers()[0].key;
+
+    fleet.tell(Input::Held {
+        worker,
+        sent_ms: fleet.now_ms,
+        report: HoldReport {
+            clock_ms: fleet.now_ms,
+            ..HoldReport::default()
+        },
+    });
+    fleet.settle();
+
+    assert_eq!(fleet.starts.len(), 1, "the task was started again");
+}
+
+/// An end is listed and its owner dies before it is durable. The next owner
+/// finds the end still listed and counts it once.
+#[test]
+fn ends_that_were_not_durable_are_found_by_the_next_owner() {
+    let mut fleet = Fleet::with_workers(1);
+    let job = record("plain", vec![step(1, 1)]);
+    let id = fleet.submit(1, job.clone());
+    fleet.advance(20);
+    fleet.store_answers = false;
+    fleet.end_all(id, EndKind::Failed);
+    fleet.advance(10);
+
+    let mut next = fleet.next_owner(2, &[(id, job)], true);
+    next.advance(50);
+
+    let starts: Vec<u64> = next.starts.iter().map(|start| start.0.run).collect();
+    assert_eq!(
+        starts,
+        [1_001],
+        "a second attempt, numbered above the first owner's"
+    );
+    next.end_all(id, EndKind::Failed);
+    next.advance(50);
+    assert_eq!(next.scheduler.job_view(id), Some(JobView::Failed));
+}
+
+/// A new owner finds what runs and lets it run on.
+#[test]
+fn a_new_owner_adopts_what_runs() {
+    let mut fleet = Fleet::with_workers(2);
+    let job = record("plain", vec![step(4, 1)]);
+    let id = fleet.submit(1, job.clone());
+    fleet.advance(20);
+    let before = fleet.running();
+
+    let mut next = fleet.next_owner(2, &[(id, job)], true);
+    next.advance(500);
+
+    assert_eq!(next.running(), before);
+    assert!(next.starts.is_empty() && next.stops.is_empty());
+}
+
+/// A worker that the new owner cannot reach may still run what the earlier
+/// owner started, as long as the longest lease that it can have. Started
+/// elsewhere before that, a task would run twice.
+#[test]
+fn tasks_that_may_run_out_of_sight_wait_for_the_longest_lease() {
+    let mut fleet = Fleet::with_workers(2);
+    let job = record("plain", vec![step(1, 1)]);
+    let id = fleet.submit(1, job.clone());
+    fleet.advance(20);
+    let worker = fleet.running()[0].0.clone();
+    fleet.silent.push(worker);
+
+    let mut next = fleet.next_owner(2, &[(id, job.clone())], false);
+    next.advance(12_900);
+    assert!(next.starts.is_empty(), "6 s of authority and 7 s of lease");
+    next.advance(1_000);
+    assert_eq!(next.starts.len(), 1);
+
+    let mut sooner = fleet.next_owner(2, &[(id, job)], true);
+    sooner.advance(8_000);
+    assert_eq!(
+        sooner.starts.len(),
+        1,
+        "the earlier owner's process had ended"
+    );
+}
+
+/// After a change of owner nothing was placed for 13 s: a worker that had left
+/// long before was still on the roster, never answered, and the new owner
+/// waited for a lease that it could not have.
+#[test]
+fn the_roster_forgets_a_worker_that_left() {
+    let mut fleet = Fleet::with_workers(2);
+    fleet.silent.push("w1".to_owned());
+    fleet.tell(Input::WorkerUnlisted("w1".to_owned()));
+    fleet.advance(9_000);
+
+    let names: Vec<String> = fleet
+        .scheduler
+        .roster()
+        .into_iter()
+        .map(|row| row.1)
+        .collect();
+
+    assert_eq!(names, ["w0"]);
+}
+
+/// On a calm day gangs were stopped as hanging: their members stand still at
+/// the start, until all are there, and at the end, until the slowest is done.
+#[test]
+fn a_gang_that_waits_for_its_members_does_not_hang() {
+    let mut fleet = Fleet::with_workers(2);
+    let gang = StepSpec {
+        gang: true,
+        estimated_ms: 20_000,
+        ..step(2, 8)
+    };
+    fleet.submit(1, record("plain", vec![gang]));
+    fleet.advance(20);
+    fleet.advance(4_000);
+    assert!(fleet.stops.is_empty(), "no member has begun");
+
+    for (worker, name) in fleet.running() {
+        let percent = if worker == "w0" { 100 } else { 50 };
+        fleet
+            .workers
+            .get_mut(&worker)
+            .unwrap()
+            .running
+            .insert(name, percent);
+    }
+    fleet.advance(200);
+    for percent in 51..60 {
+        let (_, name) = fleet.running()[1].clone();
+        fleet
+            .workers
+            .get_mut("w1")
+            .unwrap()
+            .running
+            .insert(name, percent);
+        fleet.advance(500);
+    }
+    assert!(
+        fleet.stops.is_empty(),
+        "one member waits for the other's end"
+    );
+}
+
+#[test]
+fn a_run_that_stands_still_is_stopped_and_started_elsewhere() {
+    let mut fleet = Fleet::with_workers(2);
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(20);
+    let before = fleet.running()[0].0.clone();
+
+    fleet.advance(4_000);
+
+    let after = fleet.running()[0].0.clone();
+    assert_ne!(before, after);
+}
+
+/// A worker that fails whatever it starts is empty again at once and draws the
+/// next tasks, each of which loses an attempt.
+#[test]
+fn a_worker_that_fails_two_jobs_in_a_row_gets_nothing_for_a_while() {
+    let mut fleet = Fleet::with_workers(2);
+    let first = fleet.submit(1, record("plain", vec![step(1, 8)]));
+    fleet.advance(20);
+    let bad = fleet.running()[0].0.clone();
+    fleet.end_all(first, EndKind::Failed);
+    fleet.advance(20);
+    fleet.submit(2, record("plain", vec![step(1, 8)]));
+    fleet.advance(20);
+    let second = JobId(2);
+    let on_bad = fleet
+        .running()
+        .iter()
+        .any(|row| row.0 == bad && row.1.task.job == second);
+    assert!(on_bad, "the second job takes the empty worker");
+    fleet.end_all(second, EndKind::Failed);
+    fleet.advance(20);
+
+    fleet.submit(3, record("plain", vec![step(1, 8)]));
+    fleet.advance(500);
+
+    assert!(!fleet.running().iter().any(|row| row.0 == bad));
+}
+
+/// An order's answer is lost. It is sent again under the same number, which
+/// the worker takes for the same start.
+#[test]
+fn a_start_without_an_answer_is_sent_again_under_its_number() {
+    let mut fleet = Fleet::with_workers(1);
+    fleet.advance(20);
+    fleet.silent.push("w0".to_owned());
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.settle();
+    fleet.silent.clear();
+    fleet.advance(200);
+
+    let runs: Vec<u64> = fleet.starts.iter().map(|start| start.0.run).collect();
+    assert_eq!(runs, [1, 1]);
+    assert_eq!(fleet.running().len(), 1);
+}
+
+#[test]
+fn an_owner_that_cannot_confirm_its_epoch_gives_no_orders() {
+    let mut fleet = Fleet::with_workers(1);
+    fleet.now_ms += 7_000;
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.settle();
+    assert!(fleet.starts.is_empty());
+
+    fleet.tell(Input::Confirmed(fleet.now_ms));
+    fleet.now_ms += 300;
+    fleet.settle();
+    assert_eq!(fleet.starts.len(), 1);
+}
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,414 @@
+//! A small fleet for tests of the scheduler: workers that do what they are
+//! told at once, unless a test says otherwise, and a clock that tests move.
+
+use fuchsiaslip::core::{
+    JobId,
+    WorkerKey, //
+};
+use fuchsiaslip::scheduler::{
+    AccountDeclaration,
+    Action,
+    CallOutcome,
+    ClusterConfiguration,
+    EndKind,
+    EndedRow,
+    HoldReport,
+    Input,
+    JobRecord,
+    JobSpec,
+    ProgressRecord,
+    Queue,
+    Resources,
+    RunName,
+    RunningRow,
+    Scheduler,
+    StartRefusal,
+    StepSpec,
+    Tuning,
+    WorkerInfo, //
+};
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+use std::sync::Arc;
+
+/// The time at which every test begins.
+pub const BEGIN_MS: u64 = 1_000_000;
+
+/// The workers are known and answer before a test begins.
+const WARM_UP_MS: u64 = 1_000;
+
+/// A worker that holds orders, as tests see it.
+#[derive(Clone, Debug, Default)]
+pub struct FakeWorker {
+    pub epoch: u64,
+    pub running: BTreeMap<RunName, u32>,
+    pub ended: Vec<EndedRow>,
+    pub next_end: u64,
+    pub refused_runs: BTreeMap<fuchsiaslip::scheduler::TaskId, u64>,
+    pub lease_end_ms: u64,
+}
+
+impl FakeWorker {
+    /// Ends a run and lists its end.
+    pub fn end(&mut self, name: RunName, kind: EndKind) {
+        if self.running.remove(&name).is_some() {
+            self.next_end += 1;
+            self.ended.push(EndedRow {
+                number: self.next_end,
+                name,
+                kind,
+                checkpoint: "".into(),
+            });
+            self.refused_runs.insert(name.task, name.run);
+        }
+    }
+}
+
+/// A scheduler with its workers and its store.
+pub struct Fleet {
+    pub scheduler: Scheduler,
+    pub now_ms: u64,
+    pub workers: HashMap<String, FakeWorker>,
+    /// Workers that do not answer.
+    pub silent: Vec<String>,
+    /// Whether stores are carried out at once.
+    pub store_answers: bool,
+    pub stored: HashMap<JobId, (u64, ProgressRecord)>,
+    /// Everything that was decided, newest last.
+    pub actions: Vec<Action>,
+    /// Every start with the worker's name and the time.
+    pub starts: Vec<(RunName, String, u64)>,
+    /// Every stop with the worker's name.
+    pub stops: Vec<(RunName, String)>,
+    pub highest_last_seen: HashMap<String, u64>,
+    looks: Vec<(WorkerKey, String, u64, u64)>,
+}
+
+pub fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        path_prefix: format!("/{name}/"),
+        service: "s".to_owned(),
+        priority,
+        max_attempts: 2,
+        stretch_factor: 2.0,
+        target_latency_ms: 1_000,
+        public: false,
+        advice: None,
+    }
+}
+
+pub fn configuration(guaranteed: u32) -> ClusterConfiguration {
+    ClusterConfiguration {
+        version: 1,
+        queues: vec![queue("urgent", 0), queue("plain", 1), queue("patient", 2)],
+        accounts: vec![AccountDeclaration {
+            name: "zadruga".to_owned(),
+            keys: vec!["key".to_owned()],
+            guaranteed_accelerators: guaranteed,
+        }],
+        ..ClusterConfiguration::default()
+    }
+}
+
+pub fn worker_info(name: &str, rack: &str) -> WorkerInfo {
+    WorkerInfo {
+        incarnation: name.to_owned(),
+        address: format!("{name}:1"),
+        service: "s".to_owned(),
+        data_centre: "zg-dubrava".to_owned(),
+        labels: vec!["a".to_owned(), rack.to_owned()],
+        capacity: Resources {
+            cpu_millis: 32_000,
+            memory_mb: 131_072,
+            accelerators: 8,
+        },
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+pub fn step(count: u32, accelerators: u32) -> StepSpec {
+    StepSpec {
+        count,
+        needs: Resources {
+            cpu_millis: 1_000,
+            memory_mb: 1_000,
+            accelerators,
+        },
+        estimated_ms: 2_000,
+        ..StepSpec::default()
+    }
+}
+
+pub fn record(queue: &str, steps: Vec<StepSpec>) -> JobRecord {
+    JobRecord {
+        queue: queue.to_owned(),
+        account: "zadruga".to_owned(),
+        received_ms: BEGIN_MS,
+        spec: JobSpec {
+            payload: "p".to_owned(),
+            steps,
+            schedule: None,
+        },
+    }
+}
+
+impl Fleet {
+    /// An owner of the first epoch with workers `w0`, `w1`, ... on one rack.
+    pub fn with_workers(count: usize) -> Self {
+        let start_ms = BEGIN_MS - WARM_UP_MS;
+        let mut fleet = Self::bare(Scheduler::new(1, Tuning::default(), start_ms));
+        fleet.now_ms = start_ms;
+        fleet.tell(Input::Configure(Arc::new(configuration(64))));
+        for at in 0..count {
+            fleet.add_worker(&format!("w{at}"), "r1");
+        }
+        fleet.tell(Input::Recovered {
+            earlier_owner_over: true,
+        });
+        fleet.advance(WARM_UP_MS);
+        fleet
+    }
+
+    /// The fleet of `self` under a new owner that knows what was stored.
+    pub fn next_owner(
+        &self,
+        epoch: u64,
+        jobs: &[(JobId, JobRecord)],
+        earlier_owner_over: bool,
+    ) -> Self {
+        let scheduler = Scheduler::new(epoch, Tuning::default(), self.now_ms);
+        let mut next = Self::bare(scheduler);
+        next.now_ms = self.now_ms;
+        next.workers = self.workers.clone();
+        next.silent = self.silent.clone();
+        next.tell(Input::Configure(Arc::new(configuration(64))));
+        let mut names: Vec<&String> = self.workers.keys().collect();
+        names.sort();
+        for name in names {
+            next.tell(Input::KnownWorker {
+                incarnation: name.clone(),
+                address: format!("{name}:1"),
+            });
+            next.tell(Input::Worker(worker_info(name, "r1")));
+        }
+        for (id, record) in jobs {
+            next.tell(Input::Job {
+                id: *id,
+                record: Arc::new(record.clone()),
+                progress: self.stored.get(id).map(|(_, progress)| progress.clone()),
+            });
+        }
+        next.tell(Input::Recovered { earlier_owner_over });
+        next
+    }
+
+    fn bare(scheduler: Scheduler) -> Self {
+        Self {
+            scheduler,
+            now_ms: BEGIN_MS,
+            workers: HashMap::new(),
+            silent: Vec::new(),
+            store_answers: true,
+            stored: HashMap::new(),
+            actions: Vec::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            highest_last_seen: HashMap::new(),
+            looks: Vec::new(),
+        }
+    }
+
+    /// Registers a worker.
+    pub fn add_worker(&mut self, name: &str, rack: &str) {
+        self.workers.entry(name.to_owned()).or_default();
+        self.tell(Input::Worker(worker_info(name, rack)));
+    }
+
+    /// Tells news and carries out nothing yet.
+    pub fn tell(&mut self, input: Input) {
+        self.scheduler.take(input, self.now_ms);
+    }
+
+    /// Accepts a job.
+    pub fn submit(&mut self, id: u64, record: JobRecord) -> JobId {
+        let id = JobId(id);
+        self.tell(Input::Job {
+            id,
+            record: Arc::new(record),
+            progress: None,
+        });
+        id
+    }
+
+    /// Moves the clock, and carries out everything that is decided meanwhile.
+    pub fn advance(&mut self, by_ms: u64) {
+        const STEP_MS: u64 = 10;
+        let until_ms = self.now_ms + by_ms;
+        while self.now_ms < until_ms {
+            self.now_ms = (self.now_ms + STEP_MS).min(until_ms);
+            self.tell(Input::Confirmed(self.now_ms));
+            self.settle();
+        }
+    }
+
+    /// Carries out decisions until nothing follows at this moment.
+    pub fn settle(&mut self) {
+        for _ in 0..50 {
+            let actions = self.scheduler.decide(self.now_ms);
+            let idle = actions.is_empty();
+            for action in actions {
+                self.actions.push(action.clone());
+                self.carry_out(action);
+            }
+            if idle && !self.answer_looks() {
+                return;
+            }
+        }
+    }
+
+    /// What runs, by worker.
+    pub fn running(&self) -> Vec<(String, RunName)> {
+        let mut running: Vec<(String, RunName)> = self
+            .workers
+            .iter()
+            .flat_map(|(worker, fake)| fake.running.keys().map(|name| (worker.clone(), *name)))
+            .collect();
+        running.sort();
+        running
+    }
+
+    /// Ends whatever runs of a job.
+    pub fn end_all(&mut self, job: JobId, kind: EndKind) {
+        for fake in self.workers.values_mut() {
+            let names: Vec<RunName> = fake.running.keys().copied().collect();
+            for name in names.into_iter().filter(|name| name.task.job == job) {
+                fake.end(name, kind);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Hold {
+                callee,
+                last_seen,
+                lease_end_ms,
+                ..
+            } => {
+                let name = callee.incarnation.to_string();
+                let seen = self.highest_last_seen.entry(name.clone()).or_default();
+                *seen = last_seen.max(*seen);
+                if let Some(fake) = self.workers.get_mut(&name) {
+                    fake.lease_end_ms = fake.lease_end_ms.max(lease_end_ms.unwrap_or(0));
+                }
+                self.looks
+                    .push((callee.worker, name, self.now_ms, last_seen));
+            }
+            Action::Start { callee, name, .. } => {
+                let worker = callee.incarnation.to_string();
+                self.starts.push((name, worker.clone(), self.now_ms));
+                let outcome = self.start(&worker, name);
+                self.tell(Input::StartOver {
+                    worker: callee.worker,
+                    name,
+                    outcome,
+                });
+            }
+            Action::Stop { callee, name } => {
+                let worker = callee.incarnation.to_string();
+                self.stops.push((name, worker.clone()));
+                let silent = self.silent.contains(&worker);
+                if let Some(fake) = self.workers.get_mut(&worker).filter(|_| !silent) {
+                    fake.end(name, EndKind::Stopped);
+                    fake.refused_runs.insert(name.task, name.run);
+                }
+                let outcome = if silent {
+                    CallOutcome::NoAnswer
+                } else {
+                    CallOutcome::Done
+                };
+                self.tell(Input::StopOver {
+                    worker: callee.worker,
+                    name,
+                    outcome,
+                });
+            }
+            Action::Store { job } if self.store_answers => {
+                if let Some((change, progress)) = self.scheduler.progress(job) {
+                    self.stored.insert(job, (change, progress));
+                    self.tell(Input::Stored { job, change });
+                }
+            }
+            Action::StoreRoster if self.store_answers => {
+                let keys = self.scheduler.roster().into_iter().map(|(key, _, _)| key);
+                self.tell(Input::RosterStored(keys.collect()));
+            }
+            _ => {}
+        }
+    }
+
+    fn start(&mut self, worker: &str, name: RunName) -> CallOutcome {
+        if self.silent.iter().any(|silent| silent == worker) {
+            return CallOutcome::NoAnswer;
+        }
+        let fake = self.workers.get_mut(worker).expect("a known worker");
+        let refused = fake.refused_runs.get(&name.task);
+        if refused.is_some_and(|&run| name.run <= run) {
+            return CallOutcome::Refused(StartRefusal::OldRun);
+        }
+        fake.running.insert(name, 0);
+        CallOutcome::Done
+    }
+
+    fn answer_looks(&mut self) -> bool {
+        let looks = std::mem::take(&mut self.looks);
+        let mut answered = false;
+        for (worker, name, sent_ms, last_seen) in looks {
+            let silent = self.silent.contains(&name) || !self.workers.contains_key(&name);
+            if silent {
+                self.tell(Input::HoldFailed {
+                    worker,
+                    sent_ms,
+                    outcome: CallOutcome::NoAnswer,
+                });
+                answered = true;
+                continue;
+            }
+            let fake = self.workers.get_mut(&name).expect("a known worker");
+            fake.ended.retain(|row| row.number > last_seen);
+            // A look waits for news: it is answered at once only if there is
+            // an end, and after a while otherwise.
+            const LOOK_WAIT_MS: u64 = 100;
+            if fake.ended.is_empty() && self.now_ms < sent_ms + LOOK_WAIT_MS {
+                self.looks.push((worker, name, sent_ms, last_seen));
+                continue;
+            }
+            let report = HoldReport {
+                clock_ms: self.now_ms,
+                running: fake
+                    .running
+                    .iter()
+                    .map(|(&name, &percent)| RunningRow {
+                        name,
+                        checkpoint: "".into(),
+                        percent,
+                        usage: None,
+                    })
+                    .collect(),
+                ended: fake.ended.clone(),
+            };
+            answered = true;
+            self.tell(Input::Held {
+                worker,
+                sent_ms,
+                report,
+            });
+        }
+        answered
+    }
+}
