--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -276,9 +276,7 @@
     let job = record("plain", vec![step(1, 1)]);
     let id = fleet.submit(1, job.clone());
     fleet.advance(20);
-    fleet.store_answers = false;
     fleet.end_all(id, EndKind::Failed);
-    fleet.advance(10);
 
     let mut next = fleet.next_owner(2, &[(id, job)], true);
     next.advance(50);
