Count failures by their runs, in whatever order workers list them

Ruled out: lost ends (both were listed), the blind wait, the roster. Change: the failed runs themselves are kept and stored. Figures: the test failed before and passes.

--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -122,12 +122,10 @@
         let Some(task) = group.tasks.get_mut(counted as usize) else {
             return 0;
         };
-        if task.state == TaskState::Done || name.run <= task.failed_run {
+        if task.state == TaskState::Done || !task.count_failure(name.run) {
             return 0;
         }
-        task.failures += 1;
-        task.failed_run = name.run;
-        let failures = task.failures;
+        let failures = task.failed_runs.len() as u32;
         if let Some(task) = group.tasks.get_mut(name.task.index as usize) {
             task.avoid = Some(key);
         }
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -65,10 +65,9 @@
 pub struct Task {
     /// Where it stands.
     pub state: TaskState,
-    /// Runs that ended failed.
-    pub failures: u32,
-    /// The highest run whose failure is counted.
-    pub failed_run: u64,
+    /// Runs that ended failed, the last ones of a task that lasts. Their ends
+    /// are listed again after a change of owner, in any order.
+    pub failed_runs: Vec<u64>,
     /// The highest number given to a run.
     pub last_run: u64,
     /// Where the next run goes on from.
@@ -79,12 +78,28 @@
     pub away_since_ms: u64,
 }
 
+/// Failed runs that are remembered of a task that lasts.
+const MAX_FAILED_RUNS: usize = 64;
+
+impl Task {
+    /// Counts a failure; whether it was not counted before.
+    pub fn count_failure(&mut self, run: u64) -> bool {
+        if self.failed_runs.contains(&run) {
+            return false;
+        }
+        if self.failed_runs.len() == MAX_FAILED_RUNS {
+            self.failed_runs.remove(0);
+        }
+        self.failed_runs.push(run);
+        true
+    }
+}
+
 impl Default for Task {
     fn default() -> Self {
         Self {
             state: TaskState::Waiting,
-            failures: 0,
-            failed_run: 0,
+            failed_runs: Vec::new(),
             last_run: 0,
             checkpoint: None,
             avoid: None,
--- a/src/scheduler/progress.rs
+++ b/src/scheduler/progress.rs
@@ -22,15 +22,13 @@
 }
 
 /// Failures of one task.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TaskFailures {
     /// The task.
     pub index: u32,
-    /// How many runs failed.
-    pub failures: u32,
-    /// The highest run that is counted, so that an end that is listed again
-    /// after a change of owner is not counted again.
-    pub failed_run: u64,
+    /// The runs that failed, so that an end that is listed again after a
+    /// change of owner is not counted again.
+    pub runs: Vec<u64>,
 }
 
 /// Progress of the tasks of one group.
@@ -74,11 +72,10 @@
                 }
                 progress.done[word] |= 1 << (index % WORD_BITS);
             }
-            if task.failures > 0 {
+            if !task.failed_runs.is_empty() {
                 progress.failures.push(TaskFailures {
                     index,
-                    failures: task.failures,
-                    failed_run: task.failed_run,
+                    runs: task.failed_runs.clone(),
                 });
             }
         }
@@ -96,9 +93,9 @@
         }
         for row in &self.failures {
             if let Some(task) = group.tasks.get_mut(row.index as usize) {
-                task.failures = row.failures;
-                task.failed_run = row.failed_run;
-                task.last_run = task.last_run.max(row.failed_run);
+                let highest = row.runs.iter().copied().max().unwrap_or(0);
+                task.failed_runs.clone_from(&row.runs);
+                task.last_run = task.last_run.max(highest);
             }
         }
     }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -292,6 +292,34 @@
     assert_eq!(next.scheduler.job_view(id), Some(JobView::Failed));
 }
 
+/// A job got a third attempt where two were allowed. The store was down while
+/// both attempts failed, on different workers, and the owner died; its
+/// successor heard of the second failure first, and took the first one, of a
+/// lower run, for counted already.
+#[test]
+fn failures_count_in_whatever_order_workers_list_them() {
+    let mut fleet = Fleet::with_workers(2);
+    let job = record("plain", vec![step(1, 1)]);
+    let id = fleet.submit(1, job.clone());
+    fleet.advance(20);
+    fleet.store_answers = false;
+    fleet.end_all(id, EndKind::Failed);
+    fleet.advance(300);
+    fleet.end_all(id, EndKind::Failed);
+    let later = fleet.starts[1].1.clone();
+    assert_ne!(later, fleet.starts[0].1);
+    let earlier = fleet.starts[0].1.clone();
+
+    fleet.silent.push(earlier);
+    let mut next = fleet.next_owner(2, &[(id, job)], true);
+    next.advance(100);
+    next.silent.clear();
+    next.advance(1_000);
+
+    assert!(next.starts.is_empty(), "a third attempt was started");
+    assert_eq!(next.scheduler.job_view(id), Some(JobView::Failed));
+}
+
 /// A new owner finds what runs and lets it run on.
 #[test]
 fn a_new_owner_adopts_what_runs() {
