--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -1,6 +1,9 @@
 //! Taking in the ends of runs.
 
-use super::action::Decision;
+use super::action::{
+    Decision,
+    StopReason, //
+};
 use super::progress::FinalState;
 use super::state::Scheduler;
 use super::{
@@ -94,12 +97,17 @@
         let Some(group) = self.groups.get_mut(&key) else {
             return;
         };
-        let mut others = Vec::new();
+        let (mut others, mut newer) = (Vec::new(), Vec::new());
         for index in 0..group.tasks.len() as u32 {
-            if let TaskState::Placed { worker, run: own } = group.tasks[index as usize].state
-                && own == run
-            {
-                others.push((worker, key.task(index)));
+            match group.tasks[index as usize].state {
+                TaskState::Placed { worker, run: own } if own == run => {
+                    others.push((worker, key.task(index)));
+                }
+                TaskState::Placed { worker, run } => {
+                    let task = key.task(index);
+                    newer.push((worker, RunName { task, run }));
+                }
+                _ => {}
             }
             group.set_state(index, TaskState::Done);
         }
@@ -109,6 +117,10 @@
                 entry.phase = RunPhase::Ending;
             }
         }
+        // Members that were started anew after a lease had lapsed.
+        for (worker, name) in newer {
+            self.stop_run(worker, name, StopReason::Stray);
+        }
     }
 
     fn take_failed(&mut self, key: WorkerKey, name: RunName) -> u64 {
