Forget empty workers that left at once; new work never waits for a dead owner's leases

Cause: after all VMs lost power urgent work waited 7 s: workers that had left a few seconds before were still on the roster, and jobs accepted after the restart were held back though the earlier owner's process had ended. Change: a silent worker on which nothing runs, and that is not listed, leaves the roster at once; jobs that an ended owner cannot have seen start at once.

--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -173,11 +173,14 @@
             name,
             worker,
             view_age_ms,
+            priority,
+            waited_ms,
         } => (
             events::TASK_PLACED,
             "placed",
             "room",
-            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker, "view_age_ms": view_age_ms }),
+            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker,
+                "view_age_ms": view_age_ms, "priority": priority, "waited_ms": waited_ms }),
         ),
         Decision::Stopped {
             name,
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -103,6 +103,10 @@
         worker: Arc<str>,
         /// Age of what is known of the worker.
         view_age_ms: u64,
+        /// Priority of its queue.
+        priority: u32,
+        /// How long its step has waited.
+        waited_ms: u64,
     },
     /// A run is stopped.
     Stopped {
--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -33,6 +33,7 @@
             return;
         }
         self.recovered = true;
+        self.earlier_owner_over = earlier_owner_over;
         let lease_ms = self.tuning.lease_ms;
         let authority_ms = match earlier_owner_over {
             true => 0,
@@ -53,7 +54,7 @@
     /// known now.
     pub(super) fn is_blind(&self) -> bool {
         match self.blind_until_ms {
-            Some(_) => self.now_ms < self.began_ms + DEPOSED_MS,
+            Some(_) => !self.earlier_owner_over && self.now_ms < self.began_ms + DEPOSED_MS,
             None => !self.recovered,
         }
     }
--- a/src/scheduler/orders.rs
+++ b/src/scheduler/orders.rs
@@ -39,6 +39,7 @@
         group.set_state(index, TaskState::Placed { worker: key, run });
         group.tasks[index as usize].last_run = run;
         let step = group.step.clone();
+        let waited_ms = now_ms.saturating_sub(group.released_ms);
         let entry = super::Run {
             group: group_key,
             room: group.room,
@@ -66,6 +67,8 @@
             name,
             worker: worker.incarnation(),
             view_age_ms: now_ms.saturating_sub(worker.heard_ms),
+            priority,
+            waited_ms,
         };
         self.decided(decision);
         self.send_start(key, name);
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -69,11 +69,16 @@
     /// Workers that take work, with their room.
     fn seats(&self) -> Vec<Seat> {
         let now_ms = self.now_ms;
-        let takes = self
-            .workers
-            .iter()
-            .filter(|worker| worker.takes_work(now_ms));
-        takes
+        let takes = || {
+            self.workers
+                .iter()
+                .filter(|worker| worker.takes_work(now_ms))
+        };
+        let mut rack_free: HashMap<&str, u32> = HashMap::new();
+        for worker in takes() {
+            *rack_free.entry(worker.rack()).or_default() += worker.free().accelerators;
+        }
+        takes()
             .map(|worker| Seat {
                 worker: worker.key,
                 free: worker.free(),
@@ -81,6 +86,7 @@
                 slowness: worker.slowness,
                 serves: worker.runs.values().any(|run| run.serves),
                 fills: worker.runs.values().any(|run| run.fills),
+                rack_free: rack_free.get(worker.rack()).copied().unwrap_or(0),
             })
             .collect()
     }
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -15,6 +15,8 @@
 const AVOIDED_COST: f64 = 500.0;
 const CONFLICT_COST: f64 = 200.0;
 const SLOWNESS_COST: f64 = 12.0;
+/// Small tasks fill racks that are taken already, for gangs that want one rack.
+const RACK_COST: f64 = 0.05;
 /// Room of cores left over breaks ties.
 const CORE_COST: f64 = 0.00001;
 
@@ -33,6 +35,8 @@
     pub serves: bool,
     /// Tasks that fill are there.
     pub fills: bool,
+    /// Accelerators free on its rack.
+    pub rack_free: u32,
 }
 
 /// Like tasks that look for a place.
@@ -81,6 +85,7 @@
     fn cost(&self, seat: &Seat) -> f64 {
         let left = seat.free.minus(&self.room);
         let mut cost = f64::from(left.accelerators) + f64::from(left.cpu_millis) * CORE_COST;
+        cost += RACK_COST * f64::from(seat.rack_free);
         cost += SLOWNESS_COST * (seat.slowness - 1.0).max(0.0);
         if self.avoid.contains(&seat.worker) {
             cost += AVOIDED_COST;
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -103,6 +103,8 @@
     pub(super) recovered: bool,
     /// Until then earlier owners' starts may run where this one cannot look.
     pub(super) blind_until_ms: Option<u64>,
+    /// The process of the earlier owner has certainly ended.
+    pub(super) earlier_owner_over: bool,
     pub(super) configuration: Arc<ClusterConfiguration>,
     pub(super) terms: HashMap<String, Queue>,
     pub(super) history: HashMap<String, QueueHistory>,
@@ -132,6 +134,7 @@
             confirmed_ms: now_ms,
             recovered: false,
             blind_until_ms: None,
+            earlier_owner_over: false,
             configuration: Arc::default(),
             terms: HashMap::new(),
             history: HashMap::new(),
@@ -458,8 +461,14 @@
         let now_ms = self.now_ms;
         let worker = self.worker(key);
         let silent = matches!(worker.contact, Contact::Silent | Contact::Unfenced);
+        // Nothing runs where this owner has looked, and where all that it
+        // ordered since has ended.
+        let empty = worker.contact == Contact::Silent && worker.runs.is_empty();
         let never_used = worker.clock.is_none() && self.blind_until_ms.is_none();
-        let lapsed_ms = worker.lapsed_at_ms().or(never_used.then_some(0));
+        let lapsed_ms = match empty || never_used {
+            true => Some(0),
+            false => worker.lapsed_at_ms(),
+        };
         if !silent || lapsed_ms.is_none_or(|lapsed_ms| now_ms < lapsed_ms) {
             return;
         }
