--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod preempt;
 mod progress;
+mod reserve;
 mod sharing;
 mod spec;
 mod state;
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -11,6 +11,7 @@
     Seat,
     place, //
 };
+use super::reserve::KEPT_GANGS;
 use super::state::Scheduler;
 use super::{
     Group,
@@ -56,13 +57,14 @@
         }
         let mut seats = self.seats();
         let mut misses = Misses::default();
+        let mut kept_gangs = 0;
         let mut starts = 0;
         for ranked in self.ranked() {
             if starts >= MAX_STARTS {
                 self.changed = true;
                 break;
             }
-            starts += self.offer(ranked, &mut seats, &mut misses);
+            starts += self.offer(ranked, &mut seats, &mut misses, &mut kept_gangs);
         }
     }
 
@@ -87,11 +89,19 @@
                 serves: worker.runs.values().any(|run| run.serves),
                 fills: worker.runs.values().any(|run| run.fills),
                 rack_free: rack_free.get(worker.rack()).copied().unwrap_or(0),
+                kept: Resources::default(),
+                kept_from_ms: 0,
             })
             .collect()
     }
 
-    fn offer(&mut self, ranked: Ranked, seats: &mut [Seat], misses: &mut Misses) -> usize {
+    fn offer(
+        &mut self,
+        ranked: Ranked,
+        seats: &mut [Seat],
+        misses: &mut Misses,
+        kept_gangs: &mut u32,
+    ) -> usize {
         let key = ranked.key;
         let group = &self.groups[&key];
         let plain = !group.step.gang
@@ -119,7 +129,14 @@
             if let Some(group) = self.groups.get_mut(&key) {
                 group.unplaced_since_ms.get_or_insert(now_ms);
             }
-            self.preempt_for(ranked, &queue, seats);
+            if self.may_preempt(&ranked) {
+                self.preempt_for(ranked, &queue, seats);
+            } else if self.groups[&key].step.gang
+                && *kept_gangs < KEPT_GANGS
+                && self.keep_room_for(key, &queue, seats)
+            {
+                *kept_gangs += 1;
+            }
         } else if let Some(group) = self.groups.get_mut(&key) {
             group.unplaced_since_ms = None;
         }
@@ -160,6 +177,7 @@
         then(&Ask {
             room: group.room,
             count: group.waiting,
+            end_ms: self.now_ms + step.estimated_ms,
             gang: step.gang,
             one_rack: step.same_rack,
             data_rack: &step.data_rack,
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -37,6 +37,10 @@
     pub fills: bool,
     /// Accelerators free on its rack.
     pub rack_free: u32,
+    /// Room kept for gangs that wait.
+    pub kept: Resources,
+    /// From when on that room is used; 0 for none kept.
+    pub kept_from_ms: u64,
 }
 
 /// Like tasks that look for a place.
@@ -45,6 +49,8 @@
     pub room: Resources,
     /// How many.
     pub count: u32,
+    /// When they end, if they start now.
+    pub end_ms: u64,
     /// All or none.
     pub gang: bool,
     /// On one rack, if possible.
@@ -73,8 +79,14 @@
 }
 
 impl Ask<'_> {
-    /// How many tasks a seat with this room takes.
-    pub fn fit(&self, seat: &Seat, free: &Resources) -> u32 {
+    /// How many tasks a seat takes: room that is kept for others only if they
+    /// end before it is used.
+    pub fn fit(&self, seat: &Seat) -> u32 {
+        let free = match seat.kept_from_ms {
+            0 => seat.free,
+            from_ms if self.end_ms <= from_ms => seat.free,
+            _ => seat.free.minus(&seat.kept),
+        };
         let fit = free.times(&self.room).min(self.count);
         if fit == 0 {
             return 0;
@@ -172,7 +184,7 @@
     let mut costs: Vec<(f64, usize, u32)> = among
         .iter()
         .filter_map(|&at| {
-            let fit = ask.fit(&seats[at], &seats[at].free);
+            let fit = ask.fit(&seats[at]);
             (fit > 0).then(|| (ask.cost(&seats[at]), at, fit))
         })
         .collect();
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -79,9 +79,6 @@
     /// Frees room for the waiting tasks of an urgent group, and keeps it from
     /// later groups of this pass.
     pub(super) fn preempt_for(&mut self, ranked: Ranked, queue: &Queue, seats: &mut [Seat]) {
-        if !self.may_preempt(&ranked) {
-            return;
-        }
         if self.now_ms < self.groups[&ranked.key].preempt_at_ms {
             self.keep_claims(ranked.key, seats);
             return;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -42,7 +42,6 @@
 /// A worker that holds orders, as tests see it.
 #[derive(Clone, Debug, Default)]
 pub struct FakeWorker {
-    pub epoch: u64,
     pub running: BTreeMap<RunName, u32>,
     pub ended: Vec<EndedRow>,
     pub next_end: u64,
