--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -20,7 +20,7 @@
 };
 
 /// Gangs for which room is kept at a time.
-pub(super) const KEPT_GANGS: u32 = 2;
+pub(super) const KEPT_GANGS: u32 = 5;
 /// Room that is free later than this is not kept: about two run times.
 const HORIZON_MS: u64 = 15_000;
 /// A stop takes about this long.
