--- /dev/null
+++ b/tests/support/processes.rs
@@ -0,0 +1,161 @@
+//! Daemons as processes of their own on loopback, and clients that use them.
+
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
+use std::io::{
+    Read,
+    Write, //
+};
+use std::net::{
+    Ipv4Addr,
+    SocketAddr,
+    TcpStream, //
+};
+use std::path::PathBuf;
+use std::process::{
+    Child,
+    Command,
+    Stdio, //
+};
+use std::time::Duration;
+
+const CLIENT_PORT: u16 = 18_521;
+const READINESS_PORT: u16 = 18_523;
+const FIRST_INTERNAL_PORT: u16 = 17_000;
+
+/// A daemon's process; killed when it is dropped.
+pub struct Daemon {
+    pub ip: Ipv4Addr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// What a client got.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Answer {
+    Status(u16, String),
+    /// No whole answer: the client asks again.
+    None,
+}
+
+/// An address of the loopback range that no other test uses.
+pub fn loopback(test: u8, at: u8) -> Ipv4Addr {
+    let process = std::process::id();
+    Ipv4Addr::new(127, 1 + test, (process % 250) as u8, 1 + at)
+}
+
+impl Daemon {
+    /// Starts a daemon at `ip`.
+    pub fn spawn(name: &str, ip: Ipv4Addr, store: SocketAddr) -> Self {
+        let text = format!(
+            "node_name={name}\nip={ip}\nzone=z\n\
+             listen_addresses.frontend={ip}:{CLIENT_PORT}\n\
+             listen_addresses.readiness={ip}:{READINESS_PORT}\n\
+             internal_port_range={FIRST_INTERNAL_PORT},{}\n\
+             platform.address={store}\nbounds.grace_period_s=6\n",
+            FIRST_INTERNAL_PORT + 15
+        );
+        let settings =
+            std::env::temp_dir().join(format!("fuchsiaslip-{}-{ip}", std::process::id()));
+        std::fs::write(&settings, text).expect("settings are written");
+        let mut daemon = Self {
+            ip,
+            settings,
+            child: None,
+        };
+        daemon.start();
+        daemon
+    }
+
+    /// Starts the process again.
+    pub fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_fuchsiaslipd"))
+            .arg("--platform")
+            .env("FUCHSIASLIP_BOOT", &self.settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("the daemon starts"));
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        if let Some(pid) = Pid::from_raw(child.id() as i32) {
+            // It may have ended by itself.
+            kill_process(pid, signal).ok();
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().ok();
+            child.wait().ok();
+        }
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait(&mut self) -> bool {
+        let ended = self.child.take().and_then(|mut child| child.wait().ok());
+        ended.is_some_and(|status| status.success())
+    }
+
+    /// Makes a client's request.
+    pub fn request(&self, method: &str, path: &str, body: &str) -> Answer {
+        let address = SocketAddr::new(self.ip.into(), CLIENT_PORT);
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: h\r\nauthorization: Token key\r\nconnection: close\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        exchange(address, head.as_bytes())
+    }
+
+    /// Sends raw bytes to the clients' address.
+    pub fn send_raw(&self, bytes: &[u8]) -> Answer {
+        exchange(SocketAddr::new(self.ip.into(), CLIENT_PORT), bytes)
+    }
+
+    /// Whether the daemon says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let address = SocketAddr::new(self.ip.into(), READINESS_PORT);
+        let request = b"GET /-/readiness HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+        matches!(exchange(address, request), Answer::Status(200, _))
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+        std::fs::remove_file(&self.settings).ok();
+    }
+}
+
+fn exchange(address: SocketAddr, request: &[u8]) -> Answer {
+    const CONNECT: Duration = Duration::from_millis(500);
+    const ANSWER: Duration = Duration::from_millis(4_000);
+    let exchanged = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&address, CONNECT)?;
+        stream.set_read_timeout(Some(ANSWER))?;
+        stream.write_all(request)?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer)?;
+        Ok(String::from_utf8_lossy(&answer).into_owned())
+    };
+    let Ok(text) = exchanged() else {
+        return Answer::None;
+    };
+    let status = text
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    match status {
+        Some(status) => Answer::Status(status, body.to_owned()),
+        None => Answer::None,
+    }
+}
