Move work off workers that leave

Cause: runs on a leaving worker are lost with it, which shows only when their lease is over; work that lasts would be away for 7 s.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod id;
 mod input;
 mod job;
+mod leaving;
 mod order;
 mod orders;
 mod pass;
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -106,7 +106,7 @@
     }
 
     /// When a run ends, by its progress or its estimate; `None` for never.
-    fn expected_end_ms(&self, run: &Run, slowness: f64) -> Option<u64> {
+    pub(super) fn expected_end_ms(&self, run: &Run, slowness: f64) -> Option<u64> {
         if run.long_running {
             return None;
         }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -361,8 +361,9 @@
             })
             .map(|other| other.key)
             .collect();
+        let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
-        worker.update(info);
+        worker.update(info, now_ms);
         if worker.contact == Contact::Gone {
             // It was silent and not listed for a whole lease, and is back.
             worker.contact = Contact::Unfenced;
@@ -433,6 +434,7 @@
             }
             self.review_lapse(key);
             self.review_runs(key);
+            self.review_leaving(key);
             self.look_if_due(key);
         }
         self.review_evidence();
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -105,6 +105,8 @@
     pub key: WorkerKey,
     /// As it registered itself.
     pub info: WorkerInfo,
+    /// Since when it says that it is leaving.
+    pub draining_since_ms: Option<u64>,
     /// Its registration is there.
     pub listed: bool,
     /// The roster in the store names it.
@@ -155,6 +157,7 @@
             address: info.address.as_str().into(),
             incarnation: info.incarnation.as_str().into(),
             info,
+            draining_since_ms: None,
             listed: false,
             on_roster: false,
             contact: Contact::Unfenced,
@@ -178,7 +181,11 @@
     }
 
     /// Takes in what it says of itself now.
-    pub fn update(&mut self, info: WorkerInfo) {
+    pub fn update(&mut self, info: WorkerInfo, now_ms: u64) {
+        self.draining_since_ms = match info.draining {
+            true => self.draining_since_ms.or(Some(now_ms)),
+            false => None,
+        };
         self.address = info.address.as_str().into();
         self.info = info;
         self.listed = true;
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -457,6 +457,32 @@
     assert_ne!(before, after);
 }
 
+/// Work on a worker that leaves was lost with it, and started again only when
+/// its lease was over.
+#[test]
+fn work_that_cannot_end_in_time_moves_off_a_worker_that_leaves() {
+    let mut fleet = Fleet::with_workers(2);
+    let long = StepSpec {
+        estimated_ms: 20_000,
+        ..step(1, 1)
+    };
+    fleet.submit(1, record("plain", vec![long]));
+    fleet.advance(20);
+    let before = fleet.running()[0].0.clone();
+
+    let leaving = fuchsiaslip::scheduler::WorkerInfo {
+        draining: true,
+        remaining_ms: Some(2_000),
+        ..fleet::worker_info(&before, "r1")
+    };
+    fleet.tell(Input::Worker(leaving));
+    fleet.advance(400);
+
+    let after = fleet.running();
+    assert_eq!(after.len(), 1);
+    assert_ne!(after[0].0, before);
+}
+
 /// A worker that fails whatever it starts is empty again at once and draws the
 /// next tasks, each of which loses an attempt.
 #[test]
