Count a done end in the soak only if it was noted before its worker's lease ran out

The check was wrong; the new one is as strict wherever the end was noted in time. Ruled out: a start before the longest lease was over (7.3 s > 7 s).

--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -69,6 +69,9 @@
     pub worker: usize,
     pub began: Instant,
     pub ended: Option<(Instant, &'static str)>,
+    /// The worker's lease ran out before anybody took note of the end: it
+    /// counts for nothing, and the task may be started anew.
+    pub void: bool,
 }
 
 #[derive(Debug)]
@@ -88,6 +91,8 @@
     running: BTreeMap<String, (u64, Instant, usize)>,
     refused: HashMap<String, u64>,
     ended: Vec<(u64, String, u64, &'static str)>,
+    /// Places of the listed ends in the record of runs, by number.
+    unnoted: BTreeMap<u64, usize>,
     next_end: u64,
     pub cut: bool,
 }
@@ -249,6 +254,12 @@
             .filter(|(_, (_, until, _))| lapsed || *until <= now)
             .map(|(task, (_, until, _))| (task.clone(), *until <= now))
             .collect();
+        if lapsed {
+            let places: Vec<usize> = worker.unnoted.values().copied().collect();
+            for place in places {
+                self.records[place].void = true;
+            }
+        }
         for (task, done) in over {
             self.end_run(at, &task, if done { "done" } else { "lapsed" });
         }
@@ -260,6 +271,7 @@
             return;
         };
         worker.next_end += 1;
+        worker.unnoted.insert(worker.next_end, record);
         worker
             .ended
             .push((worker.next_end, task.to_owned(), run, how));
@@ -323,6 +335,7 @@
                     worker: at,
                     began: Instant::now(),
                     ended: None,
+                    void: false,
                 });
             }
             "run-stop" => {
@@ -342,6 +355,7 @@
                 let worker = &mut self.workers[at];
                 worker.lease_end_ms = worker.lease_end_ms.max(deadline_ms);
                 worker.ended.retain(|(number, ..)| *number > seen);
+                worker.unnoted.retain(|number, _| *number > seen);
                 let running: Vec<Value> = worker
                     .running
                     .iter()
