Wait for a found run of a gang that is given up before its task starts again

Ruled out: an incomplete roster (48 of 48 named at each takeover). Change: a run that is found holds its task also if it is stopped; gangs whose members may not all be known are no victims.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -108,9 +108,11 @@
     node.ledger.clear();
     node.begin_owning(epoch, root_revision);
     let mut stored = vec![Input::Configure(node.configuration())];
+    let mut roster_count = 0;
     if let Some(item) = roster {
         node.ledger.note_revision(ROSTER_KEY, item.revision);
         let rows: Vec<RosterRow> = decode(ROSTER_KEY, &item.value).unwrap_or_default();
+        roster_count = rows.len();
         stored.extend(rows.into_iter().map(|row| Input::KnownWorker {
             incarnation: row.incarnation,
             address: row.address,
@@ -129,7 +131,7 @@
     events::log(
         events::OWNER_STARTED,
         format_args!(
-            "epoch {epoch}, {job_count} values of jobs, {worker_count} workers, after {} ms",
+            "epoch {epoch}, {job_count} values of jobs, {worker_count} workers, {roster_count} on the roster, after {} ms",
             node.now_ms() - began_ms
         ),
     );
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -156,18 +156,21 @@
             run.long_running = group.step.long_running;
             let gang_fits = !group.step.gang
                 || (!group.gang_ending && group.gang_run.is_none_or(|run| run == row.name.run));
-            let waits = group.tasks.get(index as usize).is_some_and(|task| {
-                task.state == TaskState::Waiting && task.last_run <= row.name.run
-            });
-            fits = gang_fits && waits;
-            if fits {
+            let task = group.tasks.get(index as usize);
+            let waits = task.is_some_and(|task| task.state == TaskState::Waiting);
+            let newest = task.is_some_and(|task| task.last_run <= row.name.run);
+            fits = gang_fits && waits && newest;
+            // Also a run that will be stopped holds its task: started anew
+            // before the run is off the worker, the task would run twice.
+            if waits {
                 let state = TaskState::Placed {
                     worker: key,
                     run: row.name.run,
                 };
                 group.set_state(index, state);
-                group.tasks[index as usize].last_run = row.name.run;
-                if group.step.gang {
+                let task = &mut group.tasks[index as usize];
+                task.last_run = task.last_run.max(row.name.run);
+                if group.step.gang && fits {
                     group.gang_run = Some(row.name.run);
                 }
             }
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -229,6 +229,10 @@
         if urgent && group.is_none() {
             return None;
         }
+        // Its other members may not be known yet.
+        if group.is_some_and(|group| group.step.gang && group.blind) {
+            return None;
+        }
         let members = match group {
             Some(group) if group.step.gang => group.tasks.len() as f64,
             _ => 1.0,
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -363,6 +363,45 @@
     );
 }
 
+/// A task ran twice at a time after a change of owner. The new owner had found
+/// one member of a gang when urgent work took its room; the gang was given up,
+/// and the other member, found a moment later, was stopped as belonging to
+/// nothing. Its task counted as waiting meanwhile, and was started again while
+/// the old run was still being stopped.
+#[test]
+fn a_member_found_late_is_waited_for_before_its_gang_starts_again() {
+    let mut fleet = Fleet::with_workers(4);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 8)
+    };
+    let patient = record("patient", vec![gang]);
+    let id = fleet.submit(1, patient.clone());
+    fleet.advance(20);
+    let (first, second) = (fleet.running()[0].clone(), fleet.running()[1].clone());
+
+    let mut next = fleet.next_owner(2, &[(id, patient)], true);
+    next.silent = ["w0", "w1", "w2", "w3"].map(str::to_owned).to_vec();
+    next.silent.retain(|name| *name != first.0);
+    next.advance(150);
+    next.stops_take_effect = false;
+    next.submit(2, record("urgent", vec![step(1, 8)]));
+    next.advance(50);
+    next.silent.retain(|name| *name != second.0);
+    next.advance(600);
+    let fake = next.workers.get_mut(&first.0).unwrap();
+    fake.end(first.1, EndKind::Stopped);
+    next.silent.clear();
+    next.advance(600);
+    let old_run_is_there = next.running().contains(&second);
+    assert!(old_run_is_there, "its stop has not taken effect");
+    let again = next
+        .starts
+        .iter()
+        .any(|start| start.0.task == second.1.task);
+    assert!(!again, "the task was started beside its old run");
+}
+
 /// After a change of owner nothing was placed for 13 s: a worker that had left
 /// long before was still on the roster, never answered, and the new owner
 /// waited for a lease that it could not have.
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -72,6 +72,8 @@
     pub workers: HashMap<String, FakeWorker>,
     /// Workers that do not answer.
     pub silent: Vec<String>,
+    /// Whether workers carry stops out when they have answered them.
+    pub stops_take_effect: bool,
     /// Whether stores are carried out at once.
     pub store_answers: bool,
     pub stored: HashMap<JobId, (u64, ProgressRecord)>,
@@ -212,6 +214,7 @@
             now_ms: BEGIN_MS,
             workers: HashMap::new(),
             silent: Vec::new(),
+            stops_take_effect: true,
             store_answers: true,
             stored: HashMap::new(),
             actions: Vec::new(),
@@ -322,7 +325,11 @@
                 let worker = callee.incarnation.to_string();
                 self.stops.push((name, worker.clone()));
                 let silent = self.silent.contains(&worker);
-                if let Some(fake) = self.workers.get_mut(&worker).filter(|_| !silent) {
+                if let Some(fake) = self
+                    .workers
+                    .get_mut(&worker)
+                    .filter(|_| !silent && self.stops_take_effect)
+                {
                     fake.end(name, EndKind::Stopped);
                     fake.refused_runs.insert(name.task, name.run);
                 }
