--- a/src/cluster/calls.rs
+++ b/src/cluster/calls.rs
@@ -123,11 +123,7 @@
             sent_ms,
             report,
         },
-        Err(outcome) => Input::HoldFailed {
-            worker,
-            sent_ms,
-            outcome,
-        },
+        Err(outcome) => Input::HoldFailed { worker, outcome },
     };
     node.control.take(epoch, input);
 }
--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -166,8 +166,11 @@
             }
         }
         if let Some(stored) = &batch.roster {
-            let newest = pending.roster.as_ref().map(Vec::len);
-            if newest == Some(stored.len()) {
+            // A roster that changed meanwhile is stored again, also if it has
+            // as many rows.
+            let newest = pending.roster.as_ref();
+            let same = newest.is_some_and(|rows| rows.iter().map(|(key, _, _)| key).eq(stored));
+            if same {
                 pending.roster = None;
             }
         }
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -30,7 +30,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::sync::Notify;
 
 /// A peer that was heard this lately is there.
 const HEARD_MS: u64 = 1_200;
@@ -101,8 +100,6 @@
     pub started_ms: u64,
     /// Requests being answered.
     pub requests: Cell<usize>,
-    /// Woken when the owner changes.
-    pub owner_changed: Notify,
     configuration: RefCell<Arc<ClusterConfiguration>>,
     configuration_checked_ms: Cell<u64>,
     others: RefCell<BTreeMap<String, Peer>>,
@@ -137,7 +134,6 @@
             boot,
             started_ms,
             requests: Cell::new(0),
-            owner_changed: Notify::new(),
             configuration: RefCell::default(),
             configuration_checked_ms: Cell::new(0),
             others: RefCell::default(),
@@ -294,7 +290,6 @@
             self.stop_owning();
         }
         *self.owner.borrow_mut() = Some(owner);
-        self.owner_changed.notify_waiters();
     }
 
     /// The owner, if another daemon is it.
--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -13,15 +13,17 @@
 //! started at once.
 
 use super::state::Scheduler;
-use super::worker::Contact;
+use super::worker::{
+    CLOCK_DRIFT_PERMILLE,
+    Contact, //
+};
 use super::{
     GroupKey,
     TaskState, //
 };
 use crate::core::WorkerKey;
 
-/// A worker's clock may be this much slow, in thousandths.
-const CLOCK_DRIFT_PERMILLE: u64 = 25;
+/// Added for workers to kill what they run.
 const MARGIN_MS: u64 = 100;
 /// An earlier owner may hear of new jobs for this long: four heartbeats.
 const DEPOSED_MS: u64 = 1_000;
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -74,8 +74,6 @@
     pub checkpoint: Option<Arc<str>>,
     /// The worker on which it last failed or hung.
     pub avoid: Option<WorkerKey>,
-    /// When it last lost its run; for a task that lasts.
-    pub away_since_ms: u64,
 }
 
 /// Failed runs that are remembered of a task that lasts.
@@ -103,7 +101,6 @@
             last_run: 0,
             checkpoint: None,
             avoid: None,
-            away_since_ms: 0,
         }
     }
 }
@@ -159,8 +156,6 @@
     pub blind: bool,
     /// Workers that a policy outside allows.
     pub advice: Advice,
-    /// Since when it could not be placed.
-    pub unplaced_since_ms: Option<u64>,
     /// Preemption for it is tried again from then on.
     pub preempt_at_ms: u64,
     /// Room that is being freed for it, in tasks on each worker. Until then
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -74,7 +74,7 @@
     }
 
     /// Takes in that a look failed.
-    pub(super) fn hold_failed(&mut self, key: WorkerKey, _sent_ms: u64, outcome: CallOutcome) {
+    pub(super) fn hold_failed(&mut self, key: WorkerKey, outcome: CallOutcome) {
         let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
         worker.look_in_flight = false;
@@ -115,7 +115,6 @@
         if row.percent != run.percent {
             run.percent = row.percent;
             run.advanced_ms = now_ms;
-            run.working_since_ms.get_or_insert(now_ms);
         }
         run.usage = row.usage;
     }
@@ -234,7 +233,6 @@
         conclusive_ms: Some(now_ms),
         percent: 0,
         advanced_ms: now_ms,
-        working_since_ms: Some(now_ms),
         usage: None,
         pace_percent: u32::MAX,
         pace_in_flight: false,
@@ -242,6 +240,5 @@
         serves: false,
         long_running: false,
         priority: u32::MAX,
-        over_target_since_ms: None,
     }
 }
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -197,8 +197,6 @@
     HoldFailed {
         /// The worker.
         worker: WorkerKey,
-        /// When the look was sent.
-        sent_ms: u64,
         /// Why: never `Done`.
         outcome: CallOutcome,
     },
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -208,7 +208,6 @@
                 gang_ending: false,
                 blind,
                 advice: Default::default(),
-                unplaced_since_ms: None,
                 preempt_at_ms: 0,
                 claims: Vec::new(),
                 step: step.clone(),
--- a/src/scheduler/orders.rs
+++ b/src/scheduler/orders.rs
@@ -51,7 +51,6 @@
             conclusive_ms: None,
             percent: 0,
             advanced_ms: now_ms,
-            working_since_ms: None,
             usage: None,
             pace_percent: 100,
             pace_in_flight: false,
@@ -59,7 +58,6 @@
             serves: step.serves(),
             long_running: step.long_running,
             priority,
-            over_target_since_ms: None,
         };
         let worker = self.worker_mut(key);
         worker.add_run(name, entry);
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -125,10 +125,6 @@
             if plain {
                 misses.needs.push(self.groups[&key].room);
             }
-            let now_ms = self.now_ms;
-            if let Some(group) = self.groups.get_mut(&key) {
-                group.unplaced_since_ms.get_or_insert(now_ms);
-            }
             if self.may_preempt(&ranked) {
                 self.preempt_for(ranked, &queue, seats);
             } else if self.groups[&key].step.gang
@@ -137,8 +133,6 @@
             {
                 *kept_gangs += 1;
             }
-        } else if let Some(group) = self.groups.get_mut(&key) {
-            group.unplaced_since_ms = None;
         }
         started
     }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -57,8 +57,6 @@
     pub look_wait_ms: u64,
     /// How long an ended job is remembered.
     pub retention_ms: u64,
-    /// Time within which guaranteed work has to begin.
-    pub reclaim_ms: u64,
     /// Tasks with data on a rack, or tight gangs, take this many times as long
     /// elsewhere.
     pub remote_factor: f64,
@@ -77,7 +75,6 @@
             stop_ms: 200,
             look_wait_ms: 1_000,
             retention_ms: 150_000,
-            reclaim_ms: 2_700,
             remote_factor: 3.0,
             restore_ms: 600,
             checkpoint_ms: 2_000,
@@ -182,11 +179,7 @@
                 sent_ms,
                 report,
             } => self.held(worker, sent_ms, report),
-            Input::HoldFailed {
-                worker,
-                sent_ms,
-                outcome,
-            } => self.hold_failed(worker, sent_ms, outcome),
+            Input::HoldFailed { worker, outcome } => self.hold_failed(worker, outcome),
             Input::StartOver {
                 worker,
                 name,
@@ -521,7 +514,6 @@
         self.worker_mut(key).remove_run(&name);
         self.changed = true;
         let group_key = GroupKey::of(name.task);
-        let now_ms = self.now_ms;
         let Some(group) = self.groups.get_mut(&group_key) else {
             return;
         };
@@ -534,7 +526,6 @@
             return;
         };
         if task.state == placed {
-            task.away_since_ms = now_ms;
             group.set_state(index, TaskState::Waiting);
         }
         if group.step.gang && group.gang_run == Some(name.run) {
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -19,7 +19,7 @@
 
 /// A worker's clock may run this much slow, in thousandths; the platform's
 /// bound is 20.
-const CLOCK_DRIFT_PERMILLE: u64 = 25;
+pub(super) const CLOCK_DRIFT_PERMILLE: u64 = 25;
 /// Added to the end of a lease, for the worker to kill what it runs.
 const LAPSE_MARGIN_MS: u64 = 100;
 
@@ -65,8 +65,6 @@
     pub percent: u32,
     /// When `percent` last rose.
     pub advanced_ms: u64,
-    /// When it was first seen at work.
-    pub working_since_ms: Option<u64>,
     /// What the worker said of its use: response tail or cores.
     pub usage: Option<f64>,
     /// The share at which it works.
@@ -81,8 +79,6 @@
     pub long_running: bool,
     /// Priority of its queue.
     pub priority: u32,
-    /// When its response times were first seen over the target.
-    pub over_target_since_ms: Option<u64>,
 }
 
 /// How well a worker is known.
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -379,7 +379,6 @@
             if silent {
                 self.tell(Input::HoldFailed {
                     worker,
-                    sent_ms,
                     outcome: CallOutcome::NoAnswer,
                 });
                 answered = true;
