Wait for a run that was found before its job was known

Ruled out: the blind wait (every worker had answered). Change: when a job becomes known, runs of it that are being stopped hold their tasks; a run whose needs are not known takes its whole worker.

--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -147,6 +147,8 @@
         let group_key = GroupKey::of(row.name.task);
         let index = row.name.task.index;
         let (mut fits, mut run) = (false, stray(now_ms, group_key));
+        // What it takes is not known: nothing else goes there meanwhile.
+        run.room = self.worker(key).info.capacity;
         if let Some(group) = self.groups.get_mut(&group_key) {
             run.room = group.room;
             run.fills = group.step.fills;
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -219,7 +219,9 @@
             groups.push(group);
         }
         for group in groups {
-            self.groups.insert(group.key, group);
+            let key = group.key;
+            self.groups.insert(key, group);
+            self.claim_found_runs(key);
         }
         self.job_mut(id).open_occurrences.push(occurrence);
         for step in 0..self.jobs[&id].steps.len() as u32 {
@@ -233,6 +235,36 @@
         self.changed = true;
     }
 
+    /// Runs of an earlier owner that were found before their job was known are
+    /// being stopped; their tasks wait for them, or they would run twice.
+    fn claim_found_runs(&mut self, key: GroupKey) {
+        let found: Vec<_> = self
+            .workers
+            .iter()
+            .flat_map(|worker| worker.runs.keys().map(|name| (worker.key, *name)))
+            .filter(|(_, name)| GroupKey::of(name.task) == key)
+            .collect();
+        let Some(group) = self.groups.get_mut(&key) else {
+            return;
+        };
+        for (worker, name) in found {
+            let index = name.task.index;
+            let Some(task) = group.tasks.get_mut(index as usize) else {
+                continue;
+            };
+            task.last_run = task.last_run.max(name.run);
+            if task.state != TaskState::Waiting {
+                continue;
+            }
+            let run = name.run;
+            group.set_state(index, TaskState::Placed { worker, run });
+            if group.step.gang {
+                group.gang_run = Some(run);
+                group.gang_ending = true;
+            }
+        }
+    }
+
     /// The longest chain of work by the estimates, wide steps in waves.
     fn chain_ms(&self, steps: &[Arc<StepSpec>]) -> f64 {
         let room = self.fleet_room();
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -579,3 +579,31 @@
     fleet.settle();
     assert_eq!(fleet.starts.len(), 1);
 }
+
+/// A task ran twice at a time: the earlier owner had started it just before the
+/// new one looked at its worker, and the new owner heard of the job only after
+/// that. It stopped the run as belonging to nothing, and started the task
+/// elsewhere before the run was off its worker.
+#[test]
+fn a_run_found_before_its_job_is_known_is_waited_for() {
+    let mut fleet = Fleet::with_workers(2);
+    let job = record("plain", vec![step(1, 1)]);
+    let id = fleet.submit(1, job.clone());
+    fleet.advance(20);
+    let found = fleet.running()[0].clone();
+
+    let mut next = fleet.next_owner(2, &[], false);
+    next.stops_take_effect = false;
+    next.advance(200);
+    next.submit(1, job);
+    next.advance(300);
+    assert!(next.starts.is_empty(), "its old run is still there");
+
+    next.workers
+        .get_mut(&found.0)
+        .unwrap()
+        .end(found.1, EndKind::Stopped);
+    next.advance(300);
+    assert_eq!(next.starts.len(), 1);
+    assert_eq!(next.running()[0].1.task.job, id);
+}
