Let guaranteed work leave its rack in time for its promise

Change: guaranteed work may leave its rack after 1.3 s; room elsewhere is freed only for work that may go there.

--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -31,6 +31,9 @@
 /// It leaves whatever it costs after this long: below the 3 s for which work
 /// may wait beside idle workers.
 const LEAVE_RACK_ANYWAY_MS: u64 = 2_600;
+/// Guaranteed work leaves after this long: it has to begin within 2.7 s, stops
+/// of others included.
+const LEAVE_RACK_PROMISED_MS: u64 = 1_300;
 /// A ticket is not used in the last moments of its life.
 const TICKET_MARGIN_MS: u64 = 300;
 /// Workers named in one question to a policy outside.
@@ -188,7 +191,8 @@
     fn may_leave_rack(&self, group: &Group) -> bool {
         let now_ms = self.now_ms;
         let waited_ms = now_ms.saturating_sub(group.released_ms);
-        if waited_ms >= LEAVE_RACK_ANYWAY_MS {
+        let promised = self.guaranteed.contains(&group.key.job);
+        if waited_ms >= LEAVE_RACK_ANYWAY_MS || (promised && waited_ms >= LEAVE_RACK_PROMISED_MS) {
             return true;
         }
         let near_ms = group.step.estimated_ms;
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -158,7 +158,9 @@
             .iter()
             .filter_map(|region| self.slots(ranked, ask, seats, region, count))
             .min_by(|a, b| cost_of(a).total_cmp(&cost_of(b)));
-        on_racks.or_else(|| self.slots(ranked, ask, seats, &all, count))
+        // Room elsewhere is of use only to work that may leave its rack.
+        let anywhere = regions.is_empty() || ask.may_leave_rack;
+        on_racks.or_else(|| anywhere.then(|| self.slots(ranked, ask, seats, &all, count))?)
     }
 
     fn slots(
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -607,3 +607,29 @@
     assert_eq!(next.starts.len(), 1);
     assert_eq!(next.running()[0].1.task.job, id);
 }
+
+/// Guaranteed work of a gang that wants one rack began 2.8 s after it was
+/// accepted, where 2.7 s are promised: no rack had room for all of it, and it
+/// waited as long for one as work without a promise does.
+#[test]
+fn guaranteed_work_does_not_wait_for_its_rack_beyond_its_promise() {
+    let mut fleet = Fleet::with_workers(1);
+    for rack in 2..12 {
+        fleet.add_worker(&format!("w{rack}"), &format!("r{rack}"));
+    }
+    fleet.advance(500);
+    let tight = StepSpec {
+        gang: true,
+        same_rack: true,
+        ..step(2, 8)
+    };
+
+    let accepted_ms = fleet.now_ms;
+    let mut job = record("urgent", vec![tight]);
+    job.received_ms = accepted_ms;
+    fleet.submit(1, job);
+    fleet.advance(2_700);
+
+    let waited_ms = fleet.starts[0].2 - accepted_ms;
+    assert!(waited_ms < 1_700, "began after {waited_ms} ms");
+}
