Forget what is over for good, and ask workers less often

Cause, found by reading: a job whose time of being remembered was over was dropped from the scheduler before the store had removed it. Until then any full reading of the jobs (a dropped history) brought it back without its progress, and it ran again; a status question that read the job before its progress could tell it to the owner as new. Under constant load removals had no room in a commit, so that gap had no bound. Workers, queues and revisions of values that were over stayed in memory for the life of an owner. A worker whose end was being stored was asked again the moment it answered, since its next look was sent before the wait for the commit was set. Reads of a takeover came one after the other, and one failed read gave the epoch up.

Ruled out: keeping forgotten jobs as jobs, which costs their whole graph.

Change: forgotten jobs stay known by name until their removal is stored and messages about them have died out; removals share commits; places of workers that are gone are used again; queues without jobs go; gauges show what is kept. The next look waits for the commit. A takeover reads all at a time and tries its reads again.

Each of the three new tests fails without its change.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -10,6 +10,7 @@
     JobView,
     ProgressRecord,
     Scheduler,
+    Sizes,
     Tuning, //
 };
 use crate::timer::Timer;
@@ -26,6 +27,8 @@
 
 /// Wait of a thread that owns nothing.
 const IDLE_MS: u64 = 60_000;
+/// How often the gauges of what is kept are set.
+const GAUGES_MS: u64 = 1_000;
 /// Commands taken in before a decision, so that news in a burst cost one pass.
 const MAX_BATCH: usize = 256;
 
@@ -129,6 +132,7 @@
 
 fn run(timer: &Timer, commands: &Receiver<Command>, outputs: &UnboundedSender<Output>) {
     let mut scheduler: Option<Scheduler> = None;
+    let mut gauges_at_ms = 0;
     loop {
         let now_ms = timer.now_ms();
         let wake_ms = scheduler
@@ -146,6 +150,10 @@
         let Some(scheduler) = &mut scheduler else {
             continue;
         };
+        if now_ms >= gauges_at_ms {
+            gauges_at_ms = now_ms + GAUGES_MS;
+            show_sizes(&scheduler.sizes());
+        }
         let output = decide(scheduler, timer.now_ms());
         if !output.actions.is_empty() && outputs.send(output).is_err() {
             return;
@@ -153,6 +161,19 @@
     }
 }
 
+fn show_sizes(sizes: &Sizes) {
+    let kept = [
+        ("jobs", sizes.jobs),
+        ("groups", sizes.groups),
+        ("workers", sizes.workers),
+        ("leaving_jobs", sizes.leaving_jobs),
+        ("queues", sizes.queues),
+    ];
+    for (what, count) in kept {
+        metrics::gauge!("fuchsiaslip_kept", "what" => what).set(count as f64);
+    }
+}
+
 fn apply(scheduler: &mut Option<Scheduler>, command: Command, timer: &Timer) {
     let now_ms = timer.now_ms();
     match command {
--- a/src/cluster/entry.rs
+++ b/src/cluster/entry.rs
@@ -272,7 +272,7 @@
         received_ms,
         spec,
     };
-    match submit::accept(node, job, &record, asked.until_ms).await {
+    match submit::accept(node, job, record, asked.until_ms).await {
         Stored::Done => Ok((StatusCode::OK, b"{}".to_vec())),
         Stored::Refused => Err(Refusal::StoreRefuses),
         Stored::Unknown | Stored::NoSuchJob => Err(Refusal::OutcomeUnknown),
--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -11,6 +11,7 @@
     ROOT_KEY,
     ROSTER_KEY,
     RosterRow,
+    cancelled_key,
     encode,
     job_key,
     progress_key, //
@@ -48,6 +49,14 @@
 /// expectation more.
 const MAX_VALUES: usize = MAX_TRANSACTION_ENTRIES / 2 - 1;
 
+/// Values that a job has in the store.
+const REMOVED_KEYS: usize = 3;
+
+/// The keys of a job's values.
+fn keys_of(job: JobId) -> [String; REMOVED_KEYS] {
+    [job_key(job), progress_key(job), cancelled_key(job)]
+}
+
 #[derive(Default)]
 struct Pending {
     progress: BTreeMap<JobId, (u64, ProgressRecord)>,
@@ -136,18 +145,13 @@
             put(progress_key(job), encode(record));
             batch.progress.push((job, *change));
         }
-        if batch.transaction.puts.is_empty() {
-            // Only when there is time: nobody waits for what is forgotten.
-            const REMOVED_KEYS: usize = 3;
-            for &job in pending.forgotten.iter().take(MAX_VALUES / REMOVED_KEYS) {
-                batch.forgotten.push(job);
-                let keys = [job_key(job), progress_key(job)];
-                batch.transaction.removed.extend(keys);
-                batch
-                    .transaction
-                    .removed
-                    .push(super::records::cancelled_key(job));
-            }
+        // Nobody waits for what is forgotten: it takes the room that is left.
+        let transaction = &mut batch.transaction;
+        let entries = transaction.expected.len() + transaction.puts.len();
+        let room = MAX_TRANSACTION_ENTRIES.saturating_sub(entries) / REMOVED_KEYS;
+        for &job in pending.forgotten.iter().take(room) {
+            batch.forgotten.push(job);
+            transaction.removed.extend(keys_of(job));
         }
         let empty = batch.transaction.puts.is_empty() && batch.forgotten.is_empty();
         (!empty).then_some(batch)
@@ -174,9 +178,12 @@
                 pending.roster = None;
             }
         }
-        pending
-            .forgotten
-            .retain(|job| !batch.forgotten.contains(job));
+        for &job in &batch.forgotten {
+            pending.forgotten.retain(|&other| other != job);
+            for key in keys_of(job) {
+                pending.revisions.remove(&key);
+            }
+        }
     }
 
     /// Takes the revisions over that a refused commit showed. Returns whether
@@ -217,6 +224,9 @@
                 for (job, change) in batch.progress {
                     node.control.take(epoch, Input::Stored { job, change });
                 }
+                for job in batch.forgotten {
+                    node.control.take(epoch, Input::Forgotten(job));
+                }
                 if let Some(workers) = batch.roster {
                     node.control.take(epoch, Input::RosterStored(workers));
                 }
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -39,6 +39,11 @@
 const CONFIRM_MS: u64 = 600;
 /// Wait after a confirmation that failed.
 const CONFIRM_AGAIN_MS: u64 = 200;
+/// Reads of what is stored that an owner tries before it gives the epoch up:
+/// without them the next candidate waits for the silence of this one.
+const BEGIN_TRIES: u32 = 4;
+/// Wait before the next of them.
+const BEGIN_AGAIN_MS: u64 = 120;
 
 /// Takes the next epoch, reads what is stored and begins to own.
 ///
@@ -84,29 +89,45 @@
     // A daemon that was restarted ended its earlier life; a peer is heard with
     // the life that it has now.
     let earlier_owner_over = known.epoch == 0 || node.is_over(&known.owner, known.boot);
-    begin(
-        node,
-        next.epoch,
+    let taken = Taken {
+        epoch: next.epoch,
         root_revision,
         began_ms,
         earlier_owner_over,
-    )
-    .await
+    };
+    let mut begun = begin(node, &taken).await;
+    for _ in 1..BEGIN_TRIES {
+        let deposed = node.owner().is_some_and(|owner| owner.epoch > taken.epoch);
+        if begun.is_ok() || deposed {
+            break;
+        }
+        node.timer.after(BEGIN_AGAIN_MS).await;
+        begun = begin(node, &taken).await;
+    }
+    begun
 }
 
-async fn begin(
-    node: &Rc<Node>,
+/// An epoch that was taken.
+struct Taken {
     epoch: u64,
     root_revision: u64,
+    /// When the attempt began, which is when the epoch is known to be ours.
     began_ms: u64,
     earlier_owner_over: bool,
-) -> Result<(), StoreError> {
-    let jobs = node.store.range(JOBS_PREFIX, false).await?;
-    let progress = node.store.range(PROGRESS_PREFIX, false).await?;
-    let roster = node.store.get(ROSTER_KEY).await?;
-    let workers = node.store.range(WORKERS_PREFIX, false).await?;
+}
+
+/// Reads what is stored, all at a time: nobody else writes progress and roster
+/// any more, and on a slow store one answer after the other costs a second.
+async fn begin(node: &Rc<Node>, taken: &Taken) -> Result<(), StoreError> {
+    let (epoch, began_ms) = (taken.epoch, taken.began_ms);
+    let (jobs, progress, roster, workers) = tokio::try_join!(
+        node.store.range(JOBS_PREFIX, false),
+        node.store.range(PROGRESS_PREFIX, false),
+        node.store.get(ROSTER_KEY),
+        node.store.range(WORKERS_PREFIX, false),
+    )?;
     node.ledger.clear();
-    node.begin_owning(epoch, root_revision);
+    node.begin_owning(epoch, taken.root_revision);
     let mut stored = vec![Input::Configure(node.configuration())];
     let mut roster_count = 0;
     if let Some(item) = roster {
@@ -121,7 +142,9 @@
     stored.extend(worker_inputs(&workers));
     stored.extend(job_inputs(node, &jobs, &progress));
     stored.push(Input::Confirmed(began_ms));
-    stored.push(Input::Recovered { earlier_owner_over });
+    stored.push(Input::Recovered {
+        earlier_owner_over: taken.earlier_owner_over,
+    });
     let (job_count, worker_count) = (jobs.items.len(), workers.items.len());
     node.control.send(super::Command::Begin {
         epoch,
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -82,8 +82,8 @@
 }
 
 /// Accepts a job: stores it, here or through a peer, and tells the owner.
-pub async fn accept(node: &Rc<Node>, job: JobId, record: &JobRecord, until_ms: u64) -> Stored {
-    let bytes = encode(record);
+pub async fn accept(node: &Rc<Node>, job: JobId, record: JobRecord, until_ms: u64) -> Stored {
+    let bytes = encode(&record);
     // A store that is known not to answer is not tried: the refusal is true
     // and at once, where waiting would end without a known outcome.
     let mut stored = match node.has_store() {
@@ -99,12 +99,24 @@
             record: bytes.to_vec(),
         });
         stored = forwarded(node.peers.ask(peer, body, FORWARD_LIMIT_MS).await);
+    } else if stored == Stored::Done && node.owns() {
+        take_job(node, job, record);
     } else if stored == Stored::Done {
         tell_owner_of_job(node, job, bytes);
     }
     stored
 }
 
+/// Tells this daemon's own scheduler of a stored job.
+fn take_job(node: &Node, job: JobId, record: JobRecord) {
+    let input = Input::Job {
+        id: job,
+        record: Arc::new(record),
+        progress: None,
+    };
+    node.control.take(node.epoch(), input);
+}
+
 /// Stores a job in the store.
 pub async fn store_job(node: &Rc<Node>, job: JobId, record: Bytes, until_ms: u64) -> Stored {
     let transaction = Transaction {
@@ -143,12 +155,7 @@
 pub fn tell_owner_of_job(node: &Rc<Node>, job: JobId, record: Bytes) {
     if node.owns() {
         if let Some(record) = decode(&job_key(job), &record) {
-            let input = Input::Job {
-                id: job,
-                record: Arc::new(record),
-                progress: None,
-            };
-            node.control.take(node.epoch(), input);
+            take_job(node, job, record);
         }
         return;
     }
@@ -273,15 +280,19 @@
 /// What the store tells of a job; ends are stored before they are shown.
 async fn view_in_store(node: &Rc<Node>, job: JobId) -> Result<Option<JobView>, StoreError> {
     use crate::scheduler::FinalState;
+    // The job is read last: all its values are removed together, so a job that
+    // is still there had its progress and its cancellation before. Read first,
+    // it could be told to the owner as new after it was done and removed.
+    let key = progress_key(job);
+    let progress = node.store.get(&key).await?;
+    let progress: Option<ProgressRecord> = progress.and_then(|item| decode(&key, &item.value));
+    let cancelled = node.store.get(&cancelled_key(job)).await?.is_some();
     let Some(item) = node.store.get(&job_key(job)).await? else {
         return Ok(None);
     };
-    if node.store.get(&cancelled_key(job)).await?.is_some() {
+    if cancelled {
         return Ok(Some(JobView::Cancelled));
     }
-    let key = progress_key(job);
-    let progress = node.store.get(&key).await?;
-    let progress: Option<ProgressRecord> = progress.and_then(|item| decode(&key, &item.value));
     let view = match progress.map(|progress| progress.ended) {
         Some(Some(FinalState::Completed)) => JobView::Completed,
         Some(Some(FinalState::Failed)) => JobView::Failed,
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -38,6 +38,7 @@
         worker
             .undurable
             .push_back((row.number, row.name.task.job, change));
+        self.with_undurable.insert(key);
     }
 
     fn keep_end_checkpoint(&mut self, row: &EndedRow) {
@@ -150,26 +151,33 @@
         change
     }
 
-    /// Moves `last_seen` of the workers past the ends that are durable.
-    pub(super) fn advance_last_seen(&mut self) {
-        let now_ms = self.now_ms;
-        let jobs = &self.jobs;
-        for worker in &mut self.workers {
-            let waited = !worker.undurable.is_empty();
-            while let Some(&(number, job, change)) = worker.undurable.front() {
-                let durable = change == 0 || jobs.get(&job).is_none_or(|job| job.stored >= change);
-                if !durable {
-                    break;
-                }
-                worker.undurable.pop_front();
-                worker.last_seen = number;
-            }
-            if waited && worker.undurable.is_empty() {
+    /// More is durable: tells the workers that listed ends of it.
+    pub(super) fn acknowledge_ends(&mut self) {
+        let waiting: Vec<WorkerKey> = self.with_undurable.iter().copied().collect();
+        for key in waiting {
+            if self.advance_last_seen(key) {
+                let now_ms = self.now_ms;
+                let worker = self.worker_mut(key);
                 worker.look_at_ms = worker.look_at_ms.min(now_ms);
+                self.look_if_due(key);
             }
         }
-        for at in 0..self.workers.len() {
-            self.look_if_due(WorkerKey(at as u32));
+    }
+
+    /// Moves `last_seen` of a worker past the ends that are durable; whether
+    /// all of them are.
+    pub(super) fn advance_last_seen(&mut self, key: WorkerKey) -> bool {
+        let jobs = &self.jobs;
+        let worker = &mut self.workers[key.index()];
+        while let Some(&(number, job, change)) = worker.undurable.front() {
+            let durable = change == 0 || jobs.get(&job).is_none_or(|job| job.stored >= change);
+            if !durable {
+                return false;
+            }
+            worker.undurable.pop_front();
+            worker.last_seen = number;
         }
+        self.with_undurable.remove(&key);
+        true
     }
 }
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -194,6 +194,16 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Drops what is noted of a worker that is gone.
+    pub fn forget_worker(&mut self, worker: WorkerKey) {
+        for task in &mut self.tasks {
+            task.avoid = task.avoid.filter(|&avoided| avoided != worker);
+        }
+        self.advice.tickets.remove(&worker);
+        self.advice.declined.retain(|&declined| declined != worker);
+        self.claims.retain(|&(claimed, _)| claimed != worker);
+    }
+
     /// Tasks on `worker`.
     pub fn on_worker(&self, worker: WorkerKey) -> u32 {
         let there = |task: &&Task| matches!(task.state, TaskState::Placed { worker: own, .. } if own == worker);
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -63,10 +63,10 @@
             }
         }
         self.settle_absent(key, sent_ms, &seen);
-        self.advance_last_seen();
         self.review_blindness();
-        let worker = self.worker_mut(key);
-        worker.look_at_ms = match worker.undurable.is_empty() {
+        // Looking again at once would bring the same ends until they are durable.
+        let all_durable = self.advance_last_seen(key);
+        self.worker_mut(key).look_at_ms = match all_durable {
             true => now_ms,
             false => now_ms + UNDURABLE_LOOK_MS,
         };
@@ -104,9 +104,7 @@
             // The answer to the start was lost or is still on its way.
             run.phase = RunPhase::Running;
             run.conclusive_ms = Some(now_ms + CONCLUSIVE_MS);
-            if let Some(job) = self.jobs.get_mut(&row.name.task.job) {
-                job.started = true;
-            }
+            self.note_started(row.name);
         }
         let worker = self.worker_mut(key);
         let Some(run) = worker.runs.get_mut(&row.name) else {
@@ -176,10 +174,10 @@
                 }
             }
         }
-        if let Some(job) = self.jobs.get_mut(&row.name.task.job) {
+        if let Some(job) = self.jobs.get(&row.name.task.job) {
             run.priority = job.priority;
-            job.started = true;
         }
+        self.note_started(row.name);
         run.percent = row.percent;
         run.usage = row.usage;
         self.worker_mut(key).add_run(row.name, run);
@@ -235,6 +233,7 @@
         conclusive_ms: Some(now_ms),
         percent: 0,
         advanced_ms: now_ms,
+        paced_ms: 0,
         usage: None,
         pace_percent: u32::MAX,
         pace_in_flight: false,
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -243,6 +243,8 @@
         /// Number of the change.
         change: u64,
     },
+    /// Nothing is stored of the job any more.
+    Forgotten(JobId),
     /// The epoch was last known to be ours at this time.
     Confirmed(u64),
     /// Time has passed.
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -113,7 +113,9 @@
         record: Arc<JobRecord>,
         progress: Option<ProgressRecord>,
     ) {
-        if self.jobs.contains_key(&id) {
+        // A job that is being forgotten is read again as long as it is stored,
+        // without what was noted of it; taken for a new one it would run again.
+        if self.jobs.contains_key(&id) || self.leaving_jobs.contains_key(&id) {
             return;
         }
         let queue = self.queue_terms(&record.queue);
@@ -416,7 +418,7 @@
             return;
         };
         job.stored = job.stored.max(change);
-        self.advance_last_seen();
+        self.acknowledge_ends();
     }
 
     /// What has to be stored of a job, and the number of its last change.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -77,6 +77,7 @@
 };
 pub use state::{
     Scheduler,
+    Sizes,
     Tuning, //
 };
 pub use worker::{
--- a/src/scheduler/orders.rs
+++ b/src/scheduler/orders.rs
@@ -51,6 +51,7 @@
             conclusive_ms: None,
             percent: 0,
             advanced_ms: now_ms,
+            paced_ms: 0,
             usage: None,
             pace_percent: 100,
             pace_in_flight: false,
@@ -184,7 +185,7 @@
         });
     }
 
-    fn note_started(&mut self, name: RunName) {
+    pub(super) fn note_started(&mut self, name: RunName) {
         if let Some(job) = self.jobs.get_mut(&name.task.job) {
             job.started = true;
         }
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -246,12 +246,11 @@
             return true;
         }
         let group = &self.groups[&key];
-        let fits = |seat: &&Seat| group.room.times(&seat.free) == 0 || seat.free.holds(&group.room);
         let useful = |seat: &&Seat| {
             let worker = self.worker(seat.worker);
             worker.info.service == queue.service
                 && worker.has_label(&group.step.required_label)
-                && fits(seat)
+                && seat.free.holds(&group.room)
         };
         let ticketed = seats
             .iter()
--- a/src/scheduler/sharing.rs
+++ b/src/scheduler/sharing.rs
@@ -56,7 +56,7 @@
             };
             // One step for each news of the worker, and a pace that may not
             // have arrived is sent again.
-            let news = heard_ms > run.advanced_ms.max(run.ordered_ms) || run.pace_percent > 100;
+            let news = heard_ms > run.paced_ms.max(run.ordered_ms) || run.pace_percent > 100;
             if wanted != run.pace_percent && news {
                 changes.push((name, wanted));
             }
@@ -86,7 +86,7 @@
         if let Some(run) = worker.runs.get_mut(&name) {
             run.pace_percent = percent;
             run.pace_in_flight = true;
-            run.advanced_ms = worker.heard_ms;
+            run.paced_ms = worker.heard_ms;
             self.actions.push(Action::Pace {
                 callee,
                 name,
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -27,7 +27,8 @@
     BTreeMap,
     BTreeSet,
     HashMap,
-    HashSet, //
+    HashSet,
+    VecDeque, //
 };
 use std::sync::Arc;
 
@@ -38,6 +39,12 @@
 /// Waiting work is tried again at least this often: what hinders it may pass
 /// with time alone, as a quarantine does.
 const RETRY_PASS_MS: u64 = 250;
+/// The place of a worker that is gone is used again after this long: ten times
+/// the bound of a call to a worker.
+const VACANT_MS: u64 = 30_000;
+/// A job that was removed from the store is not taken for a new one for this
+/// long: messages between daemons that name it are seconds old at most.
+const REMOVED_MS: u64 = 30_000;
 
 /// Bounds of the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -82,6 +89,21 @@
     }
 }
 
+/// How much is kept in memory.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Sizes {
+    /// Jobs, those that ended a while ago included.
+    pub jobs: usize,
+    /// Open steps of occurrences.
+    pub groups: usize,
+    /// Places for workers, those of workers that are gone included.
+    pub workers: usize,
+    /// Jobs that are being forgotten.
+    pub leaving_jobs: usize,
+    /// Terms of queues, those of removed queues with jobs included.
+    pub queues: usize,
+}
+
 /// What was learned of a queue's jobs.
 #[derive(Clone, Debug, Default)]
 pub(super) struct QueueHistory {
@@ -106,12 +128,19 @@
     pub(super) terms: HashMap<String, Queue>,
     pub(super) history: HashMap<String, QueueHistory>,
     pub(super) workers: Vec<Worker>,
+    /// Places of workers that are gone, with the times, the oldest first.
+    pub(super) vacant: VecDeque<(u64, WorkerKey)>,
     pub(super) worker_index: HashMap<String, WorkerKey>,
+    /// Workers that listed ends which are not durable yet.
+    pub(super) with_undurable: BTreeSet<WorkerKey>,
     pub(super) jobs: BTreeMap<JobId, GraphJob>,
     /// Urgent jobs within their account's guarantee, as of the last pass.
     pub(super) guaranteed: HashSet<JobId>,
     pub(super) cancelled_early: HashSet<JobId>,
     pub(super) groups: BTreeMap<GroupKey, Group>,
+    /// Jobs that are being forgotten, until their removal from the store is
+    /// known and nothing of them can be under way any more.
+    pub(super) leaving_jobs: BTreeMap<JobId, Option<u64>>,
     pub(super) due: BTreeSet<(u64, JobId)>,
     pub(super) review_at_ms: u64,
     pub(super) pass_at_ms: u64,
@@ -137,10 +166,13 @@
             history: HashMap::new(),
             workers: Vec::new(),
             worker_index: HashMap::new(),
+            with_undurable: BTreeSet::new(),
             jobs: BTreeMap::new(),
             guaranteed: HashSet::new(),
             cancelled_early: HashSet::new(),
             groups: BTreeMap::new(),
+            leaving_jobs: BTreeMap::new(),
+            vacant: VecDeque::new(),
             due: BTreeSet::new(),
             review_at_ms: 0,
             pass_at_ms: 0,
@@ -201,6 +233,9 @@
                 approved,
             } => self.advised(step, &asked, approved),
             Input::Stored { job, change } => self.stored(job, change),
+            Input::Forgotten(job) => {
+                self.leaving_jobs.insert(job, Some(self.now_ms));
+            }
             Input::Confirmed(at_ms) => self.confirmed_ms = self.confirmed_ms.max(at_ms),
             Input::Tick => {}
         }
@@ -260,6 +295,17 @@
         &self.workers
     }
 
+    /// How much is kept in memory.
+    pub fn sizes(&self) -> Sizes {
+        Sizes {
+            jobs: self.jobs.len(),
+            groups: self.groups.len(),
+            workers: self.workers.len(),
+            leaving_jobs: self.leaving_jobs.len(),
+            queues: self.terms.len(),
+        }
+    }
+
     /// The open groups.
     pub fn groups(&self) -> impl Iterator<Item = &Group> {
         self.groups.values()
@@ -286,9 +332,19 @@
             self.terms.insert(queue.name.clone(), queue.clone());
         }
         self.configuration = configuration;
+        self.forget_old_queues();
         self.changed = true;
     }
 
+    /// Queues come and go with every version; only those with jobs are kept.
+    fn forget_old_queues(&mut self) {
+        let declared = self.configuration.queues.iter().map(|queue| &queue.name);
+        let used = self.jobs.values().map(|job| &job.record.queue);
+        let needed: HashSet<&String> = declared.chain(used).collect();
+        self.terms.retain(|name, _| needed.contains(name));
+        self.history.retain(|name, _| needed.contains(name));
+    }
+
     /// The terms of a queue; those of a removed queue stay, for its jobs.
     pub(super) fn queue_terms(&self, name: &str) -> Queue {
         let known = self.terms.get(name).cloned();
@@ -360,8 +416,9 @@
         if worker.contact == Contact::Gone {
             // It was silent and not listed for a whole lease, and is back.
             worker.contact = Contact::Unfenced;
+            self.vacant.retain(|&(_, vacant)| vacant != key);
         }
-        let unknown = !worker.on_roster;
+        let unknown = !self.worker(key).on_roster;
         for old in replaced {
             self.worker_gone(old, "replaced");
         }
@@ -376,12 +433,34 @@
     }
 
     fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
-        let key = WorkerKey(self.workers.len() as u32);
+        let key = self
+            .vacate()
+            .unwrap_or(WorkerKey(self.workers.len() as u32));
         self.worker_index.insert(info.incarnation.clone(), key);
-        self.workers.push(Worker::new(key, info));
+        let worker = Worker::new(key, info);
+        match self.workers.get_mut(key.index()) {
+            Some(place) => *place = worker,
+            None => self.workers.push(worker),
+        }
         key
     }
 
+    /// A place whose worker is gone for so long that no answer of it can be
+    /// under way: workers that go down and up by turns would fill the memory.
+    fn vacate(&mut self) -> Option<WorkerKey> {
+        let &(since_ms, key) = self.vacant.front()?;
+        if self.now_ms < since_ms + VACANT_MS {
+            return None;
+        }
+        self.vacant.pop_front();
+        let before = self.worker(key).info.incarnation.clone();
+        self.worker_index.remove(&before);
+        for group in self.groups.values_mut() {
+            group.forget_worker(key);
+        }
+        Some(key)
+    }
+
     fn take_known_worker(&mut self, incarnation: String, address: String) {
         let known = self.worker_index.get(&incarnation).copied();
         let key = known.unwrap_or_else(|| {
@@ -445,8 +524,12 @@
             .collect();
         for id in old {
             self.jobs.remove(&id);
+            self.leaving_jobs.insert(id, None);
             self.actions.push(Action::Forget { job: id });
         }
+        let now_ms = self.now_ms;
+        self.leaving_jobs
+            .retain(|_, removed_ms| removed_ms.is_none_or(|at_ms| now_ms < at_ms + REMOVED_MS));
     }
 
     /// After the end of the longest lease nothing runs there any more. A
@@ -573,6 +656,8 @@
         if self.worker(key).contact == Contact::Gone {
             return;
         }
+        let now_ms = self.now_ms;
+        self.vacant.push_back((now_ms, key));
         let worker = self.worker_mut(key);
         worker.contact = Contact::Gone;
         if worker.on_roster {
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -65,6 +65,8 @@
     pub percent: u32,
     /// When `percent` last rose.
     pub advanced_ms: u64,
+    /// The news of the worker on which its pace last rested.
+    pub paced_ms: u64,
     /// What the worker said of its use: response tail or cores.
     pub usage: Option<f64>,
     /// The share at which it works.
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -6,20 +6,26 @@
 use fleet::{
     BEGIN_MS,
     Fleet,
+    configuration,
+    queue,
     record,
     step, //
 };
 use fuchsiaslip::core::JobId;
 use fuchsiaslip::scheduler::{
+    Action,
     EndKind,
     HoldReport,
     Input,
     JobView,
     RunName,
     Schedule,
+    Sizes,
     StepSpec,
-    TaskId, //
+    TaskId,
+    Tuning, //
 };
+use std::sync::Arc;
 
 fn run_of(job: JobId, step: u32, index: u32, run: u64) -> RunName {
     RunName {
@@ -633,3 +639,97 @@
     let waited_ms = fleet.starts[0].2 - accepted_ms;
     assert!(waited_ms < 1_700, "began after {waited_ms} ms");
 }
+
+/// A job was done and its time of being remembered over, but a busy store had
+/// not removed it yet. Its history was dropped, so the jobs were read anew, and
+/// the job, no longer known, was taken for a new one and ran a second time.
+#[test]
+fn a_forgotten_job_that_is_still_stored_does_not_run_again() {
+    let mut fleet = Fleet::with_workers(1);
+    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(50);
+    fleet.end_all(job, EndKind::Done);
+    fleet.advance(50);
+    let is_forgotten =
+        |action: &Action| matches!(action, Action::Forget { job: own } if *own == job);
+    fleet.store_answers = false;
+    fleet.advance(Tuning::default().retention_ms + 200);
+    assert!(fleet.actions.iter().any(is_forgotten), "it is forgotten");
+
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 1, "it is not started again");
+
+    fleet.tell(Input::Forgotten(job));
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(500);
+    assert_eq!(fleet.starts.len(), 1, "nor by a late message");
+}
+
+/// An owner that ran for days kept each worker, job and queue that it had ever
+/// heard of; workers that went down and up by turns filled its memory, and
+/// every look through the workers took longer.
+#[test]
+fn what_is_over_does_not_stay_in_memory() {
+    const LIVES: u64 = 120;
+    const LIFE_MS: u64 = 5_000;
+    let mut fleet = Fleet::with_workers(1);
+    let mut most = Sizes::default();
+    for life in 0..LIVES {
+        let name = format!("flapping{life}");
+        let mut version = configuration(64);
+        version.version = life + 2;
+        version.queues.push(queue(&format!("queue{life}"), 1));
+        fleet.tell(Input::Configure(Arc::new(version)));
+        fleet.add_worker(&name, "r1");
+        let job = fleet.submit(life, record(&format!("queue{life}"), vec![step(1, 1)]));
+        fleet.advance(LIFE_MS / 2);
+        fleet.end_all(job, EndKind::Done);
+        fleet.advance(LIFE_MS / 2);
+        fleet.workers.remove(&name);
+        fleet.tell(Input::WorkerUnlisted(name));
+        let sizes = fleet.scheduler.sizes();
+        most = Sizes {
+            jobs: most.jobs.max(sizes.jobs),
+            groups: most.groups.max(sizes.groups),
+            workers: most.workers.max(sizes.workers),
+            leaving_jobs: most.leaving_jobs.max(sizes.leaving_jobs),
+            queues: most.queues.max(sizes.queues),
+        };
+    }
+    let kept_lives = (Tuning::default().retention_ms / LIFE_MS) as usize + 2;
+    assert!(most.jobs <= kept_lives, "{most:?}");
+    assert!(most.groups <= 2, "{most:?}");
+    assert!(most.leaving_jobs <= 8, "those of half a minute: {most:?}");
+    assert!(most.queues <= kept_lives + 4, "{most:?}");
+    // A place is free again half a minute after its worker is gone.
+    assert!(most.workers <= 12, "{most:?}");
+}
+
+/// While an end was being stored, its worker was asked again the moment it had
+/// answered, and told the same end each time: tens of calls for one commit.
+#[test]
+fn a_worker_with_an_end_that_is_not_durable_is_not_asked_at_once() {
+    let mut fleet = Fleet::with_workers(1);
+    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(50);
+    fleet.store_answers = false;
+    fleet.end_all(job, EndKind::Done);
+    fleet.advance(20);
+    let looks = |fleet: &Fleet| {
+        let holds = fleet.actions.iter();
+        holds
+            .filter(|action| matches!(action, Action::Hold { .. }))
+            .count()
+    };
+    let before = looks(&fleet);
+
+    fleet.advance(200);
+    assert_eq!(looks(&fleet), before, "no look while the end is stored");
+
+    let (change, _) = fleet.scheduler.progress(job).unwrap();
+    fleet.tell(Input::Stored { job, change });
+    fleet.advance(10);
+    assert_eq!(looks(&fleet), before + 1, "one look tells that it is");
+    assert_eq!(fleet.highest_last_seen["w0"], 1);
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -350,6 +350,10 @@
                     self.tell(Input::Stored { job, change });
                 }
             }
+            Action::Forget { job } if self.store_answers => {
+                self.stored.remove(&job);
+                self.tell(Input::Forgotten(job));
+            }
             Action::StoreRoster if self.store_answers => {
                 let keys = self.scheduler.roster().into_iter().map(|(key, _, _)| key);
                 self.tell(Input::RosterStored(keys.collect()));
