Store which workers get no more starts, and what may run there

Cause: starts are not stored, so a new owner that could not reach one worker of the roster held all stored work back for the longest lease.

Ruled out: storing each start, which would put a commit before every order; rows in the roster, which would write 60 KB for each change.

Change: an owner that gives a worker no more starts (it leaves, or is silent) has that stored with the runs that may be there; a new owner holds back just these tasks. A worker that answers again gets work once that is stored too. A higher number of a run ends what is noted of a lower one. The end of a recovery is logged (E206) with the workers that did not answer.

Test: a_done_end_counts_whatever_is_noted_of_earlier_runs, failed first.

--- a/src/cluster/calls.rs
+++ b/src/cluster/calls.rs
@@ -1,6 +1,7 @@
 //! Carrying out what the scheduler decides.
 
 use super::control::Output;
+use super::ledger::Changes;
 use super::log_lines;
 use super::node::Node;
 use crate::core::JobId;
@@ -82,10 +83,15 @@
                 return;
             }
             Action::Decided(decision) => log_lines::decision(epoch, &decision),
-            Action::Store { .. } | Action::StoreRoster => {}
+            Action::Store { .. } | Action::StoreRoster | Action::StoreClosed { .. } => {}
         }
     }
-    node.ledger.add(output.records, output.roster, forgotten);
+    node.ledger.add(Changes {
+        progress: output.records,
+        roster: output.roster,
+        closed: output.closed,
+        forgotten,
+    });
 }
 
 struct StartOrder {
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -1,5 +1,6 @@
 //! The one thread that touches the scheduler's state.
 
+use super::records::ClosedRecord;
 use crate::core::{
     JobId,
     WorkerKey, //
@@ -14,7 +15,10 @@
     Tuning, //
 };
 use crate::timer::Timer;
-use std::collections::BTreeSet;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::sync::mpsc::{
     Receiver,
     RecvTimeoutError,
@@ -79,6 +83,9 @@
     pub records: Vec<(JobId, u64, ProgressRecord)>,
     /// The roster to store: key, incarnation and address of each worker.
     pub roster: Option<Vec<(WorkerKey, String, String)>>,
+    /// Workers with whether they get no more starts and what may run there;
+    /// `None` for workers that are gone.
+    pub closed: Vec<(String, Option<ClosedRecord>)>,
 }
 
 /// A handle to the control thread.
@@ -212,12 +219,19 @@
     let actions = scheduler.decide(now_ms);
     let mut changed = BTreeSet::new();
     let mut roster = false;
+    let mut closed = BTreeMap::new();
     for action in &actions {
         match action {
             Action::Store { job } => {
                 changed.insert(*job);
             }
             Action::StoreRoster => roster = true,
+            Action::StoreClosed { worker } => {
+                let row = scheduler.closed_row(*worker);
+                let row = row.map(|(closed, runs)| ClosedRecord::of(closed, &runs));
+                let info = &scheduler.workers()[worker.index()].info;
+                closed.insert(info.incarnation.clone(), row);
+            }
             _ => {}
         }
     }
@@ -229,6 +243,7 @@
         epoch: scheduler.epoch(),
         records: records.collect(),
         roster: roster.then(|| scheduler.roster()),
+        closed: closed.into_iter().collect(),
         actions,
     }
 }
--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -8,10 +8,12 @@
 
 use super::node::Node;
 use super::records::{
+    ClosedRecord,
     ROOT_KEY,
     ROSTER_KEY,
     RosterRow,
     cancelled_key,
+    closed_key,
     encode,
     job_key,
     progress_key, //
@@ -45,9 +47,23 @@
 const GATHER_MS: u64 = 20;
 /// Wait after a refused or unanswered commit.
 const RETRY_MS: u64 = 120;
-/// Values in one transaction: each needs an expectation and a put, the root an
-/// expectation more.
-const MAX_VALUES: usize = MAX_TRANSACTION_ENTRIES / 2 - 1;
+/// Entries that one value takes in a transaction: an expectation, and a put or
+/// a removal.
+const VALUE_ENTRIES: usize = 2;
+
+/// What a decision asks to have stored.
+#[derive(Default)]
+pub struct Changes {
+    /// Progress of jobs with the numbers of their changes.
+    pub progress: Vec<(JobId, u64, ProgressRecord)>,
+    /// The roster: key, incarnation and address of each worker.
+    pub roster: Option<Vec<(WorkerKey, String, String)>>,
+    /// Workers by incarnation, with whether they get no more starts; `None`
+    /// for workers that are gone.
+    pub closed: Vec<(String, Option<ClosedRecord>)>,
+    /// Jobs of which nothing is to be kept.
+    pub forgotten: Vec<JobId>,
+}
 
 /// Values that a job has in the store.
 const REMOVED_KEYS: usize = 3;
@@ -61,6 +77,7 @@
 struct Pending {
     progress: BTreeMap<JobId, (u64, ProgressRecord)>,
     roster: Option<Vec<(WorkerKey, String, String)>>,
+    closed: BTreeMap<String, Option<ClosedRecord>>,
     forgotten: Vec<JobId>,
     revisions: HashMap<String, u64>,
 }
@@ -77,6 +94,7 @@
     transaction: Transaction,
     progress: Vec<(JobId, u64)>,
     roster: Option<Vec<WorkerKey>>,
+    closed: Vec<(String, Option<ClosedRecord>)>,
     forgotten: Vec<JobId>,
 }
 
@@ -94,21 +112,21 @@
     }
 
     /// Adds what a decision asks to have stored.
-    pub fn add(
-        &self,
-        records: Vec<(JobId, u64, ProgressRecord)>,
-        roster: Option<Vec<(WorkerKey, String, String)>>,
-        forgotten: Vec<JobId>,
-    ) {
-        if records.is_empty() && roster.is_none() && forgotten.is_empty() {
+    pub fn add(&self, changes: Changes) {
+        let empty = changes.progress.is_empty()
+            && changes.roster.is_none()
+            && changes.closed.is_empty()
+            && changes.forgotten.is_empty();
+        if empty {
             return;
         }
         let mut pending = self.pending.borrow_mut();
-        for (job, change, record) in records {
+        for (job, change, record) in changes.progress {
             pending.progress.insert(job, (change, record));
         }
-        pending.roster = roster.or(pending.roster.take());
-        pending.forgotten.extend(forgotten);
+        pending.roster = changes.roster.or(pending.roster.take());
+        pending.closed.extend(changes.closed);
+        pending.forgotten.extend(changes.forgotten);
         self.added.notify_one();
     }
 
@@ -118,6 +136,7 @@
             transaction: Transaction::default(),
             progress: Vec::new(),
             roster: None,
+            closed: Vec::new(),
             forgotten: Vec::new(),
         };
         batch
@@ -140,20 +159,32 @@
             put(ROSTER_KEY.to_owned(), encode(&rows));
             batch.roster = Some(roster.iter().map(|(key, _, _)| *key).collect());
         }
-        let room = MAX_VALUES - usize::from(batch.roster.is_some());
+        let mut room = (MAX_TRANSACTION_ENTRIES - 1) / VALUE_ENTRIES;
+        room -= usize::from(batch.roster.is_some());
+        for (incarnation, record) in pending.closed.iter().take(room) {
+            if let Some(record) = record {
+                put(closed_key(incarnation), encode(record));
+            }
+            batch.closed.push((incarnation.clone(), record.clone()));
+        }
+        room -= batch.closed.len();
         for (&job, (change, record)) in pending.progress.iter().take(room) {
             put(progress_key(job), encode(record));
             batch.progress.push((job, *change));
         }
+        let gone = batch.closed.iter().filter(|(_, record)| record.is_none());
+        let gone = gone.map(|(incarnation, _)| closed_key(incarnation));
+        batch.transaction.removed.extend(gone);
         // Nobody waits for what is forgotten: it takes the room that is left.
         let transaction = &mut batch.transaction;
-        let entries = transaction.expected.len() + transaction.puts.len();
+        let entries =
+            transaction.expected.len() + transaction.puts.len() + transaction.removed.len();
         let room = MAX_TRANSACTION_ENTRIES.saturating_sub(entries) / REMOVED_KEYS;
         for &job in pending.forgotten.iter().take(room) {
             batch.forgotten.push(job);
             transaction.removed.extend(keys_of(job));
         }
-        let empty = batch.transaction.puts.is_empty() && batch.forgotten.is_empty();
+        let empty = batch.transaction.puts.is_empty() && batch.transaction.removed.is_empty();
         (!empty).then_some(batch)
     }
 
@@ -178,6 +209,14 @@
                 pending.roster = None;
             }
         }
+        for (incarnation, record) in &batch.closed {
+            if record.is_none() {
+                pending.revisions.remove(&closed_key(incarnation));
+            }
+            if pending.closed.get(incarnation) == Some(record) {
+                pending.closed.remove(incarnation);
+            }
+        }
         for &job in &batch.forgotten {
             pending.forgotten.retain(|&other| other != job);
             for key in keys_of(job) {
@@ -224,6 +263,15 @@
                 for (job, change) in batch.progress {
                     node.control.take(epoch, Input::Stored { job, change });
                 }
+                for (incarnation, record) in batch.closed {
+                    if let Some(closed) = record.map(|record| record.closed) {
+                        let input = Input::ClosedStored {
+                            incarnation,
+                            closed,
+                        };
+                        node.control.take(epoch, input);
+                    }
+                }
                 for job in batch.forgotten {
                     node.control.take(epoch, Input::Forgotten(job));
                 }
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -121,6 +121,9 @@
     fn flush(&self) {}
 }
 
+/// Workers that one line names; more are only counted.
+const NAMED_WORKERS: usize = 8;
+
 /// What is logged of a client's request.
 pub struct RequestLine<'a> {
     /// Its method.
@@ -217,6 +220,23 @@
             *state,
             json!({ "job": job.to_string() }),
         ),
+        Decision::RecoveryOver {
+            waited_ms,
+            groups,
+            unheard,
+        } => {
+            metrics::histogram!("fuchsiaslip_recovery_ms").record(*waited_ms as f64);
+            (
+                events::RECOVERY_OVER,
+                "recovery_over",
+                match unheard.is_empty() {
+                    true => "all_answered",
+                    false => "leases_over",
+                },
+                json!({ "waited_ms": waited_ms, "groups": groups, "unheard": unheard.len(),
+                    "workers": unheard.iter().take(NAMED_WORKERS).map(|name| &**name).collect::<Vec<_>>() }),
+            )
+        }
         Decision::Quarantined {
             worker,
             for_ms,
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -1,9 +1,14 @@
 //! Taking the fleet over and keeping it.
 
 use super::follow;
-use super::ledger;
+use super::ledger::{
+    self,
+    Changes, //
+};
 use super::node::Node;
 use super::records::{
+    CLOSED_PREFIX,
+    ClosedRecord,
     JOBS_PREFIX,
     JobKeyKind,
     PROGRESS_PREFIX,
@@ -120,10 +125,11 @@
 /// any more, and on a slow store one answer after the other costs a second.
 async fn begin(node: &Rc<Node>, taken: &Taken) -> Result<(), StoreError> {
     let (epoch, began_ms) = (taken.epoch, taken.began_ms);
-    let (jobs, progress, roster, workers) = tokio::try_join!(
+    let (jobs, progress, roster, closed, workers) = tokio::try_join!(
         node.store.range(JOBS_PREFIX, false),
         node.store.range(PROGRESS_PREFIX, false),
         node.store.get(ROSTER_KEY),
+        node.store.range(CLOSED_PREFIX, false),
         node.store.range(WORKERS_PREFIX, false),
     )?;
     node.ledger.clear();
@@ -134,10 +140,7 @@
         node.ledger.note_revision(ROSTER_KEY, item.revision);
         let rows: Vec<RosterRow> = decode(ROSTER_KEY, &item.value).unwrap_or_default();
         roster_count = rows.len();
-        stored.extend(rows.into_iter().map(|row| Input::KnownWorker {
-            incarnation: row.incarnation,
-            address: row.address,
-        }));
+        stored.extend(known_workers(node, rows, &closed));
     }
     stored.extend(worker_inputs(&workers));
     stored.extend(job_inputs(node, &jobs, &progress));
@@ -166,6 +169,34 @@
     Ok(())
 }
 
+/// The workers that earlier owners used, with what is stored of closed ones.
+fn known_workers(node: &Node, rows: Vec<RosterRow>, closed: &Range) -> Vec<Input> {
+    let mut records: HashMap<&str, ClosedRecord> = HashMap::new();
+    for item in &closed.items {
+        node.ledger.note_revision(&item.key, item.revision);
+        let incarnation = item.key.strip_prefix(CLOSED_PREFIX).unwrap_or_default();
+        if let Some(record) = decode(&item.key, &item.value) {
+            records.insert(incarnation, record);
+        }
+    }
+    let mut inputs = Vec::with_capacity(rows.len());
+    for row in rows {
+        let record = records.remove(row.incarnation.as_str());
+        inputs.push(Input::KnownWorker {
+            closed_with: record.and_then(|record| record.closed_with()),
+            incarnation: row.incarnation,
+            address: row.address,
+        });
+    }
+    // What is left names workers that are gone.
+    let left = records.into_keys().map(|key| (key.to_owned(), None));
+    node.ledger.add(Changes {
+        closed: left.collect(),
+        ..Changes::default()
+    });
+    inputs
+}
+
 /// The registrations of workers as news.
 pub fn worker_inputs(workers: &Range) -> Vec<Input> {
     let rows = workers.items.iter();
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -1,6 +1,7 @@
 //! Keys and values that the product keeps in the store.
 
 use crate::core::JobId;
+use crate::scheduler::RunName;
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{
@@ -18,6 +19,8 @@
 pub const PROGRESS_PREFIX: &str = "progress/";
 /// Daemons, each under a lease.
 pub const MEMBERS_PREFIX: &str = "members/";
+/// Workers that owners closed, written by the owner.
+pub const CLOSED_PREFIX: &str = "closed/";
 const CANCELLED_SUFFIX: &str = "/cancelled";
 
 /// The value of the root.
@@ -42,6 +45,36 @@
     pub address: String,
 }
 
+/// Whether a worker gets no more starts.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ClosedRecord {
+    /// It gets none. A record that says no takes the place of one that says
+    /// yes: a late write of that one then no longer meets its condition.
+    pub closed: bool,
+    /// Tasks and the numbers of their runs that may be there.
+    pub runs: Vec<(String, u64)>,
+}
+
+impl ClosedRecord {
+    /// The record of a worker with these runs.
+    pub fn of(closed: bool, runs: &[RunName]) -> Self {
+        let rows = runs.iter().map(|name| (name.task.to_string(), name.run));
+        Self {
+            closed,
+            runs: rows.collect(),
+        }
+    }
+
+    /// The runs, if the worker is closed and all of them read.
+    pub fn closed_with(&self) -> Option<Vec<RunName>> {
+        let rows = self.runs.iter().map(|(task, run)| {
+            let task = task.parse().ok()?;
+            Some(RunName { task, run: *run })
+        });
+        rows.collect::<Option<_>>().filter(|_| self.closed)
+    }
+}
+
 /// A daemon as it registers itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct MemberRecord {
@@ -85,6 +118,11 @@
     value.map(JobId)
 }
 
+/// The key of a closed worker.
+pub fn closed_key(incarnation: &str) -> String {
+    format!("{CLOSED_PREFIX}{incarnation}")
+}
+
 /// Reads a key under [`JOBS_PREFIX`].
 pub fn read_job_key(key: &str) -> Option<JobKeyKind> {
     let name = key.strip_prefix(JOBS_PREFIX)?;
--- a/src/events.rs
+++ b/src/events.rs
@@ -56,6 +56,8 @@
     LEDGER_DAMAGED = 204, Error, "a ledger value cannot be read; no owner starts", "run `fuchsiaslip ledger check` and restore the value named there";
     /// A stored value cannot be read.
     RECORD_UNREADABLE = 205, Error, "a value in the store cannot be read and is passed over", "look at the key named; an older version may have written it";
+    /// A new owner knows what runs.
+    RECOVERY_OVER = 206, Info, "this owner knows what earlier owners' orders left running; stored work starts", "if it waited for seconds, look at the workers that did not answer";
     /// The store answers again.
     STORE_BACK = 210, Info, "the key-value service answers again", "none";
     /// The store does not answer.
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -81,6 +81,11 @@
     },
     /// Store the roster of workers before any of the new ones is used.
     StoreRoster,
+    /// Store whether a worker gets no more starts, and what may run there.
+    StoreClosed {
+        /// The worker.
+        worker: WorkerKey,
+    },
     /// Forget what is stored of a job.
     Forget {
         /// The job.
@@ -146,6 +151,15 @@
         /// How.
         state: &'static str,
     },
+    /// A new owner knows, or need not know any more, what runs where.
+    RecoveryOver {
+        /// How long stored work waited for it.
+        waited_ms: u64,
+        /// Steps that waited.
+        groups: usize,
+        /// Workers that did not answer in all that time.
+        unheard: Vec<Arc<str>>,
+    },
     /// A worker gets no work for a while.
     Quarantined {
         /// The worker's incarnation.
--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -7,19 +7,25 @@
 //! until every worker of the roster has answered, tasks of jobs that the
 //! earlier owner knew are not started anew: they could run twice.
 //!
+//! What runs on a worker that an earlier owner closed is stored, so only those
+//! tasks wait for it.
+//!
 //! An earlier owner whose process has ended gives no more leases. One that is
 //! cut off learns of no new jobs, and one that is not hears of its successor
 //! within a heartbeat or two; so jobs that become known later than that are
 //! started at once.
 
+use super::action::Decision;
 use super::state::Scheduler;
 use super::worker::{
     CLOCK_DRIFT_PERMILLE,
+    Closing,
     Contact, //
 };
 use super::{
     GroupKey,
-    TaskState, //
+    TaskState,
+    Worker, //
 };
 use crate::core::WorkerKey;
 
@@ -42,7 +48,8 @@
             false => self.tuning.authority_ms,
         };
         let wait_ms = authority_ms + lease_ms + lease_ms * CLOCK_DRIFT_PERMILLE / 1_000;
-        self.blind_until_ms = Some(self.began_ms + wait_ms + MARGIN_MS);
+        self.earlier_leases_over_ms = self.began_ms + wait_ms + MARGIN_MS;
+        self.blind_until_ms = Some(self.earlier_leases_over_ms);
         for group in self.groups.values_mut() {
             group.blind = true;
         }
@@ -70,12 +77,19 @@
         let unheard = self
             .workers
             .iter()
-            .any(|worker| worker.on_roster && worker.contact == Contact::Unfenced);
-        if unheard && self.now_ms < until_ms {
+            .filter(|worker| worker.on_roster && worker.contact == Contact::Unfenced)
+            .filter(|worker| worker.closing != Closing::Closed);
+        let unheard: Vec<_> = unheard.map(Worker::incarnation).collect();
+        if !unheard.is_empty() && self.now_ms < until_ms {
             return;
         }
         self.blind_until_ms = None;
         self.changed = true;
+        self.decided(Decision::RecoveryOver {
+            waited_ms: self.now_ms - self.began_ms,
+            groups: self.groups.values().filter(|group| group.blind).count(),
+            unheard,
+        });
         let keys: Vec<GroupKey> = self.groups.keys().copied().collect();
         for key in keys {
             self.end_blindness(key);
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -28,6 +28,7 @@
             kind: row.kind.name(),
         });
         self.keep_end_checkpoint(&row);
+        self.drop_older_claims(row.name);
         let change = match row.kind {
             EndKind::Done => self.take_done(key, row.name),
             EndKind::Failed => self.take_failed(key, row.name),
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -95,6 +95,7 @@
     fn take_running(&mut self, key: WorkerKey, row: RunningRow) {
         let now_ms = self.now_ms;
         self.keep_checkpoint(&row);
+        self.drop_claim(key, row.name);
         let worker = self.worker_mut(key);
         let Some(run) = worker.runs.get_mut(&row.name) else {
             self.adopt(key, &row);
@@ -142,9 +143,10 @@
     /// no place any more.
     fn adopt(&mut self, key: WorkerKey, row: &RunningRow) {
         let now_ms = self.now_ms;
+        self.drop_older_claims(row.name);
         let group_key = GroupKey::of(row.name.task);
         let index = row.name.task.index;
-        let (mut fits, mut run) = (false, stray(now_ms, group_key));
+        let (mut fits, mut run) = (false, Run::found(now_ms, group_key));
         // What it takes is not known: nothing else goes there meanwhile.
         run.room = self.worker(key).info.capacity;
         if let Some(group) = self.groups.get_mut(&group_key) {
@@ -219,27 +221,3 @@
         }
     }
 }
-
-/// A run found on a worker.
-fn stray(now_ms: u64, group: GroupKey) -> Run {
-    Run {
-        group,
-        room: Default::default(),
-        phase: RunPhase::Running,
-        ordered_ms: now_ms,
-        sends: 1,
-        in_flight: false,
-        resend_ms: now_ms,
-        conclusive_ms: Some(now_ms),
-        percent: 0,
-        advanced_ms: now_ms,
-        paced_ms: 0,
-        usage: None,
-        pace_percent: u32::MAX,
-        pace_in_flight: false,
-        fills: false,
-        serves: false,
-        long_running: false,
-        priority: u32::MAX,
-    }
-}
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -174,6 +174,9 @@
         incarnation: String,
         /// Where it was called.
         address: String,
+        /// Runs that may be there, if the store says that it got no more
+        /// starts.
+        closed_with: Option<Vec<RunName>>,
     },
     /// The worker's entry is gone.
     WorkerUnlisted(String),
@@ -236,6 +239,13 @@
         /// Approved workers with their tickets; `None` when nobody answered.
         approved: Option<Vec<(String, Arc<str>)>>,
     },
+    /// It is durable whether a worker gets no more starts.
+    ClosedStored {
+        /// The worker's incarnation.
+        incarnation: String,
+        /// Whether it is closed.
+        closed: bool,
+    },
     /// The progress of a job up to this change is durable.
     Stored {
         /// The job.
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -1,16 +1,24 @@
 //! A job and its way through its occurrences.
 
+use super::action::{
+    Decision,
+    StopReason, //
+};
 use super::progress::{
     FinalState,
     GroupProgress, //
 };
 use super::state::Scheduler;
 use super::{
-    Action, Group, GroupKey, JobRecord, ProgressRecord, StepSpec, Task, TaskState,
-    action::{
-        Decision,
-        StopReason, //
-    },
+    Action,
+    Group,
+    GroupKey,
+    JobRecord,
+    ProgressRecord,
+    RunPhase,
+    StepSpec,
+    Task,
+    TaskState, //
 };
 use crate::core::JobId;
 use std::sync::Arc;
@@ -243,26 +251,31 @@
         let found: Vec<_> = self
             .workers
             .iter()
-            .flat_map(|worker| worker.runs.keys().map(|name| (worker.key, *name)))
-            .filter(|(_, name)| GroupKey::of(name.task) == key)
+            .flat_map(|worker| {
+                let runs = worker.runs.iter();
+                runs.map(|(name, run)| (worker.key, *name, run.phase != RunPhase::Unseen))
+            })
+            .filter(|(_, name, _)| GroupKey::of(name.task) == key)
             .collect();
         let Some(group) = self.groups.get_mut(&key) else {
             return;
         };
-        for (worker, name) in found {
+        for (worker, name, seen) in found {
             let index = name.task.index;
             let Some(task) = group.tasks.get_mut(index as usize) else {
                 continue;
             };
+            let over = !seen && name.run < task.last_run;
             task.last_run = task.last_run.max(name.run);
-            if task.state != TaskState::Waiting {
+            if over || task.state != TaskState::Waiting {
                 continue;
             }
             let run = name.run;
             group.set_state(index, TaskState::Placed { worker, run });
             if group.step.gang {
                 group.gang_run = Some(run);
-                group.gang_ending = true;
+                // What was seen is being stopped; what was not may go on.
+                group.gang_ending |= seen;
             }
         }
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod blind;
+mod closing;
 mod configuration;
 mod ends;
 mod evidence;
@@ -81,6 +82,7 @@
     Tuning, //
 };
 pub use worker::{
+    Closing,
     Run,
     RunPhase,
     Worker, //
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -5,7 +5,10 @@
     Decision,
     StopReason, //
 };
-use super::worker::Contact;
+use super::worker::{
+    Closing,
+    Contact, //
+};
 use super::{
     ClusterConfiguration,
     GraphJob,
@@ -122,6 +125,8 @@
     pub(super) recovered: bool,
     /// Until then earlier owners' starts may run where this one cannot look.
     pub(super) blind_until_ms: Option<u64>,
+    /// From then on nothing runs that an earlier owner gave a lease to.
+    pub(super) earlier_leases_over_ms: u64,
     /// The process of the earlier owner has certainly ended.
     pub(super) earlier_owner_over: bool,
     pub(super) configuration: Arc<ClusterConfiguration>,
@@ -160,6 +165,7 @@
             confirmed_ms: now_ms,
             recovered: false,
             blind_until_ms: None,
+            earlier_leases_over_ms: 0,
             earlier_owner_over: false,
             configuration: Arc::default(),
             terms: HashMap::new(),
@@ -202,7 +208,8 @@
             Input::KnownWorker {
                 incarnation,
                 address,
-            } => self.take_known_worker(incarnation, address),
+                closed_with,
+            } => self.take_known_worker(incarnation, address, closed_with),
             Input::WorkerUnlisted(name) => self.worker_unlisted(&name),
             Input::Recovered { earlier_owner_over } => self.begin_recovery(earlier_owner_over),
             Input::RosterStored(workers) => self.roster_stored(&workers),
@@ -232,6 +239,10 @@
                 asked,
                 approved,
             } => self.advised(step, &asked, approved),
+            Input::ClosedStored {
+                incarnation,
+                closed,
+            } => self.closed_stored(&incarnation, closed),
             Input::Stored { job, change } => self.stored(job, change),
             Input::Forgotten(job) => {
                 self.leaving_jobs.insert(job, Some(self.now_ms));
@@ -461,7 +472,12 @@
         Some(key)
     }
 
-    fn take_known_worker(&mut self, incarnation: String, address: String) {
+    fn take_known_worker(
+        &mut self,
+        incarnation: String,
+        address: String,
+        closed_with: Option<Vec<RunName>>,
+    ) {
         let known = self.worker_index.get(&incarnation).copied();
         let key = known.unwrap_or_else(|| {
             self.add_worker(WorkerInfo {
@@ -471,6 +487,9 @@
             })
         });
         self.worker_mut(key).on_roster = true;
+        if let Some(runs) = closed_with {
+            self.take_closed(key, runs);
+        }
     }
 
     fn worker_unlisted(&mut self, name: &str) {
@@ -507,6 +526,7 @@
             self.review_lapse(key);
             self.review_runs(key);
             self.review_leaving(key);
+            self.review_closing(key);
             self.look_if_due(key);
         }
         self.review_evidence();
@@ -542,7 +562,7 @@
         // Nothing runs where this owner has looked, and where all that it
         // ordered since has ended.
         let empty = worker.contact == Contact::Silent && worker.runs.is_empty();
-        let never_used = worker.clock.is_none() && self.blind_until_ms.is_none();
+        let never_used = worker.clock.is_none() && now_ms >= self.earlier_leases_over_ms;
         let lapsed_ms = match empty || never_used {
             true => Some(0),
             false => worker.lapsed_at_ms(),
@@ -640,6 +660,10 @@
     /// Whatever ran on a worker is lost.
     fn lose_runs(&mut self, key: WorkerKey, reason: &'static str) {
         let names: Vec<RunName> = self.worker(key).runs.keys().copied().collect();
+        if self.worker(key).closing != Closing::Open {
+            // The store named these runs.
+            self.actions.push(Action::StoreClosed { worker: key });
+        }
         let worker = self.worker(key).incarnation();
         self.decided(Decision::WorkerLost {
             worker,
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -31,6 +31,9 @@
 /// Where a run stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
+    /// An earlier owner noted that it may be there; the worker has not been
+    /// heard since.
+    Unseen,
     /// Ordered; the worker has not confirmed it.
     Starting,
     /// On the worker.
@@ -96,6 +99,45 @@
     Gone,
 }
 
+/// Whether the store says that a worker gets no more starts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Closing {
+    /// It says nothing: starts may go there.
+    Open,
+    /// It is being told so.
+    Closing,
+    /// It says so.
+    Closed,
+    /// It is being told that starts may go there again.
+    Opening,
+}
+
+impl Run {
+    /// A run found on a worker, or noted by an earlier owner.
+    pub(super) fn found(now_ms: u64, group: GroupKey) -> Self {
+        Self {
+            group,
+            room: Resources::default(),
+            phase: RunPhase::Running,
+            ordered_ms: now_ms,
+            sends: 1,
+            in_flight: false,
+            resend_ms: now_ms,
+            conclusive_ms: Some(now_ms),
+            percent: 0,
+            advanced_ms: now_ms,
+            paced_ms: 0,
+            usage: None,
+            pace_percent: u32::MAX,
+            pace_in_flight: false,
+            fills: false,
+            serves: false,
+            long_running: false,
+            priority: u32::MAX,
+        }
+    }
+}
+
 /// A worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -109,6 +151,8 @@
     pub listed: bool,
     /// The roster in the store names it.
     pub on_roster: bool,
+    /// Whether the store says that it gets no more starts.
+    pub closing: Closing,
     /// How well it is known.
     pub contact: Contact,
     /// Its clock and when that was read.
@@ -158,6 +202,7 @@
             draining_since_ms: None,
             listed: false,
             on_roster: false,
+            closing: Closing::Open,
             contact: Contact::Unfenced,
             clock: None,
             lease_end_ms: 0,
@@ -213,6 +258,7 @@
         self.contact == Contact::Answering
             && self.listed
             && self.on_roster
+            && self.closing == Closing::Open
             && !self.info.draining
             && self.failed_looks == 0
             && self.clock.is_some()
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -9,7 +9,8 @@
     configuration,
     queue,
     record,
-    step, //
+    step,
+    worker_info, //
 };
 use fuchsiaslip::core::JobId;
 use fuchsiaslip::scheduler::{
@@ -23,7 +24,8 @@
     Sizes,
     StepSpec,
     TaskId,
-    Tuning, //
+    Tuning,
+    WorkerInfo, //
 };
 use std::sync::Arc;
 
@@ -733,3 +735,114 @@
     assert_eq!(looks(&fleet), before + 1, "one look tells that it is");
     assert_eq!(fleet.highest_last_seen["w0"], 1);
 }
+
+/// A worker left, and seconds later all daemons were killed. The next owner
+/// could not reach that worker, and all stored work waited 7.3 s for the leases
+/// of the two tasks that might have run there.
+#[test]
+fn a_worker_that_left_holds_up_only_its_own_tasks() {
+    let mut fleet = Fleet::with_workers(2);
+    let first = (JobId(1), record("plain", vec![step(1, 8)]));
+    fleet.submit(1, first.1.clone());
+    fleet.advance(50);
+    let (leaving, run) = fleet.running()[0].clone();
+    let info = WorkerInfo {
+        draining: true,
+        remaining_ms: Some(60_000),
+        ..worker_info(&leaving, "r1")
+    };
+    fleet.tell(Input::Worker(info));
+    fleet.advance(200);
+    assert_eq!(fleet.closed[&leaving], Some(vec![run]), "stored in time");
+    fleet.silent.push(leaving.clone());
+    fleet.advance(300);
+
+    let second = (JobId(2), record("plain", vec![step(1, 8)]));
+    let mut next = fleet.next_owner(2, &[first, second], true);
+    next.advance(200);
+    let started: Vec<JobId> = next.starts.iter().map(|start| start.0.task.job).collect();
+    assert_eq!(started, [JobId(2)], "the other job starts at once");
+
+    next.end_all(JobId(2), EndKind::Done);
+    next.advance(6_500);
+    assert_eq!(next.starts.len(), 1, "a lease may still hold there");
+    next.advance(1_000);
+    assert_eq!(next.starts.len(), 2, "and is over now");
+}
+
+/// The store still named a run on a worker that was out of reach, though its
+/// task had been started anew elsewhere when the lease was over. The next owner
+/// held the new run for a stray one and stopped it.
+#[test]
+fn a_run_with_a_higher_number_ends_what_is_noted_of_a_lower_one() {
+    let mut fleet = Fleet::with_workers(2);
+    let job = (JobId(1), record("plain", vec![step(1, 8)]));
+    fleet.submit(1, job.1.clone());
+    fleet.advance(50);
+    let (worker, run) = fleet.running()[0].clone();
+    let other = if worker == "w0" { "w1" } else { "w0" };
+    fleet.closed.insert(worker.clone(), Some(vec![run]));
+    fleet.silent.push(worker);
+    let newer = RunName {
+        run: run.run + 1,
+        ..run
+    };
+    let fake = fleet.workers.get_mut(other).unwrap();
+    fake.running.insert(newer, 0);
+
+    let mut next = fleet.next_owner(2, &[job], true);
+    next.advance(500);
+
+    assert!(next.stops.is_empty(), "{:?}", next.stops);
+    assert!(next.starts.is_empty(), "{:?}", next.starts);
+}
+
+/// A worker that the store says gets no starts is not looked for by the next
+/// owner: a start that went there before that was taken back could run unseen.
+#[test]
+fn a_closed_worker_gets_work_again_only_once_that_is_stored() {
+    let mut fleet = Fleet::with_workers(1);
+    fleet.silent.push("w0".to_owned());
+    fleet.advance(1_500);
+    assert_eq!(fleet.closed["w0"], Some(Vec::new()), "it is closed");
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.silent.clear();
+    fleet.store_answers = false;
+    fleet.advance(1_000);
+    assert!(fleet.starts.is_empty(), "not while the store says so");
+
+    fleet.tell(Input::ClosedStored {
+        incarnation: "w0".to_owned(),
+        closed: false,
+    });
+    fleet.advance(50);
+    assert_eq!(fleet.starts.len(), 1);
+}
+
+/// Tasks were moved off a worker that was leaving and were done elsewhere, but
+/// the store still named their first runs on it. The next owner took the listed
+/// ends for those of runs that no longer counted, and the tasks ran again.
+#[test]
+fn a_done_end_counts_whatever_is_noted_of_earlier_runs() {
+    let mut fleet = Fleet::with_workers(2);
+    let job = (JobId(1), record("plain", vec![step(1, 8)]));
+    fleet.submit(1, job.1.clone());
+    fleet.advance(50);
+    let (worker, run) = fleet.running()[0].clone();
+    let other = if worker == "w0" { "w1" } else { "w0" };
+    fleet.closed.insert(worker.clone(), Some(vec![run]));
+    fleet.silent.push(worker);
+    let newer = RunName {
+        run: run.run + 1,
+        ..run
+    };
+    let fake = fleet.workers.get_mut(other).unwrap();
+    fake.running.insert(newer, 0);
+    fake.end(newer, EndKind::Done);
+
+    let mut next = fleet.next_owner(2, &[job], true);
+    next.advance(8_000);
+
+    assert!(next.starts.is_empty(), "{:?}", next.starts);
+    assert_eq!(next.scheduler.job_view(JobId(1)), Some(JobView::Completed));
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -77,6 +77,8 @@
     /// Whether stores are carried out at once.
     pub store_answers: bool,
     pub stored: HashMap<JobId, (u64, ProgressRecord)>,
+    /// Closed workers with what may run there.
+    pub closed: HashMap<String, Option<Vec<RunName>>>,
     /// Everything that was decided, newest last.
     pub actions: Vec<Action>,
     /// Every start with the worker's name and the time.
@@ -194,6 +196,7 @@
             next.tell(Input::KnownWorker {
                 incarnation: name.clone(),
                 address: format!("{name}:1"),
+                closed_with: self.closed.get(name).cloned().flatten(),
             });
             next.tell(Input::Worker(worker_info(name, "r1")));
         }
@@ -217,6 +220,7 @@
             stops_take_effect: true,
             store_answers: true,
             stored: HashMap::new(),
+            closed: HashMap::new(),
             actions: Vec::new(),
             starts: Vec::new(),
             stops: Vec::new(),
@@ -350,6 +354,18 @@
                     self.tell(Input::Stored { job, change });
                 }
             }
+            Action::StoreClosed { worker } if self.store_answers => {
+                let row = self.scheduler.closed_row(worker);
+                let info = &self.scheduler.workers()[worker.index()].info;
+                let incarnation = info.incarnation.clone();
+                let closed = row.as_ref().is_some_and(|(closed, _)| *closed);
+                let runs = row.and_then(|(closed, runs)| closed.then_some(runs));
+                self.closed.insert(incarnation.clone(), runs);
+                self.tell(Input::ClosedStored {
+                    incarnation,
+                    closed,
+                });
+            }
             Action::Forget { job } if self.store_answers => {
                 self.stored.remove(&job);
                 self.tell(Input::Forgotten(job));
