--- a/src/backend/http.rs
+++ b/src/backend/http.rs
@@ -26,6 +26,7 @@
 };
 use crate::core::AttemptId;
 use crate::timer::Timer;
+use crate::unsent::was_never_sent;
 use awc::http::StatusCode;
 use awc::{
     Client,
@@ -227,9 +228,9 @@
         };
         // A connection that could not be opened carried nothing; any other
         // failure leaves open whether the call took effect.
-        let mut response = sent.map_err(|error| match error {
-            awc::error::SendRequestError::Connect(_) => StoreFailure::Unavailable,
-            _ => StoreFailure::Timeout,
+        let mut response = sent.map_err(|error| match was_never_sent(&error) {
+            true => StoreFailure::Unavailable,
+            false => StoreFailure::Timeout,
         })?;
         let version = version_of(&response);
         let status = response.status();
--- a/src/cluster/calls.rs
+++ b/src/cluster/calls.rs
@@ -11,7 +11,8 @@
     Callee,
     GroupKey,
     Input,
-    RunName, //
+    RunName,
+    UpkeepOutcome, //
 };
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,6 +30,7 @@
 fn carry_out(node: &Rc<Node>, output: Output) {
     let epoch = output.epoch;
     let mut forgotten: Vec<JobId> = Vec::new();
+    let mut waves = Vec::new();
     for action in output.actions {
         match action {
             Action::Hold {
@@ -77,6 +79,13 @@
             Action::Advise { step, workers } => {
                 actix_rt::spawn(advise(node.clone(), epoch, step, workers));
             }
+            Action::ListMachines => {
+                actix_rt::spawn(list_machines(node.clone(), epoch));
+            }
+            Action::BeginUpkeep { wave, machine } => {
+                actix_rt::spawn(begin_upkeep(node.clone(), epoch, wave, machine));
+            }
+            Action::StoreWave { wave, completed } => waves.push((wave, completed)),
             Action::Forget { job } => forgotten.push(job),
             Action::Deposed => {
                 node.stop_owning();
@@ -91,6 +100,7 @@
         roster: output.roster,
         closed: output.closed,
         forgotten,
+        waves,
     });
 }
 
@@ -186,6 +196,34 @@
     node.control.take(epoch, input);
 }
 
+/// Reads the list of machines. An installation that shows none has no waves,
+/// so this is asked only where the settings lack the address.
+async fn list_machines(node: Rc<Node>, epoch: u64) {
+    let sent_ms = node.now_ms();
+    let machines = match &node.machines {
+        Some(machines) => machines.list().await.ok(),
+        None => None,
+    };
+    if machines.is_none() {
+        metrics::counter!("fuchsiaslip_retries_total", "reason" => "machines_unread").increment(1);
+    }
+    let input = Input::Machines { sent_ms, machines };
+    node.control.take(epoch, input);
+}
+
+async fn begin_upkeep(node: Rc<Node>, epoch: u64, wave: u64, machine: String) {
+    let outcome = match &node.machines {
+        Some(machines) => machines.begin_upkeep(wave, &machine, epoch).await,
+        None => UpkeepOutcome::Limited,
+    };
+    let input = Input::UpkeepOver {
+        wave,
+        machine,
+        outcome,
+    };
+    node.control.take(epoch, input);
+}
+
 fn note_order(node: &Node, order: &'static str, sent_ms: u64, outcome: CallOutcome) {
     let outcome = match outcome {
         CallOutcome::Done => "done",
--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -14,6 +14,7 @@
 use crate::platform::{
     BOOT_VARIABLE,
     HttpClient,
+    MachineClient,
     SettingsError,
     StoreClient,
     WorkerClient,
@@ -158,7 +159,11 @@
         let control = Control::spawn(timer.clone(), outputs)?;
         let http = HttpClient::open(timer.clone());
         let store = StoreClient::open(http.clone(), &settings.store_address);
-        let workers = WorkerClient::open(http);
+        let workers = WorkerClient::open(http.clone());
+        let machines = settings
+            .machines_address
+            .as_ref()
+            .map(|address| MachineClient::open(http, address, &settings.daemon));
         let boot = rand::random();
         let clients = listen(settings.client_address).await?;
         let questions = listen(settings.readiness_address).await?;
@@ -169,7 +174,7 @@
             address: settings.peer_address,
             source,
         })?);
-        let node = Node::open(settings, timer, store, workers, control, boot);
+        let node = Node::open(settings, timer, store, workers, machines, control, boot);
         actix_rt::spawn(calls::run(node.clone(), decided));
         actix_rt::spawn(follow::configuration(node.clone()));
         actix_rt::spawn(follow::members(node.clone()));
--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -6,6 +6,7 @@
     Peer, //
 };
 use super::ownership::{
+    wave_order,
     worker_input,
     worker_inputs, //
 };
@@ -31,6 +32,8 @@
 use crate::events;
 use crate::platform::{
     CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    WAVES_PREFIX,
     WORKERS_PREFIX,
     decode_configuration, //
 };
@@ -82,16 +85,27 @@
 async fn watch_configuration(node: &Node, revision: u64) -> Result<Option<u64>, StoreError> {
     let watched = node
         .store
-        .watch(CONFIGURATION_KEY, revision, WATCH_WAIT_MS)
+        .watch(OPERATOR_PREFIX, revision, WATCH_WAIT_MS)
         .await?;
     match watched {
-        Watched::HistoryGone => Ok(None),
+        Watched::HistoryGone => {
+            if node.owns() {
+                let waves = node.store.range(WAVES_PREFIX, false).await?;
+                for item in &waves.items {
+                    take_wave(node, &item.key, &item.value);
+                }
+            }
+            Ok(None)
+        }
         Watched::Changes { events, revision } => {
             for event in events {
-                if let StoreEvent::Put(item) = event
-                    && item.key == CONFIGURATION_KEY
-                {
+                let StoreEvent::Put(item) = event else {
+                    continue;
+                };
+                if item.key == CONFIGURATION_KEY {
                     take_configuration(node, &item.value);
+                } else if item.key.starts_with(WAVES_PREFIX) {
+                    take_wave(node, &item.key, &item.value);
                 }
             }
             node.configuration_checked();
@@ -100,6 +114,17 @@
     }
 }
 
+/// A wave matters to the owner; another daemon reads all of them if it takes
+/// over.
+fn take_wave(node: &Node, key: &str, value: &[u8]) {
+    if !node.owns() {
+        return;
+    }
+    if let Some(order) = wave_order(key, value) {
+        node.control.take(node.epoch(), Input::Wave(order));
+    }
+}
+
 fn take_configuration(node: &Node, value: &[u8]) {
     match decode_configuration(value) {
         Ok(configuration) => node.configure(configuration),
--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -29,6 +29,10 @@
     JobId,
     WorkerKey, //
 };
+use crate::platform::{
+    WAVE_STATES_PREFIX,
+    encode_wave_state, //
+};
 use crate::scheduler::{
     Input,
     ProgressRecord, //
@@ -61,6 +65,8 @@
     /// Workers by incarnation, with whether they get no more starts; `None`
     /// for workers that are gone.
     pub closed: Vec<(String, Option<ClosedRecord>)>,
+    /// Waves of upkeep, with whether they are completed.
+    pub waves: Vec<(u64, bool)>,
     /// Jobs of which nothing is to be kept.
     pub forgotten: Vec<JobId>,
 }
@@ -68,6 +74,11 @@
 /// Values that a job has in the store.
 const REMOVED_KEYS: usize = 3;
 
+/// Where the operator reads how far a wave is.
+pub fn wave_state_key(wave: u64) -> String {
+    format!("{WAVE_STATES_PREFIX}{wave}")
+}
+
 /// The keys of a job's values.
 fn keys_of(job: JobId) -> [String; REMOVED_KEYS] {
     [job_key(job), progress_key(job), cancelled_key(job)]
@@ -78,6 +89,7 @@
     progress: BTreeMap<JobId, (u64, ProgressRecord)>,
     roster: Option<Vec<(WorkerKey, String, String)>>,
     closed: BTreeMap<String, Option<ClosedRecord>>,
+    waves: BTreeMap<u64, bool>,
     forgotten: Vec<JobId>,
     revisions: HashMap<String, u64>,
 }
@@ -95,6 +107,7 @@
     progress: Vec<(JobId, u64)>,
     roster: Option<Vec<WorkerKey>>,
     closed: Vec<(String, Option<ClosedRecord>)>,
+    waves: Vec<(u64, bool)>,
     forgotten: Vec<JobId>,
 }
 
@@ -116,6 +129,7 @@
         let empty = changes.progress.is_empty()
             && changes.roster.is_none()
             && changes.closed.is_empty()
+            && changes.waves.is_empty()
             && changes.forgotten.is_empty();
         if empty {
             return;
@@ -126,6 +140,7 @@
         }
         pending.roster = changes.roster.or(pending.roster.take());
         pending.closed.extend(changes.closed);
+        pending.waves.extend(changes.waves);
         pending.forgotten.extend(changes.forgotten);
         self.added.notify_one();
     }
@@ -137,6 +152,7 @@
             progress: Vec::new(),
             roster: None,
             closed: Vec::new(),
+            waves: Vec::new(),
             forgotten: Vec::new(),
         };
         batch
@@ -168,6 +184,11 @@
             batch.closed.push((incarnation.clone(), record.clone()));
         }
         room -= batch.closed.len();
+        for (&wave, &completed) in pending.waves.iter().take(room) {
+            put(wave_state_key(wave), encode_wave_state(completed));
+            batch.waves.push((wave, completed));
+        }
+        room -= batch.waves.len();
         for (&job, (change, record)) in pending.progress.iter().take(room) {
             put(progress_key(job), encode(record));
             batch.progress.push((job, *change));
@@ -217,6 +238,11 @@
                 pending.closed.remove(incarnation);
             }
         }
+        for (wave, completed) in &batch.waves {
+            if pending.waves.get(wave) == Some(completed) {
+                pending.waves.remove(wave);
+            }
+        }
         for &job in &batch.forgotten {
             pending.forgotten.retain(|&other| other != job);
             for key in keys_of(job) {
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -1,6 +1,9 @@
 //! Log lines as JSON objects, one a decision, bounded and never blocking.
 
-use crate::scheduler::Decision;
+use crate::scheduler::{
+    Decision,
+    UpkeepOutcome, //
+};
 use log4rs::append::Append;
 use serde_json::{
     Map,
@@ -247,6 +250,23 @@
             *reason,
             json!({ "worker": &**worker, "for_ms": for_ms }),
         ),
+        Decision::Upkeep {
+            wave,
+            machine,
+            outcome,
+        } => (
+            events::UPKEEP_ORDERED,
+            "upkeep",
+            match outcome {
+                UpkeepOutcome::Begun => "begun",
+                UpkeepOutcome::Busy => "busy",
+                UpkeepOutcome::NotOfWave => "not_of_wave",
+                UpkeepOutcome::Fenced => "fenced",
+                UpkeepOutcome::Limited => "limited",
+                UpkeepOutcome::NoAnswer => "no_answer",
+            },
+            json!({ "wave": wave, "machine": &**machine }),
+        ),
         Decision::WorkerLost {
             worker,
             runs,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -14,6 +14,7 @@
 use super::settings::ClusterSettings;
 use crate::events;
 use crate::platform::{
+    MachineClient,
     StoreClient,
     WorkerClient, //
 };
@@ -88,6 +89,8 @@
     pub store: StoreClient,
     /// The workers.
     pub workers: WorkerClient,
+    /// The platform's machines.
+    pub machines: Option<MachineClient>,
     /// The control thread.
     pub control: Control,
     /// Connections to other daemons.
@@ -120,6 +123,7 @@
         timer: Timer,
         store: StoreClient,
         workers: WorkerClient,
+        machines: Option<MachineClient>,
         control: Control,
         boot: u64,
     ) -> Rc<Self> {
@@ -130,6 +134,7 @@
             settings,
             store,
             workers,
+            machines,
             control,
             boot,
             started_ms,
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -29,12 +29,17 @@
 };
 use crate::events;
 use crate::platform::{
+    WAVE_STATES_PREFIX,
+    WAVES_PREFIX,
     WORKERS_PREFIX,
-    decode_worker, //
+    decode_wave,
+    decode_worker,
+    is_wave_completed, //
 };
 use crate::scheduler::{
     Input,
-    ProgressRecord, //
+    ProgressRecord,
+    WaveOrder, //
 };
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -125,12 +130,14 @@
 /// any more, and on a slow store one answer after the other costs a second.
 async fn begin(node: &Rc<Node>, taken: &Taken) -> Result<(), StoreError> {
     let (epoch, began_ms) = (taken.epoch, taken.began_ms);
-    let (jobs, progress, roster, closed, workers) = tokio::try_join!(
+    let (jobs, progress, roster, closed, workers, waves, states) = tokio::try_join!(
         node.store.range(JOBS_PREFIX, false),
         node.store.range(PROGRESS_PREFIX, false),
         node.store.get(ROSTER_KEY),
         node.store.range(CLOSED_PREFIX, false),
         node.store.range(WORKERS_PREFIX, false),
+        node.store.range(WAVES_PREFIX, false),
+        node.store.range(WAVE_STATES_PREFIX, false),
     )?;
     node.ledger.clear();
     node.begin_owning(epoch, taken.root_revision);
@@ -144,6 +151,10 @@
     }
     stored.extend(worker_inputs(&workers));
     stored.extend(job_inputs(node, &jobs, &progress));
+    for item in &states.items {
+        node.ledger.note_revision(&item.key, item.revision);
+    }
+    stored.extend(wave_inputs(&waves, &states));
     stored.push(Input::Confirmed(began_ms));
     stored.push(Input::Recovered {
         earlier_owner_over: taken.earlier_owner_over,
@@ -197,6 +208,30 @@
     inputs
 }
 
+/// The waves of upkeep that are not completed.
+fn wave_inputs(waves: &Range, states: &Range) -> Vec<Input> {
+    let completed: Vec<&str> = states
+        .items
+        .iter()
+        .filter(|item| is_wave_completed(&item.value))
+        .map(|item| item.key.as_str())
+        .collect();
+    let open = waves.items.iter().filter_map(|item| {
+        let order = wave_order(&item.key, &item.value)?;
+        let done = completed.contains(&ledger::wave_state_key(order.number).as_str());
+        (!done).then_some(Input::Wave(order))
+    });
+    open.collect()
+}
+
+/// A wave; one that does not read is logged and passed over.
+pub fn wave_order(key: &str, value: &[u8]) -> Option<WaveOrder> {
+    let order = decode_wave(value);
+    order
+        .inspect_err(|error| events::log(events::RECORD_UNREADABLE, format_args!("{key}: {error}")))
+        .ok()
+}
+
 /// The registrations of workers as news.
 pub fn worker_inputs(workers: &Range) -> Vec<Input> {
     let rows = workers.items.iter();
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -27,6 +27,8 @@
     pub store_address: String,
     /// The policy outside that decides on workers, if there is one.
     pub advice_address: Option<String>,
+    /// The platform's machines, if it shows them.
+    pub machines_address: Option<String>,
     /// Milli-cores of its VM: the strongest daemons own.
     pub strength: u64,
     /// A drain that lasts longer than this is cut by the platform.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod scheduler;
 pub mod standin;
 pub mod timer;
+mod unsent;
 pub mod wire;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,6 +1,7 @@
 //! Calls over HTTP with time-outs of our own.
 
 use crate::timer::Timer;
+use crate::unsent::was_never_sent;
 use awc::Client;
 use awc::http::{
     Method,
@@ -81,9 +82,9 @@
                 }
                 None => request.send().await,
             };
-            sent.map_err(|error| match error {
-                awc::error::SendRequestError::Connect(_) => CallFailure::NotSent,
-                _ => CallFailure::NoAnswer,
+            sent.map_err(|error| match was_never_sent(&error) {
+                true => CallFailure::NotSent,
+                false => CallFailure::NoAnswer,
             })
         };
         let begun = self.timer.limit(limit_ms, sent).await;
--- /dev/null
+++ b/src/platform/machines.rs
@@ -0,0 +1,207 @@
+//! The platform's machines and their upkeep.
+
+use super::http::{
+    CallFailure,
+    HttpClient, //
+};
+use crate::scheduler::{
+    MachineInfo,
+    MachineState,
+    UpkeepOutcome,
+    WaveOrder, //
+};
+use awc::http::{
+    Method,
+    StatusCode, //
+};
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Bound on a call: like the store, the interface answers in milliseconds, and
+/// in some hundreds on a slow day.
+const CALL_LIMIT_MS: u64 = 1_500;
+/// Pages of the list that are read; far more than the largest fleet has.
+const MAX_PAGES: usize = 200;
+const HOLDER_HEADER: &str = "Duty-Holder";
+const EPOCH_HEADER: &str = "Fencing-Token";
+
+#[derive(Deserialize)]
+struct MachineBody {
+    machine: String,
+    #[serde(default)]
+    state: String,
+    #[serde(default)]
+    id: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct PageBody {
+    #[serde(default)]
+    machines: Vec<MachineBody>,
+    #[serde(default)]
+    next_page_token: Option<serde_json::Value>,
+}
+
+#[derive(Serialize)]
+struct UpkeepBody<'a> {
+    machine: &'a str,
+    wave: u64,
+}
+
+#[derive(Default, Deserialize)]
+struct RefusalBody {
+    #[serde(default)]
+    reason: String,
+}
+
+#[derive(Deserialize)]
+struct WaveBody {
+    wave: u64,
+    #[serde(default)]
+    machines: Vec<String>,
+    #[serde(default)]
+    duration_s: f64,
+    #[serde(default)]
+    cap: u32,
+}
+
+#[derive(Serialize, Deserialize)]
+struct WaveStateBody {
+    state: String,
+}
+
+const RUNNING: &str = "running";
+const COMPLETED: &str = "completed";
+
+/// The client of the machines' interface; lives on one thread.
+#[derive(Clone)]
+pub struct MachineClient {
+    http: HttpClient,
+    address: String,
+    holder: String,
+}
+
+impl MachineClient {
+    /// Opens the client; orders are given in the name of `holder`.
+    pub fn open(http: HttpClient, address: &str, holder: &str) -> Self {
+        Self {
+            http,
+            address: address.to_owned(),
+            holder: holder.to_owned(),
+        }
+    }
+
+    /// Reads the whole list.
+    ///
+    /// # Errors
+    ///
+    /// A page did not come or does not read.
+    pub async fn list(&self) -> Result<Vec<MachineInfo>, CallFailure> {
+        let mut machines = Vec::new();
+        let mut token = String::new();
+        for _ in 0..MAX_PAGES {
+            let mut url = format!("http://{}/-/machines", self.address);
+            if !token.is_empty() {
+                let query = serde_urlencoded::to_string([("page_token", &token)]);
+                url = format!("{url}?{}", query.map_err(|_| CallFailure::NotSent)?);
+            }
+            let call = self.http.call(Method::GET, url, &[], None, CALL_LIMIT_MS);
+            let (status, body) = call.await?;
+            let page: Option<PageBody> = serde_json::from_slice(&body).ok();
+            let Some(page) = page.filter(|_| status == StatusCode::OK) else {
+                log::debug!("the list of machines does not read: {status}");
+                return Err(CallFailure::NoAnswer);
+            };
+            machines.extend(page.machines.into_iter().map(machine_of));
+            token = match page.next_page_token {
+                Some(serde_json::Value::String(token)) => token,
+                Some(serde_json::Value::Number(token)) => token.to_string(),
+                _ => return Ok(machines),
+            };
+            if token.is_empty() {
+                return Ok(machines);
+            }
+        }
+        Err(CallFailure::NoAnswer)
+    }
+
+    /// Begins the upkeep of a machine.
+    pub async fn begin_upkeep(&self, wave: u64, machine: &str, epoch: u64) -> UpkeepOutcome {
+        let url = format!("http://{}/-/machine-upkeep", self.address);
+        let epoch = epoch.to_string();
+        let headers = [
+            (HOLDER_HEADER, self.holder.as_str()),
+            (EPOCH_HEADER, epoch.as_str()),
+        ];
+        let body = UpkeepBody { machine, wave };
+        let call = self.http.post(url, &headers, &body, CALL_LIMIT_MS);
+        match call.await {
+            Ok((status, body)) => outcome_of(status, &body),
+            Err(CallFailure::NotSent | CallFailure::NoAnswer) => UpkeepOutcome::NoAnswer,
+        }
+    }
+}
+
+fn machine_of(body: MachineBody) -> MachineInfo {
+    MachineInfo {
+        machine: body.machine,
+        state: match body.state.as_str() {
+            "up" => MachineState::Up,
+            "upkeep" => MachineState::Upkeep,
+            _ => MachineState::Away,
+        },
+        incarnation: body.id.filter(|id| !id.is_empty()),
+    }
+}
+
+fn outcome_of(status: StatusCode, body: &Bytes) -> UpkeepOutcome {
+    match status {
+        StatusCode::OK => UpkeepOutcome::Begun,
+        StatusCode::BAD_REQUEST => UpkeepOutcome::NotOfWave,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => UpkeepOutcome::Limited,
+        StatusCode::CONFLICT => {
+            // An unknown reason is treated like the mildest: look again.
+            let body: RefusalBody = serde_json::from_slice(body).unwrap_or_default();
+            match body.reason.as_str() {
+                "fence" => UpkeepOutcome::Fenced,
+                "wave" => UpkeepOutcome::NotOfWave,
+                _ => UpkeepOutcome::Busy,
+            }
+        }
+        _ => UpkeepOutcome::NoAnswer,
+    }
+}
+
+/// Reads a wave as the operator wrote it.
+///
+/// # Errors
+///
+/// The bytes are no wave.
+pub fn decode_wave(value: &[u8]) -> Result<WaveOrder, serde_json::Error> {
+    let body: WaveBody = serde_json::from_slice(value)?;
+    Ok(WaveOrder {
+        number: body.wave,
+        machines: body.machines,
+        duration_ms: (body.duration_s * 1_000.0) as u64,
+        cap: body.cap,
+    })
+}
+
+/// How far a wave is, as it is written for the operator.
+pub fn encode_wave_state(completed: bool) -> Bytes {
+    let state = if completed { COMPLETED } else { RUNNING };
+    let body = WaveStateBody {
+        state: state.to_owned(),
+    };
+    // A plain struct of a text always encodes.
+    Bytes::from(serde_json::to_vec(&body).unwrap_or_default())
+}
+
+/// Whether what was written says that a wave is completed.
+pub fn is_wave_completed(value: &[u8]) -> bool {
+    let body: Option<WaveStateBody> = serde_json::from_slice(value).ok();
+    body.is_some_and(|body| body.state == COMPLETED)
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,12 +4,16 @@
 mod configuration;
 mod http;
 mod ingress;
+mod machines;
 mod settings;
 mod store;
 mod workers;
 
 pub use configuration::decode_configuration;
-pub use http::HttpClient;
+pub use http::{
+    CallFailure,
+    HttpClient, //
+};
 pub use ingress::{
     READINESS_PATH,
     deadline_header,
@@ -19,6 +23,12 @@
     encode_state,
     key_header, //
 };
+pub use machines::{
+    MachineClient,
+    decode_wave,
+    encode_wave_state,
+    is_wave_completed, //
+};
 pub use settings::{
     BOOT_VARIABLE,
     SettingsError,
@@ -26,7 +36,10 @@
 };
 pub use store::{
     CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
     StoreClient,
+    WAVE_STATES_PREFIX,
+    WAVES_PREFIX,
     WORKERS_PREFIX, //
 };
 pub use workers::WorkerClient;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -16,6 +16,10 @@
 /// names the same number.
 const METRICS_PORT_OFFSET: u16 = 1;
 
+/// Added to the time within which owners may not take turns at a machine: an
+/// order of the earlier one may still have been under way.
+const HOLDER_MARGIN_MS: u64 = 1_000;
+
 /// Why a settings file cannot be used.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum SettingsError {
@@ -113,6 +117,8 @@
         remote_factor: fields.bound_ms("bounds.remote_factor", 1_000.0, 3_000)? as f64 / 1_000.0,
         restore_ms: fields.bound_ms("bounds.restore_ms", 1.0, default.restore_ms)?,
         checkpoint_ms: fields.bound_ms("bounds.checkpoint_s", 1_000.0, default.checkpoint_ms)?,
+        upkeep_ms: fields.bound_ms("bounds.maintenance_s", 1_000.0, default.upkeep_ms)?,
+        holder_gap_ms: fields.bound_ms("bounds.lease_ms", 1.0, 3_000)? + HOLDER_MARGIN_MS,
         ..default
     };
     Ok(ClusterSettings {
@@ -125,6 +131,7 @@
         metrics_address: SocketAddr::new(ip, first_port + METRICS_PORT_OFFSET),
         store_address: fields.text("platform.address")?.to_owned(),
         advice_address: fields.text("recommendation").ok().map(str::to_owned),
+        machines_address: fields.text("cloud_api.address").ok().map(str::to_owned),
         strength: (fields.bound_ms("limits.cpu_share", 1_000.0, 1_000)?)
             * fields.bound_ms("limits.cores", 1.0, 1)?.max(1),
         grace_ms: fields.bound_ms("bounds.grace_period_s", 1_000.0, 6_000)?,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -28,6 +28,12 @@
 
 /// Where the operator keeps the newest configuration.
 pub const CONFIGURATION_KEY: &str = "op/config";
+/// Under which the operator writes.
+pub const OPERATOR_PREFIX: &str = "op/";
+/// Where the operator asks for upkeep, by the number of the wave.
+pub const WAVES_PREFIX: &str = "op/wave/";
+/// Where the operator reads how far a wave is.
+pub const WAVE_STATES_PREFIX: &str = "status/wave/";
 /// Under which workers register themselves.
 pub const WORKERS_PREFIX: &str = "servers/";
 
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -2,7 +2,8 @@
 
 use super::{
     GroupKey,
-    RunName, //
+    RunName,
+    UpkeepOutcome, //
 };
 use crate::core::{
     JobId,
@@ -86,6 +87,22 @@
         /// The worker.
         worker: WorkerKey,
     },
+    /// Read the platform's list of machines.
+    ListMachines,
+    /// Begin the upkeep of a machine; ordered again, it changes nothing.
+    BeginUpkeep {
+        /// The wave.
+        wave: u64,
+        /// The machine.
+        machine: String,
+    },
+    /// Store how far a wave is.
+    StoreWave {
+        /// The wave.
+        wave: u64,
+        /// All its machines that stay had their upkeep.
+        completed: bool,
+    },
     /// Forget what is stored of a job.
     Forget {
         /// The job.
@@ -169,6 +186,15 @@
         /// Why.
         reason: &'static str,
     },
+    /// An order for a machine's upkeep was answered, or not.
+    Upkeep {
+        /// The wave.
+        wave: u64,
+        /// The machine.
+        machine: Arc<str>,
+        /// What became of it.
+        outcome: UpkeepOutcome,
+    },
     /// A worker was lost with all that ran there.
     WorkerLost {
         /// The worker's incarnation.
@@ -197,8 +223,8 @@
     Stray,
     /// Its worker is leaving.
     WorkerLeaving,
-    /// It harms a task that serves.
-    Harm,
+    /// Its machine has its upkeep next.
+    Upkeep,
 }
 
 impl StopReason {
@@ -212,7 +238,7 @@
             Self::Slow => "slow",
             Self::Stray => "stray",
             Self::WorkerLeaving => "worker_leaving",
-            Self::Harm => "harm",
+            Self::Upkeep => "upkeep",
         }
     }
 }
--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -11,9 +11,10 @@
 //! tasks wait for it.
 //!
 //! An earlier owner whose process has ended gives no more leases. One that is
-//! cut off learns of no new jobs, and one that is not hears of its successor
-//! within a heartbeat or two; so jobs that become known later than that are
-//! started at once.
+//! cut off learns of no new jobs, one that was paused confirms its epoch before
+//! it gives orders again, and any other hears of its successor within a
+//! heartbeat or two; so jobs that become known later than that are started at
+//! once.
 
 use super::action::Decision;
 use super::state::Scheduler;
@@ -32,7 +33,7 @@
 /// Added for workers to kill what they run.
 const MARGIN_MS: u64 = 100;
 /// An earlier owner may hear of new jobs for this long: four heartbeats.
-const DEPOSED_MS: u64 = 1_000;
+pub(super) const DEPOSED_MS: u64 = 1_000;
 
 impl Scheduler {
     /// All that was stored is told; from here on the workers are asked.
--- a/src/scheduler/closing.rs
+++ b/src/scheduler/closing.rs
@@ -62,8 +62,13 @@
             return None;
         }
         let closed = matches!(worker.closing, Closing::Closing | Closing::Closed);
-        let runs = worker.runs.keys().copied().filter(|_| closed).collect();
-        Some((closed, runs))
+        if !closed {
+            return Some((false, Vec::new()));
+        }
+        // An end that is not durable is known only here and on the worker.
+        let ended = worker.undurable.iter().map(|&(_, name, _)| name);
+        let runs = worker.runs.keys().copied().chain(ended).collect();
+        Some((true, runs))
     }
 
     /// It is stored whether a worker is closed.
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -36,9 +36,7 @@
         };
         self.run_gone(key, row.name);
         let worker = self.worker_mut(key);
-        worker
-            .undurable
-            .push_back((row.number, row.name.task.job, change));
+        worker.undurable.push_back((row.number, row.name, change));
         self.with_undurable.insert(key);
     }
 
@@ -170,8 +168,9 @@
     pub(super) fn advance_last_seen(&mut self, key: WorkerKey) -> bool {
         let jobs = &self.jobs;
         let worker = &mut self.workers[key.index()];
-        while let Some(&(number, job, change)) = worker.undurable.front() {
-            let durable = change == 0 || jobs.get(&job).is_none_or(|job| job.stored >= change);
+        while let Some(&(number, name, change)) = worker.undurable.front() {
+            let job = jobs.get(&name.task.job);
+            let durable = change == 0 || job.is_none_or(|job| job.stored >= change);
             if !durable {
                 return false;
             }
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -3,9 +3,12 @@
 use super::{
     ClusterConfiguration,
     JobRecord,
+    MachineInfo,
     ProgressRecord,
     Resources,
-    RunName, //
+    RunName,
+    UpkeepOutcome,
+    WaveOrder, //
 };
 use crate::core::{
     JobId,
@@ -253,6 +256,24 @@
         /// Number of the change.
         change: u64,
     },
+    /// Machines are to have their upkeep.
+    Wave(WaveOrder),
+    /// The platform's list of machines, or that it did not come.
+    Machines {
+        /// When it was asked for.
+        sent_ms: u64,
+        /// The machines.
+        machines: Option<Vec<MachineInfo>>,
+    },
+    /// An order for an upkeep was answered, or not.
+    UpkeepOver {
+        /// The wave.
+        wave: u64,
+        /// The machine.
+        machine: String,
+        /// What became of it.
+        outcome: UpkeepOutcome,
+    },
     /// Nothing is stored of the job any more.
     Forgotten(JobId),
     /// The epoch was last known to be ours at this time.
--- a/src/scheduler/leaving.rs
+++ b/src/scheduler/leaving.rs
@@ -13,8 +13,7 @@
 use super::{
     GroupKey,
     RunName,
-    RunPhase,
-    TaskState, //
+    RunPhase, //
 };
 use crate::core::WorkerKey;
 
@@ -54,23 +53,14 @@
 
     /// Whether there is room elsewhere, and enough other tasks of a step that
     /// lasts are at work.
-    fn may_move(&self, key: WorkerKey, name: RunName) -> bool {
+    pub(super) fn may_move(&self, key: WorkerKey, name: RunName) -> bool {
         let Some(group) = self.groups.get(&GroupKey::of(name.task)) else {
             return false;
         };
         let elsewhere = self.workers.iter().any(|worker| {
             worker.key != key && worker.takes_work(self.now_ms) && worker.free().holds(&group.room)
         });
-        let at_work = |state: &TaskState| match state {
-            TaskState::Placed { worker, .. } => self.worker(*worker).contact == Contact::Answering,
-            _ => false,
-        };
-        let away = group
-            .tasks
-            .iter()
-            .filter(|task| !at_work(&task.state))
-            .count() as u32;
         let bound = group.step.max_unavailable;
-        elsewhere && bound.is_none_or(|bound| away < bound.max(1))
+        elsewhere && bound.is_none_or(|bound| self.away(group, None) < bound.max(1))
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod sharing;
 mod spec;
 mod state;
+mod upkeep;
 mod worker;
 
 pub use action::{
@@ -81,6 +82,12 @@
     Sizes,
     Tuning, //
 };
+pub use upkeep::{
+    MachineInfo,
+    MachineState,
+    UpkeepOutcome,
+    WaveOrder, //
+};
 pub use worker::{
     Closing,
     Run,
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -5,6 +5,7 @@
     Decision,
     StopReason, //
 };
+use super::upkeep::Upkeep;
 use super::worker::{
     Closing,
     Contact, //
@@ -49,6 +50,10 @@
 /// long: messages between daemons that name it are seconds old at most.
 const REMOVED_MS: u64 = 30_000;
 
+/// A thread that wakes up this late was stopped, or its VM was: a successor
+/// starts new work this long after it took over, since by then it is heard.
+const PAUSE_MS: u64 = super::blind::DEPOSED_MS;
+
 /// Bounds of the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
@@ -74,6 +79,11 @@
     pub restore_ms: u64,
     /// Time between two checkpoints.
     pub checkpoint_ms: u64,
+    /// How long a machine is down for its upkeep.
+    pub upkeep_ms: u64,
+    /// A new owner gives no orders for machines for this long: two owners in
+    /// touch may not take turns at one machine within it.
+    pub holder_gap_ms: u64,
 }
 
 impl Default for Tuning {
@@ -88,6 +98,8 @@
             remote_factor: 3.0,
             restore_ms: 600,
             checkpoint_ms: 2_000,
+            upkeep_ms: 2_000,
+            holder_gap_ms: 3_500,
         }
     }
 }
@@ -122,6 +134,8 @@
     pub(super) now_ms: u64,
     pub(super) began_ms: u64,
     pub(super) confirmed_ms: u64,
+    /// When this process last went on after a pause.
+    pub(super) resumed_ms: u64,
     pub(super) recovered: bool,
     /// Until then earlier owners' starts may run where this one cannot look.
     pub(super) blind_until_ms: Option<u64>,
@@ -146,6 +160,7 @@
     /// Jobs that are being forgotten, until their removal from the store is
     /// known and nothing of them can be under way any more.
     pub(super) leaving_jobs: BTreeMap<JobId, Option<u64>>,
+    pub(super) upkeep: Upkeep,
     pub(super) due: BTreeSet<(u64, JobId)>,
     pub(super) review_at_ms: u64,
     pub(super) pass_at_ms: u64,
@@ -163,6 +178,7 @@
             now_ms,
             began_ms: now_ms,
             confirmed_ms: now_ms,
+            resumed_ms: 0,
             recovered: false,
             blind_until_ms: None,
             earlier_leases_over_ms: 0,
@@ -179,6 +195,7 @@
             groups: BTreeMap::new(),
             leaving_jobs: BTreeMap::new(),
             vacant: VecDeque::new(),
+            upkeep: Upkeep::default(),
             due: BTreeSet::new(),
             review_at_ms: 0,
             pass_at_ms: 0,
@@ -190,7 +207,7 @@
 
     /// Takes in news; what follows is returned by [`Scheduler::decide`].
     pub fn take(&mut self, input: Input, now_ms: u64) {
-        self.now_ms = self.now_ms.max(now_ms);
+        self.move_clock(now_ms);
         match input {
             Input::Configure(configuration) => self.configure(configuration),
             Input::Job {
@@ -244,6 +261,13 @@
                 closed,
             } => self.closed_stored(&incarnation, closed),
             Input::Stored { job, change } => self.stored(job, change),
+            Input::Wave(order) => self.take_wave(order),
+            Input::Machines { sent_ms, machines } => self.take_machines(sent_ms, machines),
+            Input::UpkeepOver {
+                wave,
+                machine,
+                outcome,
+            } => self.upkeep_over(wave, &machine, outcome),
             Input::Forgotten(job) => {
                 self.leaving_jobs.insert(job, Some(self.now_ms));
             }
@@ -254,7 +278,7 @@
 
     /// Decides what follows from the news and the time.
     pub fn decide(&mut self, now_ms: u64) -> Vec<Action> {
-        self.now_ms = self.now_ms.max(now_ms);
+        self.move_clock(now_ms);
         if self.recovered {
             self.open_due();
             if self.now_ms >= self.review_at_ms {
@@ -270,6 +294,13 @@
         std::mem::take(&mut self.actions)
     }
 
+    fn move_clock(&mut self, now_ms: u64) {
+        if now_ms >= self.now_ms + PAUSE_MS {
+            self.resumed_ms = now_ms;
+        }
+        self.now_ms = self.now_ms.max(now_ms);
+    }
+
     /// When to decide again without news.
     pub fn wake_at_ms(&self) -> u64 {
         let due_ms = self.due.first().map_or(u64::MAX, |&(due_ms, _)| due_ms);
@@ -286,9 +317,11 @@
         }
     }
 
-    /// Whether orders may be given: the epoch was confirmed lately.
+    /// Whether orders may be given: the epoch was confirmed lately, and since
+    /// the last pause of this process, in which another may have taken over.
     pub fn has_authority(&self) -> bool {
-        self.now_ms < self.confirmed_ms + self.tuning.authority_ms
+        let lately = self.now_ms < self.confirmed_ms + self.tuning.authority_ms;
+        lately && self.confirmed_ms >= self.resumed_ms
     }
 
     /// The epoch under which orders are given.
@@ -531,6 +564,7 @@
         }
         self.review_evidence();
         self.review_sharing();
+        self.review_upkeep();
         self.forget_old_jobs();
     }
 
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -113,6 +113,12 @@
 }
 
 impl Run {
+    /// Whether a task that lasts is past its start.
+    pub fn is_at_work(&self) -> bool {
+        const AT_WORK_PERCENT: u32 = 100;
+        self.phase == RunPhase::Running && self.percent >= AT_WORK_PERCENT
+    }
+
     /// A run found on a worker, or noted by an earlier owner.
     pub(super) fn found(now_ms: u64, group: GroupKey) -> Self {
         Self {
@@ -171,14 +177,16 @@
     pub last_seen: u64,
     /// Ends up to here are taken in.
     pub taken_in: u64,
-    /// Ends taken in that are not durable: number, job and its change.
-    pub undurable: VecDeque<(u64, JobId, u64)>,
+    /// Ends taken in that are not durable: number, run and its job's change.
+    pub undurable: VecDeque<(u64, RunName, u64)>,
     /// A look is on its way.
     pub look_in_flight: bool,
     /// When to look next.
     pub look_at_ms: u64,
     /// No room there until then, whatever the sums say.
     pub full_until_ms: u64,
+    /// Its machine has its upkeep next: it gets nothing.
+    pub upkeep_next: bool,
     /// Gets nothing until then.
     pub quarantined_until_ms: u64,
     /// Length of the last quarantine.
@@ -216,6 +224,7 @@
             look_in_flight: false,
             look_at_ms: 0,
             full_until_ms: 0,
+            upkeep_next: false,
             quarantined_until_ms: 0,
             quarantine_ms: 0,
             failures: Vec::new(),
@@ -259,6 +268,7 @@
             && self.listed
             && self.on_roster
             && self.closing == Closing::Open
+            && !self.upkeep_next
             && !self.info.draining
             && self.failed_looks == 0
             && self.clock.is_some()
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -4,7 +4,11 @@
     Method,
     StatusCode, //
 };
-use fuchsiaslip::platform::HttpClient;
+use bytes::Bytes;
+use fuchsiaslip::platform::{
+    CallFailure,
+    HttpClient, //
+};
 use fuchsiaslip::timer::Timer;
 use std::io::{
     Read,
@@ -42,14 +46,52 @@
 }
 
 fn call(url: String) -> Option<(StatusCode, usize)> {
+    answer_of(url)
+        .ok()
+        .map(|(status, body)| (status, body.len()))
+}
+
+fn failure_of(url: String) -> Option<CallFailure> {
+    answer_of(url).err()
+}
+
+fn answer_of(url: String) -> Result<(StatusCode, Bytes), CallFailure> {
     let timer = Timer::spawn().expect("a timer");
     actix_rt::System::new().block_on(async move {
         let client = HttpClient::open(timer);
-        let answer = client.call(Method::GET, url, &[], None, LIMIT_MS).await;
-        answer.ok().map(|(status, body)| (status, body.len()))
+        client.call(Method::GET, url, &[], None, LIMIT_MS).await
     })
 }
 
+/// A job that was refused ran all the same: the store had carried its writing
+/// out, and the connection was closed before the answer. The library reports
+/// that like a connection that was never opened.
+#[test]
+fn a_call_whose_connection_closes_before_the_answer_may_have_been_carried_out() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut request = [0; 1_024];
+        assert!(stream.read(&mut request).expect("a request") > 0);
+    });
+
+    let failure = failure_of(format!("http://{address}/"));
+
+    assert_eq!(failure, Some(CallFailure::NoAnswer));
+}
+
+#[test]
+fn a_call_that_found_no_listener_was_never_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+
+    let failure = failure_of(format!("http://{address}/"));
+
+    assert_eq!(failure, Some(CallFailure::NotSent));
+}
+
 /// Daemons on links of 10 Mbit/s answered 404 for queues that were there: the
 /// configuration, half a megabyte, took longer than the bound of a call, was
 /// cut and asked for anew for ever.
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -1,5 +1,6 @@
 //! The scheduler of job graphs: what a job can ask, and the failures found.
 
+#[expect(dead_code, reason = "other tests use the rest")]
 #[path = "support/fleet.rs"]
 mod fleet;
 
@@ -846,3 +847,47 @@
     assert!(next.starts.is_empty(), "{:?}", next.starts);
     assert_eq!(next.scheduler.job_view(JobId(1)), Some(JobView::Completed));
 }
+
+/// A task ran again after it was done: its end was known to the owner and not
+/// yet stored when its worker left, so the store named the worker as closed
+/// with nothing on it, and the next owner did not wait for it.
+#[test]
+fn a_closed_worker_names_runs_whose_ends_are_not_stored() {
+    let mut fleet = Fleet::with_workers(1);
+    let job = fleet.submit(1, record("plain", vec![step(1, 8)]));
+    fleet.advance(50);
+    let (_, run) = fleet.running()[0].clone();
+    fleet.store_answers = false;
+    fleet.end_all(job, EndKind::Done);
+    fleet.advance(50);
+    let info = WorkerInfo {
+        draining: true,
+        ..worker_info("w0", "r1")
+    };
+
+    fleet.tell(Input::Worker(info));
+    fleet.advance(100);
+
+    let key = fleet.scheduler.workers()[0].key;
+    assert_eq!(fleet.scheduler.closed_row(key), Some((true, vec![run])));
+}
+
+/// An owner that was paused for seconds went on with its last confirmation and
+/// started a new job on a worker that its successor had not reached yet; the
+/// successor, which held that job for its own, started it as well.
+#[test]
+fn an_owner_that_was_paused_confirms_its_epoch_before_it_starts_anything() {
+    const PAUSE_MS: u64 = 2_000;
+    let mut fleet = Fleet::with_workers(1);
+    fleet.now_ms += PAUSE_MS;
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.settle();
+    assert!(fleet.starts.is_empty(), "another may own meanwhile");
+
+    let confirmed_ms = fleet.now_ms;
+    fleet.tell(Input::Confirmed(confirmed_ms));
+    fleet.settle();
+    fleet.now_ms += 300;
+    fleet.settle();
+    assert_eq!(fleet.starts.len(), 1);
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -16,6 +16,8 @@
     Input,
     JobRecord,
     JobSpec,
+    MachineInfo,
+    MachineState,
     ProgressRecord,
     Queue,
     Resources,
@@ -25,6 +27,7 @@
     StartRefusal,
     StepSpec,
     Tuning,
+    UpkeepOutcome,
     WorkerInfo, //
 };
 use std::collections::{
@@ -86,9 +89,27 @@
     /// Every stop with the worker's name.
     pub stops: Vec<(RunName, String)>,
     pub highest_last_seen: HashMap<String, u64>,
+    /// The platform's machines, each with its worker.
+    pub machines: BTreeMap<String, FakeMachine>,
+    /// Upkeeps as they began, with the times.
+    pub upkeeps: Vec<(String, u64)>,
+    /// Whether orders for upkeep are answered.
+    pub upkeep_answers: bool,
     looks: Vec<(WorkerKey, String, u64, u64)>,
 }
 
+/// A machine of the platform.
+#[derive(Clone, Debug)]
+pub struct FakeMachine {
+    pub worker: String,
+    /// Down until then.
+    pub up_at_ms: u64,
+    pub had_upkeep: bool,
+}
+
+/// How long an upkeep takes.
+pub const UPKEEP_MS: u64 = 2_000;
+
 pub fn queue(name: &str, priority: u32) -> Queue {
     Queue {
         name: name.to_owned(),
@@ -225,6 +246,9 @@
             starts: Vec::new(),
             stops: Vec::new(),
             highest_last_seen: HashMap::new(),
+            machines: BTreeMap::new(),
+            upkeeps: Vec::new(),
+            upkeep_answers: true,
             looks: Vec::new(),
         }
     }
@@ -235,6 +259,56 @@
         self.tell(Input::Worker(worker_info(name, rack)));
     }
 
+    /// Puts each worker on a machine of its own, `m-NAME`.
+    pub fn give_machines(&mut self) {
+        for worker in self.workers.keys() {
+            let machine = FakeMachine {
+                worker: worker.clone(),
+                up_at_ms: 0,
+                had_upkeep: false,
+            };
+            self.machines.insert(format!("m-{worker}"), machine);
+        }
+    }
+
+    /// Machines that are down for their upkeep.
+    pub fn down(&self) -> usize {
+        let machines = self.machines.values();
+        machines
+            .filter(|machine| machine.up_at_ms > self.now_ms)
+            .count()
+    }
+
+    fn begin_upkeep(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if machine.had_upkeep {
+            return;
+        }
+        machine.had_upkeep = true;
+        machine.up_at_ms = self.now_ms + UPKEEP_MS;
+        let before = std::mem::take(&mut machine.worker);
+        self.workers.remove(&before);
+        self.upkeeps.push((name.to_owned(), self.now_ms));
+        self.tell(Input::WorkerUnlisted(before));
+    }
+
+    /// Workers of machines whose upkeep is over join as new ones.
+    fn return_machines(&mut self) {
+        let now_ms = self.now_ms;
+        let mut back = Vec::new();
+        for (name, machine) in &mut self.machines {
+            if machine.worker.is_empty() && now_ms >= machine.up_at_ms {
+                machine.worker = format!("{name}-new");
+                back.push(machine.worker.clone());
+            }
+        }
+        for worker in back {
+            self.add_worker(&worker, "r1");
+        }
+    }
+
     /// Tells news and carries out nothing yet.
     pub fn tell(&mut self, input: Input) {
         self.scheduler.take(input, self.now_ms);
@@ -258,6 +332,7 @@
         while self.now_ms < until_ms {
             self.now_ms = (self.now_ms + STEP_MS).min(until_ms);
             self.tell(Input::Confirmed(self.now_ms));
+            self.return_machines();
             self.settle();
         }
     }
@@ -366,6 +441,33 @@
                     closed,
                 });
             }
+            Action::ListMachines => {
+                let rows = self.machines.iter().map(|(name, machine)| MachineInfo {
+                    machine: name.clone(),
+                    state: match machine.worker.is_empty() {
+                        true => MachineState::Upkeep,
+                        false => MachineState::Up,
+                    },
+                    incarnation: Some(machine.worker.clone()).filter(|name| !name.is_empty()),
+                });
+                let machines = Some(rows.collect());
+                self.tell(Input::Machines {
+                    sent_ms: self.now_ms,
+                    machines,
+                });
+            }
+            Action::BeginUpkeep { wave, machine } => {
+                self.begin_upkeep(&machine);
+                let outcome = match self.upkeep_answers {
+                    true => UpkeepOutcome::Begun,
+                    false => UpkeepOutcome::NoAnswer,
+                };
+                self.tell(Input::UpkeepOver {
+                    wave,
+                    machine,
+                    outcome,
+                });
+            }
             Action::Forget { job } if self.store_answers => {
                 self.stored.remove(&job);
                 self.tell(Input::Forgotten(job));
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -59,7 +59,7 @@
             FIRST_INTERNAL_PORT + 15
         );
         let settings =
-            std::env::temp_dir().join(format!("fuchsiaslip-{}-{ip}", std::process::id()));
+            std::env::temp_dir().join(format!("fuchsiaslip-{}-{ip}.settings", std::process::id()));
         std::fs::write(&settings, text).expect("settings are written");
         let mut daemon = Self {
             ip,
@@ -72,15 +72,25 @@
 
     /// Starts the process again.
     pub fn start(&mut self) {
+        let log = std::fs::File::options()
+            .append(true)
+            .create(true)
+            .open(self.log())
+            .expect("a log file");
         let child = Command::new(env!("CARGO_BIN_EXE_fuchsiaslipd"))
             .arg("--platform")
             .env("FUCHSIASLIP_BOOT", &self.settings)
-            .stdout(Stdio::null())
+            .stdout(log)
             .stderr(Stdio::null())
             .spawn();
         self.child = Some(child.expect("the daemon starts"));
     }
 
+    /// Where the lives of this daemon log.
+    fn log(&self) -> PathBuf {
+        self.settings.with_extension("log")
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let Some(child) = &self.child else { return };
@@ -132,6 +142,10 @@
     fn drop(&mut self) {
         self.kill();
         std::fs::remove_file(&self.settings).ok();
+        match std::thread::panicking() {
+            true => eprintln!("its log stays: {}", self.log().display()),
+            false => drop(std::fs::remove_file(self.log())),
+        }
     }
 }
 
--- /dev/null
+++ b/tests/upkeep.rs
@@ -0,0 +1,172 @@
+//! Upkeep of machines in waves: bounds, time, and tasks that last.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{
+    Fleet,
+    record,
+    step, //
+};
+use fuchsiaslip::core::JobId;
+use fuchsiaslip::scheduler::{
+    Action,
+    Input,
+    StepSpec,
+    WaveOrder, //
+};
+
+/// Long enough for a new owner to give orders for machines.
+const SETTLED_MS: u64 = 4_000;
+const STEP_MS: u64 = 10;
+
+fn fleet_with_machines(count: usize) -> Fleet {
+    let mut fleet = Fleet::with_workers(count);
+    fleet.give_machines();
+    fleet.advance(SETTLED_MS);
+    fleet
+}
+
+fn wave(machines: &[&str], duration_ms: u64, cap: u32) -> Input {
+    Input::Wave(WaveOrder {
+        number: 1,
+        machines: machines.iter().map(|name| (*name).to_owned()).collect(),
+        duration_ms,
+        cap,
+    })
+}
+
+fn noted(fleet: &Fleet, completed: bool) -> bool {
+    let wanted = Action::StoreWave { wave: 1, completed };
+    fleet.actions.contains(&wanted)
+}
+
+/// Advances until the wave is noted as completed; the most that were down.
+fn play(fleet: &mut Fleet, most_ms: u64) -> usize {
+    let until_ms = fleet.now_ms + most_ms;
+    let mut most_down = 0;
+    while fleet.now_ms < until_ms && !noted(fleet, true) {
+        fleet.advance(STEP_MS);
+        most_down = most_down.max(fleet.down());
+        // Work that stands still would be taken for hanging.
+        let runs = fleet
+            .workers
+            .values_mut()
+            .flat_map(|fake| fake.running.values_mut());
+        runs.for_each(|percent| *percent = (*percent + 1) % 97);
+    }
+    most_down
+}
+
+#[test]
+fn a_wave_takes_empty_machines_first_and_waits_for_what_runs() {
+    let mut fleet = fleet_with_machines(3);
+    let job = fleet.submit(1, record("plain", vec![step(1, 8)]));
+    fleet.advance(50);
+    let busy = format!("m-{}", fleet.running()[0].0);
+    fleet.tell(wave(&["m-w0", "m-w1", "m-w2"], 60_000, 1));
+
+    let most_down = play(&mut fleet, 12_000);
+
+    assert_eq!(most_down, 1);
+    assert!(noted(&fleet, false), "it is said to be running");
+    assert!(!noted(&fleet, true), "one machine is still at work");
+    assert_eq!(fleet.upkeeps.len(), 2);
+    assert!(fleet.upkeeps.iter().all(|(machine, _)| *machine != busy));
+
+    fleet.end_all(job, fuchsiaslip::scheduler::EndKind::Done);
+    play(&mut fleet, 6_000);
+    assert!(noted(&fleet, true));
+    assert_eq!(fleet.upkeeps.len(), 3, "each machine had its upkeep once");
+    assert_eq!(fleet.starts.len(), 1, "nothing was thrown away");
+}
+
+#[test]
+fn a_wave_that_would_be_late_ends_what_runs() {
+    let mut fleet = fleet_with_machines(1);
+    fleet.submit(1, record("plain", vec![step(1, 8)]));
+    fleet.advance(50);
+    fleet.tell(wave(&["m-w0"], 8_000, 1));
+
+    play(&mut fleet, 9_000);
+
+    assert!(noted(&fleet, true), "in time");
+}
+
+#[test]
+fn no_more_machines_are_down_or_in_doubt_than_the_wave_allows() {
+    let mut fleet = fleet_with_machines(4);
+    fleet.upkeep_answers = false;
+    fleet.tell(wave(&["m-w0", "m-w1", "m-w2", "m-w3"], 60_000, 2));
+
+    fleet.advance(5_000);
+    assert_eq!(fleet.upkeeps.len(), 2, "two may be down, so no third");
+
+    fleet.upkeep_answers = true;
+    let most_down = play(&mut fleet, 20_000);
+    assert!(most_down <= 2);
+    assert!(noted(&fleet, true));
+    assert_eq!(fleet.upkeeps.len(), 4);
+}
+
+#[test]
+fn lasting_tasks_move_off_within_their_bound() {
+    let mut fleet = fleet_with_machines(3);
+    let lasting = StepSpec {
+        long_running: true,
+        max_unavailable: Some(1),
+        ..step(4, 2)
+    };
+    let job = fleet.submit(1, record("plain", vec![lasting]));
+    fleet.advance(500);
+    let at_work = |fleet: &mut Fleet| {
+        for fake in fleet.workers.values_mut() {
+            fake.running.values_mut().for_each(|percent| *percent = 100);
+        }
+    };
+    at_work(&mut fleet);
+    fleet.advance(500);
+    let host = format!("m-{}", fleet.running()[0].0);
+    fleet.tell(wave(&[&host], 3_000, 1));
+
+    let mut fewest = 4;
+    for _ in 0..1_200 {
+        // What moved is at work again after a while.
+        fleet.advance(STEP_MS);
+        if fleet.now_ms.is_multiple_of(300) {
+            at_work(&mut fleet);
+        }
+        fewest = fewest.min(fleet.running().len());
+    }
+
+    assert!(noted(&fleet, true));
+    assert!(fewest >= 3, "{fewest} of 4 were there at the worst");
+    assert_eq!(fleet.running().len(), 4);
+    assert!(fleet.running().iter().all(|(_, run)| run.task.job == job));
+}
+
+/// A wave that a new owner found half done could have been begun anew: each
+/// machine that had its upkeep would have had it again, or none been counted.
+#[test]
+fn a_new_owner_goes_on_with_a_wave() {
+    let mut fleet = fleet_with_machines(2);
+    fleet.tell(wave(&["m-w0", "m-w1"], 60_000, 1));
+    while fleet.upkeeps.is_empty() {
+        fleet.advance(STEP_MS);
+    }
+    let jobs: [(JobId, fuchsiaslip::scheduler::JobRecord); 0] = [];
+    let mut next = fleet.next_owner(2, &jobs, true);
+    next.machines = fleet.machines.clone();
+    next.tell(wave(&["m-w0", "m-w1"], 60_000, 1));
+
+    next.advance(2_500);
+    assert!(
+        next.upkeeps.is_empty(),
+        "the earlier owner may have ordered just now"
+    );
+
+    let most_down = play(&mut next, 20_000);
+    assert!(most_down <= 1);
+    assert!(noted(&next, true));
+    assert_eq!(next.upkeeps.len(), 1, "only the machine that was left");
+}
