Soak: calls do not outlive their worker, and restarts are counted right

The platform answers such a call for one life only; the stand-in was wrong. Both are faults of the soak; the checks stay as they are.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -208,12 +208,15 @@
             5 => {
                 self.daemons[daemon].kill();
                 self.daemons[daemon].start();
+                // Its new life was neither told to end nor paused.
+                self.ending.retain(|&at| at != daemon);
+                self.paused.retain(|&at| at != daemon);
             }
             6 if !self.ending.contains(&daemon) => {
                 self.daemons[daemon].signal(Signal::STOP);
                 self.paused.push(daemon);
             }
-            _ if !self.paused.contains(&daemon) => {
+            _ if !self.paused.contains(&daemon) && !self.ending.contains(&daemon) => {
                 self.daemons[daemon].signal(Signal::TERM);
                 self.ending.push(daemon);
             }
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -804,6 +804,11 @@
     let wait_ms = body["wait_ms"].as_u64().unwrap_or(0);
     let until = Instant::now() + Duration::from_millis(wait_ms);
     loop {
+        // A call that waits does not outlive its worker: carried over to the
+        // next life, it would acknowledge ends that it never listed.
+        if expected.as_deref() != Some(&*lock(&world).workers[at].id) {
+            return never().await;
+        }
         let answer = lock(&world).call_worker(at, &call, &body);
         let waits = call == "hold"
             && answer.0 == StatusCode::OK
