--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -58,6 +58,8 @@
     Ledger(LedgerCommand),
     /// Make the digest of a token.
     Digest(DigestCommand),
+    /// Show a fleet on an operator's platform.
+    Fleet(FleetCommand),
 }
 
 /// submit a job under an idempotency key of your own
@@ -191,3 +193,16 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "digest")]
 pub struct DigestCommand {}
+
+/// show what an operators' platform stores of the fleet, or of one job; no
+/// daemon is asked
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+pub struct FleetCommand {
+    /// address of the platform's store
+    #[argh(option)]
+    pub store: String,
+    /// the job, 16 hexadecimal digits
+    #[argh(positional)]
+    pub job: Option<String>,
+}
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -1,5 +1,6 @@
 //! Printing for people and for scripts.
 
+use crate::cluster::FleetReport;
 use crate::core::{
     AccountReport,
     JobReport,
@@ -96,3 +97,30 @@
     }
     Some(text)
 }
+
+/// A fleet on an operators' platform as text.
+pub fn fleet(report: &FleetReport) -> String {
+    let mut text = format!(
+        "owner {} at {}, epoch {}\n\
+         jobs: {} open, {} completed, {} failed, {} cancelled\n\
+         workers on the roster: {}\n",
+        report.owner,
+        report.owner_address,
+        report.epoch,
+        report.open_jobs,
+        report.completed_jobs,
+        report.failed_jobs,
+        report.cancelled_jobs,
+        report.workers
+    );
+    for (worker, runs) in &report.closed_workers {
+        text += &format!("closed {worker}: {} runs may be there\n", runs.len());
+        for (task, run) in runs {
+            text += &format!("  {task} run {run}\n");
+        }
+    }
+    for (daemon, address) in &report.daemons {
+        text += &format!("daemon {daemon} at {address}\n");
+    }
+    text
+}
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -3,6 +3,7 @@
 use super::arguments::{
     Arguments,
     Command,
+    FleetCommand,
     LedgerCommand,
     SubmitCommand, //
 };
@@ -20,6 +21,12 @@
     Response,
     Submit, //
 };
+use crate::cluster::{
+    StoreError,
+    inspect_fleet,
+    inspect_job,
+    job_id, //
+};
 use crate::core::Adjacency;
 use crate::daemon::token_digest;
 use crate::ledger;
@@ -67,6 +74,9 @@
     /// The store did not answer.
     #[error(transparent)]
     Store(#[from] StoreFailure),
+    /// The platform's store did not answer.
+    #[error(transparent)]
+    Fleet(#[from] StoreError),
     /// A ledger value cannot be read.
     #[error("{key}: {source}")]
     Ledger {
@@ -132,6 +142,7 @@
                 .await?
         }
         Command::Drain(_) => client.drain().await?,
+        Command::Fleet(command) => return show_fleet(command, timer).await,
         Command::Ledger(command) => return inspect_ledger(command, timer).await,
         Command::Digest(_) => {
             println!("{}", token_digest(&token));
@@ -250,6 +261,29 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn show_fleet(command: &FleetCommand, timer: Timer) -> Result<ExitCode, Error> {
+    let Some(name) = &command.job else {
+        let report = inspect_fleet(&command.store, timer).await?;
+        print!("{}", output::fleet(&report));
+        return Ok(ExitCode::SUCCESS);
+    };
+    let job = job_id(name).ok_or_else(|| Error::Argument {
+        argument: "job",
+        value: name.clone(),
+        choices: "16 hexadecimal digits",
+    })?;
+    match inspect_job(&command.store, timer, job).await? {
+        Some(stored) => {
+            println!("{stored:#?}");
+            Ok(ExitCode::SUCCESS)
+        }
+        None => {
+            eprintln!("{name}: nothing is stored; it was never accepted, or ended long ago");
+            Ok(ExitCode::from(EXIT_NOT_FOUND))
+        }
+    }
+}
+
 async fn fetch(store: &Store, key: &str) -> Result<Bytes, Error> {
     let key = key.to_owned();
     match store.call(StoreCall::Get { key: key.clone() }).await? {
--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -101,6 +101,36 @@
     })
 }
 
+/// Reads the settings that the platform names, starts nothing, and says what a
+/// daemon would run with.
+///
+/// # Errors
+///
+/// The settings are wrong.
+pub fn check() -> Result<String, Error> {
+    let path = std::env::var(BOOT_VARIABLE).unwrap_or_default();
+    let settings = settings_at(&path)?;
+    let tuning = settings.tuning;
+    Ok(format!(
+        "{path}: the settings are right\n\
+         {} in {}: clients {}, readiness {}, peers {}, metrics {}\n\
+         store {}, machines {}, advice {}\n\
+         leases of {} ms, authority {} ms, ended jobs remembered {} ms",
+        settings.daemon,
+        settings.data_centre,
+        settings.client_address,
+        settings.readiness_address,
+        settings.peer_address,
+        settings.metrics_address,
+        settings.store_address,
+        settings.machines_address.as_deref().unwrap_or("none"),
+        settings.advice_address.as_deref().unwrap_or("none"),
+        tuning.lease_ms,
+        tuning.authority_ms,
+        tuning.retention_ms,
+    ))
+}
+
 fn settings_at(path: &str) -> Result<ClusterSettings, SettingsError> {
     let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
         path: path.to_owned(),
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod follow;
 mod heartbeat;
+mod inspect;
 mod ledger;
 mod log_lines;
 mod node;
@@ -27,6 +28,7 @@
 pub use daemon::{
     ClusterDaemon,
     Error,
+    check,
     run, //
 };
 pub use election::{
@@ -35,6 +37,13 @@
     OwnerSign,
     takeover_at_ms, //
 };
+pub use inspect::{
+    FleetReport,
+    StoredJob,
+    inspect_fleet,
+    inspect_job, //
+};
+pub use records::job_id;
 pub use services::{
     Committed,
     MAX_TRANSACTION_ENTRIES,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -78,7 +78,8 @@
     name = "fuchsiaslipd",
     example = "{command_name} --settings fuchsiaslipd.toml",
     example = "{command_name} --settings fuchsiaslipd.toml --check",
-    example = "{command_name} --platform"
+    example = "{command_name} --platform",
+    example = "{command_name} --platform --check"
 )]
 struct Arguments {
     /// the TOML file with the settings
@@ -134,6 +135,10 @@
 /// The settings are wrong, or an address or thread cannot be had.
 pub fn run() -> Result<(), Error> {
     let arguments: Arguments = argh::from_env();
+    if arguments.platform && arguments.check {
+        println!("{}", crate::cluster::check()?);
+        return Ok(());
+    }
     if arguments.platform {
         return Ok(crate::cluster::run()?);
     }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -79,7 +79,14 @@
         if !self.0.contains_key(field) {
             return Ok(default_ms);
         }
-        let value: f64 = self.parsed(field, "a number")?;
+        let value: f64 = self.parsed(field, "a number of at least 0")?;
+        if !(value.is_finite() && value >= 0.0) {
+            return Err(SettingsError::Malformed {
+                field,
+                value: value.to_string(),
+                expected: "a number of at least 0",
+            });
+        }
         Ok((value * unit_ms) as u64)
     }
 }
@@ -100,11 +107,17 @@
     let ip: IpAddr = fields.parsed("ip", "an address")?;
     let range = fields.text("internal_port_range")?;
     let first_port = range.split(',').next().unwrap_or_default().trim();
-    let first_port: u16 = first_port.parse().map_err(|_| SettingsError::Malformed {
+    let ports = |expected| SettingsError::Malformed {
         field: "internal_port_range",
         value: range.to_owned(),
-        expected: "two ports",
-    })?;
+        expected,
+    };
+    let first_port: u16 = first_port.parse().map_err(|_| ports("two ports"))?;
+    let last_port = range.split(',').nth(1).unwrap_or_default().trim();
+    let last_port: u16 = last_port.parse().map_err(|_| ports("two ports"))?;
+    if last_port < first_port.saturating_add(METRICS_PORT_OFFSET) {
+        return Err(ports("at least two ports, for peers and for metrics"));
+    }
     let default = Tuning::default();
     let tuning = Tuning {
         stop_ms: fields.bound_ms("bounds.stop_timeout_ms", 1.0, default.stop_ms)?,
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,136 @@
+//! Settings on an operator's platform, and what a person sees of a fleet.
+
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/operator.rs"]
+mod operator;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/processes.rs"]
+mod processes;
+
+use fuchsiaslip::platform::{
+    SettingsError,
+    read_settings, //
+};
+use operator::Operator;
+use processes::{
+    Daemon,
+    loopback, //
+};
+use serde_json::json;
+use std::process::Command;
+
+const RIGHT: &str = "node_name=d1\nip=127.0.0.1\nzone=z\nnew.field=1,2\n\
+    listen_addresses.frontend=127.0.0.1:8521\nlisten_addresses.readiness=127.0.0.1:8523\n\
+    internal_port_range=7000,7015\nplatform.address=127.0.0.1:8524\n\
+    limits.cpu_share=0.25\nlimits.cores=2\nbounds.max_hold_ms=3000\nbounds.status_s=60\n";
+
+fn with(field: &str, value: &str) -> String {
+    let kept = RIGHT.lines().filter(|line| !line.starts_with(field));
+    let mut text: String = kept.map(|line| format!("{line}\n")).collect();
+    if !value.is_empty() {
+        text.push_str(&format!("{field}={value}\n"));
+    }
+    text
+}
+
+#[test]
+fn settings_give_addresses_and_bounds_and_pass_over_what_is_new() {
+    let settings = read_settings(RIGHT).unwrap();
+
+    assert_eq!(settings.peer_address.port(), 7_000);
+    assert_eq!(settings.metrics_address.port(), 7_001);
+    assert_eq!(settings.strength, 500);
+    assert_eq!(
+        settings.tuning.lease_ms, 3_000,
+        "no longer than workers hold"
+    );
+    assert_eq!(settings.tuning.retention_ms, 90_000);
+}
+
+#[test]
+fn wrong_settings_name_the_field_and_what_would_do() {
+    let problem = |text: &str| read_settings(text).unwrap_err();
+
+    assert_eq!(
+        problem(&with("platform.address", "")),
+        SettingsError::Missing("platform.address")
+    );
+    let wrong = [
+        ("ip", "here"),
+        ("internal_port_range", "7000"),
+        ("internal_port_range", "7000,7000"),
+        ("listen_addresses.frontend", "127.0.0.1"),
+        ("bounds.status_s", "soon"),
+        ("bounds.max_hold_ms", "-1"),
+        ("limits.cpu_share", "NaN"),
+    ];
+    for (field, value) in wrong {
+        let problem = problem(&with(field, value));
+        let told = matches!(&problem, SettingsError::Malformed { field: own, .. } if *own == field);
+        assert!(told, "{field}={value}: {problem}");
+    }
+}
+
+#[test]
+fn the_daemon_checks_its_settings_without_starting() {
+    let path = std::env::temp_dir().join(format!("fuchsiaslip-check-{}", std::process::id()));
+    let check = |text: &str| {
+        std::fs::write(&path, text).unwrap();
+        let output = Command::new(env!("CARGO_BIN_EXE_fuchsiaslipd"))
+            .args(["--platform", "--check"])
+            .env("FUCHSIASLIP_BOOT", &path)
+            .output()
+            .unwrap();
+        let said = [output.stdout, output.stderr].concat();
+        (output.status.success(), String::from_utf8(said).unwrap())
+    };
+
+    let right = check(RIGHT);
+    let wrong = check(&with("zone", ""));
+    std::fs::remove_file(&path).unwrap();
+
+    assert!(
+        right.0 && right.1.contains("the settings are right"),
+        "{right:?}"
+    );
+    assert!(!wrong.0 && wrong.1.contains("lack zone"), "{wrong:?}");
+}
+
+#[test]
+fn a_person_sees_the_fleet_and_a_job_without_a_daemon() {
+    let operator = Operator::spawn(1);
+    let value = json!({ "version": 1,
+        "routes": [{ "name": "q", "host": "h", "prefix": "/q/", "service": "s", "priority": 1 }],
+        "services": [{ "name": "s" }], "tenants": [{ "name": "t", "api_keys": ["key"] }] });
+    operator.world().put("op/config", &value);
+    let mut daemon = Daemon::spawn("d0", loopback(6, 0), operator.store);
+    while !daemon.is_ready() || operator.world().value("owner").is_none() {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    let body = json!({ "spec": "60000", "steps": [{ "count": 1, "cpu": 1, "mem_mb": 1 }] });
+    daemon.request("POST", "/q/00000000000000aa", &body.to_string());
+    daemon.kill();
+    let show = |arguments: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_fuchsiaslip"))
+            .args(["fleet", "--store", &operator.store.to_string()])
+            .args(arguments)
+            .output()
+            .unwrap();
+        (
+            output.status.code(),
+            String::from_utf8(output.stdout).unwrap(),
+        )
+    };
+
+    let (code, fleet) = show(&[]);
+    let (job_code, job) = show(&["00000000000000aa"]);
+
+    assert_eq!((code, job_code), (Some(0), Some(0)));
+    assert!(
+        fleet.contains("owner d0") && fleet.contains("1 open"),
+        "{fleet}"
+    );
+    assert!(job.contains("queue: \"q\""), "{job}");
+    assert_eq!(show(&["00000000000000ab"]).0, Some(5), "not found");
+    assert_eq!(show(&["nothing"]).0, Some(2), "wrong usage");
+}
