--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -89,6 +89,12 @@
     /// Every stop with the worker's name.
     pub stops: Vec<(RunName, String)>,
     pub highest_last_seen: HashMap<String, u64>,
+    /// Why workers refuse starts now.
+    pub refusal: Option<StartRefusal>,
+    /// What workers say of the use of runs.
+    pub usage: HashMap<RunName, f64>,
+    /// Every pace that was set.
+    pub paces: Vec<(RunName, u32)>,
     /// The platform's machines, each with its worker.
     pub machines: BTreeMap<String, FakeMachine>,
     /// Upkeeps as they began, with the times.
@@ -246,6 +252,9 @@
             starts: Vec::new(),
             stops: Vec::new(),
             highest_last_seen: HashMap::new(),
+            refusal: None,
+            usage: HashMap::new(),
+            paces: Vec::new(),
             machines: BTreeMap::new(),
             upkeeps: Vec::new(),
             upkeep_answers: true,
@@ -441,6 +450,18 @@
                     closed,
                 });
             }
+            Action::Pace {
+                callee,
+                name,
+                percent,
+            } => {
+                self.paces.push((name, percent));
+                self.tell(Input::PaceOver {
+                    worker: callee.worker,
+                    name,
+                    outcome: CallOutcome::Done,
+                });
+            }
             Action::ListMachines => {
                 let rows = self.machines.iter().map(|(name, machine)| MachineInfo {
                     machine: name.clone(),
@@ -484,6 +505,9 @@
         if self.silent.iter().any(|silent| silent == worker) {
             return CallOutcome::NoAnswer;
         }
+        if let Some(refusal) = self.refusal {
+            return CallOutcome::Refused(refusal);
+        }
         let fake = self.workers.get_mut(worker).expect("a known worker");
         let refused = fake.refused_runs.get(&name.task);
         if refused.is_some_and(|&run| name.run <= run) {
@@ -524,7 +548,7 @@
                         name,
                         checkpoint: "".into(),
                         percent,
-                        usage: None,
+                        usage: self.usage.get(&name).copied(),
                     })
                     .collect(),
                 ended: fake.ended.clone(),
