--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -66,6 +66,7 @@
     GraphJob,
     JobView, //
 };
+pub use order::OrderRule;
 pub use progress::{
     FinalState,
     ProgressRecord, //
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -30,6 +30,17 @@
 /// Late work earns up to this many times the objective.
 const LATE_FACTOR: u64 = 3;
 
+/// What orders waiting work within a tier.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderRule {
+    /// What it earns for each unit of work; urgent work may take room back.
+    Worth,
+    /// When it became ready; nothing is taken back. A baseline for replays.
+    FirstCome,
+    /// How long a task takes; nothing is taken back. A baseline for replays.
+    Shortest,
+}
+
 /// Which work is offered room first, whatever it earns.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Tier {
@@ -81,7 +92,8 @@
     pub key: GroupKey,
     /// Its tier.
     pub tier: Tier,
-    /// What it earns for each unit of work.
+    /// Its place within the tier: what it earns for each unit of work, or what
+    /// another rule orders by.
     pub density: f64,
 }
 
@@ -110,8 +122,11 @@
 
     fn rank(&self, group: &Group) -> Ranked {
         let job = &self.jobs[&group.key.job];
+        let baseline = self.tuning.order != OrderRule::Worth;
         let tier = if group.step.long_running {
             Tier::Lasting
+        } else if baseline {
+            Tier::Earning
         } else if self.guaranteed.contains(&job.id) {
             Tier::Guaranteed
         } else {
@@ -133,10 +148,15 @@
             objective_ms: group.objective_ms,
             objective_length_ms: group.objective_length_ms,
         };
+        let density = match self.tuning.order {
+            OrderRule::Worth => prospect.density(self.now_ms),
+            OrderRule::FirstCome => -(group.released_ms as f64),
+            OrderRule::Shortest => -(group.step.estimated_ms as f64),
+        };
         Ranked {
             key: group.key,
             tier,
-            density: prospect.density(self.now_ms),
+            density,
         }
     }
 
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -2,6 +2,7 @@
 
 use super::action::Action;
 use super::order::{
+    OrderRule,
     Ranked,
     Tier, //
 };
@@ -322,6 +323,9 @@
     pub(super) fn may_preempt(&self, ranked: &Ranked) -> bool {
         let job = &self.jobs[&ranked.key.job];
         let group = &self.groups[&ranked.key];
+        if self.tuning.order != OrderRule::Worth {
+            return false;
+        }
         let on_time = self.now_ms + group.step.estimated_ms <= group.objective_ms;
         ranked.tier == Tier::Guaranteed || (job.is_urgent() && on_time)
     }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -5,6 +5,7 @@
     Decision,
     StopReason, //
 };
+use super::order::OrderRule;
 use super::upkeep::Upkeep;
 use super::worker::{
     Closing,
@@ -79,6 +80,8 @@
     pub restore_ms: u64,
     /// Time between two checkpoints.
     pub checkpoint_ms: u64,
+    /// What orders waiting work.
+    pub order: OrderRule,
     /// How long a machine is down for its upkeep.
     pub upkeep_ms: u64,
     /// A new owner gives no orders for machines for this long: two owners in
@@ -98,6 +101,7 @@
             remote_factor: 3.0,
             restore_ms: 600,
             checkpoint_ms: 2_000,
+            order: OrderRule::Worth,
             upkeep_ms: 2_000,
             holder_gap_ms: 3_500,
         }
