Owners of large fleets: portions of first looks, time for heartbeats

In fleets of 100 the others' heartbeats are as far apart as the time for which one is held to be there.

Change: at most 128 looks at workers that have not answered are under way; an owner may be silent 3 ms longer for each daemon beyond 32, twice that while it is young; heartbeats say when the next one comes; where there never was an owner daemons wait 1.2 s, and read the list of members often in their first moments. Tests in tests/election.rs and tests/scheduler.rs; each fails without its change.

--- a/benches/failover.rs
+++ b/benches/failover.rs
@@ -3,7 +3,9 @@
 //! frozen, cut off from the store or told to end again and again.
 //!
 //! Prints, for each way and for a calm and a slow store, the time from the last
-//! start that the old owner gave to the first that its successor gave.
+//! start that the old owner gave to the first that its successor gave. Then all
+//! daemons are killed and started again, in fleets of several sizes.
+//! `cargo bench --bench failover -- herd` plays only that.
 
 #[expect(dead_code, reason = "tests use the rest")]
 #[path = "../tests/support/operator.rs"]
@@ -33,6 +35,8 @@
 };
 
 const DAEMONS: usize = 4;
+/// Sizes of the fleets of which all daemons are killed.
+const HERDS: [usize; 3] = [4, 30, 100];
 const WORKERS: usize = 8;
 /// Changes of owner in each case; the p99 of so few is the longest but one.
 const CHANGES: u64 = 12;
@@ -61,7 +65,7 @@
 }
 
 impl Fleet {
-    fn spawn(test: u8) -> Self {
+    fn spawn(test: u8, count: usize) -> Self {
         let operator = Operator::spawn(WORKERS);
         let value = json!({ "version": 1,
             "routes": [{ "name": "q", "host": "h", "prefix": "/q/", "service": "s",
@@ -70,8 +74,8 @@
             "services": [{ "name": "s" }],
             "tenants": [{ "name": "t", "api_keys": ["key"], "guaranteed": { "gpu": 8 } }] });
         operator.world().put("op/config", &value);
-        let links: Vec<Proxy> = (0..DAEMONS).map(|_| Proxy::spawn(operator.store)).collect();
-        let daemons: Vec<Daemon> = (0..DAEMONS)
+        let links: Vec<Proxy> = (0..count).map(|_| Proxy::spawn(operator.store)).collect();
+        let daemons: Vec<Daemon> = (0..count)
             .map(|at| {
                 let ip = loopback(test, at as u8);
                 Daemon::spawn(&format!("d{at}"), ip, links[at].address)
@@ -100,7 +104,8 @@
     fn submit(&mut self, but: usize) {
         let body = json!({ "spec": RUN_MS.to_string(),
             "steps": [{ "count": 1, "cpu": 1000, "mem_mb": 100, "estimated_ms": RUN_MS }] });
-        let at = (but + 1 + self.next_job as usize % (DAEMONS - 1)) % DAEMONS;
+        let count = self.daemons.len();
+        let at = (but + 1 + self.next_job as usize % (count - 1)) % count;
         let path = format!("/q/{:016x}", self.next_job);
         self.next_job += 1;
         self.daemons[at].request("POST", &path, &body.to_string());
@@ -146,6 +151,23 @@
         gap
     }
 
+    /// The gap in starts when all daemons are killed and started again.
+    fn herd(&mut self) -> Option<Duration> {
+        let (at, epoch) = self.owner()?;
+        self.stream(at, CALM);
+        self.daemons.iter_mut().for_each(Daemon::kill);
+        self.daemons.iter_mut().for_each(Daemon::start);
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            self.submit(at);
+            std::thread::sleep(JOB_EVERY);
+            if let Some(gap) = self.gap(epoch) {
+                return Some(gap);
+            }
+        }
+        None
+    }
+
     /// From the last start of an epoch to the first of a later one.
     fn gap(&self, epoch: u64) -> Option<Duration> {
         let world = self.operator.world();
@@ -161,6 +183,15 @@
 }
 
 fn main() {
+    let only = std::env::args().any(|word| word == "herd");
+    for (at, count) in HERDS.into_iter().enumerate() {
+        let mut fleet = Fleet::spawn(210 + at as u8, count);
+        let gap = fleet.herd().map_or(-1, |gap| gap.as_millis() as i64);
+        println!("figure herd_of_{count}_gap_ms {gap}");
+    }
+    if only {
+        return;
+    }
     let mut test = 220;
     for (store, mode) in [("calm", LinkMode::Passing), ("slow", LinkMode::Slow)] {
         for fault in [
@@ -170,7 +201,7 @@
             Fault::ToldToEnd,
         ] {
             test += 1;
-            let mut fleet = Fleet::spawn(test);
+            let mut fleet = Fleet::spawn(test, DAEMONS);
             let mut gaps = Histogram::<u64>::new(3).expect("three digits");
             let mut missed = 0;
             for _ in 0..CHANGES {
--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -11,12 +11,27 @@
 /// An owner that is silent this long is taken for dead: two and a half of the
 /// heartbeats of a small fleet, and the delay of a busy daemon.
 const SILENT_MS: u64 = 700;
+/// Up to this many daemons an owner calls few enough workers for the bound above.
+const SMALL_FLEET: usize = 32;
+/// Added for each daemon beyond that: an owner of a fleet of hundreds
+/// tells all of them, with thousands of workers to call, and its heartbeats come
+/// late. Owners of 300 daemons were followed after a second each, again and again.
+const SILENT_PER_DAEMON_MS: u64 = 3;
+/// An owner is young for this long: it calls every worker as soon as it takes
+/// over, and is given twice as much for the size of the fleet.
+const YOUNG_MS: u64 = 5_000;
 /// Each further candidate waits this much more: a takeover takes some 50 ms.
 const RANK_STEP_MS: u64 = 300;
 /// Added for a daemon that hears less than half of the others.
 const ISOLATED_MS: u64 = 1_500;
-/// Wait after the start for the others' heartbeats.
+/// Wait after the start for the others' heartbeats, where an earlier owner is
+/// known: then so are the other daemons.
 const START_MS: u64 = 250;
+/// Wait where there never was an owner. All daemons of a fleet start within
+/// 0.3 s and learn of each other from lists read some times a second; a weak
+/// VM that did not know the strong ones yet became the owner, and could not keep
+/// up with the first burst.
+const FIRST_START_MS: u64 = 1_200;
 /// An owner that lost the store is given this long to find it again, from when
 /// this daemon has it: after an outage for all, the first daemon that found the
 /// store took over an owner that had it again 20 ms later.
@@ -38,6 +53,8 @@
 pub struct OwnerSign {
     /// When it was heard, or when this daemon began to listen for it.
     pub heard_ms: u64,
+    /// When this daemon learned that it owns.
+    pub since_ms: u64,
     /// Since when it says that it has lost the store.
     pub storeless_since_ms: Option<u64>,
     /// It is draining.
@@ -63,6 +80,13 @@
     pub owner: Option<OwnerSign>,
 }
 
+/// How long an owner may be silent.
+fn silence_ms(sign: &OwnerSign, listed: usize) -> u64 {
+    let young = sign.heard_ms < sign.since_ms + YOUNG_MS;
+    let size_ms = listed.saturating_sub(SMALL_FLEET) as u64 * SILENT_PER_DAEMON_MS;
+    SILENT_MS + if young { 2 * size_ms } else { size_ms }
+}
+
 /// When to take over, if nothing changes; `None` for not at all.
 pub fn takeover_at_ms(view: &ElectionView) -> Option<u64> {
     if !view.own.fit {
@@ -73,9 +97,9 @@
     };
     let rank = view.heard.iter().filter(better).count() as u64;
     let from_ms = match &view.owner {
-        None => view.started_ms + START_MS,
+        None => view.started_ms + FIRST_START_MS,
         Some(sign) => {
-            let silent_ms = sign.heard_ms + SILENT_MS;
+            let silent_ms = sign.heard_ms + silence_ms(sign, view.listed);
             if sign.over {
                 view.started_ms + START_MS
             } else if sign.draining {
--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -51,6 +51,10 @@
 const MEMBER_TTL_MS: u64 = 6_000;
 /// How often the lease is renewed and the list of members read.
 const MEMBERS_MS: u64 = 1_500;
+/// How often the list is read in the first moments of a process.
+const FIRST_MEMBERS_MS: u64 = 300;
+/// How long those last.
+const FIRST_MS: u64 = 2_000;
 
 /// Follows the operator's configuration.
 pub async fn configuration(node: Rc<Node>) {
@@ -144,7 +148,12 @@
             metrics::counter!("fuchsiaslip_retries_total", "reason" => "members_unread")
                 .increment(1);
         }
-        let wait_ms = if listed.is_ok() { MEMBERS_MS } else { AGAIN_MS };
+        let young = node.now_ms() < node.started_ms + FIRST_MS;
+        let wait_ms = match (listed.is_ok(), young) {
+            (false, _) => AGAIN_MS,
+            (true, true) => FIRST_MEMBERS_MS,
+            (true, false) => MEMBERS_MS,
+        };
         node.timer.after(wait_ms).await;
     }
 }
@@ -187,6 +196,7 @@
                 storeless_since_ms: None,
                 draining: false,
                 strength: 0,
+                gap_ms: 0,
                 listed: true,
             },
         );
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -36,6 +36,10 @@
 pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
         let others = node.others();
+        let gap_ms = match node.owns() {
+            true => BEAT_MS,
+            false => BEAT_MS.max(others.len() as u64 * BEAT_PER_PEER_MS),
+        };
         let beat = Beat {
             daemon: node.settings.daemon.clone(),
             boot: node.boot,
@@ -45,6 +49,7 @@
             draining: node.is_draining(),
             configuration_version: node.configuration().version,
             strength: node.settings.strength,
+            gap_ms,
         }
         .encode_to_vec();
         for (_, peer) in &others {
@@ -53,10 +58,6 @@
                 log::debug!("a heartbeat was not sent: {error}");
             }
         }
-        let gap_ms = match node.owns() {
-            true => BEAT_MS,
-            false => BEAT_MS.max(others.len() as u64 * BEAT_PER_PEER_MS),
-        };
         node.timer.after(gap_ms).await;
     }
 }
@@ -89,6 +90,7 @@
         storeless_since_ms: (!beat.has_store).then_some(now_ms),
         draining: beat.draining,
         strength: beat.strength,
+        gap_ms: beat.gap_ms,
         listed: false,
     };
     node.note_peer(&beat.daemon, peer);
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -32,8 +32,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// A peer that was heard this lately is there.
+/// A peer that was heard this lately is there: four heartbeats of a small fleet.
 const HEARD_MS: u64 = 1_200;
+/// The same in heartbeats of the peer. In a fleet of a hundred they are as far
+/// apart as the bound above, and daemons held each other for gone.
+const HEARD_BEATS: u64 = 3;
 /// A store that failed for this long is said to be lost.
 const STORE_LOST_MS: u64 = 400;
 /// A configuration that nobody confirmed for this long may be out of date.
@@ -60,10 +63,20 @@
     pub draining: bool,
     /// Milli-cores of its VM.
     pub strength: u64,
+    /// Time between its heartbeats.
+    pub gap_ms: u64,
     /// The store lists it.
     pub listed: bool,
 }
 
+impl Peer {
+    /// Whether it was heard lately.
+    fn is_heard(&self, now_ms: u64) -> bool {
+        let window_ms = HEARD_MS.max(self.gap_ms * HEARD_BEATS);
+        self.heard_ms > 0 && now_ms < self.heard_ms + window_ms
+    }
+}
+
 /// The owner, as far as known.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KnownOwner {
@@ -334,7 +347,7 @@
         let now_ms = self.now_ms();
         self.others.borrow_mut().retain(|name, peer| {
             peer.listed = listed.contains(name);
-            peer.listed || now_ms < peer.heard_ms + HEARD_MS
+            peer.listed || peer.is_heard(now_ms)
         });
     }
 
@@ -366,7 +379,7 @@
         let others = self.others.borrow();
         let fit = others
             .values()
-            .filter(|peer| now_ms < peer.heard_ms + HEARD_MS && peer.has_store && !peer.draining);
+            .filter(|peer| peer.is_heard(now_ms) && peer.has_store && !peer.draining);
         let addresses: Vec<SocketAddr> = fit.map(|peer| peer.address).collect();
         let owner = owner.map(|owner| owner.address);
         let own = addresses.iter().find(|address| Some(**address) == owner);
@@ -377,13 +390,13 @@
     pub fn election_view(&self) -> ElectionView {
         let now_ms = self.now_ms();
         let others = self.others.borrow();
-        let is_heard = |peer: &Peer| now_ms < peer.heard_ms + HEARD_MS;
-        let heard = others.iter().filter(|(_, peer)| is_heard(peer));
+        let heard = others.iter().filter(|(_, peer)| peer.is_heard(now_ms));
         let owner = self.owner().map(|owner| {
             let peer = others.get(&owner.name);
             let peer = peer.filter(|peer| peer.boot == owner.boot);
             OwnerSign {
                 heard_ms: peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms),
+                since_ms: owner.since_ms,
                 storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
                 draining: peer.is_some_and(|peer| peer.draining),
                 over: !self.owns() && self.is_over_among(&others, &owner.name, owner.boot),
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -92,4 +92,7 @@
     /// Milli-cores of its VM.
     #[prost(uint64, tag = "8")]
     pub strength: u64,
+    /// Time to the next heartbeat.
+    #[prost(uint64, tag = "9")]
+    pub gap_ms: u64,
 }
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -124,6 +124,7 @@
     }
 
     fn take_failed(&mut self, key: WorkerKey, name: RunName) -> u64 {
+        let now_ms = self.now_ms;
         let group_key = GroupKey::of(name.task);
         let Some(group) = self.groups.get_mut(&group_key) else {
             return 0;
@@ -140,6 +141,7 @@
         let failures = task.failed_runs.len() as u32;
         if let Some(task) = group.tasks.get_mut(name.task.index as usize) {
             task.avoid = Some(key);
+            task.avoided_ms = now_ms;
         }
         self.note_failure(key, name);
         let change = self.job_changed(name.task.job);
--- a/src/scheduler/evidence.rs
+++ b/src/scheduler/evidence.rs
@@ -12,12 +12,16 @@
     StopReason, //
 };
 use super::state::Scheduler;
+use super::worker::Contact;
 use super::{
+    Group,
     GroupKey,
     Run,
     RunName,
     RunPhase,
-    TaskState, //
+    Task,
+    TaskState,
+    Worker, //
 };
 use crate::core::WorkerKey;
 use std::collections::HashSet;
@@ -44,6 +48,79 @@
 /// A run time tells at most this much of slowness.
 const MAX_SLOWNESS: f64 = 8.0;
 
+/// A task does not go back to the worker where it failed for this long, if
+/// nothing else is free: one that fails at once took eight attempts of a task in
+/// a quarter of a second. Less than half of the 3 s for which work may wait
+/// beside idle workers.
+const BARRED_MS: u64 = 1_200;
+/// For this long the last attempt goes only where nothing failed lately.
+const LAST_ATTEMPT_MS: u64 = 2_400;
+
+/// Where the tasks of a group may not go after what happened to them.
+pub(super) struct Caution {
+    barred: Vec<WorkerKey>,
+    last_attempt: bool,
+}
+
+impl Caution {
+    /// What follows from the failures of the waiting tasks.
+    fn of(group: &Group, max_attempts: u32, now_ms: u64) -> Self {
+        let waiting = || {
+            let tasks = group.tasks.iter();
+            tasks.filter(|task| task.state == TaskState::Waiting)
+        };
+        let barred = waiting().filter(|task| now_ms < task.avoided_ms + BARRED_MS);
+        let last = |task: &Task| {
+            let failures = task.failed_runs.len() as u32;
+            failures > 0
+                && failures + 1 >= max_attempts
+                && now_ms < task.avoided_ms + LAST_ATTEMPT_MS
+        };
+        Self {
+            barred: barred.filter_map(|task| task.avoid).collect(),
+            last_attempt: waiting().any(last),
+        }
+    }
+
+    /// Whether the tasks may go to a worker.
+    pub(super) fn allows(&self, worker: &Worker, now_ms: u64) -> bool {
+        let failed_lately = || {
+            let mut failures = worker.failures.iter();
+            failures.any(|(at_ms, _)| now_ms < at_ms + FAILURE_MEMORY_MS)
+        };
+        let barred = self.barred.contains(&worker.key);
+        let doubted = self.last_attempt && failed_lately();
+        !barred && !doubted
+    }
+
+    fn is_needless(&self) -> bool {
+        self.barred.is_empty() && !self.last_attempt
+    }
+}
+
+impl Scheduler {
+    /// Where the waiting tasks of a group may not go for a while. Waiting helps
+    /// only if the other workers could hold them.
+    pub(super) fn caution(&self, group: &Group, service: &str) -> Option<Caution> {
+        let now_ms = self.now_ms;
+        let max_attempts = self.jobs[&group.key.job].max_attempts;
+        let caution = Caution::of(group, max_attempts, now_ms);
+        if caution.is_needless() {
+            return None;
+        }
+        let others = self.workers.iter().filter(|worker| {
+            worker.contact == Contact::Answering
+                && worker.listed
+                && !worker.info.draining
+                && worker.info.service == service
+                && caution.allows(worker, now_ms)
+        });
+        let room = others.map(|worker| worker.info.capacity.times(&group.room));
+        let room = room.fold(0u32, u32::saturating_add);
+        (room >= group.waiting).then_some(caution)
+    }
+}
+
 impl Scheduler {
     /// A run failed on a worker.
     pub(super) fn note_failure(&mut self, key: WorkerKey, name: RunName) {
@@ -102,6 +179,7 @@
 
     /// Stops runs that stand still, and closes their workers for a while.
     pub(super) fn review_evidence(&mut self) {
+        let now_ms = self.now_ms;
         let mut stalled = Vec::new();
         for worker in &self.workers {
             if worker.failed_looks > 0 {
@@ -116,7 +194,9 @@
         for (key, name) in stalled {
             self.quarantine(key, "stalled");
             if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) {
-                group.tasks[name.task.index as usize].avoid = Some(key);
+                let task = &mut group.tasks[name.task.index as usize];
+                task.avoid = Some(key);
+                task.avoided_ms = now_ms;
             }
             self.stop_run(key, name, StopReason::Hanging);
         }
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -74,6 +74,8 @@
     pub checkpoint: Option<Arc<str>>,
     /// The worker on which it last failed or hung.
     pub avoid: Option<WorkerKey>,
+    /// When that was.
+    pub avoided_ms: u64,
 }
 
 /// Failed runs that are remembered of a task that lasts.
@@ -101,6 +103,7 @@
             last_run: 0,
             checkpoint: None,
             avoid: None,
+            avoided_ms: 0,
         }
     }
 }
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -33,8 +33,8 @@
     /// Takes in the answer to a look.
     pub(super) fn held(&mut self, key: WorkerKey, sent_ms: u64, report: HoldReport) {
         let now_ms = self.now_ms;
+        self.look_over(key);
         let worker = self.worker_mut(key);
-        worker.look_in_flight = false;
         if worker.contact == Contact::Gone {
             return;
         }
@@ -76,8 +76,8 @@
     /// Takes in that a look failed.
     pub(super) fn hold_failed(&mut self, key: WorkerKey, outcome: CallOutcome) {
         let now_ms = self.now_ms;
+        self.look_over(key);
         let worker = self.worker_mut(key);
-        worker.look_in_flight = false;
         worker.failed_looks += 1;
         let wait_ms = FAILED_LOOK_MS << (worker.failed_looks - 1).min(2);
         worker.look_at_ms = now_ms + wait_ms.min(MAX_FAILED_LOOK_MS);
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -158,8 +158,19 @@
                 }
             }
         }
+        let now_ms = self.now_ms;
+        let caution = match step.long_running {
+            true => None,
+            false => self.caution(group, &queue.service),
+        };
         let allowed = |key: WorkerKey| -> u32 {
             let worker = self.worker(key);
+            if caution
+                .as_ref()
+                .is_some_and(|caution| !caution.allows(worker, now_ms))
+            {
+                return 0;
+            }
             let serves_queue = worker.info.service == queue.service;
             if !serves_queue || !worker.has_label(&step.required_label) {
                 return 0;
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -44,6 +44,9 @@
 /// Waiting work is tried again at least this often: what hinders it may pass
 /// with time alone, as a quarantine does.
 const RETRY_PASS_MS: u64 = 250;
+/// Looks on their way to workers that have not answered yet. A new owner asks
+/// thousands; all at once they hold up its heartbeats for a second.
+const MAX_FIRST_LOOKS: usize = 128;
 /// The place of a worker that is gone is used again after this long: ten times
 /// the bound of a call to a worker.
 const VACANT_MS: u64 = 30_000;
@@ -165,6 +168,8 @@
     /// known and nothing of them can be under way any more.
     pub(super) leaving_jobs: BTreeMap<JobId, Option<u64>>,
     pub(super) upkeep: Upkeep,
+    /// Looks on their way to workers that have not answered this owner yet.
+    pub(super) first_looks: usize,
     pub(super) due: BTreeSet<(u64, JobId)>,
     pub(super) review_at_ms: u64,
     pub(super) pass_at_ms: u64,
@@ -200,6 +205,7 @@
             leaving_jobs: BTreeMap::new(),
             vacant: VecDeque::new(),
             upkeep: Upkeep::default(),
+            first_looks: 0,
             due: BTreeSet::new(),
             review_at_ms: 0,
             pass_at_ms: 0,
@@ -621,11 +627,17 @@
         let now_ms = self.now_ms;
         let authority = self.has_authority();
         let (lease_ms, wait_ms) = (self.tuning.lease_ms, self.tuning.look_wait_ms);
+        let crowded = self.first_looks >= MAX_FIRST_LOOKS;
         let worker = self.worker_mut(key);
         if worker.look_in_flight || now_ms < worker.look_at_ms || !worker.on_roster {
             return;
         }
+        let first = worker.contact == Contact::Unfenced;
+        if first && crowded {
+            return;
+        }
         worker.look_in_flight = true;
+        worker.first_look = first;
         // A worker that does not answer is asked for a quick sign of life, and
         // ends that are not durable yet would answer a waiting look at once.
         let quick = worker.contact != Contact::Answering || !worker.undurable.is_empty();
@@ -642,6 +654,7 @@
             None
         };
         let (callee, last_seen) = (worker.callee(), worker.last_seen);
+        self.first_looks += usize::from(first);
         self.actions.push(Action::Hold {
             callee,
             last_seen,
@@ -650,6 +663,23 @@
         });
     }
 
+    /// A look came back: others that waited for it go out.
+    pub(super) fn look_over(&mut self, key: WorkerKey) {
+        let worker = self.worker_mut(key);
+        worker.look_in_flight = false;
+        if !std::mem::take(&mut worker.first_look) {
+            return;
+        }
+        self.first_looks -= 1;
+        if self.first_looks == MAX_FIRST_LOOKS / 2 {
+            for at in 0..self.workers.len() {
+                if self.workers[at].contact == Contact::Unfenced {
+                    self.look_if_due(WorkerKey(at as u32));
+                }
+            }
+        }
+    }
+
     /// A run is off its worker without being done: its task waits again.
     pub(super) fn run_gone(&mut self, key: WorkerKey, name: RunName) {
         self.worker_mut(key).remove_run(&name);
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -181,6 +181,8 @@
     pub undurable: VecDeque<(u64, RunName, u64)>,
     /// A look is on its way.
     pub look_in_flight: bool,
+    /// That look is one of the first, which are bounded.
+    pub first_look: bool,
     /// When to look next.
     pub look_at_ms: u64,
     /// No room there until then, whatever the sums say.
@@ -222,6 +224,7 @@
             taken_in: 0,
             undurable: VecDeque::new(),
             look_in_flight: false,
+            first_look: false,
             look_at_ms: 0,
             full_until_ms: 0,
             upkeep_next: false,
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -20,6 +20,7 @@
 fn sign() -> OwnerSign {
     OwnerSign {
         heard_ms: NOW_MS,
+        since_ms: NOW_MS - 60_000,
         storeless_since_ms: None,
         draining: false,
         over: false,
@@ -48,6 +49,24 @@
     assert_eq!(second, NOW_MS + 1_000, "one rank later");
 }
 
+/// Of 300 daemons each new owner called 3,000 workers, fell silent for a second
+/// and was followed by the next one, which did the same.
+#[test]
+fn a_large_fleet_gives_its_owner_more_time_and_a_young_owner_most() {
+    let mut large = view(Some(sign()));
+    large.heard = (0..299)
+        .map(|at| candidate(&format!("c{at}"), 250))
+        .collect();
+    large.listed = 332;
+    assert_eq!(takeover_at_ms(&large), Some(NOW_MS + 700 + 900));
+
+    large.owner = Some(OwnerSign {
+        since_ms: NOW_MS - 1_000,
+        ..sign()
+    });
+    assert_eq!(takeover_at_ms(&large), Some(NOW_MS + 700 + 1_800));
+}
+
 #[test]
 fn stronger_daemons_come_first() {
     let mut weak = view(Some(sign()));
@@ -56,6 +75,18 @@
     assert_eq!(takeover_at_ms(&weak), Some(NOW_MS + 1_000));
 }
 
+/// At the first start of a fleet a VM with an eighth of a core took over before
+/// it knew of the strong ones, and lost the ownership in the first burst.
+#[test]
+fn at_the_first_start_daemons_hear_of_each_other_first() {
+    let mut first = view(None);
+    first.started_ms = NOW_MS;
+    assert_eq!(takeover_at_ms(&first), Some(NOW_MS + 1_200));
+
+    first.heard.push(candidate("z", 500));
+    assert_eq!(takeover_at_ms(&first), Some(NOW_MS + 1_500));
+}
+
 #[test]
 fn a_draining_owner_is_followed_at_once() {
     let draining = OwnerSign {
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -16,12 +16,14 @@
 use fuchsiaslip::core::JobId;
 use fuchsiaslip::scheduler::{
     Action,
+    CallOutcome,
     EndKind,
     HoldReport,
     Input,
     JobView,
     RunName,
     Schedule,
+    Scheduler,
     Sizes,
     StepSpec,
     TaskId,
@@ -891,3 +893,69 @@
     fleet.settle();
     assert_eq!(fleet.starts.len(), 1);
 }
+
+/// The only worker with room failed whatever it started: one job's task went
+/// back to it eight times within a quarter of a second, and the job was given up
+/// though the fault was the worker's.
+#[test]
+fn a_task_does_not_spend_its_attempts_on_one_failing_worker() {
+    const FAULT_MS: u64 = 1_000;
+    let mut fleet = Fleet::with_workers(2);
+    let blocker = fleet.submit(1, record("plain", vec![step(1, 8)]));
+    fleet.advance(50);
+    let job = fleet.submit(2, record("plain", vec![step(1, 8)]));
+    for _ in 0..FAULT_MS / 50 {
+        fleet.advance(50);
+        fleet.end_all(job, EndKind::Failed);
+    }
+    let own = fleet.starts.iter().filter(|start| start.0.task.job == job);
+    assert_eq!(own.count(), 1, "it waits for another worker");
+
+    fleet.end_all(blocker, EndKind::Done);
+    fleet.advance(100);
+    fleet.end_all(job, EndKind::Done);
+    fleet.advance(100);
+    assert_eq!(fleet.scheduler.job_view(job), Some(JobView::Completed));
+}
+
+/// A new owner of 3,000 workers called all of them at once: for a second it sent
+/// no heartbeats, and the next candidate took over and did the same.
+#[test]
+fn a_new_owner_asks_its_workers_in_portions() {
+    const WORKERS: usize = 400;
+    const PORTION: usize = 128;
+    let mut scheduler = Scheduler::new(2, Tuning::default(), BEGIN_MS);
+    scheduler.take(Input::Configure(Arc::new(configuration(64))), BEGIN_MS);
+    for at in 0..WORKERS {
+        let known = Input::KnownWorker {
+            incarnation: format!("w{at}"),
+            address: format!("w{at}:1"),
+            closed_with: None,
+        };
+        scheduler.take(known, BEGIN_MS);
+    }
+    let recovered = Input::Recovered {
+        earlier_owner_over: true,
+    };
+    scheduler.take(recovered, BEGIN_MS);
+
+    let (mut on_their_way, mut most, mut asked) = (Vec::new(), 0, 0);
+    for now_ms in BEGIN_MS..BEGIN_MS + 2_000 {
+        for action in scheduler.decide(now_ms) {
+            if let Action::Hold { callee, .. } = action {
+                on_their_way.push(callee.worker);
+            }
+        }
+        most = most.max(on_their_way.len());
+        for worker in on_their_way.drain(..) {
+            asked += 1;
+            let outcome = CallOutcome::NoAnswer;
+            scheduler.take(Input::HoldFailed { worker, outcome }, now_ms);
+        }
+    }
+    assert_eq!(most, PORTION);
+    assert!(
+        asked >= 2 * WORKERS,
+        "each is asked again and again: {asked}"
+    );
+}
