--- a/justfile
+++ b/justfile
@@ -26,6 +26,18 @@
 bench-recovery only="":
     cargo bench --bench recovery -- {{only}}
 
+# Loads in virtual time under three rules of order; `just bench-replay burst` replays some.
+bench-replay only="":
+    cargo bench --bench replay -- {{only}}
+
+# Failover on an operators' platform; `just bench-failover herd` kills all daemons only.
+bench-failover only="":
+    cargo bench --bench failover -- {{only}}
+
+# Real daemons under drawn faults; `just soak 1-50`.
+soak seeds="1-8":
+    SOAK_SEEDS={{seeds}} cargo test --release --test soak -- --nocapture
+
 # The plots in docs/, from the printed figures.
 plots:
     cargo bench --bench decisions | cargo run --release --example plots
