Cost of a takeover among thousands of workers

Each answered look went through all workers and copied the names of those that had not answered, 9 million copies; each registration was compared with the addresses of all workers; each pass copied the rack of each worker.

Change: the search stops at the first worker that has not answered; workers are found by address; racks are shared.

--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -75,15 +75,17 @@
         let Some(until_ms) = self.blind_until_ms else {
             return;
         };
-        let unheard = self
-            .workers
-            .iter()
-            .filter(|worker| worker.on_roster && worker.contact == Contact::Unfenced)
-            .filter(|worker| worker.closing != Closing::Closed);
-        let unheard: Vec<_> = unheard.map(Worker::incarnation).collect();
-        if !unheard.is_empty() && self.now_ms < until_ms {
+        let is_unheard = |worker: &&Worker| {
+            worker.on_roster
+                && worker.contact == Contact::Unfenced
+                && worker.closing != Closing::Closed
+        };
+        // This runs after each look; it stops at the first worker not heard.
+        if self.now_ms < until_ms && self.workers.iter().any(|worker| is_unheard(&worker)) {
             return;
         }
+        let unheard = self.workers.iter().filter(is_unheard);
+        let unheard: Vec<_> = unheard.map(Worker::incarnation).collect();
         self.blind_until_ms = None;
         self.changed = true;
         self.decided(Decision::RecoveryOver {
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -23,6 +23,7 @@
 };
 use crate::core::WorkerKey;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// Starts that one pass gives; more follow at once in the next, so that news
 /// is not kept waiting behind a burst.
@@ -80,7 +81,7 @@
                 .iter()
                 .filter(|worker| worker.takes_work(now_ms))
         };
-        let mut rack_free: HashMap<&str, u32> = HashMap::new();
+        let mut rack_free: HashMap<&Arc<str>, u32> = HashMap::new();
         for worker in takes() {
             *rack_free.entry(worker.rack()).or_default() += worker.free().accelerators;
         }
@@ -88,7 +89,7 @@
             .map(|worker| Seat {
                 worker: worker.key,
                 free: worker.free(),
-                rack: worker.rack().into(),
+                rack: worker.rack().clone(),
                 slowness: worker.slowness,
                 serves: worker.runs.values().any(|run| run.serves),
                 fills: worker.runs.values().any(|run| run.fills),
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -157,6 +157,8 @@
     /// Places of workers that are gone, with the times, the oldest first.
     pub(super) vacant: VecDeque<(u64, WorkerKey)>,
     pub(super) worker_index: HashMap<String, WorkerKey>,
+    /// Workers by address, those that are gone included.
+    address_index: HashMap<String, Vec<WorkerKey>>,
     /// Workers that listed ends which are not durable yet.
     pub(super) with_undurable: BTreeSet<WorkerKey>,
     pub(super) jobs: BTreeMap<JobId, GraphJob>,
@@ -197,6 +199,7 @@
             history: HashMap::new(),
             workers: Vec::new(),
             worker_index: HashMap::new(),
+            address_index: HashMap::new(),
             with_undurable: BTreeSet::new(),
             jobs: BTreeMap::new(),
             guaranteed: HashSet::new(),
@@ -452,17 +455,17 @@
         let known = self.worker_index.get(&info.incarnation).copied();
         let draining = info.draining;
         let key = known.unwrap_or_else(|| self.add_worker(info.clone()));
+        if self.worker(key).info.address != info.address {
+            self.forget_address(key);
+            self.note_address(&info.address, key);
+        }
         // A restarted worker has the address of the one before: that one is over.
-        let replaced: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|other| {
-                other.key != key
-                    && other.contact != Contact::Gone
-                    && other.info.address == info.address
-                    && !other.listed
-            })
-            .map(|other| other.key)
+        let there = self.address_index.get(&info.address);
+        let replaced: Vec<WorkerKey> = there
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(|&other| other != key && !self.worker(other).listed)
             .collect();
         let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
@@ -491,6 +494,7 @@
             .vacate()
             .unwrap_or(WorkerKey(self.workers.len() as u32));
         self.worker_index.insert(info.incarnation.clone(), key);
+        self.note_address(&info.address, key);
         let worker = Worker::new(key, info);
         match self.workers.get_mut(key.index()) {
             Some(place) => *place = worker,
@@ -499,6 +503,22 @@
         key
     }
 
+    fn note_address(&mut self, address: &str, key: WorkerKey) {
+        let there = self.address_index.entry(address.to_owned()).or_default();
+        there.push(key);
+    }
+
+    fn forget_address(&mut self, key: WorkerKey) {
+        let address = &self.workers[key.index()].info.address;
+        if let Some(there) = self.address_index.get_mut(address) {
+            there.retain(|&other| other != key);
+            if there.is_empty() {
+                let address = address.clone();
+                self.address_index.remove(&address);
+            }
+        }
+    }
+
     /// A place whose worker is gone for so long that no answer of it can be
     /// under way: workers that go down and up by turns would fill the memory.
     fn vacate(&mut self) -> Option<WorkerKey> {
@@ -509,6 +529,7 @@
         self.vacant.pop_front();
         let before = self.worker(key).info.incarnation.clone();
         self.worker_index.remove(&before);
+        self.forget_address(key);
         for group in self.groups.values_mut() {
             group.forget_worker(key);
         }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -199,6 +199,12 @@
     pub slowness: f64,
     address: Arc<str>,
     incarnation: Arc<str>,
+    rack: Arc<str>,
+}
+
+/// The rack of a worker: the second of its labels.
+fn rack_of(info: &WorkerInfo) -> &str {
+    info.labels.get(1).map_or("", String::as_str)
 }
 
 impl Worker {
@@ -208,6 +214,7 @@
             key,
             address: info.address.as_str().into(),
             incarnation: info.incarnation.as_str().into(),
+            rack: rack_of(&info).into(),
             info,
             draining_since_ms: None,
             listed: false,
@@ -242,6 +249,7 @@
             false => None,
         };
         self.address = info.address.as_str().into();
+        self.rack = rack_of(&info).into();
         self.info = info;
         self.listed = true;
     }
@@ -284,9 +292,9 @@
         label.is_empty() || self.info.labels.iter().any(|own| own == label)
     }
 
-    /// Its rack: the second of its labels.
-    pub fn rack(&self) -> &str {
-        self.info.labels.get(1).map_or("", String::as_str)
+    /// Its rack.
+    pub fn rack(&self) -> &Arc<str> {
+        &self.rack
     }
 
     /// Its clock at `now_ms`, as far as known.
