--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -182,4 +182,49 @@
         self.with_undurable.remove(&key);
         true
     }
+
+    /// A run is off its worker without being done: its task waits again.
+    pub(super) fn run_gone(&mut self, key: WorkerKey, name: RunName) {
+        self.worker_mut(key).remove_run(&name);
+        self.changed = true;
+        let group_key = GroupKey::of(name.task);
+        let Some(group) = self.groups.get_mut(&group_key) else {
+            return;
+        };
+        let index = name.task.index;
+        let placed = TaskState::Placed {
+            worker: key,
+            run: name.run,
+        };
+        let Some(task) = group.tasks.get_mut(index as usize) else {
+            return;
+        };
+        if task.state == placed {
+            group.set_state(index, TaskState::Waiting);
+        }
+        if group.step.gang && group.gang_run == Some(name.run) {
+            self.end_gang(group_key);
+        }
+    }
+
+    /// Gives up the run of a gang: the others stop, and once all are off their
+    /// workers the gang waits again.
+    pub(super) fn end_gang(&mut self, key: GroupKey) {
+        let Some(group) = self.groups.get_mut(&key) else {
+            return;
+        };
+        if group.is_done() {
+            return;
+        }
+        if group.waiting as usize == group.tasks.len() {
+            group.gang_run = None;
+            group.gang_ending = false;
+            self.changed = true;
+            return;
+        }
+        if !group.gang_ending {
+            group.gang_ending = true;
+            self.stop_group(key, StopReason::GangBroken);
+        }
+    }
 }
--- /dev/null
+++ b/src/scheduler/looks.rs
@@ -0,0 +1,69 @@
+//! Looking at workers: renewing their leases and asking what runs there.
+
+use super::action::Action;
+use super::state::Scheduler;
+use super::worker::Contact;
+use crate::core::WorkerKey;
+
+/// Looks on their way to workers that have not answered yet. A new owner asks
+/// thousands; all at once they hold up its heartbeats for a second.
+const MAX_FIRST_LOOKS: usize = 128;
+
+impl Scheduler {
+    pub(super) fn look_if_due(&mut self, key: WorkerKey) {
+        let now_ms = self.now_ms;
+        let authority = self.has_authority();
+        let (lease_ms, wait_ms) = (self.tuning.lease_ms, self.tuning.look_wait_ms);
+        let crowded = self.first_looks >= MAX_FIRST_LOOKS;
+        let worker = self.worker_mut(key);
+        if worker.look_in_flight || now_ms < worker.look_at_ms || !worker.on_roster {
+            return;
+        }
+        let first = worker.contact == Contact::Unfenced;
+        if first && crowded {
+            return;
+        }
+        worker.look_in_flight = true;
+        worker.first_look = first;
+        // A worker that does not answer is asked for a quick sign of life, and
+        // ends that are not durable yet would answer a waiting look at once.
+        let quick = worker.contact != Contact::Answering || !worker.undurable.is_empty();
+        let shares =
+            worker.runs.values().any(|run| run.serves) && worker.runs.values().any(|run| run.fills);
+        let wait_ms = match (quick, shares) {
+            (true, _) => 0,
+            (false, true) => super::sharing::SHARED_LOOK_WAIT_MS,
+            (false, false) => wait_ms,
+        };
+        let lease_end_ms = if authority && worker.contact == Contact::Answering {
+            worker.grant(now_ms, lease_ms)
+        } else {
+            None
+        };
+        let (callee, last_seen) = (worker.callee(), worker.last_seen);
+        self.first_looks += usize::from(first);
+        self.actions.push(Action::Hold {
+            callee,
+            last_seen,
+            lease_end_ms,
+            wait_ms,
+        });
+    }
+
+    /// A look came back: others that waited for it go out.
+    pub(super) fn look_over(&mut self, key: WorkerKey) {
+        let worker = self.worker_mut(key);
+        worker.look_in_flight = false;
+        if !std::mem::take(&mut worker.first_look) {
+            return;
+        }
+        self.first_looks -= 1;
+        if self.first_looks == MAX_FIRST_LOOKS / 2 {
+            for at in 0..self.workers.len() {
+                if self.workers[at].contact == Contact::Unfenced {
+                    self.look_if_due(WorkerKey(at as u32));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/membership.rs
@@ -0,0 +1,229 @@
+//! Workers that come, go, and come back as others.
+//!
+//! Load pattern: workers go down and up by turns, each time as a new incarnation
+//! at the same address, and a new owner is told of thousands at once. So they are
+//! found by address, and the place of one that is gone is used again.
+
+use super::action::{
+    Action,
+    Decision, //
+};
+use super::state::Scheduler;
+use super::worker::{
+    Closing,
+    Contact, //
+};
+use super::{
+    RunName,
+    Worker,
+    WorkerInfo, //
+};
+use crate::core::WorkerKey;
+
+/// The place of a worker that is gone is used again after this long: ten times
+/// the bound of a call to a worker.
+const VACANT_MS: u64 = 30_000;
+
+impl Scheduler {
+    /// Workers that the stored roster has to name: key, incarnation, address.
+    pub fn roster(&self) -> Vec<(WorkerKey, String, String)> {
+        let used = self
+            .workers
+            .iter()
+            .filter(|worker| worker.contact != Contact::Gone);
+        used.map(|worker| {
+            let info = &worker.info;
+            (worker.key, info.incarnation.clone(), info.address.clone())
+        })
+        .collect()
+    }
+
+    pub(super) fn take_worker(&mut self, info: WorkerInfo) {
+        let known = self.worker_index.get(&info.incarnation).copied();
+        let draining = info.draining;
+        let key = known.unwrap_or_else(|| self.add_worker(info.clone()));
+        if self.worker(key).info.address != info.address {
+            self.forget_address(key);
+            self.note_address(&info.address, key);
+        }
+        // A restarted worker has the address of the one before: that one is over.
+        let there = self.address_index.get(&info.address);
+        let replaced: Vec<WorkerKey> = there
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(|&other| other != key && !self.worker(other).listed)
+            .collect();
+        let now_ms = self.now_ms;
+        let worker = self.worker_mut(key);
+        worker.update(info, now_ms);
+        if worker.contact == Contact::Gone {
+            // It was silent and not listed for a whole lease, and is back.
+            worker.contact = Contact::Unfenced;
+            self.vacant.retain(|&(_, vacant)| vacant != key);
+        }
+        let unknown = !self.worker(key).on_roster;
+        for old in replaced {
+            self.worker_gone(old, "replaced");
+        }
+        if draining {
+            self.changed = true;
+        }
+        if unknown && !self.roster_asked {
+            self.roster_asked = true;
+            self.actions.push(Action::StoreRoster);
+        }
+        self.changed = true;
+    }
+
+    fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
+        let key = self
+            .vacate()
+            .unwrap_or(WorkerKey(self.workers.len() as u32));
+        self.worker_index.insert(info.incarnation.clone(), key);
+        self.note_address(&info.address, key);
+        let worker = Worker::new(key, info);
+        match self.workers.get_mut(key.index()) {
+            Some(place) => *place = worker,
+            None => self.workers.push(worker),
+        }
+        key
+    }
+
+    fn note_address(&mut self, address: &str, key: WorkerKey) {
+        let there = self.address_index.entry(address.to_owned()).or_default();
+        there.push(key);
+    }
+
+    fn forget_address(&mut self, key: WorkerKey) {
+        let address = &self.workers[key.index()].info.address;
+        if let Some(there) = self.address_index.get_mut(address) {
+            there.retain(|&other| other != key);
+            if there.is_empty() {
+                let address = address.clone();
+                self.address_index.remove(&address);
+            }
+        }
+    }
+
+    /// A place whose worker is gone for so long that no answer of it can be
+    /// under way: workers that go down and up by turns would fill the memory.
+    fn vacate(&mut self) -> Option<WorkerKey> {
+        let &(since_ms, key) = self.vacant.front()?;
+        if self.now_ms < since_ms + VACANT_MS {
+            return None;
+        }
+        self.vacant.pop_front();
+        let before = self.worker(key).info.incarnation.clone();
+        self.worker_index.remove(&before);
+        self.forget_address(key);
+        for group in self.groups.values_mut() {
+            group.forget_worker(key);
+        }
+        Some(key)
+    }
+
+    pub(super) fn take_known_worker(
+        &mut self,
+        incarnation: String,
+        address: String,
+        closed_with: Option<Vec<RunName>>,
+    ) {
+        let known = self.worker_index.get(&incarnation).copied();
+        let key = known.unwrap_or_else(|| {
+            self.add_worker(WorkerInfo {
+                incarnation,
+                address,
+                ..WorkerInfo::default()
+            })
+        });
+        self.worker_mut(key).on_roster = true;
+        if let Some(runs) = closed_with {
+            self.take_closed(key, runs);
+        }
+    }
+
+    pub(super) fn worker_unlisted(&mut self, name: &str) {
+        if let Some(&key) = self.worker_index.get(name) {
+            self.worker_mut(key).listed = false;
+            self.changed = true;
+        }
+    }
+
+    pub(super) fn roster_stored(&mut self, workers: &[WorkerKey]) {
+        for &key in workers {
+            let worker = self.worker_mut(key);
+            worker.on_roster = worker.contact != Contact::Gone;
+            self.look_if_due(key);
+        }
+        self.roster_asked = self
+            .workers
+            .iter()
+            .any(|worker| !worker.on_roster && worker.contact != Contact::Gone);
+        if self.roster_asked {
+            self.actions.push(Action::StoreRoster);
+        }
+        self.changed = true;
+    }
+
+    /// After the end of the longest lease nothing runs there any more. A
+    /// worker that is not listed either has left: the roster forgets it, or it
+    /// would hold up the next owner, who could not reach it.
+    pub(super) fn review_lapse(&mut self, key: WorkerKey) {
+        let now_ms = self.now_ms;
+        let worker = self.worker(key);
+        let silent = matches!(worker.contact, Contact::Silent | Contact::Unfenced);
+        // Nothing runs where this owner has looked, and where all that it
+        // ordered since has ended.
+        let empty = worker.contact == Contact::Silent && worker.runs.is_empty();
+        let never_used = worker.clock.is_none() && now_ms >= self.earlier_leases_over_ms;
+        let lapsed_ms = match empty || never_used {
+            true => Some(0),
+            false => worker.lapsed_at_ms(),
+        };
+        if !silent || lapsed_ms.is_none_or(|lapsed_ms| now_ms < lapsed_ms) {
+            return;
+        }
+        let listed = worker.listed;
+        if !worker.runs.is_empty() {
+            self.lose_runs(key, "lease_over");
+        }
+        if !listed {
+            self.worker_gone(key, "left");
+        }
+    }
+
+    /// Whatever ran on a worker is lost.
+    fn lose_runs(&mut self, key: WorkerKey, reason: &'static str) {
+        let names: Vec<RunName> = self.worker(key).runs.keys().copied().collect();
+        if self.worker(key).closing != Closing::Open {
+            // The store named these runs.
+            self.actions.push(Action::StoreClosed { worker: key });
+        }
+        let worker = self.worker(key).incarnation();
+        self.decided(Decision::WorkerLost {
+            worker,
+            runs: names.len(),
+            reason,
+        });
+        for name in names {
+            self.run_gone(key, name);
+        }
+    }
+
+    /// The worker's incarnation is over.
+    pub(super) fn worker_gone(&mut self, key: WorkerKey, reason: &'static str) {
+        if self.worker(key).contact == Contact::Gone {
+            return;
+        }
+        let now_ms = self.now_ms;
+        self.vacant.push_back((now_ms, key));
+        let worker = self.worker_mut(key);
+        worker.contact = Contact::Gone;
+        if worker.on_roster {
+            worker.on_roster = false;
+            self.actions.push(Action::StoreRoster);
+        }
+        self.lose_runs(key, reason);
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -16,6 +16,8 @@
 mod input;
 mod job;
 mod leaving;
+mod looks;
+mod membership;
 mod order;
 mod orders;
 mod pass;
@@ -26,6 +28,7 @@
 mod sharing;
 mod spec;
 mod state;
+mod tuning;
 mod upkeep;
 mod worker;
 
@@ -80,9 +83,9 @@
 };
 pub use state::{
     Scheduler,
-    Sizes,
-    Tuning, //
+    Sizes, //
 };
+pub use tuning::Tuning;
 pub use upkeep::{
     MachineInfo,
     MachineState,
--- a/src/scheduler/orders.rs
+++ b/src/scheduler/orders.rs
@@ -23,6 +23,9 @@
 use crate::core::WorkerKey;
 use std::sync::Arc;
 
+/// Numbers of runs that one epoch may give to a task.
+const RUNS_PER_EPOCH: u64 = 1_000;
+
 impl Scheduler {
     /// Gives a run to a worker; the caller has checked the room.
     pub(super) fn start_run(&mut self, key: WorkerKey, group_key: GroupKey, index: u32, run: u64) {
@@ -267,4 +270,15 @@
             }
         }
     }
+
+    /// The number of the next run of a group's tasks; a gang's members share it.
+    pub(super) fn next_run(&self, key: GroupKey, index: Option<u32>) -> u64 {
+        let tasks = &self.groups[&key].tasks;
+        let highest = match index {
+            Some(index) => tasks[index as usize].last_run,
+            None => tasks.iter().map(|task| task.last_run).max().unwrap_or(0),
+        };
+        let base = (self.epoch.saturating_sub(1)) * RUNS_PER_EPOCH;
+        highest.max(base) + 1
+    }
 }
--- /dev/null
+++ b/src/scheduler/tuning.rs
@@ -0,0 +1,56 @@
+//! Bounds that a scheduler is given.
+
+use super::OrderRule;
+
+/// Bounds of the scheduler.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// How long an owner that cannot confirm its epoch goes on giving leases
+    /// and starts. Longer than the outages of the store that work should
+    /// survive unharmed; a new owner waits it out for workers it cannot reach.
+    pub authority_ms: u64,
+    /// Length of a worker's lease: survives a cut of that length.
+    pub lease_ms: u64,
+    /// A start that arrives later than this does nothing. Short, so that a
+    /// start without an answer is settled early.
+    pub start_window_ms: u64,
+    /// Most that a stop takes on a worker.
+    pub stop_ms: u64,
+    /// Wait of a look at a worker.
+    pub look_wait_ms: u64,
+    /// How long an ended job is remembered.
+    pub retention_ms: u64,
+    /// Tasks with data on a rack, or tight gangs, take this many times as long
+    /// elsewhere.
+    pub remote_factor: f64,
+    /// Time that a run loses by going on from a checkpoint.
+    pub restore_ms: u64,
+    /// Time between two checkpoints.
+    pub checkpoint_ms: u64,
+    /// What orders waiting work.
+    pub order: OrderRule,
+    /// How long a machine is down for its upkeep.
+    pub upkeep_ms: u64,
+    /// A new owner gives no orders for machines for this long: two owners in
+    /// touch may not take turns at one machine within it.
+    pub holder_gap_ms: u64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            authority_ms: 6_000,
+            lease_ms: 7_000,
+            start_window_ms: 1_500,
+            stop_ms: 200,
+            look_wait_ms: 1_000,
+            retention_ms: 150_000,
+            remote_factor: 3.0,
+            restore_ms: 600,
+            checkpoint_ms: 2_000,
+            order: OrderRule::Worth,
+            upkeep_ms: 2_000,
+            holder_gap_ms: 3_500,
+        }
+    }
+}
