--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -481,12 +481,43 @@
     }
 }
 
-/// The seeds that CI runs; one that ever failed stays here with its cause.
-const SEEDS: [u64; 2] = [1, 2];
+/// The seeds that CI runs.
+const SEEDS: [u64; 2] = [1, 109];
+
+/// Seeds that failed once, with what they showed; `SOAK_SEEDS=known` runs them.
+/// A seed draws the same faults and jobs, but processes race each time anew.
+const KNOWN_SEEDS: [(u64, &str); 7] = [
+    (
+        109,
+        "a refused job ran: a closed connection was taken for an unsent call",
+    ),
+    (144, "the same"),
+    (
+        118,
+        "a task was done twice: ends that were not stored, or a paused owner",
+    ),
+    (
+        201,
+        "the stand-in's: a look outlived its worker and took ends of the next",
+    ),
+    (210, "the same"),
+    (
+        225,
+        "the soak's: a daemon that was killed and started was waited for",
+    ),
+    (311, "a task spent its attempts on one failing worker"),
+];
 
 #[test]
 fn promises_hold_under_drawn_faults() {
     let range = std::env::var("SOAK_SEEDS").ok();
+    if range.as_deref() == Some("known") {
+        for (seed, shown) in KNOWN_SEEDS {
+            println!("seed {seed}: {shown}");
+            play(seed);
+        }
+        return;
+    }
     let seeds: Vec<u64> = match range.as_deref().and_then(|range| range.split_once('-')) {
         Some((first, last)) => {
             let number = |text: &str| text.parse::<u64>().expect("SOAK_SEEDS is FIRST-LAST");
@@ -494,10 +525,12 @@
         }
         None => SEEDS.to_vec(),
     };
-    for seed in seeds {
-        let mut soak = Soak::begin(seed);
-        soak.run();
-        soak.settle();
-        soak.check();
-    }
+    seeds.into_iter().for_each(play);
+}
+
+fn play(seed: u64) {
+    let mut soak = Soak::begin(seed);
+    soak.run();
+    soak.settle();
+    soak.check();
 }
