A slow owner is not a paused one

The rule that a paused owner confirms its epoch would have silenced an owner on a VM so slow that each decision takes over a second (reckoned, not seen). A pause is now four times the usual time between decisions as well. Test: an_owner_that_is_always_slow_is_not_taken_for_paused, fails before.

--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -42,6 +42,10 @@
 /// A thread that wakes up this late was stopped, or its VM was: a successor
 /// starts new work this long after it took over, since by then it is heard.
 const PAUSE_MS: u64 = super::blind::DEPOSED_MS;
+/// A pause is so many times longer than the usual time between decisions.
+const PAUSE_FACTOR: f64 = 4.0;
+/// Weight of a new gap in the usual one: ten gaps tell what is usual.
+const GAP_WEIGHT: f64 = 0.1;
 
 /// How much is kept in memory.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -75,6 +79,10 @@
     pub(super) confirmed_ms: u64,
     /// When this process last went on after a pause.
     pub(super) resumed_ms: u64,
+    /// When it last decided.
+    decided_ms: u64,
+    /// Time between two decisions, as it mostly is.
+    usual_gap_ms: f64,
     pub(super) recovered: bool,
     /// Until then earlier owners' starts may run where this one cannot look.
     pub(super) blind_until_ms: Option<u64>,
@@ -122,6 +130,8 @@
             began_ms: now_ms,
             confirmed_ms: now_ms,
             resumed_ms: 0,
+            decided_ms: now_ms,
+            usual_gap_ms: 0.0,
             recovered: false,
             blind_until_ms: None,
             earlier_leases_over_ms: 0,
@@ -152,7 +162,7 @@
 
     /// Takes in news; what follows is returned by [`Scheduler::decide`].
     pub fn take(&mut self, input: Input, now_ms: u64) {
-        self.move_clock(now_ms);
+        self.now_ms = self.now_ms.max(now_ms);
         match input {
             Input::Configure(configuration) => self.configure(configuration),
             Input::Job {
@@ -223,7 +233,8 @@
 
     /// Decides what follows from the news and the time.
     pub fn decide(&mut self, now_ms: u64) -> Vec<Action> {
-        self.move_clock(now_ms);
+        self.note_pause(now_ms);
+        self.now_ms = self.now_ms.max(now_ms);
         if self.recovered {
             self.open_due();
             if self.now_ms >= self.review_at_ms {
@@ -239,11 +250,18 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn move_clock(&mut self, now_ms: u64) {
-        if now_ms >= self.now_ms + PAUSE_MS {
+    /// Notices that this process was paused since it decided last. A VM so slow
+    /// that every decision takes a second is not.
+    fn note_pause(&mut self, now_ms: u64) {
+        let gap_ms = now_ms.saturating_sub(self.decided_ms);
+        if gap_ms == 0 {
+            return;
+        }
+        self.decided_ms = now_ms;
+        if gap_ms >= PAUSE_MS && gap_ms as f64 >= PAUSE_FACTOR * self.usual_gap_ms {
             self.resumed_ms = now_ms;
         }
-        self.now_ms = self.now_ms.max(now_ms);
+        self.usual_gap_ms += GAP_WEIGHT * (gap_ms as f64 - self.usual_gap_ms);
     }
 
     /// When to decide again without news.
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -503,3 +503,19 @@
         "each is asked again and again: {asked}"
     );
 }
+
+/// The rule for paused owners would have kept an owner from ever giving an
+/// order on a VM so slow that each pass takes more than a second.
+#[test]
+fn an_owner_that_is_always_slow_is_not_taken_for_paused() {
+    const PASS_MS: u64 = 1_200;
+    const CONFIRMED_BEFORE_MS: u64 = 300;
+    let mut fleet = Fleet::with_workers(1);
+    for _ in 0..12 {
+        fleet.now_ms += PASS_MS;
+        let confirmed_ms = fleet.now_ms - CONFIRMED_BEFORE_MS;
+        fleet.tell(Input::Confirmed(confirmed_ms));
+        fleet.settle();
+    }
+    assert!(fleet.scheduler.has_authority());
+}
