Count the silent owner as no rival; read the list of members less often

Every daemon read the whole list of members every 1.5 s, also in a fleet of hundreds.

Change: the owner is not counted in the ranks; the list is read once in 150 ms a daemon, and every 300 ms in a process's first two seconds.

--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -51,6 +51,8 @@
 /// The last sign of the owner.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnerSign {
+    /// Its name.
+    pub name: String,
     /// When it was heard, or when this daemon began to listen for it.
     pub heard_ms: u64,
     /// When this daemon learned that it owns.
@@ -92,8 +94,13 @@
     if !view.own.fit {
         return None;
     }
+    // The owner itself is no rival: it was the first candidate, and is heard
+    // for a while after it fell silent.
+    let owner = view.owner.as_ref().map(|sign| sign.name.as_str());
     let better = |other: &&Candidate| {
-        other.fit && (other.strength, &view.own.name) > (view.own.strength, &other.name)
+        other.fit
+            && Some(other.name.as_str()) != owner
+            && (other.strength, &view.own.name) > (view.own.strength, &other.name)
     };
     let rank = view.heard.iter().filter(better).count() as u64;
     let from_ms = match &view.owner {
--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -49,8 +49,12 @@
 const AGAIN_MS: u64 = 100;
 /// Length of a member's lease: several renewals may be lost.
 const MEMBER_TTL_MS: u64 = 6_000;
-/// How often the lease is renewed and the list of members read.
+/// How often the lease is renewed and, in a small fleet, the list of members
+/// read.
 const MEMBERS_MS: u64 = 1_500;
+/// The list of a larger fleet is read once in so much for each daemon: daemons
+/// also hear of each other by heartbeats, and the list of 300 is 45 KB.
+const MEMBERS_PER_DAEMON_MS: u64 = 150;
 /// How often the list is read in the first moments of a process.
 const FIRST_MEMBERS_MS: u64 = 300;
 /// How long those last.
@@ -141,14 +145,25 @@
 
 /// Keeps this daemon listed, and reads who else is.
 pub async fn members(node: Rc<Node>) {
-    let mut lease = 0;
+    let (mut lease, mut list_at_ms) = (0, 0);
     loop {
-        let listed = list_members(&node, &mut lease).await;
+        let mut listed = stay_listed(&node, &mut lease).await;
+        if listed.is_ok() && node.now_ms() >= list_at_ms {
+            listed = list_members(&node).await;
+            let count = node.others().len() as u64;
+            list_at_ms = match listed {
+                Ok(()) => node.now_ms() + count * MEMBERS_PER_DAEMON_MS,
+                Err(_) => 0,
+            };
+        }
         if listed.is_err() {
             metrics::counter!("fuchsiaslip_retries_total", "reason" => "members_unread")
                 .increment(1);
         }
         let young = node.now_ms() < node.started_ms + FIRST_MS;
+        if young {
+            list_at_ms = 0;
+        }
         let wait_ms = match (listed.is_ok(), young) {
             (false, _) => AGAIN_MS,
             (true, true) => FIRST_MEMBERS_MS,
@@ -158,7 +173,8 @@
     }
 }
 
-async fn list_members(node: &Rc<Node>, lease: &mut u64) -> Result<(), StoreError> {
+/// Renews this daemon's entry in the list.
+async fn stay_listed(node: &Node, lease: &mut u64) -> Result<(), StoreError> {
     if *lease != 0 && !node.store.keep_lease(*lease).await? {
         *lease = 0;
     }
@@ -176,6 +192,10 @@
         node.store.commit(&transaction).await?;
         *lease = granted;
     }
+    Ok(())
+}
+
+async fn list_members(node: &Node) -> Result<(), StoreError> {
     let members = node.store.range(MEMBERS_PREFIX, true).await?;
     let mut names = Vec::new();
     for item in &members.items {
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -395,6 +395,7 @@
             let peer = others.get(&owner.name);
             let peer = peer.filter(|peer| peer.boot == owner.boot);
             OwnerSign {
+                name: owner.name.clone(),
                 heard_ms: peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms),
                 since_ms: owner.since_ms,
                 storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -19,6 +19,7 @@
 
 fn sign() -> OwnerSign {
     OwnerSign {
+        name: "owner".to_owned(),
         heard_ms: NOW_MS,
         since_ms: NOW_MS - 60_000,
         storeless_since_ms: None,
@@ -67,6 +68,19 @@
     assert_eq!(takeover_at_ms(&large), Some(NOW_MS + 700 + 1_800));
 }
 
+/// The first candidate owns, so the next one always waited one rank longer than
+/// needed: for an owner that had just fallen silent.
+#[test]
+fn the_silent_owner_is_no_rival() {
+    let mut next = view(Some(OwnerSign {
+        name: "a".to_owned(),
+        ..sign()
+    }));
+    next.heard.push(candidate("a", 500));
+
+    assert_eq!(takeover_at_ms(&next), Some(NOW_MS + 700));
+}
+
 #[test]
 fn stronger_daemons_come_first() {
     let mut weak = view(Some(sign()));
