--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -20,8 +20,8 @@
 use super::state::Scheduler;
 use super::worker::{
     CLOCK_DRIFT_PERMILLE,
-    Closing,
     Contact, //
+    Intake,
 };
 use super::{
     GroupKey,
@@ -78,7 +78,7 @@
         let is_unheard = |worker: &&Worker| {
             worker.on_roster
                 && worker.contact == Contact::Unfenced
-                && worker.closing != Closing::Closed
+                && worker.intake != Intake::Closed
         };
         // This runs after each look; it stops at the first worker not heard.
         if self.now_ms < until_ms && self.workers.iter().any(|worker| is_unheard(&worker)) {
--- a/src/scheduler/closing.rs
+++ b/src/scheduler/closing.rs
@@ -13,8 +13,8 @@
 use super::action::Action;
 use super::state::Scheduler;
 use super::worker::{
-    Closing,
     Contact, //
+    Intake,
 };
 use super::{
     GroupKey,
@@ -39,17 +39,15 @@
         let silent = worker.contact == Contact::Silent
             && (worker.failed_looks >= CLOSE_AFTER_LOOKS || !worker.listed);
         let leaving = worker.info.draining && worker.contact == Contact::Answering;
-        let next = match worker.closing {
-            Closing::Open if silent || leaving => Closing::Closing,
-            Closing::Closed
-                if worker.contact == Contact::Answering && worker.listed && !leaving =>
-            {
-                Closing::Opening
+        let next = match worker.intake {
+            Intake::Open if silent || leaving => Intake::Closing,
+            Intake::Closed if worker.contact == Contact::Answering && worker.listed && !leaving => {
+                Intake::Opening
             }
             _ => return,
         };
         if store_answers {
-            worker.closing = next;
+            worker.intake = next;
             self.actions.push(Action::StoreClosed { worker: key });
         }
     }
@@ -61,7 +59,7 @@
         if worker.contact == Contact::Gone {
             return None;
         }
-        let closed = matches!(worker.closing, Closing::Closing | Closing::Closed);
+        let closed = matches!(worker.intake, Intake::Closing | Intake::Closed);
         if !closed {
             return Some((false, Vec::new()));
         }
@@ -77,9 +75,9 @@
             return;
         };
         let worker = self.worker_mut(key);
-        worker.closing = match (worker.closing, closed) {
-            (Closing::Closing, true) => Closing::Closed,
-            (Closing::Opening, false) => Closing::Open,
+        worker.intake = match (worker.intake, closed) {
+            (Intake::Closing, true) => Intake::Closed,
+            (Intake::Opening, false) => Intake::Open,
             (other, _) => other,
         };
         self.changed = true;
@@ -90,7 +88,7 @@
     pub(super) fn take_closed(&mut self, key: WorkerKey, runs: Vec<RunName>) {
         let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
-        worker.closing = Closing::Closed;
+        worker.intake = Intake::Closed;
         for name in runs {
             let mut run = Run::found(now_ms, GroupKey::of(name.task));
             run.phase = RunPhase::Unseen;
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -10,8 +10,8 @@
 };
 use super::state::Scheduler;
 use super::worker::{
-    Closing,
     Contact, //
+    Intake,
 };
 use super::{
     RunName,
@@ -196,7 +196,7 @@
     /// Whatever ran on a worker is lost.
     fn lose_runs(&mut self, key: WorkerKey, reason: &'static str) {
         let names: Vec<RunName> = self.worker(key).runs.keys().copied().collect();
-        if self.worker(key).closing != Closing::Open {
+        if self.worker(key).intake != Intake::Open {
             // The store named these runs.
             self.actions.push(Action::StoreClosed { worker: key });
         }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -93,7 +93,7 @@
     WaveOrder, //
 };
 pub use worker::{
-    Closing,
+    Intake,
     Run,
     RunPhase,
     Worker, //
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -101,7 +101,7 @@
 
 /// Whether the store says that a worker gets no more starts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Closing {
+pub enum Intake {
     /// It says nothing: starts may go there.
     Open,
     /// It is being told so.
@@ -158,7 +158,7 @@
     /// The roster in the store names it.
     pub on_roster: bool,
     /// Whether the store says that it gets no more starts.
-    pub closing: Closing,
+    pub intake: Intake,
     /// How well it is known.
     pub contact: Contact,
     /// Its clock and when that was read.
@@ -219,7 +219,7 @@
             draining_since_ms: None,
             listed: false,
             on_roster: false,
-            closing: Closing::Open,
+            intake: Intake::Open,
             contact: Contact::Unfenced,
             clock: None,
             lease_end_ms: 0,
@@ -278,7 +278,7 @@
         self.contact == Contact::Answering
             && self.listed
             && self.on_roster
-            && self.closing == Closing::Open
+            && self.intake == Intake::Open
             && !self.upkeep_next
             && !self.info.draining
             && self.failed_looks == 0
