Progress goes before closed workers in a commit

Cause, found by reading the ledger again: closed workers came first in a batch of 15 values, so a thousand that fall silent at once would have held the progress of jobs up for some 70 commits. A row may name more than is there, so the order of the two does not matter for safety: ends that are not stored are in it. The batch is put together in short steps now.

--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -111,6 +111,45 @@
     forgotten: Vec<JobId>,
 }
 
+impl Batch {
+    fn begin(root_revision: u64) -> Self {
+        let mut transaction = Transaction::default();
+        let root = (ROOT_KEY.to_owned(), root_revision);
+        transaction.expected.push(root);
+        Self {
+            transaction,
+            progress: Vec::new(),
+            roster: None,
+            closed: Vec::new(),
+            waves: Vec::new(),
+            forgotten: Vec::new(),
+        }
+    }
+
+    /// Writes a value, if it is still as last known.
+    fn put(&mut self, pending: &Pending, key: String, value: Bytes) {
+        let revision = pending.revisions.get(&key).copied().unwrap_or(0);
+        self.transaction.expected.push((key.clone(), revision));
+        self.transaction.puts.push((key, value));
+    }
+
+    /// How many more things that take so many entries each fit.
+    fn room(&self, entries: usize) -> usize {
+        let transaction = &self.transaction;
+        let taken = transaction.expected.len() + transaction.puts.len() + transaction.removed.len();
+        MAX_TRANSACTION_ENTRIES.saturating_sub(taken) / entries
+    }
+}
+
+/// The roster as it is stored.
+fn rows_of(roster: &[(WorkerKey, String, String)]) -> Vec<RosterRow> {
+    let rows = roster.iter().map(|(_, incarnation, address)| RosterRow {
+        incarnation: incarnation.clone(),
+        address: address.clone(),
+    });
+    rows.collect()
+}
+
 impl Ledger {
     /// Forgets everything: another daemon owns.
     pub fn clear(&self) {
@@ -145,67 +184,39 @@
         self.added.notify_one();
     }
 
+    /// What the next transaction carries: first what a worker or a caller waits
+    /// for. A thousand workers that are closed at once do not hold progress up.
     fn batch(&self, root_revision: u64) -> Option<Batch> {
         let pending = self.pending.borrow();
-        let mut batch = Batch {
-            transaction: Transaction::default(),
-            progress: Vec::new(),
-            roster: None,
-            closed: Vec::new(),
-            waves: Vec::new(),
-            forgotten: Vec::new(),
-        };
-        batch
-            .transaction
-            .expected
-            .push((ROOT_KEY.to_owned(), root_revision));
-        let mut put = |key: String, value: Bytes| {
-            let revision = pending.revisions.get(&key).copied().unwrap_or(0);
-            batch.transaction.expected.push((key.clone(), revision));
-            batch.transaction.puts.push((key, value));
-        };
+        let mut batch = Batch::begin(root_revision);
         if let Some(roster) = &pending.roster {
-            let rows: Vec<RosterRow> = roster
-                .iter()
-                .map(|(_, incarnation, address)| RosterRow {
-                    incarnation: incarnation.clone(),
-                    address: address.clone(),
-                })
-                .collect();
-            put(ROSTER_KEY.to_owned(), encode(&rows));
+            batch.put(&pending, ROSTER_KEY.to_owned(), encode(&rows_of(roster)));
             batch.roster = Some(roster.iter().map(|(key, _, _)| *key).collect());
         }
-        let mut room = (MAX_TRANSACTION_ENTRIES - 1) / VALUE_ENTRIES;
-        room -= usize::from(batch.roster.is_some());
-        for (incarnation, record) in pending.closed.iter().take(room) {
-            if let Some(record) = record {
-                put(closed_key(incarnation), encode(record));
-            }
-            batch.closed.push((incarnation.clone(), record.clone()));
+        for (&job, (change, record)) in pending.progress.iter().take(batch.room(VALUE_ENTRIES)) {
+            batch.put(&pending, progress_key(job), encode(record));
+            batch.progress.push((job, *change));
         }
-        room -= batch.closed.len();
-        for (&wave, &completed) in pending.waves.iter().take(room) {
-            put(wave_state_key(wave), encode_wave_state(completed));
+        for (&wave, &completed) in pending.waves.iter().take(batch.room(VALUE_ENTRIES)) {
+            let value = encode_wave_state(completed);
+            batch.put(&pending, wave_state_key(wave), value);
             batch.waves.push((wave, completed));
         }
-        room -= batch.waves.len();
-        for (&job, (change, record)) in pending.progress.iter().take(room) {
-            put(progress_key(job), encode(record));
-            batch.progress.push((job, *change));
+        for (incarnation, record) in pending.closed.iter().take(batch.room(VALUE_ENTRIES)) {
+            let key = closed_key(incarnation);
+            match record {
+                Some(record) => batch.put(&pending, key, encode(record)),
+                None => batch.transaction.removed.push(key),
+            }
+            batch.closed.push((incarnation.clone(), record.clone()));
         }
-        let gone = batch.closed.iter().filter(|(_, record)| record.is_none());
-        let gone = gone.map(|(incarnation, _)| closed_key(incarnation));
-        batch.transaction.removed.extend(gone);
         // Nobody waits for what is forgotten: it takes the room that is left.
-        let transaction = &mut batch.transaction;
-        let entries =
-            transaction.expected.len() + transaction.puts.len() + transaction.removed.len();
-        let room = MAX_TRANSACTION_ENTRIES.saturating_sub(entries) / REMOVED_KEYS;
-        for &job in pending.forgotten.iter().take(room) {
+        for &job in pending.forgotten.iter().take(batch.room(REMOVED_KEYS)) {
             batch.forgotten.push(job);
-            transaction.removed.extend(keys_of(job));
+            batch.transaction.removed.extend(keys_of(job));
         }
-        let empty = batch.transaction.puts.is_empty() && batch.transaction.removed.is_empty();
+        let transaction = &batch.transaction;
+        let empty = transaction.puts.is_empty() && transaction.removed.is_empty();
         (!empty).then_some(batch)
     }
 
