Hold a worker for replaced only when its successor has answered

A new owner took the entry of a crashed life of a worker, which stays in the store for seconds, for the successor of the living one at the same address: the living one left the roster, was not waited for, and its tasks started anew while they ran. Test fails before: an_entry_of_a_crashed_life_does_not_end_the_living_one.

Found beside it: the roster's acknowledgement named places of workers, which may have other workers by then; it names incarnations now.

Change: other incarnations at an address are over when one of them answered under its name; entries prove nothing.

--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -105,7 +105,7 @@
 struct Batch {
     transaction: Transaction,
     progress: Vec<(JobId, u64)>,
-    roster: Option<Vec<WorkerKey>>,
+    roster: Option<Vec<String>>,
     closed: Vec<(String, Option<ClosedRecord>)>,
     waves: Vec<(u64, bool)>,
     forgotten: Vec<JobId>,
@@ -191,7 +191,7 @@
         let mut batch = Batch::begin(root_revision);
         if let Some(roster) = &pending.roster {
             batch.put(&pending, ROSTER_KEY.to_owned(), encode(&rows_of(roster)));
-            batch.roster = Some(roster.iter().map(|(key, _, _)| *key).collect());
+            batch.roster = Some(roster.iter().map(|(_, name, _)| name.clone()).collect());
         }
         for (&job, (change, record)) in pending.progress.iter().take(batch.room(VALUE_ENTRIES)) {
             batch.put(&pending, progress_key(job), encode(record));
@@ -236,7 +236,7 @@
             // A roster that changed meanwhile is stored again, also if it has
             // as many rows.
             let newest = pending.roster.as_ref();
-            let same = newest.is_some_and(|rows| rows.iter().map(|(key, _, _)| key).eq(stored));
+            let same = newest.is_some_and(|rows| rows.iter().map(|(_, name, _)| name).eq(stored));
             if same {
                 pending.roster = None;
             }
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -38,9 +38,13 @@
         if worker.contact == Contact::Gone {
             return;
         }
-        if worker.contact != Contact::Answering || worker.failed_looks > 0 {
+        let is_back = worker.contact != Contact::Answering;
+        if is_back || worker.failed_looks > 0 {
             self.changed = true;
         }
+        if is_back {
+            self.replace_others(key);
+        }
         let worker = self.worker_mut(key);
         worker.contact = Contact::Answering;
         worker.failed_looks = 0;
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -188,8 +188,8 @@
         /// The process of the earlier owner has certainly ended.
         earlier_owner_over: bool,
     },
-    /// The roster that names these workers is durable.
-    RosterStored(Vec<WorkerKey>),
+    /// The roster that names these incarnations is durable.
+    RosterStored(Vec<String>),
     /// A worker answered a look that was sent at `sent_ms`.
     Held {
         /// The worker.
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -46,14 +46,6 @@
             self.forget_address(key);
             self.note_address(&info.address, key);
         }
-        // A restarted worker has the address of the one before: that one is over.
-        let there = self.address_index.get(&info.address);
-        let replaced: Vec<WorkerKey> = there
-            .into_iter()
-            .flatten()
-            .copied()
-            .filter(|&other| other != key && !self.worker(other).listed)
-            .collect();
         let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
         worker.update(info, now_ms);
@@ -63,9 +55,6 @@
             self.vacant.retain(|&(_, vacant)| vacant != key);
         }
         let unknown = !self.worker(key).on_roster;
-        for old in replaced {
-            self.worker_gone(old, "replaced");
-        }
         if draining {
             self.changed = true;
         }
@@ -90,6 +79,22 @@
         key
     }
 
+    /// A worker answered under its incarnation: any other one at its address is
+    /// over. Entries prove nothing: that of a crashed life stays for seconds, and
+    /// that of a living one may be missing.
+    pub(super) fn replace_others(&mut self, key: WorkerKey) {
+        let there = self.address_index.get(&self.worker(key).info.address);
+        let others: Vec<WorkerKey> = there
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(|&other| other != key)
+            .collect();
+        for other in others {
+            self.worker_gone(other, "replaced");
+        }
+    }
+
     fn note_address(&mut self, address: &str, key: WorkerKey) {
         let there = self.address_index.entry(address.to_owned()).or_default();
         there.push(key);
@@ -150,8 +155,11 @@
         }
     }
 
-    pub(super) fn roster_stored(&mut self, workers: &[WorkerKey]) {
-        for &key in workers {
+    pub(super) fn roster_stored(&mut self, incarnations: &[String]) {
+        for incarnation in incarnations {
+            let Some(&key) = self.worker_index.get(incarnation) else {
+                continue;
+            };
             let worker = self.worker_mut(key);
             worker.on_roster = worker.contact != Contact::Gone;
             self.look_if_due(key);
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -18,6 +18,7 @@
     Action,
     CallOutcome,
     EndKind,
+    HoldReport,
     Input,
     JobRecord,
     JobView,
@@ -519,3 +520,81 @@
     }
     assert!(fleet.scheduler.has_authority());
 }
+
+/// The store still listed a crashed life of a worker beside the living one at
+/// the same address. A new owner, told of the crashed one first, held the living
+/// one for replaced, did not wait for it, and eight tasks ran twice.
+#[test]
+fn an_entry_of_a_crashed_life_does_not_end_the_living_one() {
+    const OTHER: &str = "other";
+    let at_address = |name: &str| WorkerInfo {
+        address: "shared:1".to_owned(),
+        ..worker_info(name, "r1")
+    };
+    let known = |name: &str, address: &str| Input::KnownWorker {
+        incarnation: name.to_owned(),
+        address: address.to_owned(),
+        closed_with: None,
+    };
+    let mut scheduler = Scheduler::new(2, Tuning::default(), BEGIN_MS);
+    let job = record("plain", vec![step(1, 1)]);
+    let told = [
+        Input::Configure(Arc::new(configuration(64))),
+        known("living", "shared:1"),
+        known(OTHER, "other:1"),
+        Input::Worker(at_address("crashed")),
+        Input::Worker(at_address("living")),
+        Input::Worker(worker_info(OTHER, "r1")),
+        Input::Job {
+            id: JobId(1),
+            record: Arc::new(job),
+            progress: None,
+        },
+        Input::Confirmed(BEGIN_MS),
+        Input::Recovered {
+            earlier_owner_over: false,
+        },
+    ];
+    for input in told {
+        scheduler.take(input, BEGIN_MS);
+    }
+
+    let mut started = 0;
+    for now_ms in (BEGIN_MS..BEGIN_MS + 3_000).step_by(10) {
+        scheduler.take(Input::Confirmed(now_ms), now_ms);
+        for action in scheduler.decide(now_ms) {
+            match action {
+                // Only the third worker answers.
+                Action::Hold { callee, .. } if &*callee.incarnation == OTHER => {
+                    let report = HoldReport {
+                        clock_ms: now_ms,
+                        ..HoldReport::default()
+                    };
+                    let input = Input::Held {
+                        worker: callee.worker,
+                        sent_ms: now_ms,
+                        report,
+                    };
+                    scheduler.take(input, now_ms);
+                }
+                Action::Hold { callee, .. } => {
+                    let input = Input::HoldFailed {
+                        worker: callee.worker,
+                        outcome: CallOutcome::NoAnswer,
+                    };
+                    scheduler.take(input, now_ms);
+                }
+                // A slow store: the roster is durable a second later.
+                Action::StoreRoster => {}
+                Action::Start { .. } => started += 1,
+                _ => {}
+            }
+        }
+        if now_ms == BEGIN_MS + 1_000 {
+            let names = scheduler.roster().into_iter().map(|(_, name, _)| name);
+            let input = Input::RosterStored(names.collect());
+            scheduler.take(input, now_ms);
+        }
+    }
+    assert_eq!(started, 0, "the living one may run it");
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -494,8 +494,8 @@
                 self.tell(Input::Forgotten(job));
             }
             Action::StoreRoster if self.store_answers => {
-                let keys = self.scheduler.roster().into_iter().map(|(key, _, _)| key);
-                self.tell(Input::RosterStored(keys.collect()));
+                let names = self.scheduler.roster().into_iter().map(|(_, name, _)| name);
+                self.tell(Input::RosterStored(names.collect()));
             }
             _ => {}
         }
--- a/tests/support/replay.rs
+++ b/tests/support/replay.rs
@@ -672,8 +672,8 @@
                 }
             }
             Action::StoreRoster => {
-                let keys = self.scheduler.roster().into_iter().map(|(key, _, _)| key);
-                self.tell(Input::RosterStored(keys.collect()));
+                let names = self.scheduler.roster().into_iter().map(|(_, name, _)| name);
+                self.tell(Input::RosterStored(names.collect()));
             }
             _ => {}
         }
