Wait for leases of earlier owners where this one gave none

Change: that worker is passed over; where this owner gave no lease, what was found there may run until the longest lease of an earlier owner is over. Two tests in tests/recovery.rs fail before.

--- a/src/scheduler/looks.rs
+++ b/src/scheduler/looks.rs
@@ -60,7 +60,10 @@
         self.first_looks -= 1;
         if self.first_looks == MAX_FIRST_LOOKS / 2 {
             for at in 0..self.workers.len() {
-                if self.workers[at].contact == Contact::Unfenced {
+                // The one that just answered is asked by who took its answer
+                // in: this look carries no lease.
+                let other = at != key.index();
+                if other && self.workers[at].contact == Contact::Unfenced {
                     self.look_if_due(WorkerKey(at as u32));
                 }
             }
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -185,9 +185,12 @@
         // ordered since has ended.
         let empty = worker.contact == Contact::Silent && worker.runs.is_empty();
         let never_used = worker.clock.is_none() && now_ms >= self.earlier_leases_over_ms;
-        let lapsed_ms = match empty || never_used {
-            true => Some(0),
-            false => worker.lapsed_at_ms(),
+        // What was found there may have a lease of an earlier owner, which
+        // ends before one of this owner does, if it gave any.
+        let lapsed_ms = match (empty || never_used, worker.lease_end_ms) {
+            (true, _) => Some(0),
+            (false, 0) => Some(self.earlier_leases_over_ms),
+            (false, _) => worker.lapsed_at_ms(),
         };
         if !silent || lapsed_ms.is_none_or(|lapsed_ms| now_ms < lapsed_ms) {
             return;
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -598,3 +598,76 @@
     }
     assert_eq!(started, 0, "the living one may run it");
 }
+
+/// A worker answered a new owner once, showed a run, and fell silent before this
+/// owner had given it a lease. That of the earlier owner held for over at once:
+/// the task was started anew while it ran.
+#[test]
+fn a_lease_of_the_earlier_owner_is_waited_for_after_one_answer() {
+    let mut fleet = Fleet::with_workers(2);
+    let job = (JobId(1), record("plain", vec![step(1, 8)]));
+    fleet.submit(1, job.1.clone());
+    fleet.advance(50);
+    let (worker, _) = fleet.running()[0].clone();
+
+    let mut next = fleet.next_owner(2, &[job], false);
+    // Without a confirmation after a pause it gives no leases.
+    next.now_ms += 1_500;
+    for _ in 0..15 {
+        next.now_ms += 10;
+        next.settle();
+    }
+    next.silent.push(worker);
+    next.advance(5_000);
+
+    assert!(next.starts.is_empty(), "{:?}", next.starts);
+}
+
+/// While the answers to first looks came in, the worker that had just answered
+/// got a second first look, which carries no lease.
+#[test]
+fn a_worker_that_answered_gets_a_lease_with_the_next_look() {
+    const WORKERS: usize = 200;
+    let mut scheduler = Scheduler::new(2, Tuning::default(), BEGIN_MS);
+    scheduler.take(Input::Configure(Arc::new(configuration(64))), BEGIN_MS);
+    for at in 0..WORKERS {
+        let known = Input::KnownWorker {
+            incarnation: format!("w{at}"),
+            address: format!("w{at}:1"),
+            closed_with: None,
+        };
+        scheduler.take(known, BEGIN_MS);
+    }
+    let recovered = Input::Recovered {
+        earlier_owner_over: true,
+    };
+    scheduler.take(recovered, BEGIN_MS);
+    let mut answered = Vec::new();
+    for now_ms in BEGIN_MS..BEGIN_MS + 200 {
+        for action in scheduler.decide(now_ms) {
+            let Action::Hold {
+                callee,
+                lease_end_ms,
+                ..
+            } = action
+            else {
+                continue;
+            };
+            if answered.contains(&callee.worker) {
+                assert!(lease_end_ms.is_some(), "{callee:?}");
+                continue;
+            }
+            answered.push(callee.worker);
+            let input = Input::Held {
+                worker: callee.worker,
+                sent_ms: now_ms,
+                report: HoldReport {
+                    clock_ms: now_ms,
+                    ..HoldReport::default()
+                },
+            };
+            scheduler.take(input, now_ms);
+        }
+    }
+    assert_eq!(answered.len(), WORKERS);
+}
