Last reading: what was written twice or no longer needed

Change: none of behaviour. The runs of a job are found by their order. One test reads the roster's first field for its second; what it expects stays.

--- a/benches/failover.rs
+++ b/benches/failover.rs
@@ -67,13 +67,7 @@
 impl Fleet {
     fn spawn(test: u8, count: usize) -> Self {
         let operator = Operator::spawn(WORKERS);
-        let value = json!({ "version": 1,
-            "routes": [{ "name": "q", "host": "h", "prefix": "/q/", "service": "s",
-                "priority": 0, "max_attempts": 5, "stretch_factor": 3.0,
-                "target_latency_ms": 1000 }],
-            "services": [{ "name": "s" }],
-            "tenants": [{ "name": "t", "api_keys": ["key"], "guaranteed": { "gpu": 8 } }] });
-        operator.world().put("op/config", &value);
+        operator.world().configure(1, &[("q", 0)], 5);
         let links: Vec<Proxy> = (0..count).map(|_| Proxy::spawn(operator.store)).collect();
         let daemons: Vec<Daemon> = (0..count)
             .map(|at| {
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -1,10 +1,10 @@
 //! The one thread that touches the scheduler's state.
 
-use super::records::ClosedRecord;
-use crate::core::{
-    JobId,
-    WorkerKey, //
+use super::records::{
+    ClosedRecord,
+    RosterRow, //
 };
+use crate::core::JobId;
 use crate::scheduler::{
     Action,
     Input,
@@ -81,8 +81,8 @@
     pub actions: Vec<Action>,
     /// Progress to store: job, number of its change, and all that is noted.
     pub records: Vec<(JobId, u64, ProgressRecord)>,
-    /// The roster to store: key, incarnation and address of each worker.
-    pub roster: Option<Vec<(WorkerKey, String, String)>>,
+    /// The roster to store.
+    pub roster: Option<Vec<RosterRow>>,
     /// Workers with whether they get no more starts and what may run there;
     /// `None` for workers that are gone.
     pub closed: Vec<(String, Option<ClosedRecord>)>,
@@ -214,6 +214,15 @@
     }
 }
 
+fn roster_rows(scheduler: &Scheduler) -> Vec<RosterRow> {
+    let rows = scheduler.roster().into_iter();
+    rows.map(|(incarnation, address)| RosterRow {
+        incarnation,
+        address,
+    })
+    .collect()
+}
+
 /// Decides, and takes along what the decision asks to have stored.
 fn decide(scheduler: &mut Scheduler, now_ms: u64) -> Output {
     let actions = scheduler.decide(now_ms);
@@ -242,7 +251,7 @@
     Output {
         epoch: scheduler.epoch(),
         records: records.collect(),
-        roster: roster.then(|| scheduler.roster()),
+        roster: roster.then(|| roster_rows(scheduler)),
         closed: closed.into_iter().collect(),
         actions,
     }
--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -25,13 +25,10 @@
     StoredItem,
     Transaction, //
 };
-use crate::core::{
-    JobId,
-    WorkerKey, //
-};
+use crate::core::JobId;
 use crate::platform::{
-    WAVE_STATES_PREFIX,
-    encode_wave_state, //
+    encode_wave_state,
+    wave_state_key, //
 };
 use crate::scheduler::{
     Input,
@@ -60,8 +57,8 @@
 pub struct Changes {
     /// Progress of jobs with the numbers of their changes.
     pub progress: Vec<(JobId, u64, ProgressRecord)>,
-    /// The roster: key, incarnation and address of each worker.
-    pub roster: Option<Vec<(WorkerKey, String, String)>>,
+    /// The roster.
+    pub roster: Option<Vec<RosterRow>>,
     /// Workers by incarnation, with whether they get no more starts; `None`
     /// for workers that are gone.
     pub closed: Vec<(String, Option<ClosedRecord>)>,
@@ -74,11 +71,6 @@
 /// Values that a job has in the store.
 const REMOVED_KEYS: usize = 3;
 
-/// Where the operator reads how far a wave is.
-pub fn wave_state_key(wave: u64) -> String {
-    format!("{WAVE_STATES_PREFIX}{wave}")
-}
-
 /// The keys of a job's values.
 fn keys_of(job: JobId) -> [String; REMOVED_KEYS] {
     [job_key(job), progress_key(job), cancelled_key(job)]
@@ -87,7 +79,7 @@
 #[derive(Default)]
 struct Pending {
     progress: BTreeMap<JobId, (u64, ProgressRecord)>,
-    roster: Option<Vec<(WorkerKey, String, String)>>,
+    roster: Option<Vec<RosterRow>>,
     closed: BTreeMap<String, Option<ClosedRecord>>,
     waves: BTreeMap<u64, bool>,
     forgotten: Vec<JobId>,
@@ -141,15 +133,6 @@
     }
 }
 
-/// The roster as it is stored.
-fn rows_of(roster: &[(WorkerKey, String, String)]) -> Vec<RosterRow> {
-    let rows = roster.iter().map(|(_, incarnation, address)| RosterRow {
-        incarnation: incarnation.clone(),
-        address: address.clone(),
-    });
-    rows.collect()
-}
-
 impl Ledger {
     /// Forgets everything: another daemon owns.
     pub fn clear(&self) {
@@ -190,8 +173,8 @@
         let pending = self.pending.borrow();
         let mut batch = Batch::begin(root_revision);
         if let Some(roster) = &pending.roster {
-            batch.put(&pending, ROSTER_KEY.to_owned(), encode(&rows_of(roster)));
-            batch.roster = Some(roster.iter().map(|(_, name, _)| name.clone()).collect());
+            batch.put(&pending, ROSTER_KEY.to_owned(), encode(roster));
+            batch.roster = Some(roster.iter().map(|row| row.incarnation.clone()).collect());
         }
         for (&job, (change, record)) in pending.progress.iter().take(batch.room(VALUE_ENTRIES)) {
             batch.put(&pending, progress_key(job), encode(record));
@@ -236,7 +219,8 @@
             // A roster that changed meanwhile is stored again, also if it has
             // as many rows.
             let newest = pending.roster.as_ref();
-            let same = newest.is_some_and(|rows| rows.iter().map(|(_, name, _)| name).eq(stored));
+            let same =
+                newest.is_some_and(|rows| rows.iter().map(|row| &row.incarnation).eq(stored));
             if same {
                 pending.roster = None;
             }
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -1,9 +1,6 @@
 //! Log lines as JSON objects, one a decision, bounded and never blocking.
 
-use crate::scheduler::{
-    Decision,
-    UpkeepOutcome, //
-};
+use crate::scheduler::Decision;
 use log4rs::append::Append;
 use serde_json::{
     Map,
@@ -257,14 +254,7 @@
         } => (
             events::UPKEEP_ORDERED,
             "upkeep",
-            match outcome {
-                UpkeepOutcome::Begun => "begun",
-                UpkeepOutcome::Busy => "busy",
-                UpkeepOutcome::NotOfWave => "not_of_wave",
-                UpkeepOutcome::Fenced => "fenced",
-                UpkeepOutcome::Limited => "limited",
-                UpkeepOutcome::NoAnswer => "no_answer",
-            },
+            outcome.name(),
             json!({ "wave": wave, "machine": &**machine }),
         ),
         Decision::WorkerLost {
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -34,7 +34,8 @@
     WORKERS_PREFIX,
     decode_wave,
     decode_worker,
-    is_wave_completed, //
+    is_wave_completed,
+    wave_state_key, //
 };
 use crate::scheduler::{
     Input,
@@ -218,7 +219,7 @@
         .collect();
     let open = waves.items.iter().filter_map(|item| {
         let order = wave_order(&item.key, &item.value)?;
-        let done = completed.contains(&ledger::wave_state_key(order.number).as_str());
+        let done = completed.contains(&wave_state_key(order.number).as_str());
         (!done).then_some(Input::Wave(order))
     });
     open.collect()
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -4,6 +4,7 @@
     CallFailure,
     HttpClient, //
 };
+use super::store::WAVE_STATES_PREFIX;
 use crate::scheduler::{
     MachineInfo,
     MachineState,
@@ -190,6 +191,11 @@
     })
 }
 
+/// Where the operator reads how far a wave is.
+pub fn wave_state_key(wave: u64) -> String {
+    format!("{WAVE_STATES_PREFIX}{wave}")
+}
+
 /// How far a wave is, as it is written for the operator.
 pub fn encode_wave_state(completed: bool) -> Bytes {
     let state = if completed { COMPLETED } else { RUNNING };
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -27,7 +27,8 @@
     MachineClient,
     decode_wave,
     encode_wave_state,
-    is_wave_completed, //
+    is_wave_completed,
+    wave_state_key, //
 };
 pub use settings::{
     BOOT_VARIABLE,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -32,7 +32,7 @@
 pub const OPERATOR_PREFIX: &str = "op/";
 /// Where the operator asks for upkeep, by the number of the wave.
 pub const WAVES_PREFIX: &str = "op/wave/";
-/// Where the operator reads how far a wave is.
+/// Under which the operator reads how far waves are.
 pub const WAVE_STATES_PREFIX: &str = "status/wave/";
 /// Under which workers register themselves.
 pub const WORKERS_PREFIX: &str = "servers/";
--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -20,8 +20,8 @@
 use super::state::Scheduler;
 use super::worker::{
     CLOCK_DRIFT_PERMILLE,
-    Contact, //
-    Intake,
+    Contact,
+    Intake, //
 };
 use super::{
     GroupKey,
--- a/src/scheduler/closing.rs
+++ b/src/scheduler/closing.rs
@@ -13,8 +13,8 @@
 use super::action::Action;
 use super::state::Scheduler;
 use super::worker::{
-    Contact, //
-    Intake,
+    Contact,
+    Intake, //
 };
 use super::{
     GroupKey,
@@ -119,15 +119,15 @@
         }
     }
 
-    /// Lets go of a run that was not seen by this owner; whether it was one.
-    pub(super) fn drop_claim(&mut self, key: WorkerKey, name: RunName) -> bool {
+    /// Lets go of a run that was not seen by this owner; any other stays.
+    pub(super) fn drop_claim(&mut self, key: WorkerKey, name: RunName) {
         let run = self.worker(key).runs.get(&name);
         if run.is_none_or(|run| run.phase != RunPhase::Unseen) {
-            return false;
+            return;
         }
         self.worker_mut(key).remove_run(&name);
         let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) else {
-            return true;
+            return;
         };
         let placed = TaskState::Placed {
             worker: key,
@@ -141,6 +141,5 @@
                 group.gang_run = None;
             }
         }
-        true
     }
 }
--- a/src/scheduler/evidence.rs
+++ b/src/scheduler/evidence.rs
@@ -119,9 +119,7 @@
         let room = room.fold(0u32, u32::saturating_add);
         (room >= group.waiting).then_some(caution)
     }
-}
 
-impl Scheduler {
     /// A run failed on a worker.
     pub(super) fn note_failure(&mut self, key: WorkerKey, name: RunName) {
         let now_ms = self.now_ms;
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -15,6 +15,7 @@
     GroupKey,
     JobRecord,
     ProgressRecord,
+    RunName,
     RunPhase,
     StepSpec,
     Task,
@@ -248,14 +249,18 @@
     /// Runs of an earlier owner that were found before their job was known are
     /// being stopped; their tasks wait for them, or they would run twice.
     fn claim_found_runs(&mut self, key: GroupKey) {
+        let first = RunName {
+            task: key.task(0),
+            run: 0,
+        };
         let found: Vec<_> = self
             .workers
             .iter()
             .flat_map(|worker| {
-                let runs = worker.runs.iter();
-                runs.map(|(name, run)| (worker.key, *name, run.phase != RunPhase::Unseen))
+                let runs = worker.runs.range(first..);
+                let own = runs.take_while(|(name, _)| GroupKey::of(name.task) == key);
+                own.map(|(name, run)| (worker.key, *name, run.phase != RunPhase::Unseen))
             })
-            .filter(|(_, name, _)| GroupKey::of(name.task) == key)
             .collect();
         let Some(group) = self.groups.get_mut(&key) else {
             return;
@@ -412,7 +417,7 @@
             })
             .collect();
         for (worker, task, run) in runs {
-            self.stop_run(worker, super::RunName { task, run }, reason);
+            self.stop_run(worker, RunName { task, run }, reason);
         }
     }
 
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -10,8 +10,8 @@
 };
 use super::state::Scheduler;
 use super::worker::{
-    Contact, //
-    Intake,
+    Contact,
+    Intake, //
 };
 use super::{
     RunName,
@@ -25,22 +25,21 @@
 const VACANT_MS: u64 = 30_000;
 
 impl Scheduler {
-    /// Workers that the stored roster has to name: key, incarnation, address.
-    pub fn roster(&self) -> Vec<(WorkerKey, String, String)> {
+    /// Workers that the stored roster has to name: incarnation and address.
+    pub fn roster(&self) -> Vec<(String, String)> {
         let used = self
             .workers
             .iter()
             .filter(|worker| worker.contact != Contact::Gone);
         used.map(|worker| {
             let info = &worker.info;
-            (worker.key, info.incarnation.clone(), info.address.clone())
+            (info.incarnation.clone(), info.address.clone())
         })
         .collect()
     }
 
     pub(super) fn take_worker(&mut self, info: WorkerInfo) {
         let known = self.worker_index.get(&info.incarnation).copied();
-        let draining = info.draining;
         let key = known.unwrap_or_else(|| self.add_worker(info.clone()));
         if self.worker(key).info.address != info.address {
             self.forget_address(key);
@@ -55,9 +54,6 @@
             self.vacant.retain(|&(_, vacant)| vacant != key);
         }
         let unknown = !self.worker(key).on_roster;
-        if draining {
-            self.changed = true;
-        }
         if unknown && !self.roster_asked {
             self.roster_asked = true;
             self.actions.push(Action::StoreRoster);
--- a/src/scheduler/upkeep.rs
+++ b/src/scheduler/upkeep.rs
@@ -93,6 +93,20 @@
     NoAnswer,
 }
 
+impl UpkeepOutcome {
+    /// The outcome as logs and counters name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Begun => "begun",
+            Self::Busy => "busy",
+            Self::NotOfWave => "not_of_wave",
+            Self::Fenced => "fenced",
+            Self::Limited => "limited",
+            Self::NoAnswer => "no_answer",
+        }
+    }
+}
+
 /// Where a machine of a wave stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Turn {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -29,12 +29,7 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 fn configure(operator: &Operator, version: u64) {
-    let value = json!({ "version": version,
-        "routes": [{ "name": "q", "host": "h", "prefix": "/q/", "service": "s", "priority": 1,
-            "max_attempts": 5, "stretch_factor": 3.0, "target_latency_ms": 1000 }],
-        "services": [{ "name": "s" }],
-        "tenants": [{ "name": "t", "api_keys": ["key"], "guaranteed": { "gpu": 8 } }] });
-    operator.world().put("op/config", &value);
+    operator.world().configure(version, &[("q", 1)], 5);
 }
 
 fn fleet(test: u8, count: u8, operator: &Operator) -> Vec<Daemon> {
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -31,6 +31,25 @@
 };
 use std::sync::Arc;
 
+/// A new owner that knows so many workers by the roster, and has asked none.
+fn new_owner_of(count: usize) -> Scheduler {
+    let mut scheduler = Scheduler::new(2, Tuning::default(), BEGIN_MS);
+    scheduler.take(Input::Configure(Arc::new(configuration(64))), BEGIN_MS);
+    for at in 0..count {
+        let known = Input::KnownWorker {
+            incarnation: format!("w{at}"),
+            address: format!("w{at}:1"),
+            closed_with: None,
+        };
+        scheduler.take(known, BEGIN_MS);
+    }
+    let recovered = Input::Recovered {
+        earlier_owner_over: true,
+    };
+    scheduler.take(recovered, BEGIN_MS);
+    scheduler
+}
+
 /// A fleet whose store names a run on a worker that is out of reach, while a
 /// later run of the same task is on the other worker.
 fn started_anew_elsewhere() -> (Fleet, (JobId, JobRecord), String, RunName) {
@@ -199,7 +218,7 @@
         .scheduler
         .roster()
         .into_iter()
-        .map(|row| row.1)
+        .map(|(incarnation, _)| incarnation)
         .collect();
 
     assert_eq!(names, ["w0"]);
@@ -469,20 +488,7 @@
 fn a_new_owner_asks_its_workers_in_portions() {
     const WORKERS: usize = 400;
     const PORTION: usize = 128;
-    let mut scheduler = Scheduler::new(2, Tuning::default(), BEGIN_MS);
-    scheduler.take(Input::Configure(Arc::new(configuration(64))), BEGIN_MS);
-    for at in 0..WORKERS {
-        let known = Input::KnownWorker {
-            incarnation: format!("w{at}"),
-            address: format!("w{at}:1"),
-            closed_with: None,
-        };
-        scheduler.take(known, BEGIN_MS);
-    }
-    let recovered = Input::Recovered {
-        earlier_owner_over: true,
-    };
-    scheduler.take(recovered, BEGIN_MS);
+    let mut scheduler = new_owner_of(WORKERS);
 
     let (mut on_their_way, mut most, mut asked) = (Vec::new(), 0, 0);
     for now_ms in BEGIN_MS..BEGIN_MS + 2_000 {
@@ -591,7 +597,7 @@
             }
         }
         if now_ms == BEGIN_MS + 1_000 {
-            let names = scheduler.roster().into_iter().map(|(_, name, _)| name);
+            let names = scheduler.roster().into_iter().map(|(name, _)| name);
             let input = Input::RosterStored(names.collect());
             scheduler.take(input, now_ms);
         }
@@ -628,20 +634,7 @@
 #[test]
 fn a_worker_that_answered_gets_a_lease_with_the_next_look() {
     const WORKERS: usize = 200;
-    let mut scheduler = Scheduler::new(2, Tuning::default(), BEGIN_MS);
-    scheduler.take(Input::Configure(Arc::new(configuration(64))), BEGIN_MS);
-    for at in 0..WORKERS {
-        let known = Input::KnownWorker {
-            incarnation: format!("w{at}"),
-            address: format!("w{at}:1"),
-            closed_with: None,
-        };
-        scheduler.take(known, BEGIN_MS);
-    }
-    let recovered = Input::Recovered {
-        earlier_owner_over: true,
-    };
-    scheduler.take(recovered, BEGIN_MS);
+    let mut scheduler = new_owner_of(WORKERS);
     let mut answered = Vec::new();
     for now_ms in BEGIN_MS..BEGIN_MS + 200 {
         for action in scheduler.decide(now_ms) {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -103,18 +103,6 @@
     since.map_or(0, |since| since.as_millis() as u64)
 }
 
-fn configure(operator: &Operator) {
-    let queue = |name: &str, priority: u32| {
-        json!({ "name": name, "host": "h", "prefix": format!("/{name}/"), "service": "s",
-            "priority": priority, "max_attempts": MAX_ATTEMPTS, "stretch_factor": 3.0,
-            "target_latency_ms": 1000 })
-    };
-    let value = json!({ "version": 1, "routes": [queue("u", 0), queue("q", 1)],
-        "services": [{ "name": "s" }],
-        "tenants": [{ "name": "t", "api_keys": ["key"], "guaranteed": { "gpu": 8 } }] });
-    operator.world().put("op/config", &value);
-}
-
 impl Soak {
     fn begin(seed: u64) -> Self {
         let (daemon_count, worker_count) = (sizes("SOAK_DAEMONS", 3), sizes("SOAK_WORKERS", 6));
@@ -125,7 +113,8 @@
             worker_links.push(link);
             address
         });
-        configure(&operator);
+        let queues = [("u", 0), ("q", 1)];
+        operator.world().configure(1, &queues, MAX_ATTEMPTS);
         let store_links: Vec<Proxy> = (0..daemon_count)
             .map(|_| Proxy::spawn(operator.store))
             .collect();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -494,7 +494,7 @@
                 self.tell(Input::Forgotten(job));
             }
             Action::StoreRoster if self.store_answers => {
-                let names = self.scheduler.roster().into_iter().map(|(_, name, _)| name);
+                let names = self.scheduler.roster().into_iter().map(|(name, _)| name);
                 self.tell(Input::RosterStored(names.collect()));
             }
             _ => {}
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -160,6 +160,21 @@
         self.began.elapsed().as_millis() as u64 + 5_000
     }
 
+    /// Writes a configuration: queues `/NAME/` on host `h` with their
+    /// priorities, one service `s`, one account with the key `key`.
+    pub fn configure(&mut self, version: u64, queues: &[(&str, u32)], max_attempts: usize) {
+        let queue = |&(name, priority): &(&str, u32)| {
+            json!({ "name": name, "host": "h", "prefix": format!("/{name}/"), "service": "s",
+                "priority": priority, "max_attempts": max_attempts, "stretch_factor": 3.0,
+                "target_latency_ms": 1000 })
+        };
+        let routes: Vec<Value> = queues.iter().map(queue).collect();
+        let value = json!({ "version": version, "routes": routes,
+            "services": [{ "name": "s" }],
+            "tenants": [{ "name": "t", "api_keys": ["key"], "guaranteed": { "gpu": 8 } }] });
+        self.put("op/config", &value);
+    }
+
     /// Writes a value as the operator does.
     pub fn put(&mut self, key: &str, value: &Value) {
         let value = BASE64_STANDARD.encode(value.to_string());
--- a/tests/support/replay.rs
+++ b/tests/support/replay.rs
@@ -672,7 +672,7 @@
                 }
             }
             Action::StoreRoster => {
-                let names = self.scheduler.roster().into_iter().map(|(_, name, _)| name);
+                let names = self.scheduler.roster().into_iter().map(|(name, _)| name);
                 self.tell(Input::RosterStored(names.collect()));
             }
             _ => {}
