Log each occurrence of a job as it opens, with its steps and its objective

Cause: a late job could not be explained from the logs alone: E304 says how long a task waited, but no line said what the job asked for and until when it was due. Ruled out: adding the step to each E304 line, which repeats it for each task. Change: event E322, one line an occurrence: account, queue, priority, age, the time it has, and its steps in short.

--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -1,6 +1,9 @@
 //! Log lines as JSON objects, one a decision, bounded and never blocking.
 
-use crate::scheduler::Decision;
+use crate::scheduler::{
+    Decision,
+    StepSpec, //
+};
 use log4rs::append::Append;
 use serde_json::{
     Map,
@@ -214,6 +217,22 @@
             *reason,
             json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker }),
         ),
+        Decision::JobOpened {
+            job,
+            occurrence,
+            record,
+            priority,
+            age_ms,
+            objective_ms,
+        } => (
+            events::JOB_OPENED,
+            "job_opened",
+            "due",
+            json!({ "job": job.to_string(), "occurrence": occurrence, "queue": record.queue,
+                "account": record.account, "priority": priority, "age_ms": age_ms,
+                "objective_ms": objective_ms,
+                "steps": record.spec.steps.iter().map(step_text).collect::<Vec<_>>() }),
+        ),
         Decision::JobEnded { job, state } => (
             events::JOB_ENDED,
             "job_ended",
@@ -277,6 +296,30 @@
     emit(event, fields);
 }
 
+/// A step in short: tasks, what each takes, its estimate, and how they are bound.
+fn step_text(step: &StepSpec) -> String {
+    let bounds = [
+        (step.gang, "gang"),
+        (step.same_rack, "one_rack"),
+        (!step.data_rack.is_empty(), "data_rack"),
+        (!step.required_label.is_empty(), "label"),
+        (step.checkpoints, "checkpoints"),
+        (step.max_per_worker > 0, "spread"),
+        (step.long_running, "lasts"),
+        (step.fills, "fills"),
+    ];
+    let needs = &step.needs;
+    let mut text = format!(
+        "{} x {} milli-cores, {} MB, {} accelerators, {} ms",
+        step.count, needs.cpu_millis, needs.memory_mb, needs.accelerators, step.estimated_ms
+    );
+    for (_, bound) in bounds.iter().filter(|(is_bound, _)| *is_bound) {
+        text.push_str(", ");
+        text.push_str(bound);
+    }
+    text
+}
+
 fn emit(event: crate::events::LogEvent, fields: Value) {
     if !log::log_enabled!(event.level) {
         return;
--- a/src/events.rs
+++ b/src/events.rs
@@ -84,6 +84,8 @@
     JOB_UNABLE = 320, Warn, "a job failed on several healthy workers and is given up", "tell the account";
     /// A job ended.
     JOB_ENDED = 321, Info, "a job ended", "none";
+    /// An occurrence of a job opened.
+    JOB_OPENED = 322, Info, "the tasks of a job may start from now on", "none";
     /// A machine's upkeep was ordered.
     UPKEEP_ORDERED = 330, Info, "the upkeep of a machine was ordered, and answered as told", "none, unless it repeats: then look at the platform's interface for machines";
     /// A patch accepted.
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -2,6 +2,7 @@
 
 use super::{
     GroupKey,
+    JobRecord,
     RunName,
     UpkeepOutcome, //
 };
@@ -161,6 +162,21 @@
         /// Why.
         reason: &'static str,
     },
+    /// An occurrence of a job opened.
+    JobOpened {
+        /// The job.
+        job: JobId,
+        /// The occurrence.
+        occurrence: u32,
+        /// What was submitted.
+        record: Arc<JobRecord>,
+        /// Priority of its queue.
+        priority: u32,
+        /// Time since it was due.
+        age_ms: u64,
+        /// Time that it has from when it was due until it is late.
+        objective_ms: u64,
+    },
     /// A job ended.
     JobEnded {
         /// The job.
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -194,6 +194,14 @@
         let queue = self.queue_terms(&job.record.queue);
         let chain_ms = self.chain_ms(&job.steps);
         let length_ms = (queue.stretch_factor.max(1.0) * chain_ms) as u64 + queue.target_latency_ms;
+        let opened = Decision::JobOpened {
+            job: id,
+            occurrence,
+            record: job.record.clone(),
+            priority: job.priority,
+            age_ms: self.now_ms.saturating_sub(due_ms),
+            objective_ms: length_ms,
+        };
         let blind = self.is_blind();
         let mut groups = Vec::new();
         for (at, step) in job.steps.iter().enumerate() {
@@ -229,6 +237,7 @@
             }
             groups.push(group);
         }
+        self.decided(opened);
         for group in groups {
             let key = group.key;
             self.groups.insert(key, group);
