Learn speeds and run times from progress; preempt by what is earned and lost

Change: (1) members of a gang do the same work, so their progress compares their workers; like tasks do so more roughly (speed.rs). (2) Work in a hurry goes to fast workers, relaxed work to slow ones. Work beyond its guarantee preempts only if it gains more.

--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -60,7 +60,8 @@
     /// Returns the number of the change to store, 0 for none.
     fn take_done(&mut self, key: WorkerKey, name: RunName) -> u64 {
         let group_key = GroupKey::of(name.task);
-        self.note_run_time(key, name);
+        self.note_success(key);
+        self.learn_from_end(key, name);
         let Some(group) = self.groups.get_mut(&group_key) else {
             return 0;
         };
--- /dev/null
+++ b/src/scheduler/estimate.rs
@@ -0,0 +1,68 @@
+//! What callers' estimates of run times are worth, queue by queue.
+//!
+//! Load pattern: on one queue estimates are right within a fifth, on another they
+//! are off threefold while the run times themselves hardly differ. A straight line
+//! through the logarithms of estimates and true run times, as far as these became
+//! known, says for each queue how much of an estimate to believe. Limits: until a
+//! few run times are known the estimates are believed as they are.
+
+use super::Belief;
+
+/// Weight of the belief that estimates are right, in run times seen: the line is
+/// the data's after about ten.
+const PRIOR_RUNS: f64 = 3.0;
+/// Spread of estimates (as a variance of logarithms) that this weight stands for.
+const PRIOR_SPREAD: f64 = 0.25;
+/// Spread of true run times around estimates before any is known: a third.
+const PRIOR_RESIDUAL: f64 = 0.09;
+/// However well they fitted so far, estimates are not trusted beyond this.
+const LEAST_RESIDUAL: f64 = 0.01;
+
+/// Pairs of estimate and true run time, as sums over their logarithms.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RunTimes {
+    runs: f64,
+    mean_estimate: f64,
+    mean_time: f64,
+    estimate_squares: f64,
+    products: f64,
+    time_squares: f64,
+}
+
+impl RunTimes {
+    /// Takes in a run time that became known, as a logarithm.
+    pub fn note(&mut self, estimated_ms: u64, ln_run_ms: f64) {
+        let estimate = logarithm(estimated_ms);
+        self.runs += 1.0;
+        let off_estimate = estimate - self.mean_estimate;
+        let off_time = ln_run_ms - self.mean_time;
+        self.mean_estimate += off_estimate / self.runs;
+        self.mean_time += off_time / self.runs;
+        self.estimate_squares += off_estimate * (estimate - self.mean_estimate);
+        self.products += off_estimate * (ln_run_ms - self.mean_time);
+        self.time_squares += off_time * (ln_run_ms - self.mean_time);
+    }
+
+    /// What is believed of the run time behind an estimate.
+    pub fn believe(&self, estimated_ms: u64) -> Belief {
+        let estimate = logarithm(estimated_ms);
+        let weight = PRIOR_RUNS * PRIOR_SPREAD;
+        let slope = (self.products + weight) / (self.estimate_squares + weight);
+        let runs = self.runs + PRIOR_RUNS;
+        let bias = (self.mean_time - self.mean_estimate) * self.runs / runs;
+        let residual = self.time_squares - slope * (2.0 * self.products)
+            + slope * slope * self.estimate_squares;
+        let mean_estimate = match self.runs {
+            0.0 => estimate,
+            _ => self.mean_estimate,
+        };
+        Belief {
+            mean: mean_estimate + bias + slope * (estimate - mean_estimate),
+            variance: (residual + PRIOR_RUNS * PRIOR_RESIDUAL) / runs + LEAST_RESIDUAL,
+        }
+    }
+}
+
+fn logarithm(estimated_ms: u64) -> f64 {
+    (estimated_ms.max(1) as f64).ln()
+}
--- a/src/scheduler/evidence.rs
+++ b/src/scheduler/evidence.rs
@@ -43,10 +43,6 @@
 /// A member of a gang that stands still is behind the others by this much; they
 /// go on, or stand at their end.
 const BEHIND_PERCENT: u32 = 10;
-/// Weight of a new run time in a worker's slowness.
-const SLOWNESS_WEIGHT: f64 = 0.3;
-/// A run time tells at most this much of slowness.
-const MAX_SLOWNESS: f64 = 8.0;
 
 /// A task does not go back to the worker where it failed for this long, if
 /// nothing else is free: one that fails at once took eight attempts of a task in
@@ -154,25 +150,11 @@
         self.decided(decision);
     }
 
-    /// A run was done: the worker does its work, at this speed.
-    pub(super) fn note_run_time(&mut self, key: WorkerKey, name: RunName) {
-        let now_ms = self.now_ms;
-        let group = self.groups.get(&GroupKey::of(name.task));
-        let estimated_ms = group.map_or(0, |group| group.step.estimated_ms);
-        let gang = group.is_some_and(|group| group.step.gang);
+    /// A run was done: the worker does its work.
+    pub(super) fn note_success(&mut self, key: WorkerKey) {
         let worker = self.worker_mut(key);
         worker.failures.clear();
         worker.quarantine_ms = 0;
-        let Some(run) = worker.runs.get(&name) else {
-            return;
-        };
-        // A gang is as slow as its slowest member: it tells of no one worker.
-        if gang || estimated_ms == 0 || run.sends == 0 {
-            return;
-        }
-        let took_ms = now_ms.saturating_sub(run.ordered_ms) as f64;
-        let slowness = (took_ms / estimated_ms as f64).min(MAX_SLOWNESS);
-        worker.slowness += SLOWNESS_WEIGHT * (slowness - worker.slowness);
     }
 
     /// Stops runs that stand still, and closes their workers for a while.
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -1,9 +1,11 @@
 //! The tasks of one step of one occurrence.
 
 use super::{
+    Belief,
     Resources,
     StepSpec,
-    TaskId, //
+    TaskId,
+    Terms, //
 };
 use crate::core::{
     JobId,
@@ -151,6 +153,10 @@
     pub objective_ms: u64,
     /// The length of the objective.
     pub objective_length_ms: u64,
+    /// The logarithm of a task's run time on a usual worker, in milliseconds.
+    pub run_time: Belief,
+    /// It was taken in for later estimates of its queue.
+    pub run_time_noted: bool,
     /// The run of the gang that is on workers.
     pub gang_run: Option<u64>,
     /// That run is being given up.
@@ -159,6 +165,8 @@
     pub blind: bool,
     /// Workers that a policy outside allows.
     pub advice: Advice,
+    /// How often its runs were stopped for others.
+    pub preempted: u32,
     /// Preemption for it is tried again from then on.
     pub preempt_at_ms: u64,
     /// Room that is being freed for it, in tasks on each worker. Until then
@@ -192,6 +200,22 @@
         }
     }
 
+    /// A task's run time on a usual worker, as far as it is known.
+    pub fn run_ms(&self) -> u64 {
+        self.run_time.value() as u64
+    }
+
+    /// When its job earns what; run times are off by a fifth even when estimates
+    /// fit.
+    pub fn terms(&self) -> Terms {
+        const SPREAD: f64 = 0.2;
+        Terms {
+            objective_ms: self.objective_ms,
+            objective_length_ms: self.objective_length_ms,
+            spread_ms: SPREAD * self.run_time.value(),
+        }
+    }
+
     /// Whether all tasks are done.
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -63,7 +63,7 @@
         for row in report.running {
             seen.insert(row.name);
             if !listed.contains(&row.name) {
-                self.take_running(key, row);
+                self.take_running(key, row, report.clock_ms);
             }
         }
         self.settle_absent(key, sent_ms, &seen);
@@ -96,7 +96,7 @@
         }
     }
 
-    fn take_running(&mut self, key: WorkerKey, row: RunningRow) {
+    fn take_running(&mut self, key: WorkerKey, row: RunningRow, clock_ms: u64) {
         let now_ms = self.now_ms;
         self.keep_checkpoint(&row);
         self.drop_claim(key, row.name);
@@ -119,7 +119,9 @@
             run.percent = row.percent;
             run.advanced_ms = now_ms;
         }
+        run.progress.note(row.percent, clock_ms, now_ms);
         run.usage = row.usage;
+        self.learn_from(key, row.name);
     }
 
     /// Keeps the checkpoint of a run that is its task's present one.
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -11,10 +11,12 @@
 use super::state::Scheduler;
 use super::{
     Action,
+    Belief,
     Group,
     GroupKey,
     JobRecord,
     ProgressRecord,
+    Queue,
     RunName,
     RunPhase,
     StepSpec,
@@ -129,7 +131,11 @@
         }
         let queue = self.queue_terms(&record.queue);
         let steps: Vec<Arc<StepSpec>> = record.spec.steps.iter().cloned().map(Arc::new).collect();
-        let work = work_of(&steps);
+        let run_ms = |step: &StepSpec| {
+            let believed = self.run_time_of(&record.queue, step.estimated_ms);
+            believed.value()
+        };
+        let work = work_of(&steps, run_ms);
         self.note_work(&record.queue, work);
         let progress = progress.unwrap_or_default();
         let first = steps.first();
@@ -192,8 +198,12 @@
     fn open_occurrence(&mut self, id: JobId, occurrence: u32, due_ms: u64) {
         let job = &self.jobs[&id];
         let queue = self.queue_terms(&job.record.queue);
-        let chain_ms = self.chain_ms(&job.steps);
-        let length_ms = (queue.stretch_factor.max(1.0) * chain_ms) as u64 + queue.target_latency_ms;
+        let run_times: Vec<Belief> = job
+            .steps
+            .iter()
+            .map(|step| self.run_time_of(&job.record.queue, step.estimated_ms))
+            .collect();
+        let length_ms = self.objective_length_ms(&queue, &job.steps, &run_times);
         let opened = Decision::JobOpened {
             job: id,
             occurrence,
@@ -223,10 +233,13 @@
                 },
                 objective_ms: due_ms + length_ms,
                 objective_length_ms: length_ms,
+                run_time: run_times[at],
+                run_time_noted: false,
                 gang_run: None,
                 gang_ending: false,
                 blind,
                 advice: Default::default(),
+                preempted: 0,
                 preempt_at_ms: 0,
                 claims: Vec::new(),
                 step: step.clone(),
@@ -294,16 +307,54 @@
         }
     }
 
-    /// The longest chain of work by the estimates, wide steps in waves.
-    fn chain_ms(&self, steps: &[Arc<StepSpec>]) -> f64 {
+    /// The time that a job has until it is late.
+    fn objective_length_ms(
+        &self,
+        queue: &Queue,
+        steps: &[Arc<StepSpec>],
+        run_times: &[Belief],
+    ) -> u64 {
+        let chain_ms = self.chain_ms(steps, run_times);
+        (queue.stretch_factor.max(1.0) * chain_ms) as u64 + queue.target_latency_ms
+    }
+
+    /// Reckons the objective of an occurrence anew, since more is known of how
+    /// long its tasks take: the operators' terms go by the true work.
+    pub(super) fn refresh_objective(&mut self, id: JobId, occurrence: u32) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let keys = (0..job.steps.len() as u32).map(|step| GroupKey {
+            job: id,
+            occurrence,
+            step,
+        });
+        let groups = keys.clone().map(|key| self.groups.get(&key));
+        let run_times: Option<Vec<Belief>> = groups.map(|group| Some(group?.run_time)).collect();
+        let Some(run_times) = run_times else {
+            return;
+        };
+        let queue = self.queue_terms(&job.record.queue);
+        let length_ms = self.objective_length_ms(&queue, &job.steps, &run_times);
+        for key in keys {
+            if let Some(group) = self.groups.get_mut(&key) {
+                let due_ms = group.objective_ms - group.objective_length_ms;
+                group.objective_ms = due_ms + length_ms;
+                group.objective_length_ms = length_ms;
+            }
+        }
+    }
+
+    /// The longest chain of work, wide steps in waves.
+    fn chain_ms(&self, steps: &[Arc<StepSpec>], run_times: &[Belief]) -> f64 {
         let room = self.fleet_room();
         let mut ends: Vec<f64> = Vec::with_capacity(steps.len());
-        for step in steps {
+        for (step, run_time) in steps.iter().zip(run_times) {
             let begins = step.after.iter().map(|&at| ends.get(at as usize).copied());
             let begin = begins.flatten().fold(0.0, f64::max);
             let fits = f64::from(room.times(&step.room()).max(1)) * WAVE_SHARE;
             let waves = (f64::from(step.count) / fits.max(1.0)).ceil().max(1.0);
-            ends.push(begin + step.estimated_ms as f64 * waves);
+            ends.push(begin + run_time.value() * waves);
         }
         ends.into_iter().fold(0.0, f64::max)
     }
@@ -490,10 +541,9 @@
 }
 
 /// Work of an occurrence in thousandths of a core times milliseconds.
-fn work_of(steps: &[Arc<StepSpec>]) -> f64 {
-    let work = |step: &Arc<StepSpec>| {
-        step.needs.weight() as f64 * f64::from(step.count) * step.estimated_ms as f64
-    };
+fn work_of(steps: &[Arc<StepSpec>], run_ms: impl Fn(&StepSpec) -> f64) -> f64 {
+    let work =
+        |step: &Arc<StepSpec>| step.needs.weight() as f64 * f64::from(step.count) * run_ms(step);
     steps.iter().map(work).sum::<f64>().max(1.0)
 }
 
--- a/src/scheduler/leaving.rs
+++ b/src/scheduler/leaving.rs
@@ -32,9 +32,8 @@
         let since_ms = worker.draining_since_ms.unwrap_or(now_ms);
         let stays_ms = worker.info.remaining_ms.unwrap_or(0);
         let leaves_ms = since_ms + stays_ms + STAYS_LONGER_MS;
-        let slowness = worker.slowness;
         let stays = |run: &super::Run| {
-            let end_ms = self.expected_end_ms(run, slowness);
+            let end_ms = self.expected_end_ms(key, run);
             run.phase == RunPhase::Running && end_ms.is_none_or(|end_ms| end_ms > leaves_ms)
         };
         let runs = worker.runs.iter().filter(|(_, run)| stays(run));
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod closing;
 mod configuration;
 mod ends;
+mod estimate;
 mod evidence;
 mod group;
 mod held;
@@ -27,6 +28,7 @@
 mod reserve;
 mod sharing;
 mod spec;
+mod speed;
 mod state;
 mod tuning;
 mod upkeep;
@@ -45,6 +47,7 @@
     Queue,
     RequestLimits, //
 };
+pub use estimate::RunTimes;
 pub use group::{
     Group,
     GroupKey,
@@ -69,7 +72,10 @@
     GraphJob,
     JobView, //
 };
-pub use order::OrderRule;
+pub use order::{
+    OrderRule,
+    Terms, //
+};
 pub use progress::{
     FinalState,
     ProgressRecord, //
@@ -81,6 +87,11 @@
     Schedule,
     StepSpec, //
 };
+pub use speed::{
+    Belief,
+    Drag,
+    Progress, //
+};
 pub use state::{
     Scheduler,
     Sizes, //
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -24,7 +24,7 @@
 /// Worth of a job of any lower priority.
 const LEAST_WORTH: f64 = 0.5;
 /// Part of its worth that late work earns, about as far as operators say.
-const LATE_PART: f64 = 0.25;
+pub(super) const LATE_PART: f64 = 0.25;
 /// Work that earns nothing any more still has an order.
 const HOPELESS_PART: f64 = 0.005;
 /// Late work earns up to this many times the objective.
@@ -52,6 +52,33 @@
     Earning,
 }
 
+/// When a job earns what.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// From then on it is late.
+    pub objective_ms: u64,
+    /// Length of its objective.
+    pub objective_length_ms: u64,
+    /// How far off its end may be from what is expected.
+    pub spread_ms: f64,
+}
+
+impl Terms {
+    /// The part of its worth that a job earns if it is expected to end then: the
+    /// chance of being on time, and a part for being late.
+    pub fn part_at(&self, end_ms: u64) -> f64 {
+        let last_ms = self.objective_ms + (LATE_FACTOR - 1) * self.objective_length_ms;
+        let on_time = self.chance(end_ms, self.objective_ms);
+        let not_over = self.chance(end_ms, last_ms);
+        on_time * (1.0 - LATE_PART) + not_over * LATE_PART
+    }
+
+    fn chance(&self, end_ms: u64, by_ms: u64) -> f64 {
+        let slack_ms = by_ms as f64 - end_ms as f64;
+        (0.5 + slack_ms / (2.0 * self.spread_ms.max(1.0))).clamp(0.0, 1.0)
+    }
+}
+
 /// What a job still earns, and what it still costs.
 #[derive(Clone, Copy, Debug)]
 pub struct Prospect {
@@ -120,6 +147,27 @@
         ranked
     }
 
+    /// Worth of a job that is on time.
+    pub(super) fn worth_of_job(&self, id: JobId) -> f64 {
+        let job = &self.jobs[&id];
+        worth_of(job.priority) * worth_ratio(job.work, self.mean_work(&job.record.queue))
+    }
+
+    /// What the fleet's work earns on average, for each thousandth of a core and
+    /// millisecond, by the jobs seen so far.
+    pub(super) fn price_of_work(&self) -> f64 {
+        let (mut worth, mut work) = (0.0, 0.0);
+        for (name, history) in &self.history {
+            let priority = self
+                .terms
+                .get(name)
+                .map_or(u32::MAX, |queue| queue.priority);
+            worth += history.jobs * worth_of(priority);
+            work += history.jobs * history.mean_work;
+        }
+        if work > 0.0 { worth / work } else { 0.0 }
+    }
+
     fn rank(&self, group: &Group) -> Ranked {
         let job = &self.jobs[&group.key.job];
         let baseline = self.tuning.order != OrderRule::Worth;
@@ -136,22 +184,21 @@
         for step in 0..job.steps.len() as u32 {
             if let Some(other) = self.groups.get(&GroupKey { step, ..group.key }) {
                 let left = f64::from(other.tasks.len() as u32 - other.done);
-                work_left +=
-                    left * other.step.needs.weight() as f64 * other.step.estimated_ms as f64;
+                work_left += left * other.step.needs.weight() as f64 * other.run_time.value();
             }
         }
         let prospect = Prospect {
             worth: worth_of(job.priority),
             worth_ratio: worth_ratio(job.work, self.mean_work(&job.record.queue)),
             work_left,
-            chain_left_ms: group.step.estimated_ms,
+            chain_left_ms: group.run_ms(),
             objective_ms: group.objective_ms,
             objective_length_ms: group.objective_length_ms,
         };
         let density = match self.tuning.order {
             OrderRule::Worth => prospect.density(self.now_ms),
             OrderRule::FirstCome => -(group.released_ms as f64),
-            OrderRule::Shortest => -(group.step.estimated_ms as f64),
+            OrderRule::Shortest => -(group.run_ms() as f64),
         };
         Ranked {
             key: group.key,
--- a/src/scheduler/orders.rs
+++ b/src/scheduler/orders.rs
@@ -15,6 +15,7 @@
 use super::{
     CallOutcome,
     GroupKey,
+    Progress,
     RunName,
     RunPhase,
     StartRefusal,
@@ -54,6 +55,7 @@
             conclusive_ms: None,
             percent: 0,
             advanced_ms: now_ms,
+            progress: Progress::default(),
             paced_ms: 0,
             usage: None,
             pace_percent: 100,
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -90,7 +90,7 @@
                 worker: worker.key,
                 free: worker.free(),
                 rack: worker.rack().clone(),
-                slowness: worker.slowness,
+                slowness: worker.slowness_at(now_ms),
                 serves: worker.runs.values().any(|run| run.serves),
                 fills: worker.runs.values().any(|run| run.fills),
                 rack_free: rack_free.get(worker.rack()).copied().unwrap_or(0),
@@ -130,9 +130,10 @@
             if plain {
                 misses.needs.push(self.groups[&key].room);
             }
-            if self.may_preempt(&ranked) {
-                self.preempt_for(ranked, &queue, seats);
-            } else if self.groups[&key].step.gang
+            if self.may_preempt(&ranked) && self.preempt_for(ranked, &queue, seats) {
+                return started;
+            }
+            if self.groups[&key].step.gang
                 && *kept_gangs < KEPT_GANGS
                 && self.keep_room_for(key, &queue, seats)
             {
@@ -187,7 +188,9 @@
         then(&Ask {
             room: group.room,
             count: group.waiting,
-            end_ms: self.now_ms + step.estimated_ms,
+            end_ms: self.now_ms + group.run_ms(),
+            tolerance: group.objective_ms.saturating_sub(self.now_ms) as f64
+                / group.run_ms().max(1) as f64,
             gang: step.gang,
             one_rack: step.same_rack,
             data_rack: &step.data_rack,
@@ -208,7 +211,7 @@
         if waited_ms >= LEAVE_RACK_ANYWAY_MS || (promised && waited_ms >= LEAVE_RACK_PROMISED_MS) {
             return true;
         }
-        let near_ms = group.step.estimated_ms;
+        let near_ms = group.run_ms();
         let far_ms = (near_ms as f64 * self.tuning.remote_factor) as u64;
         let late_anyway = now_ms + near_ms > group.objective_ms;
         let on_time_even_so = now_ms + far_ms <= group.objective_ms;
@@ -338,7 +341,7 @@
         if self.tuning.order != OrderRule::Worth {
             return false;
         }
-        let on_time = self.now_ms + group.step.estimated_ms <= group.objective_ms;
+        let on_time = self.now_ms + group.run_ms() <= group.objective_ms;
         ranked.tier == Tier::Guaranteed || (job.is_urgent() && on_time)
     }
 }
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -14,7 +14,12 @@
 /// any sum of those after it.
 const AVOIDED_COST: f64 = 500.0;
 const CONFLICT_COST: f64 = 200.0;
+/// For work in a hurry: a worker that takes half as long again is worth leaving
+/// six accelerators beside the task.
 const SLOWNESS_COST: f64 = 12.0;
+/// Work with this many times its run time left is on time on any usual worker,
+/// and leaves the fast ones to work in a hurry.
+const RELAXED: f64 = 2.0;
 /// Small tasks fill racks that are taken already, for gangs that want one rack.
 const RACK_COST: f64 = 0.05;
 /// Room of cores left over breaks ties.
@@ -51,6 +56,8 @@
     pub count: u32,
     /// When they end, if they start now.
     pub end_ms: u64,
+    /// Time that is left to be on time, in run times on a usual worker.
+    pub tolerance: f64,
     /// All or none.
     pub gang: bool,
     /// On one rack, if possible.
@@ -94,11 +101,17 @@
         fit.min((self.allowed)(seat.worker))
     }
 
+    fn slowness_cost(&self, slowness: f64) -> f64 {
+        let relaxed = self.tolerance >= RELAXED && slowness < self.tolerance;
+        let sign = if relaxed { -1.0 } else { 1.0 };
+        sign * SLOWNESS_COST * (slowness - 1.0)
+    }
+
     fn cost(&self, seat: &Seat) -> f64 {
         let left = seat.free.minus(&self.room);
         let mut cost = f64::from(left.accelerators) + f64::from(left.cpu_millis) * CORE_COST;
         cost += RACK_COST * f64::from(seat.rack_free);
-        cost += SLOWNESS_COST * (seat.slowness - 1.0).max(0.0);
+        cost += self.slowness_cost(seat.slowness);
         if self.avoid.contains(&seat.worker) {
             cost += AVOIDED_COST;
         }
@@ -170,8 +183,8 @@
         let slowest = placings
             .iter()
             .map(|placing| seats[placing.seat].slowness)
-            .fold(1.0, f64::max);
-        let cost = f64::from(free) + SLOWNESS_COST * (slowest - 1.0);
+            .fold(0.0, f64::max);
+        let cost = f64::from(free) + ask.slowness_cost(slowest);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, placings));
         }
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -3,13 +3,17 @@
 //! Load pattern: an account's guaranteed accelerators are lent to other work,
 //! and a burst of its urgent jobs asks for them back within a few seconds,
 //! stops included. The victims are chosen in the pass in which the job is
-//! offered room: the cheapest by the work that they lose, until the whole job
-//! fits. Limits: work that lasts is never taken, room that is already being
-//! freed is waited for first, and a group asks again only after its victims
-//! had time to stop.
+//! offered room: those with which the least is lost, until the whole job fits.
+//! What is lost is reckoned in worth: the work that is thrown away, at what the
+//! fleet's work earns on average, and what the victim's job earns less for being
+//! late. Work beyond its guarantee takes room back only where it is on time for
+//! it and earns more by that than is lost. Limits: work that lasts is never
+//! taken, room that is being freed, or soon is, is waited for first, and a group
+//! asks again only after its victims had time to stop.
 
 use super::action::StopReason;
 use super::order::{
+    LATE_PART,
     Ranked,
     Tier, //
 };
@@ -28,77 +32,140 @@
     RunPhase, //
 };
 use crate::core::WorkerKey;
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    HashSet, //
+};
+
+/// Time beyond the bound of a stop until its end is listed and room is offered
+/// again: two answers of a worker and a pass.
+const LISTED_MS: u64 = 150;
+
+/// Time that stopped work waits for room again.
+const REQUEUED_MS: u64 = 2_000;
+
+/// A run that may be stopped for others.
+#[derive(Clone, Copy, Debug)]
+struct Victim {
+    /// Worth that is lost with it, its whole gang included.
+    loss: f64,
+    name: RunName,
+    room: Resources,
+    /// Its gang, which ends with it.
+    gang: Option<GroupKey>,
+}
 
-/// Time for victims to stop before more are chosen.
-const SETTLE_MS: u64 = 350;
-/// Urgent work beyond its account's guarantee is taken only when nothing else
-/// is left.
-const URGENT_VICTIM_FACTOR: f64 = 20.0;
+impl Victim {
+    fn price(&self) -> f64 {
+        self.loss / f64::from(self.room.accelerators.max(1))
+    }
+}
 
 /// What it takes to place one more task on a seat.
 #[derive(Clone, Debug, Default)]
 struct Slot {
-    cost: f64,
-    victims: Vec<RunName>,
+    loss: f64,
+    victims: Vec<Victim>,
+}
+
+/// A slot that was chosen.
+#[derive(Clone, Debug)]
+struct Choice {
+    seat: usize,
+    worker: WorkerKey,
+    slot: Slot,
 }
 
 /// The room of a seat as more and more of its runs are taken away.
-struct Yielding<'a> {
+struct Yielding {
     seat: usize,
     worker: WorkerKey,
     free: Resources,
     room: Resources,
     left: u32,
-    victims: Vec<(f64, RunName, &'a Run)>,
+    /// The one that costs least for the accelerators it gives comes first.
+    victims: Vec<Victim>,
 }
 
-impl Yielding<'_> {
-    /// Takes the cheapest victims until one more task fits.
-    fn next(&mut self) -> Option<Slot> {
+impl Yielding {
+    /// The cheapest victims until one more task fits.
+    fn next(&self) -> Option<Slot> {
         if self.left == 0 {
             return None;
         }
         let mut slot = Slot::default();
-        let (mut free, mut taken) = (self.free, 0);
+        let mut free = self.free;
+        let mut victims = self.victims.iter();
         while !free.holds(&self.room) {
-            let (cost, name, run) = self.victims.get(taken)?;
-            taken += 1;
-            free = free.plus(&run.room);
-            slot.cost += cost;
-            slot.victims.push(*name);
+            let victim = victims.next()?;
+            free = free.plus(&victim.room);
+            slot.victims.push(*victim);
         }
-        self.victims.drain(..taken);
-        self.free = free.minus(&self.room);
-        self.left -= 1;
+        // Small ones that were taken first may be needless beside a large one.
+        for at in (0..slot.victims.len()).rev() {
+            let without = free.minus(&slot.victims[at].room);
+            if without.holds(&self.room) {
+                free = without;
+                slot.victims.remove(at);
+            }
+        }
+        slot.loss = slot.victims.iter().map(|victim| victim.loss).sum();
         Some(slot)
     }
+
+    fn take(&mut self, slot: &Slot) {
+        for victim in &slot.victims {
+            self.free = self.free.plus(&victim.room);
+            self.victims.retain(|other| other.name != victim.name);
+        }
+        self.free = self.free.minus(&self.room);
+        self.left -= 1;
+    }
+
+    /// A gang ends in any case: its members here cost nothing more.
+    fn end_gang(&mut self, gang: GroupKey) -> bool {
+        let members = self.victims.iter_mut();
+        let mut any = false;
+        for member in members.filter(|victim| victim.gang == Some(gang)) {
+            member.loss = 0.0;
+            any = true;
+        }
+        if any {
+            self.sort();
+        }
+        any
+    }
+
+    fn sort(&mut self) {
+        self.victims
+            .sort_by(|a, b| a.price().total_cmp(&b.price()).then(a.name.cmp(&b.name)));
+    }
 }
 
 impl Scheduler {
     /// Frees room for the waiting tasks of an urgent group, and keeps it from
-    /// later groups of this pass.
-    pub(super) fn preempt_for(&mut self, ranked: Ranked, queue: &Queue, seats: &mut [Seat]) {
+    /// later groups of this pass; whether there is any.
+    pub(super) fn preempt_for(
+        &mut self,
+        ranked: Ranked,
+        queue: &Queue,
+        seats: &mut [Seat],
+    ) -> bool {
         if self.now_ms < self.groups[&ranked.key].preempt_at_ms {
             self.keep_claims(ranked.key, seats);
-            return;
+            return true;
         }
-        let group = &self.groups[&ranked.key];
-        let count = group.waiting as usize;
-        let room = group.room;
-        let chosen = self.with_ask(group, queue, &[], |ask| {
-            self.cheapest(ranked, ask, seats, count)
-        });
-        let Some(chosen) = chosen else {
-            return;
+        let Some(chosen) = self.worth_taking(ranked, queue, seats) else {
+            return false;
         };
-        let settle_ms = self.now_ms + SETTLE_MS;
+        let room = self.groups[&ranked.key].room;
+        let settle_ms = self.now_ms + self.tuning.stop_ms + LISTED_MS;
         let mut stops = Vec::new();
         let mut claims: BTreeMap<WorkerKey, u32> = BTreeMap::new();
-        for (seat, worker, slot) in chosen {
+        for Choice { seat, worker, slot } in chosen {
             seats[seat].free = seats[seat].free.minus(&room);
             *claims.entry(worker).or_default() += 1;
-            stops.extend(slot.victims.into_iter().map(|name| (worker, name)));
+            stops.extend(slot.victims.iter().map(|victim| (worker, victim.name)));
         }
         if !stops.is_empty()
             && let Some(group) = self.groups.get_mut(&ranked.key)
@@ -108,6 +175,9 @@
         }
         for (worker, name) in stops {
             self.stop_run(worker, name, StopReason::Preempted);
+            if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) {
+                group.preempted += 1;
+            }
             // A gang of which one member stops cannot go on.
             let key = GroupKey::of(name.task);
             if self
@@ -118,6 +188,45 @@
                 self.end_gang(key);
             }
         }
+        true
+    }
+
+    /// The slots to take, if that earns more than is lost: on fast workers only,
+    /// or on slower ones as well. Guaranteed work takes what it needs in any case.
+    fn worth_taking(&self, ranked: Ranked, queue: &Queue, seats: &[Seat]) -> Option<Vec<Choice>> {
+        let group = &self.groups[&ranked.key];
+        let count = group.waiting as usize;
+        let worth = self.worth_of_job(ranked.key.job);
+        let terms = group.terms();
+        self.with_ask(group, queue, &[], |ask| {
+            let mut best: Option<(f64, Vec<Choice>)> = None;
+            for limit in speed_limits(seats) {
+                let among: Vec<usize> = (0..seats.len())
+                    .filter(|&at| seats[at].slowness <= limit)
+                    .collect();
+                let Some(chosen) = self.cheapest(ranked, ask, seats, &among, count) else {
+                    continue;
+                };
+                let slots = chosen.iter().map(|choice| choice.seat);
+                let slowest = slots.map(|at| seats[at].slowness).fold(0.0, f64::max);
+                let run_ms = (group.run_time.value() * slowest) as u64;
+                let end_ms = self.now_ms + self.tuning.stop_ms + run_ms;
+                let gain = worth * (terms.part_at(end_ms) - LATE_PART);
+                let net = gain - loss_of(&chosen);
+                if best.as_ref().is_none_or(|(most, _)| net > *most) {
+                    best = Some((net, chosen));
+                }
+            }
+            let (net, chosen) = best?;
+            if net > 0.0 {
+                return Some(chosen);
+            }
+            if ranked.tier != Tier::Guaranteed {
+                return None;
+            }
+            let all: Vec<usize> = (0..seats.len()).collect();
+            self.cheapest(ranked, ask, seats, &all, count)
+        })
     }
 
     /// Keeps what is being freed for a group from the groups after it: its
@@ -133,16 +242,16 @@
         }
     }
 
-    /// The cheapest slots for `count` tasks; on one rack where that is asked
-    /// for and possible.
+    /// The cheapest slots for `count` tasks among some seats; on one rack where
+    /// that is asked for and possible.
     fn cheapest(
         &self,
         ranked: Ranked,
         ask: &Ask<'_>,
         seats: &[Seat],
+        among: &[usize],
         count: usize,
-    ) -> Option<Vec<(usize, WorkerKey, Slot)>> {
-        let all: Vec<usize> = (0..seats.len()).collect();
+    ) -> Option<Vec<Choice>> {
         let mut regions: Vec<Vec<usize>> = Vec::new();
         if ask.one_rack || !ask.data_rack.is_empty() {
             let mut racks: Vec<&str> = seats.iter().map(|seat| &*seat.rack).collect();
@@ -151,16 +260,16 @@
             racks.retain(|rack| ask.data_rack.is_empty() || *rack == ask.data_rack);
             for rack in racks {
                 let there = |at: &usize| &*seats[*at].rack == rack;
-                regions.push(all.iter().copied().filter(there).collect());
+                regions.push(among.iter().copied().filter(there).collect());
             }
         }
         let on_racks = regions
             .iter()
             .filter_map(|region| self.slots(ranked, ask, seats, region, count))
-            .min_by(|a, b| cost_of(a).total_cmp(&cost_of(b)));
+            .min_by(|a, b| loss_of(a).total_cmp(&loss_of(b)));
         // Room elsewhere is of use only to work that may leave its rack.
         let anywhere = regions.is_empty() || ask.may_leave_rack;
-        on_racks.or_else(|| anywhere.then(|| self.slots(ranked, ask, seats, &all, count))?)
+        on_racks.or_else(|| anywhere.then(|| self.slots(ranked, ask, seats, among, count))?)
     }
 
     fn slots(
@@ -170,54 +279,73 @@
         seats: &[Seat],
         region: &[usize],
         count: usize,
-    ) -> Option<Vec<(usize, WorkerKey, Slot)>> {
-        let mut yielding: Vec<Yielding<'_>> = region
+    ) -> Option<Vec<Choice>> {
+        let mut yielding: Vec<Yielding> = region
             .iter()
             .map(|&at| self.yielding(ranked, ask, seats, at))
             .collect();
-        let mut next: Vec<Option<Slot>> = yielding.iter_mut().map(Yielding::next).collect();
+        let mut next: Vec<Option<Slot>> = yielding.iter().map(Yielding::next).collect();
         let mut chosen = Vec::with_capacity(count);
+        let mut ended: HashSet<GroupKey> = HashSet::new();
         while chosen.len() < count {
-            let costs = next.iter().enumerate();
-            let (at, _) = costs
-                .filter_map(|(at, slot)| slot.as_ref().map(|slot| (at, slot.cost)))
+            let losses = next.iter().enumerate();
+            let (at, _) = losses
+                .filter_map(|(at, slot)| slot.as_ref().map(|slot| (at, slot.loss)))
                 .min_by(|a, b| a.1.total_cmp(&b.1))?;
             let slot = next[at].take()?;
-            chosen.push((yielding[at].seat, yielding[at].worker, slot));
+            yielding[at].take(&slot);
+            for gang in slot.victims.iter().filter_map(|victim| victim.gang) {
+                if !ended.insert(gang) {
+                    continue;
+                }
+                for (other, yielding) in yielding.iter_mut().enumerate() {
+                    if yielding.end_gang(gang) {
+                        next[other] = yielding.next();
+                    }
+                }
+            }
             next[at] = yielding[at].next();
+            chosen.push(Choice {
+                seat: yielding[at].seat,
+                worker: yielding[at].worker,
+                slot,
+            });
         }
         Some(chosen)
     }
 
-    fn yielding(&self, ranked: Ranked, ask: &Ask<'_>, seats: &[Seat], at: usize) -> Yielding<'_> {
+    fn yielding(&self, ranked: Ranked, ask: &Ask<'_>, seats: &[Seat], at: usize) -> Yielding {
         let seat = &seats[at];
         let worker = self.worker(seat.worker);
-        let stopping = worker
-            .runs
-            .values()
-            .filter(|run| matches!(run.phase, RunPhase::Stopping | RunPhase::Ending));
-        let free = stopping.fold(seat.free, |sum, run| sum.plus(&run.room));
-        let mut victims: Vec<(f64, RunName, &Run)> = worker
-            .runs
-            .iter()
-            .filter_map(|(&name, run)| Some((self.loss(ranked, name, run)?, name, run)))
-            .collect();
-        // The cheapest for the accelerators that it gives comes first.
-        let price =
-            |victim: &(f64, RunName, &Run)| victim.0 / f64::from(victim.2.room.accelerators.max(1));
-        victims.sort_by(|a, b| price(a).total_cmp(&price(b)));
-        Yielding {
+        let soon_ms = self.now_ms + self.tuning.stop_ms;
+        // What ends by itself before a stop would have ended it is waited for.
+        let ends_soon = |run: &Run| {
+            let end_ms = self.expected_end_ms(seat.worker, run);
+            end_ms.is_some_and(|end_ms| end_ms <= soon_ms)
+        };
+        let mut free = seat.free;
+        let mut victims: Vec<Victim> = Vec::new();
+        for (&name, run) in &worker.runs {
+            if ends_soon(run) {
+                free = free.plus(&run.room);
+            } else if let Some(victim) = self.victim(ranked, name, run) {
+                victims.push(victim);
+            }
+        }
+        let mut yielding = Yielding {
             seat: at,
             worker: seat.worker,
             free,
             room: ask.room,
             left: (ask.allowed)(seat.worker).min(ask.count),
             victims,
-        }
+        };
+        yielding.sort();
+        yielding
     }
 
-    /// What is lost with a run, in core-seconds; `None` if it may not be taken.
-    fn loss(&self, ranked: Ranked, name: RunName, run: &Run) -> Option<f64> {
+    /// A run as a victim; `None` if it may not be taken.
+    fn victim(&self, ranked: Ranked, name: RunName, run: &Run) -> Option<Victim> {
         let taken = matches!(run.phase, RunPhase::Starting | RunPhase::Running);
         if !taken || run.long_running || ranked.key.job == name.task.job {
             return None;
@@ -235,33 +363,87 @@
         if group.is_some_and(|group| group.step.gang && group.blind) {
             return None;
         }
-        let members = match group {
-            Some(group) if group.step.gang => group.tasks.len() as f64,
-            _ => 1.0,
+        let gang = group.filter(|group| group.step.gang);
+        let loss = match (group, gang) {
+            (_, Some(gang)) => self
+                .members(gang)
+                .map(|(_, _, run)| self.work_lost(run))
+                .sum(),
+            _ => self.work_lost(run),
+        };
+        let loss = loss * self.price_of_work() + group.map_or(0.0, |group| self.lateness(group));
+        let again = 1 + group.map_or(0, |group| group.preempted);
+        Some(Victim {
+            loss: loss * f64::from(again),
+            name,
+            room: run.room,
+            gang: gang.map(|group| group.key),
+        })
+    }
+
+    /// Worth that a group's job loses by starting anew instead of going on; a
+    /// single task bears its part.
+    fn lateness(&self, group: &Group) -> f64 {
+        let left = self
+            .members(group)
+            .map(|(worker, _, run)| self.left_ms(worker, run));
+        let end_ms = self.now_ms + left.max().unwrap_or(0);
+        let waits_ms = self.tuning.stop_ms + REQUEUED_MS;
+        let anew_ms = match group.step.checkpoints {
+            true => end_ms + waits_ms,
+            false => self.now_ms + waits_ms + group.run_ms(),
         };
-        let factor = if urgent { URGENT_VICTIM_FACTOR } else { 1.0 };
-        Some(self.lost_by(run, group) * members * factor)
+        let terms = group.terms();
+        let share = match group.step.gang {
+            true => 1.0,
+            false => 1.0 / group.tasks.len() as f64,
+        };
+        let lost = terms.part_at(end_ms) - terms.part_at(anew_ms);
+        self.worth_of_job(group.key.job) * lost.max(0.0) * share
+    }
+
+    /// Work that is lost if a run is stopped now, in thousandths of a core times
+    /// milliseconds: what it did since it began, or what it takes to go on from a
+    /// checkpoint, which a stop makes; and its room while it stops.
+    fn work_lost(&self, run: &Run) -> f64 {
+        let group = self.groups.get(&run.group);
+        let lost_ms = self.lost_ms(run, group) + self.tuning.stop_ms / 2;
+        run.room.weight() as f64 * lost_ms as f64
     }
 }
 
 impl Scheduler {
     /// Core-seconds that are lost if a run is stopped now.
     pub(super) fn lost_core_s(&self, key: WorkerKey, name: RunName) -> f64 {
+        const MILLI_CORE_MS: f64 = 1e6;
         let run = self.worker(key).runs.get(&name);
         let group = self.groups.get(&GroupKey::of(name.task));
-        run.map_or(0.0, |run| self.lost_by(run, group))
+        run.map_or(0.0, |run| {
+            run.room.weight() as f64 * self.lost_ms(run, group) as f64 / MILLI_CORE_MS
+        })
     }
 
-    fn lost_by(&self, run: &Run, group: Option<&Group>) -> f64 {
-        const MILLI_CORE_MS: f64 = 1e6;
-        let mut lost_ms = self.now_ms.saturating_sub(run.ordered_ms);
-        if group.is_some_and(|group| group.step.checkpoints) {
-            lost_ms = lost_ms.min(self.tuning.checkpoint_ms / 2) + self.tuning.restore_ms;
+    /// Run time that is lost if a run is stopped now. A stop makes a checkpoint.
+    fn lost_ms(&self, run: &Run, group: Option<&Group>) -> u64 {
+        let worked_ms = self.now_ms.saturating_sub(run.ordered_ms);
+        match group.is_some_and(|group| group.step.checkpoints) {
+            true => worked_ms.min(self.tuning.restore_ms),
+            false => worked_ms,
         }
-        run.room.weight() as f64 * (lost_ms + 1) as f64 / MILLI_CORE_MS
     }
 }
 
-fn cost_of(slots: &[(usize, WorkerKey, Slot)]) -> f64 {
-    slots.iter().map(|(_, _, slot)| slot.cost).sum()
+fn loss_of(slots: &[Choice]) -> f64 {
+    slots.iter().map(|choice| choice.slot.loss).sum()
+}
+
+/// Slowness up to which workers are looked at: a third of them, two, and all.
+fn speed_limits(seats: &[Seat]) -> Vec<f64> {
+    let mut slowness: Vec<f64> = seats.iter().map(|seat| seat.slowness).collect();
+    slowness.sort_by(f64::total_cmp);
+    let thirds = [1, 2, 3].map(|third| slowness.len() * third / 3);
+    let limits = thirds
+        .iter()
+        .filter_map(|&at| slowness.get(at.checked_sub(1)?));
+    limits.copied().collect()
 }
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -18,6 +18,7 @@
     Run,
     RunPhase, //
 };
+use crate::core::WorkerKey;
 
 /// Gangs for which room is kept at a time.
 pub(super) const KEPT_GANGS: u32 = 5;
@@ -25,12 +26,10 @@
 const HORIZON_MS: u64 = 15_000;
 /// A stop takes about this long.
 const STOPPING_MS: u64 = 200;
-/// Progress below this says little of what is left.
-const TELLING_PERCENT: u32 = 10;
 
 /// When a seat has room for one more task.
 #[derive(Clone, Copy, Debug)]
-struct Slot {
+struct FreeSlot {
     at_ms: u64,
     seat: usize,
 }
@@ -60,8 +59,8 @@
     }
 
     /// The slots that become free soonest; on one rack where that is asked for.
-    fn soonest(&self, ask: &Ask<'_>, seats: &[Seat], count: usize) -> Option<Vec<Slot>> {
-        let mut slots: Vec<Slot> = Vec::new();
+    fn soonest(&self, ask: &Ask<'_>, seats: &[Seat], count: usize) -> Option<Vec<FreeSlot>> {
+        let mut slots: Vec<FreeSlot> = Vec::new();
         for at in 0..seats.len() {
             self.slots_of(ask, seats, at, &mut slots);
         }
@@ -75,19 +74,19 @@
         racks.retain(|rack| ask.data_rack.is_empty() || *rack == ask.data_rack);
         let on_racks = racks.into_iter().filter_map(|rack| {
             let there = slots.iter().filter(|slot| &*seats[slot.seat].rack == rack);
-            let first: Vec<Slot> = there.take(count).copied().collect();
+            let first: Vec<FreeSlot> = there.take(count).copied().collect();
             (first.len() == count).then_some(first)
         });
         on_racks.min_by_key(|slots| slots.last().map_or(u64::MAX, |slot| slot.at_ms))
     }
 
-    fn slots_of(&self, ask: &Ask<'_>, seats: &[Seat], at: usize, slots: &mut Vec<Slot>) {
+    fn slots_of(&self, ask: &Ask<'_>, seats: &[Seat], at: usize, slots: &mut Vec<FreeSlot>) {
         let seat = &seats[at];
         let worker = self.worker(seat.worker);
         let mut ends: Vec<(u64, &Run)> = worker
             .runs
             .values()
-            .filter_map(|run| Some((self.expected_end_ms(run, seat.slowness)?, run)))
+            .filter_map(|run| Some((self.expected_end_ms(seat.worker, run)?, run)))
             .collect();
         ends.sort_by_key(|(end_ms, _)| *end_ms);
         let mut free = seat.free.minus(&seat.kept);
@@ -101,27 +100,28 @@
                 free = free.plus(&run.room);
             }
             free = free.minus(&ask.room);
-            slots.push(Slot { at_ms, seat: at });
+            slots.push(FreeSlot { at_ms, seat: at });
         }
     }
 
-    /// When a run ends, by its progress or its estimate; `None` for never.
-    pub(super) fn expected_end_ms(&self, run: &Run, slowness: f64) -> Option<u64> {
+    /// When a run ends, as far as progress and estimates tell; a gang with its
+    /// slowest member. `None` for never.
+    pub(super) fn expected_end_ms(&self, key: WorkerKey, run: &Run) -> Option<u64> {
         if run.long_running {
             return None;
         }
         if matches!(run.phase, RunPhase::Stopping | RunPhase::Ending) {
             return Some(self.now_ms + STOPPING_MS);
         }
-        let elapsed_ms = self.now_ms.saturating_sub(run.ordered_ms);
-        let left_ms = if run.percent >= TELLING_PERCENT {
-            elapsed_ms * u64::from(100 - run.percent.min(100)) / u64::from(run.percent)
-        } else {
-            let estimated_ms = self
-                .groups
-                .get(&run.group)
-                .map_or(0, |group| group.step.estimated_ms);
-            ((estimated_ms as f64 * slowness) as u64).saturating_sub(elapsed_ms)
+        let group = self.groups.get(&run.group);
+        let gang = group.filter(|group| group.step.gang && group.tasks.len() > 1);
+        let left_ms = match gang {
+            None => self.left_ms(key, run),
+            Some(group) => {
+                let members = self.members(group);
+                let left = members.map(|(worker, _, member)| self.left_ms(worker, member));
+                left.max().unwrap_or(0)
+            }
         };
         Some(self.now_ms + left_ms)
     }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -7,6 +7,7 @@
 use super::upkeep::Upkeep;
 use super::worker::Contact;
 use super::{
+    Belief,
     ClusterConfiguration,
     GraphJob,
     Group,
@@ -14,6 +15,7 @@
     Input,
     Queue,
     Resources,
+    RunTimes,
     Tuning,
     Worker, //
 };
@@ -67,6 +69,7 @@
 pub(super) struct QueueHistory {
     pub jobs: f64,
     pub mean_work: f64,
+    pub run_times: RunTimes,
 }
 
 /// The jobs, workers and runs of one fleet.
@@ -388,6 +391,13 @@
             .map_or(1.0, |history| history.mean_work)
     }
 
+    /// What is believed of the run time behind a queue's estimate.
+    pub(super) fn run_time_of(&self, queue: &str, estimated_ms: u64) -> Belief {
+        let history = self.history.get(queue);
+        let run_times = history.map(|history| history.run_times).unwrap_or_default();
+        run_times.believe(estimated_ms)
+    }
+
     /// Looks through workers and runs for what has become due.
     fn review(&mut self) {
         self.review_blindness();
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -2,7 +2,10 @@
 
 use super::action::Callee;
 use super::{
+    Belief,
+    Drag,
     GroupKey,
+    Progress,
     Resources,
     RunName,
     WorkerInfo, //
@@ -68,6 +71,8 @@
     pub percent: u32,
     /// When `percent` last rose.
     pub advanced_ms: u64,
+    /// What its progress tells of its worker and of its task.
+    pub progress: Progress,
     /// The news of the worker on which its pace last rested.
     pub paced_ms: u64,
     /// What the worker said of its use: response tail or cores.
@@ -132,6 +137,7 @@
             conclusive_ms: Some(now_ms),
             percent: 0,
             advanced_ms: now_ms,
+            progress: Progress::default(),
             paced_ms: 0,
             usage: None,
             pace_percent: u32::MAX,
@@ -195,8 +201,10 @@
     pub quarantine_ms: u64,
     /// Jobs that failed there since the last one was done, with the times.
     pub failures: Vec<(u64, JobId)>,
-    /// Run times there against the estimates, 1 for as estimated.
-    pub slowness: f64,
+    /// Run times there against those on a usual worker, as a logarithm.
+    pub slowness: Belief,
+    /// It became slow suddenly.
+    pub drag: Option<Drag>,
     address: Arc<str>,
     incarnation: Arc<str>,
     rack: Arc<str>,
@@ -238,7 +246,8 @@
             quarantined_until_ms: 0,
             quarantine_ms: 0,
             failures: Vec::new(),
-            slowness: 1.0,
+            slowness: Belief::of_slowness(),
+            drag: None,
         }
     }
 
@@ -292,6 +301,11 @@
         label.is_empty() || self.info.labels.iter().any(|own| own == label)
     }
 
+    /// What run times there are multiplied by at `now_ms`.
+    pub fn slowness_at(&self, now_ms: u64) -> f64 {
+        self.slowness.value() * Drag::at(self.drag, now_ms)
+    }
+
     /// Its rack.
     pub fn rack(&self) -> &Arc<str> {
         &self.rack
