--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod estimate;
 mod evidence;
 mod group;
+mod headroom;
 mod held;
 mod id;
 mod input;
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -63,13 +63,24 @@
         let mut seats = self.seats();
         let mut misses = Misses::default();
         let mut kept_gangs = 0;
+        let mut patient_room = self.room_for_patient();
         let mut starts = 0;
         for ranked in self.ranked() {
             if starts >= MAX_STARTS {
                 self.changed = true;
                 break;
             }
-            starts += self.offer(ranked, &mut seats, &mut misses, &mut kept_gangs);
+            let patient = self.is_patient(ranked.key);
+            let room = self.groups[&ranked.key].room.accelerators;
+            let limit = match patient {
+                true => patient_room.checked_div(room).unwrap_or(u32::MAX),
+                false => u32::MAX,
+            };
+            let started = self.offer(ranked, limit, &mut seats, &mut misses, &mut kept_gangs);
+            if patient {
+                patient_room = patient_room.saturating_sub(started as u32 * room);
+            }
+            starts += started;
         }
     }
 
@@ -103,6 +114,7 @@
     fn offer(
         &mut self,
         ranked: Ranked,
+        limit: u32,
         seats: &mut [Seat],
         misses: &mut Misses,
         kept_gangs: &mut u32,
@@ -122,12 +134,20 @@
         }
         let group = &self.groups[&key];
         let avoid: Vec<WorkerKey> = group.tasks.iter().filter_map(|task| task.avoid).collect();
-        let placings = self.with_ask(group, &queue, &avoid, |ask| place(seats, ask));
+        let limited = limit < group.waiting;
+        let held_back = limit == 0 || (group.step.gang && limited);
+        let placings = match held_back {
+            true => Vec::new(),
+            false => self.with_ask(group, &queue, &avoid, |ask| {
+                let count = ask.count.min(limit);
+                place(seats, &Ask { count, ..*ask })
+            }),
+        };
         let placed: u32 = placings.iter().map(|placing| placing.count).sum();
         let complete = placed == group.waiting;
         let started = self.start_placings(key, &placings, seats);
         if !complete {
-            if plain {
+            if plain && !limited {
                 misses.needs.push(self.groups[&key].room);
             }
             if self.may_preempt(&ranked) && self.preempt_for(ranked, &queue, seats) {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -4,6 +4,7 @@
     Action,
     Decision, //
 };
+use super::headroom::Demand;
 use super::upkeep::Upkeep;
 use super::worker::Contact;
 use super::{
@@ -97,6 +98,8 @@
     pub(super) terms: HashMap<String, Queue>,
     pub(super) history: HashMap<String, QueueHistory>,
     pub(super) workers: Vec<Worker>,
+    /// What urgent work lately used.
+    pub(super) demand: Demand,
     /// Places of workers that are gone, with the times, the oldest first.
     pub(super) vacant: VecDeque<(u64, WorkerKey)>,
     pub(super) worker_index: HashMap<String, WorkerKey>,
@@ -143,6 +146,7 @@
             terms: HashMap::new(),
             history: HashMap::new(),
             workers: Vec::new(),
+            demand: Demand::default(),
             worker_index: HashMap::new(),
             address_index: HashMap::new(),
             with_undurable: BTreeSet::new(),
