Keep more headroom, and let waiting gangs hold patient work back

And bursts went beyond the mean and one deviation. Change: a gang that waits is left its room by patient work after it; the headroom is three deviations, at most 0.35 of the fleet; while less than 0.6 of the fleet is in use nothing is held back.

--- a/src/scheduler/headroom.rs
+++ b/src/scheduler/headroom.rs
@@ -10,15 +10,19 @@
 use super::state::Scheduler;
 use super::{
     GroupKey,
-    RunPhase, //
+    RunPhase,
+    Worker, //
 };
 
 /// The use of the last seconds counts: a few run times of urgent work.
 const MEMORY_MS: f64 = 8_000.0;
-/// Deviations above the mean use that are kept free.
-const DEVIATIONS: f64 = 1.0;
+/// Deviations above the mean use that are kept free: peaks are rarely higher.
+const DEVIATIONS: f64 = 3.0;
 /// Most of the fleet's accelerators that are kept free.
 const MOST_SHARE: f64 = 0.35;
+/// While less of the fleet is in use than this, nothing is held back: nobody may
+/// wait for seconds beside a fleet of which half is idle.
+const LEAST_USED: f64 = 0.6;
 
 /// Accelerators that urgent work uses or waits for, as seen of late.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -46,32 +50,55 @@
     }
 }
 
+/// Accelerators that patient work may still take in a pass.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PatientRoom {
+    /// What is free beside the headroom and what waiting gangs need.
+    beside_headroom: u32,
+    /// What it may take in any case.
+    in_any_case: u32,
+}
+
+impl PatientRoom {
+    /// How many tasks of so many accelerators it holds.
+    pub fn tasks(&self, accelerators: u32) -> u32 {
+        let room = self.beside_headroom.max(self.in_any_case);
+        room.checked_div(accelerators).unwrap_or(u32::MAX)
+    }
+
+    /// Work of so many accelerators started.
+    pub fn take(&mut self, accelerators: u32) {
+        self.leave(accelerators);
+        self.in_any_case = self.in_any_case.saturating_sub(accelerators);
+    }
+
+    /// A gang of so many accelerators waits: what comes after it leaves them.
+    pub fn leave(&mut self, accelerators: u32) {
+        self.beside_headroom = self.beside_headroom.saturating_sub(accelerators);
+    }
+}
+
 impl Scheduler {
-    /// Accelerators that patient work may still take in this pass.
-    pub(super) fn room_for_patient(&mut self) -> u32 {
+    /// The room that patient work may take in this pass.
+    pub(super) fn room_for_patient(&mut self) -> PatientRoom {
         let now_ms = self.now_ms;
-        let takes = || {
-            self.workers
-                .iter()
-                .filter(|worker| worker.takes_work(now_ms))
-        };
-        let free: u32 = takes().map(|worker| worker.free().accelerators).sum();
-        let fleet: u32 = takes()
-            .map(|worker| worker.info.capacity.accelerators)
-            .sum();
-        let mut used = 0;
-        for worker in takes() {
-            for run in worker.runs.values() {
-                let on = matches!(run.phase, RunPhase::Starting | RunPhase::Running);
-                if on && run.priority == 0 && !run.long_running {
-                    used += run.room.accelerators;
-                }
+        let (mut free, mut fleet, mut urgent) = (0, 0, 0);
+        for worker in &self.workers {
+            if !worker.takes_work(now_ms) {
+                continue;
             }
+            free += worker.free().accelerators;
+            fleet += worker.info.capacity.accelerators;
+            urgent += urgent_accelerators(worker);
+        }
+        let urgent = f64::from(urgent);
+        self.demand.note(now_ms, urgent);
+        let headroom = self.demand.headroom(urgent, f64::from(fleet)) as u32;
+        let used = fleet.saturating_sub(free);
+        PatientRoom {
+            beside_headroom: free.saturating_sub(headroom),
+            in_any_case: ((f64::from(fleet) * LEAST_USED) as u32).saturating_sub(used),
         }
-        let used = f64::from(used);
-        self.demand.note(now_ms, used);
-        let headroom = self.demand.headroom(used, f64::from(fleet));
-        free.saturating_sub(headroom as u32)
     }
 
     /// Whether a group leaves headroom.
@@ -80,3 +107,13 @@
         self.jobs[&key.job].priority > 0 && !lasts
     }
 }
+
+/// Accelerators that urgent work uses on a worker.
+fn urgent_accelerators(worker: &Worker) -> u32 {
+    let runs = worker.runs.values();
+    let urgent = runs.filter(|run| {
+        let on = matches!(run.phase, RunPhase::Starting | RunPhase::Running);
+        on && run.priority == 0 && !run.long_running
+    });
+    urgent.map(|run| run.room.accelerators).sum()
+}
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -73,17 +73,24 @@
             let patient = self.is_patient(ranked.key);
             let room = self.groups[&ranked.key].room.accelerators;
             let limit = match patient {
-                true => patient_room.checked_div(room).unwrap_or(u32::MAX),
+                true => patient_room.tasks(room),
                 false => u32::MAX,
             };
             let started = self.offer(ranked, limit, &mut seats, &mut misses, &mut kept_gangs);
             if patient {
-                patient_room = patient_room.saturating_sub(started as u32 * room);
+                patient_room.take(started as u32 * room);
+                patient_room.leave(self.waiting_gang(ranked.key) * room);
             }
             starts += started;
         }
     }
 
+    /// Members of a gang that waits; 0 for other groups.
+    fn waiting_gang(&self, key: GroupKey) -> u32 {
+        let group = self.groups.get(&key).filter(|group| group.step.gang);
+        group.map_or(0, |group| group.waiting)
+    }
+
     /// Workers that take work, with their room.
     fn seats(&self) -> Vec<Seat> {
         let now_ms = self.now_ms;
