Wait only once for a run that should end soon

Ruled out: a change of the account's guarantee (43 of its accelerators in use all the while), silent workers (none). Change: from its second attempt on a group counts only runs that are stopping as room that comes.

--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -318,10 +318,15 @@
         let seat = &seats[at];
         let worker = self.worker(seat.worker);
         let soon_ms = self.now_ms + self.tuning.stop_ms;
-        // What ends by itself before a stop would have ended it is waited for.
+        // What ends by itself before a stop would have ended it is waited for, but
+        // once only: a run that takes longer than it should seems to end at once
+        // in each pass, and guaranteed work would wait for it beyond its promise.
+        let released_ms = self.groups[&ranked.key].released_ms;
+        let waited = self.now_ms > released_ms + self.tuning.stop_ms + LISTED_MS;
         let ends_soon = |run: &Run| {
+            let ending = matches!(run.phase, RunPhase::Stopping | RunPhase::Ending);
             let end_ms = self.expected_end_ms(seat.worker, run);
-            end_ms.is_some_and(|end_ms| end_ms <= soon_ms)
+            ending || (!waited && end_ms.is_some_and(|end_ms| end_ms <= soon_ms))
         };
         let mut free = seat.free;
         let mut victims: Vec<Victim> = Vec::new();
