Headroom shrinks with a job's patience

Change: a job leaves less headroom the less slack it has, none at the last moment at which it is on time. The baselines of the replay leave none, as they were.

--- a/src/scheduler/headroom.rs
+++ b/src/scheduler/headroom.rs
@@ -7,6 +7,7 @@
 //! Limits: patient work may always use the larger part of the fleet, and work that
 //! has to run all the time is not held back.
 
+use super::order::OrderRule;
 use super::state::Scheduler;
 use super::{
     GroupKey,
@@ -54,15 +55,17 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PatientRoom {
     /// What is free beside the headroom and what waiting gangs need.
-    beside_headroom: u32,
+    free: u32,
+    headroom: u32,
     /// What it may take in any case.
     in_any_case: u32,
 }
 
 impl PatientRoom {
     /// How many tasks of so many accelerators it holds.
-    pub fn tasks(&self, accelerators: u32) -> u32 {
-        let room = self.beside_headroom.max(self.in_any_case);
+    pub fn tasks(&self, accelerators: u32, patience: f64) -> u32 {
+        let headroom = (f64::from(self.headroom) * patience) as u32;
+        let room = self.free.saturating_sub(headroom).max(self.in_any_case);
         room.checked_div(accelerators).unwrap_or(u32::MAX)
     }
 
@@ -74,7 +77,7 @@
 
     /// A gang of so many accelerators waits: what comes after it leaves them.
     pub fn leave(&mut self, accelerators: u32) {
-        self.beside_headroom = self.beside_headroom.saturating_sub(accelerators);
+        self.free = self.free.saturating_sub(accelerators);
     }
 }
 
@@ -96,15 +99,18 @@
         let headroom = self.demand.headroom(urgent, f64::from(fleet)) as u32;
         let used = fleet.saturating_sub(free);
         PatientRoom {
-            beside_headroom: free.saturating_sub(headroom),
+            free,
+            headroom,
             in_any_case: ((f64::from(fleet) * LEAST_USED) as u32).saturating_sub(used),
         }
     }
 
     /// Whether a group leaves headroom.
     pub(super) fn is_patient(&self, key: GroupKey) -> bool {
-        let lasts = self.groups[&key].step.long_running;
-        self.jobs[&key.job].priority > 0 && !lasts
+        let group = &self.groups[&key];
+        self.tuning.order == OrderRule::Worth
+            && self.jobs[&key.job].priority > 0
+            && !group.step.long_running
     }
 }
 
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -35,9 +35,11 @@
 pub enum OrderRule {
     /// What it earns for each unit of work; urgent work may take room back.
     Worth,
-    /// When it became ready; nothing is taken back. A baseline for replays.
+    /// When it became ready; nothing is taken back or left free. A baseline for
+    /// replays.
     FirstCome,
-    /// How long a task takes; nothing is taken back. A baseline for replays.
+    /// How long a task takes; nothing is taken back or left free. A baseline for
+    /// replays.
     Shortest,
 }
 
@@ -73,6 +75,20 @@
         on_time * (1.0 - LATE_PART) + not_over * LATE_PART
     }
 
+    /// How much of its patience a job that takes so long has left, from 1 to 0 at
+    /// the last moment at which it earns as much by beginning.
+    pub fn patience(&self, now_ms: u64, run_ms: u64) -> f64 {
+        let last_ms = self.objective_ms + (LATE_FACTOR - 1) * self.objective_length_ms;
+        let end_ms = now_ms + run_ms;
+        let by_ms = if end_ms <= self.objective_ms {
+            self.objective_ms
+        } else {
+            last_ms
+        };
+        let slack_ms = by_ms.saturating_sub(end_ms) as f64;
+        (slack_ms / (0.5 * self.objective_length_ms.max(1) as f64)).min(1.0)
+    }
+
     fn chance(&self, end_ms: u64, by_ms: u64) -> f64 {
         let slack_ms = by_ms as f64 - end_ms as f64;
         (0.5 + slack_ms / (2.0 * self.spread_ms.max(1.0))).clamp(0.0, 1.0)
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -73,7 +73,7 @@
             let patient = self.is_patient(ranked.key);
             let room = self.groups[&ranked.key].room.accelerators;
             let limit = match patient {
-                true => patient_room.tasks(room),
+                true => patient_room.tasks(room, self.patience(ranked.key)),
                 false => u32::MAX,
             };
             let started = self.offer(ranked, limit, &mut seats, &mut misses, &mut kept_gangs);
@@ -85,6 +85,11 @@
         }
     }
 
+    fn patience(&self, key: GroupKey) -> f64 {
+        let group = &self.groups[&key];
+        group.terms().patience(self.now_ms, group.run_ms())
+    }
+
     /// Members of a gang that waits; 0 for other groups.
     fn waiting_gang(&self, key: GroupKey) -> u32 {
         let group = self.groups.get(&key).filter(|group| group.step.gang);
--- a/tests/preemption.rs
+++ b/tests/preemption.rs
@@ -2,7 +2,7 @@
 //! is waited for.
 
 #[path = "support/fleet.rs"]
-#[allow(dead_code)]
+#[expect(dead_code, reason = "each test program uses a part of the fixture")]
 mod fleet;
 
 use fleet::{
