Notice a silent store early, and its return at once

Of the jobs sent in its first two seconds all waited 3.1 s for 504, when their clients had given up; those sent later were refused until 1 s after the store was back (503 at 22.8 to 23.3 s, its return was at 22.2 s), since every call under way hung until its bound of a second. Clients try for 3 s in all. Change: calls of clients, commits and confirmations are watched; one that waits 700 ms (or four times as long as usual) while no other is answered shows that the store is away: jobs are then refused at once, and those under way are told 504 at once, with when to come back. A store that owes answers is asked for a sign of life every 150 ms (4 ms a daemon in large fleets); with its answer, calls from before are given up and made again, watches too. A submission is sent again after four times the usual time of an answer.

--- a/src/cluster/entry.rs
+++ b/src/cluster/entry.rs
@@ -171,7 +171,9 @@
     response.insert_header((CONTENT_TYPE, HeaderValue::from_static("application/json")));
     let comes_back = matches!(
         status,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::GATEWAY_TIMEOUT
     );
     if comes_back {
         response.insert_header((RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S)));
--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -66,7 +66,10 @@
     loop {
         let step = match revision {
             None => read_configuration(&node).await,
-            Some(revision) => watch_configuration(&node, revision).await,
+            Some(revision) => {
+                let watch = watch_configuration(&node, revision);
+                node.unless_silenced(watch).await
+            }
         };
         node.store_went(step.is_ok());
         match step {
@@ -147,7 +150,7 @@
 pub async fn members(node: Rc<Node>) {
     let (mut lease, mut list_at_ms) = (0, 0);
     loop {
-        let mut listed = stay_listed(&node, &mut lease).await;
+        let mut listed = node.asking_store(stay_listed(&node, &mut lease)).await;
         if listed.is_ok() && node.now_ms() >= list_at_ms {
             listed = list_members(&node).await;
             let count = node.others().len() as u64;
@@ -251,7 +254,8 @@
 pub async fn jobs(node: Rc<Node>, epoch: u64, from: u64) {
     let mut revision = from;
     while node.epoch() == epoch {
-        let watched = node.store.watch(JOBS_PREFIX, revision, WATCH_WAIT_MS).await;
+        let watch = node.store.watch(JOBS_PREFIX, revision, WATCH_WAIT_MS);
+        let watched = node.unless_silenced(watch).await;
         let events = match watched {
             Ok(Watched::Changes {
                 events,
@@ -303,10 +307,8 @@
     let mut revision = range.revision;
     let mut known: BTreeSet<String> = range.items.into_iter().map(|item| item.key).collect();
     while node.epoch() == epoch {
-        let watched = node
-            .store
-            .watch(WORKERS_PREFIX, revision, WATCH_WAIT_MS)
-            .await;
+        let watch = node.store.watch(WORKERS_PREFIX, revision, WATCH_WAIT_MS);
+        let watched = node.unless_silenced(watch).await;
         match watched {
             Ok(Watched::Changes {
                 events,
--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -270,11 +270,12 @@
             continue;
         };
         let sent_ms = node.now_ms();
-        let outcome = node.store.commit(&batch.transaction).await;
+        let outcome = node
+            .asking_store(node.store.commit(&batch.transaction))
+            .await;
         if node.epoch() != epoch {
             return;
         }
-        node.store_went(outcome.is_ok());
         let took_ms = (node.now_ms() - sent_ms) as f64;
         metrics::histogram!("fuchsiaslip_commit_ms").record(took_ms);
         match outcome {
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -18,6 +18,7 @@
 mod records;
 mod services;
 mod settings;
+mod store_health;
 mod submit;
 
 pub use control::{
@@ -55,3 +56,8 @@
     Watched, //
 };
 pub use settings::ClusterSettings;
+pub use store_health::{
+    CallKey,
+    HealthChange,
+    StoreHealth, //
+};
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -11,7 +11,13 @@
 };
 use super::ledger::Ledger;
 use super::peers::Peers;
+use super::services::StoreError;
 use super::settings::ClusterSettings;
+use super::store_health::{
+    CallKey,
+    HealthChange,
+    StoreHealth, //
+};
 use crate::events;
 use crate::platform::{
     MachineClient,
@@ -31,14 +37,20 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use tokio::sync::Notify;
 
 /// A peer that was heard this lately is there: four heartbeats of a small fleet.
 const HEARD_MS: u64 = 1_200;
 /// The same in heartbeats of the peer. In a fleet of a hundred they are as far
 /// apart as the bound above, and daemons held each other for gone.
 const HEARD_BEATS: u64 = 3;
-/// A store that failed for this long is said to be lost.
-const STORE_LOST_MS: u64 = 400;
+/// How often a store that owes answers is asked for a sign of life: its return is
+/// noticed within this time.
+const PROBE_MS: u64 = 150;
+/// In large fleets each daemon asks less often: together 250 times a second.
+const PROBE_PER_DAEMON_MS: u64 = 4;
+/// A sign of life that takes longer is no use; the next is under way.
+const PROBE_LIMIT_MS: u64 = 500;
 /// A configuration that nobody confirmed for this long may be out of date.
 const CONFIGURATION_DOUBT_MS: u64 = 2_500;
 
@@ -122,13 +134,26 @@
     owner: RefCell<Option<KnownOwner>>,
     epoch: Cell<u64>,
     root_revision: Cell<u64>,
-    store_failed_since_ms: Cell<Option<u64>>,
-    store_back_ms: Cell<u64>,
+    store_health: RefCell<StoreHealth>,
+    store_answered: Notify,
     draining: Cell<bool>,
     behind_since_ms: Cell<Option<u64>>,
     fetching: Cell<bool>,
 }
 
+/// A call to the store that ends when this does: a client that leaves takes its
+/// calls along.
+struct CallUnderWay<'a> {
+    health: &'a RefCell<StoreHealth>,
+    key: CallKey,
+}
+
+impl Drop for CallUnderWay<'_> {
+    fn drop(&mut self) {
+        self.health.borrow_mut().ended(self.key);
+    }
+}
+
 impl Node {
     /// Puts the parts together.
     pub fn open(
@@ -158,8 +183,8 @@
             owner: RefCell::default(),
             epoch: Cell::new(0),
             root_revision: Cell::new(0),
-            store_failed_since_ms: Cell::new(None),
-            store_back_ms: Cell::new(0),
+            store_health: RefCell::default(),
+            store_answered: Notify::new(),
             draining: Cell::new(false),
             behind_since_ms: Cell::new(None),
             fetching: Cell::new(false),
@@ -228,25 +253,103 @@
 
     /// Notes how a call to the store went.
     pub fn store_went(&self, well: bool) {
-        match (well, self.store_failed_since_ms.get()) {
-            (true, Some(since_ms)) => {
-                let for_ms = self.now_ms() - since_ms;
+        let change = self.store_health.borrow_mut().went(well, self.now_ms());
+        if well {
+            self.store_answered.notify_waiters();
+        }
+        match change {
+            Some(HealthChange::Back { for_ms }) => {
                 events::log(events::STORE_BACK, format_args!("after {for_ms} ms"));
-                self.store_failed_since_ms.set(None);
-                self.store_back_ms.set(self.now_ms());
             }
-            (false, None) => {
+            Some(HealthChange::Failing) => {
                 events::log(events::STORE_SILENT, format_args!("calls fail"));
-                self.store_failed_since_ms.set(Some(self.now_ms()));
             }
-            _ => {}
+            None => {}
         }
     }
 
+    /// Makes a call of a client's request to the store, and notes how it went.
+    pub async fn asking_store<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let began_ms = self.now_ms();
+        let under_way = CallUnderWay {
+            health: &self.store_health,
+            key: self.store_health.borrow_mut().began(began_ms),
+        };
+        let outcome = self.unless_silenced(call).await;
+        drop(under_way);
+        if outcome.is_ok() {
+            let took_ms = self.now_ms() - began_ms;
+            self.store_health.borrow_mut().took(took_ms);
+        }
+        self.store_went(outcome.is_ok());
+        outcome
+    }
+
+    /// Waits for a call, or until it turns out that the store was silent since: it
+    /// is never answered then.
+    pub async fn unless_silenced<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let began_ms = self.now_ms();
+        tokio::select! {
+            outcome = call => outcome,
+            () = self.silence_over(began_ms) => {
+                metrics::counter!("fuchsiaslip_retries_total", "reason" => "store_was_silent")
+                    .increment(1);
+                Err(StoreError::NoAnswer)
+            }
+        }
+    }
+
+    /// Waits until a call made at `began_ms` turns out to have fallen into a
+    /// silence of the store that is over: it is never answered.
+    async fn silence_over(&self, began_ms: u64) {
+        loop {
+            self.store_answered.notified().await;
+            if self.store_health.borrow().fell_silent(began_ms) {
+                return;
+            }
+        }
+    }
+
+    /// Asks a store that owes answers for a sign of life, for ever.
+    pub async fn probe_store(self: Rc<Self>) {
+        loop {
+            let daemons = self.others.borrow().len() as u64;
+            self.timer
+                .after(PROBE_MS.max(daemons * PROBE_PER_DAEMON_MS))
+                .await;
+            if !self.store_health.borrow().is_overdue(self.now_ms()) {
+                continue;
+            }
+            let node = self.clone();
+            actix_rt::spawn(async move {
+                metrics::counter!("fuchsiaslip_store_probes_total").increment(1);
+                // Without an answer nothing is learnt that is not known.
+                if node.store.probe(PROBE_LIMIT_MS).await.is_ok() {
+                    node.store_went(true);
+                }
+            });
+        }
+    }
+
+    /// How long to wait for the store before a call is made again.
+    pub fn store_patience_ms(&self) -> u64 {
+        self.store_health.borrow().patience_ms()
+    }
+
     /// Whether the store answers this daemon.
     pub fn has_store(&self) -> bool {
-        let since_ms = self.store_failed_since_ms.get();
-        since_ms.is_none_or(|since_ms| self.now_ms() < since_ms + STORE_LOST_MS)
+        !self.store_health.borrow().is_lost(self.now_ms())
+    }
+
+    /// Whether what a client sends can be stored now.
+    pub fn takes_jobs(&self) -> bool {
+        !self.store_health.borrow().is_away(self.now_ms())
     }
 
     /// Begins to drain.
@@ -410,7 +513,7 @@
                 fit: self.has_store() && !self.draining.get(),
             },
             started_ms: self.started_ms,
-            store_back_ms: self.store_back_ms.get(),
+            store_back_ms: self.store_health.borrow().back_ms(),
             heard: heard
                 .map(|(name, peer)| Candidate {
                     name: name.clone(),
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -285,11 +285,10 @@
 async fn confirm(node: Rc<Node>, epoch: u64) {
     while node.epoch() == epoch {
         let sent_ms = node.now_ms();
-        let root = node.store.get(ROOT_KEY).await;
+        let root = node.asking_store(node.store.get(ROOT_KEY)).await;
         if node.epoch() != epoch {
             return;
         }
-        node.store_went(root.is_ok());
         match root {
             Ok(Some(item)) if item.revision == node.root_revision() => {
                 node.control.take(epoch, Input::Confirmed(sent_ms));
--- /dev/null
+++ b/src/cluster/store_health.rs
@@ -0,0 +1,142 @@
+//! Whether the store answers this daemon, by how its calls went.
+//!
+//! Load pattern: the store is silent for some seconds, for this daemon or for all,
+//! or single answers are lost. What is sent to a silent store ends without a known
+//! outcome after the time that its client has. So jobs are refused at once, which
+//! is true of what was never sent, as soon as a call is overdue; the store is asked
+//! for a sign of life meanwhile, and what was sent before it fell silent is given
+//! up when it is back, since such a call is never answered. A call that takes
+//! several times as long as usual is made again. Limits: a store that is merely
+//! slow answers within a third of a second.
+
+use std::collections::BTreeMap;
+
+/// A store that failed for this long is said to be lost.
+const LOST_MS: u64 = 400;
+/// A call that takes this long, with no other answered since, shows that the store
+/// is silent: twice what a slow store takes.
+const SILENT_MS: u64 = 700;
+/// A call that takes this long is overdue: the store is asked for a sign of life.
+const OVERDUE_MS: u64 = 300;
+/// A call that was made this short before the store was back may be answered.
+const BEFORE_RETURN_MS: u64 = 100;
+/// Shortest time after which a call is made again.
+const LEAST_PATIENCE_MS: f64 = 120.0;
+/// Longest such time: the bound of any call.
+const MOST_PATIENCE_MS: f64 = 1_000.0;
+/// A call that takes so many times as long as usual was lost.
+const PATIENCE_FACTOR: f64 = 4.0;
+/// Weight of a new answer's time in the usual one.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// A call to the store that is on its way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallKey(u64);
+
+/// How calls to the store went.
+#[derive(Clone, Debug, Default)]
+pub struct StoreHealth {
+    failed_since_ms: Option<u64>,
+    back_ms: u64,
+    answered_ms: u64,
+    /// When it last answered after a silence.
+    silence_over_ms: u64,
+    usual_ms: f64,
+    last_call: u64,
+    /// Calls on their way, with the times at which they were made.
+    under_way: BTreeMap<u64, u64>,
+}
+
+/// What changed with a call's outcome.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HealthChange {
+    /// Calls fail from now on.
+    Failing,
+    /// Calls are answered again, after this long.
+    Back {
+        /// How long they failed.
+        for_ms: u64,
+    },
+}
+
+impl StoreHealth {
+    /// A call is made.
+    pub fn began(&mut self, now_ms: u64) -> CallKey {
+        self.last_call += 1;
+        self.under_way.insert(self.last_call, now_ms);
+        CallKey(self.last_call)
+    }
+
+    /// A call is over, or given up.
+    pub fn ended(&mut self, call: CallKey) {
+        self.under_way.remove(&call.0);
+    }
+
+    /// An answer took so long.
+    pub fn took(&mut self, took_ms: u64) {
+        self.usual_ms += LATENCY_WEIGHT * (took_ms as f64 - self.usual_ms);
+    }
+
+    /// How long to wait for an answer before a call is made again.
+    pub fn patience_ms(&self) -> u64 {
+        let patience_ms = LEAST_PATIENCE_MS + PATIENCE_FACTOR * self.usual_ms;
+        patience_ms.min(MOST_PATIENCE_MS) as u64
+    }
+
+    /// A call was answered, or not.
+    pub fn went(&mut self, well: bool, now_ms: u64) -> Option<HealthChange> {
+        if well {
+            if self.is_away(now_ms) {
+                self.silence_over_ms = now_ms;
+            }
+            self.answered_ms = now_ms;
+        }
+        match (well, self.failed_since_ms) {
+            (true, Some(since_ms)) => {
+                self.failed_since_ms = None;
+                self.back_ms = now_ms;
+                let for_ms = now_ms.saturating_sub(since_ms);
+                Some(HealthChange::Back { for_ms })
+            }
+            (false, None) => {
+                self.failed_since_ms = Some(now_ms);
+                Some(HealthChange::Failing)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether it has failed for a while.
+    pub fn is_lost(&self, now_ms: u64) -> bool {
+        let since_ms = self.failed_since_ms;
+        since_ms.is_some_and(|since_ms| now_ms >= since_ms + LOST_MS)
+    }
+
+    /// When it last was back; 0 for never away.
+    pub fn back_ms(&self) -> u64 {
+        self.back_ms
+    }
+
+    /// For how long a call waits while no other was answered.
+    fn unanswered_ms(&self, now_ms: u64) -> u64 {
+        let since = self.under_way.values().copied();
+        let oldest_ms = since.filter(|&at_ms| at_ms >= self.answered_ms).min();
+        oldest_ms.map_or(0, |at_ms| now_ms.saturating_sub(at_ms))
+    }
+
+    /// Whether a sign of life is missing.
+    pub fn is_overdue(&self, now_ms: u64) -> bool {
+        self.failed_since_ms.is_some() || self.unanswered_ms(now_ms) >= OVERDUE_MS
+    }
+
+    /// Whether a job that is sent now would wait in vain.
+    pub fn is_away(&self, now_ms: u64) -> bool {
+        let silent_ms = SILENT_MS.max((PATIENCE_FACTOR * self.usual_ms) as u64);
+        self.is_lost(now_ms) || self.unanswered_ms(now_ms) >= silent_ms
+    }
+
+    /// Whether a call made at `began_ms` fell into a silence that is over.
+    pub fn fell_silent(&self, began_ms: u64) -> bool {
+        began_ms + BEFORE_RETURN_MS < self.silence_over_ms
+    }
+}
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -86,7 +86,7 @@
     let bytes = encode(&record);
     // A store that is known not to answer is not tried: the refusal is true
     // and at once, where waiting would end without a known outcome.
-    let mut stored = match node.has_store() {
+    let mut stored = match node.takes_jobs() {
         true => store_job(node, job, bytes.clone(), until_ms).await,
         false => Stored::Refused,
     };
@@ -125,9 +125,12 @@
         ..Transaction::default()
     };
     let mut sure = true;
+    let mut limit_ms = node.store_patience_ms();
     loop {
-        let outcome = node.store.commit(&transaction).await;
-        node.store_went(outcome.is_ok());
+        let call = node.store.commit_within(&transaction, limit_ms);
+        let outcome = node.asking_store(call).await;
+        // A store that is slow, or a large job on a slow link, gets its time.
+        limit_ms *= 2;
         match outcome {
             // A key that is there is this very job, sent again.
             Ok(Committed::Done { .. } | Committed::Conflict(_)) => return Stored::Done,
@@ -136,7 +139,9 @@
             Err(StoreError::Refused) => {}
             Err(StoreError::NoAnswer) => sure = false,
         }
-        if node.now_ms() + AGAIN_MS >= until_ms {
+        // A store that is away may be so for seconds: the client is told at once
+        // that nobody knows, and asks again with the same name.
+        if node.now_ms() + AGAIN_MS >= until_ms || !node.takes_jobs() {
             return Stored::Unknown;
         }
         node.timer.after(AGAIN_MS).await;
@@ -186,7 +191,7 @@
 
 /// Cancels a job: stores that, here or through a peer, and tells the owner.
 pub async fn cancel(node: &Rc<Node>, job: JobId, until_ms: u64) -> Stored {
-    let mut stored = match node.has_store() {
+    let mut stored = match node.takes_jobs() {
         true => store_cancellation(node, job, until_ms).await,
         false => Stored::Refused,
     };
@@ -214,8 +219,7 @@
 /// Stores a cancellation in the store.
 pub async fn store_cancellation(node: &Rc<Node>, job: JobId, until_ms: u64) -> Stored {
     loop {
-        let outcome = try_cancellation(node, job).await;
-        node.store_went(outcome.is_ok());
+        let outcome = node.asking_store(try_cancellation(node, job)).await;
         match outcome {
             Ok(stored) => return stored,
             // Cancelling again does no harm, so a refusal may be told as one.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -164,6 +164,20 @@
         }
     }
 
+    /// Asks for a sign of life, with the cheapest of calls.
+    ///
+    /// # Errors
+    ///
+    /// The store refused or did not answer within `limit_ms`.
+    pub async fn probe(&self, limit_ms: u64) -> Result<(), StoreError> {
+        let url = self.url("kv-key?key=probe&serializable=1");
+        let answer = self.http.call(Method::GET, url, &[], None, limit_ms);
+        match answered(answer.await)?.0 {
+            StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
+            other => Err(refused(other)),
+        }
+    }
+
     /// Reads the values under `prefix`, page by page. The pages are not a
     /// snapshot: a watch from the revision returned shows what changed since.
     ///
@@ -244,6 +258,20 @@
     ///
     /// The store refused or did not answer.
     pub async fn commit(&self, transaction: &Transaction) -> Result<Committed, StoreError> {
+        self.commit_within(transaction, CALL_LIMIT_MS).await
+    }
+
+    /// Carries out a transaction; without an answer in `limit_ms`, its outcome is
+    /// not known.
+    ///
+    /// # Errors
+    ///
+    /// The store refused or did not answer.
+    pub async fn commit_within(
+        &self,
+        transaction: &Transaction,
+        limit_ms: u64,
+    ) -> Result<Committed, StoreError> {
         let expected = transaction.expected.iter();
         let puts = transaction.puts.iter();
         let body = TransactionBody {
@@ -264,7 +292,7 @@
         };
         let answer = self
             .http
-            .post(self.url("kv-txn"), &[], &body, CALL_LIMIT_MS);
+            .post(self.url("kv-txn"), &[], &body, limit_ms.min(CALL_LIMIT_MS));
         let (status, body) = answered(answer.await)?;
         match status {
             StatusCode::OK => Ok(Committed::Done {
--- /dev/null
+++ b/tests/store_health.rs
@@ -0,0 +1,103 @@
+//! What a daemon makes of the way its calls to the store went.
+
+use fuchsiaslip::cluster::{
+    HealthChange,
+    StoreHealth, //
+};
+
+/// A store that answered in so many milliseconds until `at_ms`.
+fn answering(answer_ms: u64, at_ms: u64) -> StoreHealth {
+    let mut health = StoreHealth::default();
+    for call in 0..30 {
+        let now_ms = at_ms - 30 * answer_ms + call * answer_ms;
+        let key = health.began(now_ms);
+        health.ended(key);
+        health.took(answer_ms);
+        health.went(true, now_ms + answer_ms);
+    }
+    health
+}
+
+/// Clients waited three seconds for "nobody knows", those of the outage's first
+/// two seconds all of them. The store went silent without a refusal, and a daemon
+/// knew of it only when a call's bound of a second and some more had passed.
+#[test]
+fn an_overdue_call_shows_that_the_store_is_away() {
+    let mut health = answering(5, 10_000);
+
+    health.began(10_100);
+
+    assert!(
+        !health.is_away(10_100 + 350),
+        "a slow answer may take as long"
+    );
+    assert!(
+        health.is_overdue(10_100 + 350),
+        "but a sign of life is asked for"
+    );
+    assert!(health.is_away(10_100 + 700));
+}
+
+/// A single answer was lost while the store went on answering others.
+#[test]
+fn one_lost_answer_does_not_show_that_the_store_is_away() {
+    let mut health = answering(5, 10_000);
+
+    health.began(10_100);
+    let other = health.began(10_500);
+    health.ended(other);
+    health.went(true, 10_505);
+
+    assert!(!health.is_away(11_500));
+}
+
+#[test]
+fn a_store_that_is_slow_for_all_is_not_away() {
+    let mut health = answering(350, 100_000);
+
+    health.began(100_000);
+
+    assert!(!health.is_away(100_000 + 1_000));
+    assert!(health.patience_ms() >= 1_000);
+}
+
+/// Clients that came back a second after an outage were still refused: what the
+/// daemon had sent before the store was back hung until its bound, and nothing
+/// else was sent that could have shown the return.
+#[test]
+fn calls_from_before_the_return_are_given_up_when_the_store_is_back() {
+    let mut health = answering(5, 10_000);
+    health.began(10_100);
+
+    let change = health.went(true, 14_300);
+
+    assert_eq!(change, None, "no call had failed");
+    assert!(health.fell_silent(10_100) && health.fell_silent(14_100));
+    assert!(!health.fell_silent(14_250), "it may be answered");
+    assert!(!health.is_away(14_301));
+}
+
+#[test]
+fn a_refusing_store_is_lost_after_a_while_and_back_with_its_first_answer() {
+    let mut health = answering(5, 10_000);
+
+    let failing = health.went(false, 10_100);
+    let soon = health.is_lost(10_200);
+    let later = health.is_lost(10_500);
+    let back = health.went(true, 12_100);
+
+    assert_eq!(failing, Some(HealthChange::Failing));
+    assert!(!soon && later);
+    assert_eq!(back, Some(HealthChange::Back { for_ms: 2_000 }));
+    assert!(!health.is_lost(12_100));
+    assert_eq!(health.back_ms(), 12_100);
+}
+
+#[test]
+fn a_lost_answer_of_a_quick_store_is_asked_for_again_soon() {
+    let health = answering(5, 10_000);
+
+    let patience_ms = health.patience_ms();
+
+    assert!((100..200).contains(&patience_ms), "{patience_ms} ms");
+}
