Name the version that an owner rests on, and what a job failed by

Cause: the record of a job that was wrongly shown as failed could tell the hypotheses apart only by the priorities of other jobs: the owner's lines named neither the version of the configuration that it knew nor the attempts that the job was held to.

Change: E200 and E322 name the version, E322 the attempts, E321 of a failed job the run, its task's failures, the attempts and the version; no decision changes.

Ruled out: a line for each end that counts as a failure; E306 has them.

Conclusion: the next such job names its cause in its own line.

--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -1,7 +1,9 @@
 //! Log lines as JSON objects, one a decision, bounded and never blocking.
 
+use crate::core::JobId;
 use crate::scheduler::{
     Decision,
+    JobFailure,
     StepSpec, //
 };
 use log4rs::append::Append;
@@ -224,20 +226,27 @@
             priority,
             age_ms,
             objective_ms,
+            max_attempts,
+            configuration_version,
         } => (
             events::JOB_OPENED,
             "job_opened",
             "due",
             json!({ "job": job.to_string(), "occurrence": occurrence, "queue": record.queue,
                 "account": record.account, "priority": priority, "age_ms": age_ms,
-                "objective_ms": objective_ms,
+                "objective_ms": objective_ms, "max_attempts": max_attempts,
+                "configuration_version": configuration_version,
                 "steps": record.spec.steps.iter().map(step_text).collect::<Vec<_>>() }),
         ),
-        Decision::JobEnded { job, state } => (
+        Decision::JobEnded {
+            job,
+            state,
+            failure,
+        } => (
             events::JOB_ENDED,
             "job_ended",
             *state,
-            json!({ "job": job.to_string() }),
+            job_ended(*job, failure.as_ref()),
         ),
         Decision::RecoveryOver {
             waited_ms,
@@ -296,6 +305,17 @@
     emit(event, fields);
 }
 
+/// The end of a job; one that failed with the run that made it fail.
+fn job_ended(job: JobId, failure: Option<&JobFailure>) -> Value {
+    let Some(failure) = failure else {
+        return json!({ "job": job.to_string() });
+    };
+    json!({ "job": job.to_string(), "task": failure.name.task.to_string(),
+        "run": failure.name.run, "failures": failure.failures,
+        "max_attempts": failure.max_attempts,
+        "configuration_version": failure.configuration_version })
+}
+
 /// A step in short: tasks, what each takes, its estimate, and how they are bound.
 fn step_text(step: &StepSpec) -> String {
     let bounds = [
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -169,7 +169,8 @@
     events::log(
         events::OWNER_STARTED,
         format_args!(
-            "epoch {epoch}, {job_count} values of jobs, {worker_count} workers, {roster_count} on the roster, after {} ms",
+            "epoch {epoch}, configuration version {}, {job_count} values of jobs, {worker_count} workers, {roster_count} on the roster, after {} ms",
+            node.configuration().version,
             node.now_ms() - began_ms
         ),
     );
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -176,6 +176,10 @@
         age_ms: u64,
         /// Time that it has from when it was due until it is late.
         objective_ms: u64,
+        /// Failures of one task that end it.
+        max_attempts: u32,
+        /// Version of the configuration that this owner knows.
+        configuration_version: u64,
     },
     /// A job ended.
     JobEnded {
@@ -183,6 +187,8 @@
         job: JobId,
         /// How.
         state: &'static str,
+        /// What made it fail; `None` for another end.
+        failure: Option<JobFailure>,
     },
     /// A new owner knows, or need not know any more, what runs where.
     RecoveryOver {
@@ -222,6 +228,19 @@
     },
 }
 
+/// What a job failed by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct JobFailure {
+    /// The run that failed last.
+    pub name: RunName,
+    /// Failures of its task.
+    pub failures: u32,
+    /// Failures that the queue allows.
+    pub max_attempts: u32,
+    /// Version of the configuration that this owner knows.
+    pub configuration_version: u64,
+}
+
 /// Why a run is stopped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StopReason {
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -2,6 +2,7 @@
 
 use super::action::{
     Decision,
+    JobFailure,
     StopReason, //
 };
 use super::progress::FinalState;
@@ -148,7 +149,13 @@
         let change = self.job_changed(name.task.job);
         let max_attempts = self.jobs[&name.task.job].max_attempts;
         if !long_running && failures >= max_attempts {
-            self.end_job(name.task.job, FinalState::Failed);
+            let failure = JobFailure {
+                name,
+                failures,
+                max_attempts,
+                configuration_version: self.configuration.version,
+            };
+            self.end_job(name.task.job, FinalState::Failed, Some(failure));
         }
         change
     }
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -2,6 +2,7 @@
 
 use super::action::{
     Decision,
+    JobFailure,
     StopReason, //
 };
 use super::progress::{
@@ -211,6 +212,8 @@
             priority: job.priority,
             age_ms: self.now_ms.saturating_sub(due_ms),
             objective_ms: length_ms,
+            max_attempts: job.max_attempts,
+            configuration_version: self.configuration.version,
         };
         let blind = self.is_blind();
         let mut groups = Vec::new();
@@ -418,11 +421,11 @@
         if job.is_over() || (job.done_occurrences.len() as u32) < job.repetitions() {
             return;
         }
-        self.end_job(id, FinalState::Completed);
+        self.end_job(id, FinalState::Completed, None);
     }
 
     /// Ends a job by itself: nothing of it starts any more.
-    pub(super) fn end_job(&mut self, id: JobId, state: FinalState) {
+    pub(super) fn end_job(&mut self, id: JobId, state: FinalState, failure: Option<JobFailure>) {
         let now_ms = self.now_ms;
         let job = self.job_mut(id);
         if job.is_over() {
@@ -435,7 +438,7 @@
             FinalState::Completed => "completed",
             FinalState::Failed => "failed",
         };
-        self.close_job(id, name);
+        self.close_job(id, name, failure);
     }
 
     /// Takes in a stored cancellation.
@@ -450,11 +453,15 @@
         }
         job.cancelled = true;
         job.ended_ms = now_ms;
-        self.close_job(id, "cancelled");
+        self.close_job(id, "cancelled", None);
     }
 
-    fn close_job(&mut self, id: JobId, state: &'static str) {
-        self.decided(Decision::JobEnded { job: id, state });
+    fn close_job(&mut self, id: JobId, state: &'static str, failure: Option<JobFailure>) {
+        self.decided(Decision::JobEnded {
+            job: id,
+            state,
+            failure,
+        });
         let keys: Vec<GroupKey> = self.groups_of(id).collect();
         for key in keys {
             self.stop_group(key, StopReason::JobOver);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -39,6 +39,7 @@
     Action,
     Callee,
     Decision,
+    JobFailure,
     StopReason, //
 };
 pub use configuration::{
