--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -60,6 +60,11 @@
     .to_string()
 }
 
+fn epoch(operator: &Operator) -> u64 {
+    let root = operator.world().value("owner");
+    root.and_then(|root| root["epoch"].as_u64()).unwrap_or(0)
+}
+
 fn state(daemon: &Daemon, job: u64) -> String {
     match daemon.request("GET", &path(job), "") {
         Answer::Status(200, body) => body,
@@ -178,3 +183,65 @@
         "the refused job never ran"
     );
 }
+
+/// Where the operators' configuration lies in the store.
+const CONFIGURATION_KEY: &str = "op/config";
+
+/// A caller saw a job as failed after one failed run, with attempts left. All
+/// daemons had been restarted, and the one that took over had not yet read a
+/// configuration: it held every queue for one that allows a single attempt, and
+/// stored the job's end when a worker listed the run. Its log had no version in
+/// force before it owned, and all queues had one priority.
+#[test]
+fn an_owner_that_has_read_no_configuration_fails_no_job() {
+    let operator = Operator::spawn(1);
+    configure(&operator, 1);
+    let mut daemons = fleet(5, 2, &operator);
+    daemons[0].request("POST", &path(1), &job(1, 2_000));
+    wait_until("running", || operator.world().records.len() == 1);
+    operator.world().mode = StoreMode::Silent;
+    operator.world().fail_runs(0);
+    daemons.iter_mut().for_each(Daemon::kill);
+    operator.world().withheld_key = Some(CONFIGURATION_KEY);
+    operator.world().mode = StoreMode::Serving;
+
+    daemons.iter_mut().for_each(Daemon::start);
+    wait_until("the next owner", || epoch(&operator) > 1);
+    std::thread::sleep(Duration::from_millis(1_500));
+    operator.world().withheld_key = None;
+
+    wait_until("completed", || {
+        let shown = state(&daemons[0], 1);
+        assert_ne!(shown, r#"{"state":"failed"}"#);
+        shown == r#"{"state":"completed"}"#
+    });
+}
+
+/// A job was never done. Its queue had been removed from the configuration after
+/// it was accepted, and all daemons were restarted: the new owner had never seen
+/// the queue, so it knew no service whose workers run its tasks, and one failed
+/// run would have ended the job.
+#[test]
+fn a_job_of_a_removed_queue_is_done_under_a_new_owner() {
+    let operator = Operator::spawn(1);
+    let both = [("q", 1), ("other", 1)];
+    operator.world().configure(1, &both, 5);
+    let mut daemons = fleet(6, 2, &operator);
+    daemons[0].request("POST", &path(1), &job(1, 2_000));
+    wait_until("running", || operator.world().records.len() == 1);
+    operator.world().configure(2, &both[1..], 5);
+    daemons.iter_mut().for_each(Daemon::kill);
+    operator.world().fail_runs(0);
+
+    daemons.iter_mut().for_each(Daemon::start);
+
+    let shown_elsewhere = || match daemons[0].request("GET", &format!("/other/{:016x}", 1), "") {
+        Answer::Status(200, body) => body,
+        other => format!("{other:?}"),
+    };
+    wait_until("completed", || {
+        let shown = shown_elsewhere();
+        assert_ne!(shown, r#"{"state":"failed"}"#);
+        shown == r#"{"state":"completed"}"#
+    });
+}
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -136,6 +136,8 @@
 #[derive(Debug)]
 pub struct World {
     pub mode: StoreMode,
+    /// A key whose reads are not answered, while all else is.
+    pub withheld_key: Option<&'static str>,
     pub records: Vec<RunRecord>,
     items: BTreeMap<String, Item>,
     history: Vec<(u64, String)>,
@@ -221,6 +223,14 @@
         self.workers[at].failing = failing;
     }
 
+    /// Everything that runs on a worker fails now.
+    pub fn fail_runs(&mut self, at: usize) {
+        let tasks: Vec<String> = self.workers[at].running.keys().cloned().collect();
+        for task in tasks {
+            self.end_run(at, &task, "failed");
+        }
+    }
+
     /// A worker crashes and is back at once as a new one.
     pub fn crash_worker(&mut self, at: usize) {
         let tasks: Vec<String> = self.workers[at].running.keys().cloned().collect();
@@ -595,6 +605,7 @@
     ) -> Self {
         let world = World {
             mode: StoreMode::Serving,
+            withheld_key: None,
             records: Vec::new(),
             items: BTreeMap::new(),
             history: Vec::new(),
@@ -715,6 +726,10 @@
     if path == "kv-txn" {
         return transact(world, mode, body).await;
     }
+    let withheld = lock(&world).withheld_key;
+    if path == "kv-key" && withheld.is_some_and(|key| query["key"] == key) {
+        return never().await;
+    }
     let mut world = lock(&world);
     world.end_leases();
     respond(match path.split_once('/').unwrap_or((&path, "")) {
