Store a job's terms with it, and judge none by terms that nobody told

Cause: a job copied the terms of its queue when an owner learned of it, and an unknown queue stood for one with a single attempt, priority 1 and no service. An owner does not know a queue when it takes over before its first read of the configuration has come back (its read had been sent into a silence of the store and waited for its own limit, a second longer than the others'), when a later version has removed the queue, or when the version that brings it has not reached the owner yet. One failed run then ended the job, and that end was stored. Class: a default in place of something unknown, in a decision that cannot be taken back.

Change: the daemon that accepts a job stores the terms with it and the version that they are from; an owner goes by its configuration unless that is older or lacks the queue. Without either, a job waits, is logged (E323) and counted, and its failures are judged when the terms become known. A new version reaches jobs that are open. An owner that knows no configuration reads it together with the rest at its takeover, and the first read of a daemon ends with the silence of the store.

Conclusion: no owner guesses what a job is held to.

--- a/src/cluster/entry.rs
+++ b/src/cluster/entry.rs
@@ -19,6 +19,7 @@
     key_header, //
 };
 use crate::scheduler::{
+    AcceptedTerms,
     AccountDeclaration,
     JobRecord,
     Queue, //
@@ -43,6 +44,7 @@
 };
 use futures_util::StreamExt;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// How long a client waits that does not say.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
@@ -130,6 +132,8 @@
 /// What a request asks, once it is read.
 struct Asked {
     queue: Queue,
+    /// What a job that is accepted is held to.
+    terms: AcceptedTerms,
     account: Option<AccountDeclaration>,
     /// The path behind the queue's prefix.
     name: String,
@@ -255,6 +259,10 @@
     let deadline_ms = deadline_header(headers).unwrap_or(DEFAULT_DEADLINE_MS);
     Ok(Asked {
         name: request.path()[queue.path_prefix.len()..].to_owned(),
+        terms: AcceptedTerms {
+            configuration_version: configuration.version,
+            terms: Arc::new(queue.terms()),
+        },
         queue,
         account,
         until_ms: received_ms + deadline_ms.saturating_sub(ANSWER_WAY_MS),
@@ -272,6 +280,7 @@
         queue: asked.queue.name.clone(),
         account: account.map_or_else(String::new, |account| account.name.clone()),
         received_ms,
+        accepted_under: Some(asked.terms.clone()),
         spec,
     };
     match submit::accept(node, job, record, asked.until_ms).await {
--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -65,7 +65,9 @@
     let mut revision = None;
     loop {
         let step = match revision {
-            None => read_configuration(&node).await,
+            // Sent into a silence of the store, the read would wait for its own
+            // limit: daemons had no configuration for a second after the others.
+            None => node.unless_silenced(read_configuration(&node)).await,
             Some(revision) => {
                 let watch = watch_configuration(&node, revision);
                 node.unless_silenced(watch).await
@@ -136,7 +138,9 @@
     }
 }
 
-fn take_configuration(node: &Node, value: &[u8]) {
+/// Brings a stored configuration into force; one that does not read is logged
+/// and changes nothing.
+pub fn take_configuration(node: &Node, value: &[u8]) {
     match decode_configuration(value) {
         Ok(configuration) => node.configure(configuration),
         Err(error) => events::log(
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -238,6 +238,20 @@
                 "configuration_version": configuration_version,
                 "steps": record.spec.steps.iter().map(step_text).collect::<Vec<_>>() }),
         ),
+        Decision::TermsUnknown {
+            job,
+            record,
+            configuration_version,
+        } => (
+            events::TERMS_UNKNOWN,
+            "terms_unknown",
+            match configuration_version {
+                0 => "no_configuration",
+                _ => "no_such_queue",
+            },
+            json!({ "job": job.to_string(), "queue": record.queue,
+                "configuration_version": configuration_version }),
+        ),
         Decision::JobEnded {
             job,
             state,
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -25,10 +25,12 @@
     Committed,
     Range,
     StoreError,
+    StoredItem,
     Transaction, //
 };
 use crate::events;
 use crate::platform::{
+    CONFIGURATION_KEY,
     WAVE_STATES_PREFIX,
     WAVES_PREFIX,
     WORKERS_PREFIX,
@@ -131,7 +133,8 @@
 /// any more, and on a slow store one answer after the other costs a second.
 async fn begin(node: &Rc<Node>, taken: &Taken) -> Result<(), StoreError> {
     let (epoch, began_ms) = (taken.epoch, taken.began_ms);
-    let (jobs, progress, roster, closed, workers, waves, states) = tokio::try_join!(
+    let (configuration, jobs, progress, roster, closed, workers, waves, states) = tokio::try_join!(
+        configuration_if_none(node),
         node.store.range(JOBS_PREFIX, false),
         node.store.range(PROGRESS_PREFIX, false),
         node.store.get(ROSTER_KEY),
@@ -140,6 +143,9 @@
         node.store.range(WAVES_PREFIX, false),
         node.store.range(WAVE_STATES_PREFIX, false),
     )?;
+    if let Some(item) = configuration {
+        follow::take_configuration(node, &item.value);
+    }
     node.ledger.clear();
     node.begin_owning(epoch, taken.root_revision);
     let mut stored = vec![Input::Configure(node.configuration())];
@@ -182,6 +188,17 @@
     Ok(())
 }
 
+/// The stored configuration, if this daemon knows none: right after its start it
+/// may take over before its first read of it has come back, and an owner without
+/// one starts nothing. A read more than the others costs no time, they go out
+/// together.
+async fn configuration_if_none(node: &Node) -> Result<Option<StoredItem>, StoreError> {
+    match node.configuration().version {
+        0 => node.store.get(CONFIGURATION_KEY).await,
+        _ => Ok(None),
+    }
+}
+
 /// The workers that earlier owners used, with what is stored of closed ones.
 fn known_workers(node: &Node, rows: Vec<RosterRow>, closed: &Range) -> Vec<Input> {
     let mut records: HashMap<&str, ClosedRecord> = HashMap::new();
--- a/src/events.rs
+++ b/src/events.rs
@@ -86,6 +86,8 @@
     JOB_ENDED = 321, Info, "a job ended", "none";
     /// An occurrence of a job opened.
     JOB_OPENED = 322, Info, "the tasks of a job may start from now on", "none";
+    /// The queue of a job is not known.
+    TERMS_UNKNOWN = 323, Info, "a job waits, since this owner knows neither its queue nor the terms under which it was accepted", "declare the queue again, and look why the owner has no newer configuration";
     /// A machine's upkeep was ordered.
     UPKEEP_ORDERED = 330, Info, "the upkeep of a machine was ordered, and answered as told", "none, unless it repeats: then look at the platform's interface for machines";
     /// A patch accepted.
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -181,6 +181,15 @@
         /// Version of the configuration that this owner knows.
         configuration_version: u64,
     },
+    /// Nobody told this owner of a job's queue: the job waits.
+    TermsUnknown {
+        /// The job.
+        job: JobId,
+        /// What was submitted.
+        record: Arc<JobRecord>,
+        /// Version of the configuration that this owner knows; 0 for none.
+        configuration_version: u64,
+    },
     /// A job ended.
     JobEnded {
         /// The job.
--- a/src/scheduler/configuration.rs
+++ b/src/scheduler/configuration.rs
@@ -42,6 +42,39 @@
     pub advice: Option<AdviceTerms>,
 }
 
+/// What a queue says of its jobs, apart from how requests find it. It is stored
+/// with each accepted job, so that an owner knows it whatever version it has.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct QueueTerms {
+    /// The service whose workers run the tasks.
+    pub service: String,
+    /// 0 is the most urgent and may preempt others.
+    pub priority: u32,
+    /// Failures of one task after which the job has failed; at least 1.
+    pub max_attempts: u32,
+    /// The objective is this many times the longest chain of work,
+    pub stretch_factor: f64,
+    /// and this much more.
+    pub target_latency_ms: u64,
+    /// Where a policy outside decides on workers.
+    pub advice: Option<AdviceTerms>,
+}
+
+impl Queue {
+    /// What it says of its jobs.
+    pub fn terms(&self) -> QueueTerms {
+        QueueTerms {
+            service: self.service.clone(),
+            priority: self.priority,
+            max_attempts: self.max_attempts.max(1),
+            stretch_factor: self.stretch_factor,
+            target_latency_ms: self.target_latency_ms,
+            advice: self.advice,
+        }
+    }
+}
+
 /// A client account.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct AccountDeclaration {
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -2,10 +2,8 @@
 
 use super::action::{
     Decision,
-    JobFailure,
     StopReason, //
 };
-use super::progress::FinalState;
 use super::state::Scheduler;
 use super::{
     EndKind,
@@ -133,30 +131,19 @@
         };
         // A gang fails as one: its first task carries the count.
         let counted = if group.step.gang { 0 } else { name.task.index };
-        let long_running = group.step.long_running;
         let Some(task) = group.tasks.get_mut(counted as usize) else {
             return 0;
         };
         if task.state == TaskState::Done || !task.count_failure(name.run) {
             return 0;
         }
-        let failures = task.failed_runs.len() as u32;
         if let Some(task) = group.tasks.get_mut(name.task.index as usize) {
             task.avoid = Some(key);
             task.avoided_ms = now_ms;
         }
         self.note_failure(key, name);
         let change = self.job_changed(name.task.job);
-        let max_attempts = self.jobs[&name.task.job].max_attempts;
-        if !long_running && failures >= max_attempts {
-            let failure = JobFailure {
-                name,
-                failures,
-                max_attempts,
-                configuration_version: self.configuration.version,
-            };
-            self.end_job(name.task.job, FinalState::Failed, Some(failure));
-        }
+        self.end_job_if_failed(name.task.job);
         change
     }
 
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -10,6 +10,7 @@
     GroupProgress, //
 };
 use super::state::Scheduler;
+use super::terms::priority_under;
 use super::{
     Action,
     Belief,
@@ -17,7 +18,7 @@
     GroupKey,
     JobRecord,
     ProgressRecord,
-    Queue,
+    QueueTerms,
     RunName,
     RunPhase,
     StepSpec,
@@ -41,10 +42,10 @@
     pub id: JobId,
     /// What its caller asked for.
     pub record: Arc<JobRecord>,
+    /// The terms of its queue; `None` while nobody could tell this owner.
+    pub terms: Option<Arc<QueueTerms>>,
     /// Priority of its queue.
     pub priority: u32,
-    /// Failures of one task that end it.
-    pub max_attempts: u32,
     /// When the scheduler learned of it.
     pub known_ms: u64,
     /// Its caller cancelled it.
@@ -130,7 +131,7 @@
         if self.jobs.contains_key(&id) || self.leaving_jobs.contains_key(&id) {
             return;
         }
-        let queue = self.queue_terms(&record.queue);
+        let terms = self.terms_of(&record);
         let steps: Vec<Arc<StepSpec>> = record.spec.steps.iter().cloned().map(Arc::new).collect();
         let run_ms = |step: &StepSpec| {
             let believed = self.run_time_of(&record.queue, step.estimated_ms);
@@ -142,8 +143,8 @@
         let first = steps.first();
         let job = GraphJob {
             id,
-            priority: queue.priority,
-            max_attempts: queue.max_attempts.max(1),
+            priority: priority_under(terms.as_deref()),
+            terms,
             known_ms: self.now_ms,
             cancelled: false,
             ended: progress.ended,
@@ -161,8 +162,12 @@
             restored: Some(progress),
         };
         let over = job.is_over();
+        let known = job.terms.is_some();
         self.jobs.insert(id, job);
         if !over {
+            if !known {
+                self.note_unknown_terms(id);
+            }
             self.open_occurrences(id);
             self.end_job_if_done(id);
         }
@@ -198,13 +203,13 @@
 
     fn open_occurrence(&mut self, id: JobId, occurrence: u32, due_ms: u64) {
         let job = &self.jobs[&id];
-        let queue = self.queue_terms(&job.record.queue);
         let run_times: Vec<Belief> = job
             .steps
             .iter()
             .map(|step| self.run_time_of(&job.record.queue, step.estimated_ms))
             .collect();
-        let length_ms = self.objective_length_ms(&queue, &job.steps, &run_times);
+        let terms = job.terms.as_deref();
+        let length_ms = self.objective_length_ms(terms, &job.steps, &run_times);
         let opened = Decision::JobOpened {
             job: id,
             occurrence,
@@ -212,7 +217,7 @@
             priority: job.priority,
             age_ms: self.now_ms.saturating_sub(due_ms),
             objective_ms: length_ms,
-            max_attempts: job.max_attempts,
+            max_attempts: terms.map_or(0, |terms| terms.max_attempts),
             configuration_version: self.configuration.version,
         };
         let blind = self.is_blind();
@@ -310,15 +315,19 @@
         }
     }
 
-    /// The time that a job has until it is late.
+    /// The time that a job has until it is late; the chain of its work alone
+    /// while the terms of its queue are not known.
     fn objective_length_ms(
         &self,
-        queue: &Queue,
+        terms: Option<&QueueTerms>,
         steps: &[Arc<StepSpec>],
         run_times: &[Belief],
     ) -> u64 {
         let chain_ms = self.chain_ms(steps, run_times);
-        (queue.stretch_factor.max(1.0) * chain_ms) as u64 + queue.target_latency_ms
+        let (stretch, extra_ms) = terms.map_or((1.0, 0), |terms| {
+            (terms.stretch_factor.max(1.0), terms.target_latency_ms)
+        });
+        (stretch * chain_ms) as u64 + extra_ms
     }
 
     /// Reckons the objective of an occurrence anew, since more is known of how
@@ -337,8 +346,7 @@
         let Some(run_times) = run_times else {
             return;
         };
-        let queue = self.queue_terms(&job.record.queue);
-        let length_ms = self.objective_length_ms(&queue, &job.steps, &run_times);
+        let length_ms = self.objective_length_ms(job.terms.as_deref(), &job.steps, &run_times);
         for key in keys {
             if let Some(group) = self.groups.get_mut(&key) {
                 let due_ms = group.objective_ms - group.objective_length_ms;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 mod spec;
 mod speed;
 mod state;
+mod terms;
 mod tuning;
 mod upkeep;
 mod worker;
@@ -47,6 +48,7 @@
     AdviceTerms,
     ClusterConfiguration,
     Queue,
+    QueueTerms,
     RequestLimits, //
 };
 pub use estimate::RunTimes;
@@ -83,6 +85,7 @@
     ProgressRecord, //
 };
 pub use spec::{
+    AcceptedTerms,
     JobRecord,
     JobSpec,
     Resources,
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -154,6 +154,7 @@
             .groups
             .values()
             .filter(|group| group.is_ready(self.now_ms))
+            .filter(|group| self.jobs[&group.key.job].terms.is_some())
             .map(|group| self.rank(group))
             .collect();
         ranked.sort_by(|a, b| {
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -17,7 +17,7 @@
 use super::{
     Group,
     GroupKey,
-    Queue,
+    QueueTerms,
     Resources,
     TaskState, //
 };
@@ -137,7 +137,9 @@
             && group.step.required_label.is_empty()
             && group.step.data_rack.is_empty()
             && group.step.max_per_worker == 0;
-        let queue = self.queue_terms(&self.jobs[&key.job].record.queue);
+        let Some(queue) = self.jobs[&key.job].terms.clone() else {
+            return 0;
+        };
         if plain && queue.advice.is_none() && misses.covers(&group.room) {
             return 0;
         }
@@ -179,7 +181,7 @@
     pub(super) fn with_ask<T>(
         &self,
         group: &Group,
-        queue: &Queue,
+        queue: &QueueTerms,
         avoid: &[WorkerKey],
         then: impl FnOnce(&Ask<'_>) -> T,
     ) -> T {
@@ -289,7 +291,7 @@
     }
 
     /// Whether a policy outside has to be asked first; if so, it is asked.
-    fn has_advice(&mut self, key: GroupKey, queue: &Queue, seats: &[Seat]) -> bool {
+    fn has_advice(&mut self, key: GroupKey, queue: &QueueTerms, seats: &[Seat]) -> bool {
         if queue.advice.is_none() {
             return true;
         }
@@ -339,8 +341,8 @@
         const ASK_AGAIN_MS: u64 = 200;
         let now_ms = self.now_ms;
         let validity_ms = self.jobs.get(&key.job).map_or(0, |job| {
-            let advice = self.queue_terms(&job.record.queue).advice;
-            advice.map_or(0, |terms| terms.validity_ms)
+            let advice = job.terms.as_ref().and_then(|terms| terms.advice);
+            advice.map_or(0, |advice| advice.validity_ms)
         });
         let index = &self.worker_index;
         let Some(group) = self.groups.get_mut(&key) else {
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -25,7 +25,7 @@
 use super::{
     Group,
     GroupKey,
-    Queue,
+    QueueTerms,
     Resources,
     Run,
     RunName,
@@ -148,7 +148,7 @@
     pub(super) fn preempt_for(
         &mut self,
         ranked: Ranked,
-        queue: &Queue,
+        queue: &QueueTerms,
         seats: &mut [Seat],
     ) -> bool {
         if self.now_ms < self.groups[&ranked.key].preempt_at_ms {
@@ -193,7 +193,12 @@
 
     /// The slots to take, if that earns more than is lost: on fast workers only,
     /// or on slower ones as well. Guaranteed work takes what it needs in any case.
-    fn worth_taking(&self, ranked: Ranked, queue: &Queue, seats: &[Seat]) -> Option<Vec<Choice>> {
+    fn worth_taking(
+        &self,
+        ranked: Ranked,
+        queue: &QueueTerms,
+        seats: &[Seat],
+    ) -> Option<Vec<Choice>> {
         let group = &self.groups[&ranked.key];
         let count = group.waiting as usize;
         let worth = self.worth_of_job(ranked.key.job);
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -14,7 +14,7 @@
 use super::state::Scheduler;
 use super::{
     GroupKey,
-    Queue,
+    QueueTerms,
     Run,
     RunPhase, //
 };
@@ -36,7 +36,12 @@
 
 impl Scheduler {
     /// Keeps room for a gang that found none; whether there is any to keep.
-    pub(super) fn keep_room_for(&self, key: GroupKey, queue: &Queue, seats: &mut [Seat]) -> bool {
+    pub(super) fn keep_room_for(
+        &self,
+        key: GroupKey,
+        queue: &QueueTerms,
+        seats: &mut [Seat],
+    ) -> bool {
         let group = &self.groups[&key];
         let count = group.waiting as usize;
         let chosen = self.with_ask(group, queue, &[], |ask| self.soonest(ask, seats, count));
--- a/src/scheduler/spec.rs
+++ b/src/scheduler/spec.rs
@@ -1,9 +1,11 @@
 //! What a caller submits: a graph of steps of like tasks.
 
+use super::QueueTerms;
 use serde::{
     Deserialize,
     Serialize, //
 };
+use std::sync::Arc;
 
 /// An amount of what a worker has.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -154,6 +156,15 @@
     }
 }
 
+/// The terms of a queue as the daemon knew them that accepted a job.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AcceptedTerms {
+    /// Version of the configuration that they are from.
+    pub configuration_version: u64,
+    /// The terms.
+    pub terms: Arc<QueueTerms>,
+}
+
 /// A job as it is stored when it is accepted.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct JobRecord {
@@ -163,6 +174,10 @@
     pub account: String,
     /// When it was received, since the Unix epoch.
     pub received_ms: u64,
+    /// What its queue said when it was accepted; `None` in values that an older
+    /// version of the program stored.
+    #[serde(default)]
+    pub accepted_under: Option<AcceptedTerms>,
     /// What to run.
     pub spec: JobSpec,
 }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -14,7 +14,7 @@
     Group,
     GroupKey,
     Input,
-    Queue,
+    QueueTerms,
     Resources,
     RunTimes,
     Tuning,
@@ -95,7 +95,8 @@
     /// The process of the earlier owner has certainly ended.
     pub(super) earlier_owner_over: bool,
     pub(super) configuration: Arc<ClusterConfiguration>,
-    pub(super) terms: HashMap<String, Queue>,
+    /// Terms of the queues by name, those of removed queues with jobs included.
+    pub(super) terms: HashMap<String, Arc<QueueTerms>>,
     pub(super) history: HashMap<String, QueueHistory>,
     pub(super) workers: Vec<Worker>,
     /// What urgent work lately used.
@@ -330,10 +331,12 @@
             return;
         }
         for queue in &configuration.queues {
-            self.terms.insert(queue.name.clone(), queue.clone());
+            let terms = Arc::new(queue.terms());
+            self.terms.insert(queue.name.clone(), terms);
         }
         self.configuration = configuration;
         self.forget_old_queues();
+        self.refresh_terms();
         self.changed = true;
     }
 
@@ -346,18 +349,6 @@
         self.history.retain(|name, _| needed.contains(name));
     }
 
-    /// The terms of a queue; those of a removed queue stay, for its jobs.
-    pub(super) fn queue_terms(&self, name: &str) -> Queue {
-        let known = self.terms.get(name).cloned();
-        known.unwrap_or_else(|| Queue {
-            name: name.to_owned(),
-            priority: 1,
-            max_attempts: 1,
-            stretch_factor: 2.0,
-            ..Queue::default()
-        })
-    }
-
     pub(super) fn job_mut(&mut self, id: JobId) -> &mut GraphJob {
         self.jobs
             .get_mut(&id)
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -179,6 +179,7 @@
         queue: queue.to_owned(),
         account: "zadruga".to_owned(),
         received_ms: BEGIN_MS,
+        accepted_under: None,
         spec: JobSpec {
             payload: "p".to_owned(),
             steps,
--- a/tests/support/replay.rs
+++ b/tests/support/replay.rs
@@ -424,6 +424,7 @@
         let weight = step.needs.weight() as f64 * f64::from(width) * run_ms as f64;
         SimJob {
             record: Arc::new(JobRecord {
+                accepted_under: None,
                 queue: class.name.to_owned(),
                 account: format!("account{account}"),
                 received_ms: arrives_ms,
