--- a/src/cluster/entry.rs
+++ b/src/cluster/entry.rs
@@ -19,10 +19,10 @@
     key_header, //
 };
 use crate::scheduler::{
-    AcceptedTerms,
     AccountDeclaration,
     JobRecord,
     Queue, //
+    VersionedTerms,
 };
 use actix_http::body::BoxBody;
 use actix_http::header::{
@@ -44,7 +44,6 @@
 };
 use futures_util::StreamExt;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// How long a client waits that does not say.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
@@ -133,7 +132,7 @@
 struct Asked {
     queue: Queue,
     /// What a job that is accepted is held to.
-    terms: AcceptedTerms,
+    terms: VersionedTerms,
     account: Option<AccountDeclaration>,
     /// The path behind the queue's prefix.
     name: String,
@@ -193,8 +192,13 @@
 async fn respond(node: &Rc<Node>, request: &mut Request, received_ms: u64) -> Answer {
     // The body is read even if the request is refused: closing with unread
     // bytes would reset the connection and lose the answer.
-    let limit = node.configuration().limits.max_body_bytes;
-    let body = read_body(request, limit).await?;
+    let configuration = node.configuration();
+    let body = read_body(request, configuration.limits.max_body_bytes).await;
+    if configuration.version == 0 {
+        // Its bounds are not known either: a body that is too large now may not be.
+        return Err(Refusal::NoConfiguration);
+    }
+    let body = body?;
     if node.requests.get() > MAX_REQUESTS {
         return Err(Refusal::Overloaded);
     }
@@ -241,9 +245,6 @@
 
 fn read_request(node: &Node, request: &Request, received_ms: u64) -> Result<Asked, Refusal> {
     let configuration = node.configuration();
-    if configuration.version == 0 {
-        return Err(Refusal::NoConfiguration);
-    }
     let headers = request.headers();
     let host = headers.get("host").and_then(|host| host.to_str().ok());
     let host = host.unwrap_or_default();
@@ -259,10 +260,7 @@
     let deadline_ms = deadline_header(headers).unwrap_or(DEFAULT_DEADLINE_MS);
     Ok(Asked {
         name: request.path()[queue.path_prefix.len()..].to_owned(),
-        terms: AcceptedTerms {
-            configuration_version: configuration.version,
-            terms: Arc::new(queue.terms()),
-        },
+        terms: queue.terms_in(configuration.version),
         queue,
         account,
         until_ms: received_ms + deadline_ms.saturating_sub(ANSWER_WAY_MS),
--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -95,6 +95,15 @@
     Ok(Some(item.revision))
 }
 
+/// Reads the configuration once, beside what follows it. An owner that knows none
+/// starts nothing, and one that knows an old one may judge by what was changed; a
+/// takeover does not wait for it, since leases run out meanwhile.
+pub async fn refresh_configuration(node: Rc<Node>) {
+    if let Err(error) = node.unless_silenced(read_configuration(&node)).await {
+        log::debug!("the configuration could not be read at the takeover: {error}");
+    }
+}
+
 async fn watch_configuration(node: &Node, revision: u64) -> Result<Option<u64>, StoreError> {
     let watched = node
         .store
@@ -138,9 +147,7 @@
     }
 }
 
-/// Brings a stored configuration into force; one that does not read is logged
-/// and changes nothing.
-pub fn take_configuration(node: &Node, value: &[u8]) {
+fn take_configuration(node: &Node, value: &[u8]) {
     match decode_configuration(value) {
         Ok(configuration) => node.configure(configuration),
         Err(error) => events::log(
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -327,7 +327,7 @@
     json!({ "job": job.to_string(), "task": failure.name.task.to_string(),
         "run": failure.name.run, "failures": failure.failures,
         "max_attempts": failure.max_attempts,
-        "configuration_version": failure.configuration_version })
+        "terms_version": failure.terms_version })
 }
 
 /// A step in short: tasks, what each takes, its estimate, and how they are bound.
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -244,10 +244,14 @@
         self.configuration_checked_ms.set(self.now_ms());
     }
 
+    /// Whether the configuration may be out of date, or none is known.
+    pub fn doubts_configuration(&self) -> bool {
+        self.now_ms() >= self.configuration_checked_ms.get() + CONFIGURATION_DOUBT_MS
+    }
+
     /// Whether the balancer may send new connections.
     pub fn is_ready(&self) -> bool {
-        let fresh = self.now_ms() < self.configuration_checked_ms.get() + CONFIGURATION_DOUBT_MS;
-        let confirmed = fresh || self.fit_peer().is_some();
+        let confirmed = !self.doubts_configuration() || self.fit_peer().is_some();
         self.configuration.borrow().version > 0 && confirmed && !self.draining.get()
     }
 
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -25,12 +25,10 @@
     Committed,
     Range,
     StoreError,
-    StoredItem,
     Transaction, //
 };
 use crate::events;
 use crate::platform::{
-    CONFIGURATION_KEY,
     WAVE_STATES_PREFIX,
     WAVES_PREFIX,
     WORKERS_PREFIX,
@@ -133,8 +131,10 @@
 /// any more, and on a slow store one answer after the other costs a second.
 async fn begin(node: &Rc<Node>, taken: &Taken) -> Result<(), StoreError> {
     let (epoch, began_ms) = (taken.epoch, taken.began_ms);
-    let (configuration, jobs, progress, roster, closed, workers, waves, states) = tokio::try_join!(
-        configuration_if_none(node),
+    if node.doubts_configuration() {
+        actix_rt::spawn(follow::refresh_configuration(node.clone()));
+    }
+    let (jobs, progress, roster, closed, workers, waves, states) = tokio::try_join!(
         node.store.range(JOBS_PREFIX, false),
         node.store.range(PROGRESS_PREFIX, false),
         node.store.get(ROSTER_KEY),
@@ -143,9 +143,6 @@
         node.store.range(WAVES_PREFIX, false),
         node.store.range(WAVE_STATES_PREFIX, false),
     )?;
-    if let Some(item) = configuration {
-        follow::take_configuration(node, &item.value);
-    }
     node.ledger.clear();
     node.begin_owning(epoch, taken.root_revision);
     let mut stored = vec![Input::Configure(node.configuration())];
@@ -188,17 +185,6 @@
     Ok(())
 }
 
-/// The stored configuration, if this daemon knows none: right after its start it
-/// may take over before its first read of it has come back, and an owner without
-/// one starts nothing. A read more than the others costs no time, they go out
-/// together.
-async fn configuration_if_none(node: &Node) -> Result<Option<StoredItem>, StoreError> {
-    match node.configuration().version {
-        0 => node.store.get(CONFIGURATION_KEY).await,
-        _ => Ok(None),
-    }
-}
-
 /// The workers that earlier owners used, with what is stored of closed ones.
 fn known_workers(node: &Node, rows: Vec<RosterRow>, closed: &Range) -> Vec<Input> {
     let mut records: HashMap<&str, ClosedRecord> = HashMap::new();
--- a/src/cluster/store_health.rs
+++ b/src/cluster/store_health.rs
@@ -86,7 +86,7 @@
     /// A call was answered, or not.
     pub fn went(&mut self, well: bool, now_ms: u64) -> Option<HealthChange> {
         if well {
-            if self.is_away(now_ms) {
+            if self.is_away(now_ms) || self.failed_in_silence() {
                 self.silence_over_ms = now_ms;
             }
             self.answered_ms = now_ms;
@@ -112,6 +112,14 @@
         since_ms.is_some_and(|since_ms| now_ms >= since_ms + LOST_MS)
     }
 
+    /// Whether calls fail after a silence. A call's own bound may pass just before
+    /// the store is back: what was made anew then waited for its bound as well, and
+    /// daemons had no configuration for a second after the store's return.
+    fn failed_in_silence(&self) -> bool {
+        let since_ms = self.failed_since_ms;
+        since_ms.is_some_and(|since_ms| since_ms >= self.answered_ms + SILENT_MS)
+    }
+
     /// When it last was back; 0 for never away.
     pub fn back_ms(&self) -> u64 {
         self.back_ms
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -246,8 +246,8 @@
     pub failures: u32,
     /// Failures that the queue allows.
     pub max_attempts: u32,
-    /// Version of the configuration that this owner knows.
-    pub configuration_version: u64,
+    /// Version of the configuration that allows so many.
+    pub terms_version: u64,
 }
 
 /// Why a run is stopped.
--- a/src/scheduler/configuration.rs
+++ b/src/scheduler/configuration.rs
@@ -5,9 +5,11 @@
     Deserialize,
     Serialize, //
 };
+use std::sync::Arc;
 
 /// Terms of a queue on which a policy outside decides where steps may run.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
 pub struct AdviceTerms {
     /// Time that one question takes.
     pub decision_ms: u64,
@@ -45,7 +47,6 @@
 /// What a queue says of its jobs, apart from how requests find it. It is stored
 /// with each accepted job, so that an owner knows it whatever version it has.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(default)]
 pub struct QueueTerms {
     /// The service whose workers run the tasks.
     pub service: String,
@@ -62,19 +63,32 @@
 }
 
 impl Queue {
-    /// What it says of its jobs.
-    pub fn terms(&self) -> QueueTerms {
-        QueueTerms {
+    /// What it says of its jobs in this version of the configuration.
+    pub fn terms_in(&self, configuration_version: u64) -> VersionedTerms {
+        let terms = QueueTerms {
             service: self.service.clone(),
             priority: self.priority,
             max_attempts: self.max_attempts.max(1),
             stretch_factor: self.stretch_factor,
             target_latency_ms: self.target_latency_ms,
             advice: self.advice,
+        };
+        VersionedTerms {
+            configuration_version,
+            terms: Arc::new(terms),
         }
     }
 }
 
+/// The terms of a queue in one version of the configuration.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct VersionedTerms {
+    /// The version.
+    pub configuration_version: u64,
+    /// The terms.
+    pub terms: Arc<QueueTerms>,
+}
+
 /// A client account.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct AccountDeclaration {
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -131,19 +131,23 @@
         };
         // A gang fails as one: its first task carries the count.
         let counted = if group.step.gang { 0 } else { name.task.index };
+        let long_running = group.step.long_running;
         let Some(task) = group.tasks.get_mut(counted as usize) else {
             return 0;
         };
         if task.state == TaskState::Done || !task.count_failure(name.run) {
             return 0;
         }
+        let failures = task.failed_runs.len();
         if let Some(task) = group.tasks.get_mut(name.task.index as usize) {
             task.avoid = Some(key);
             task.avoided_ms = now_ms;
         }
         self.note_failure(key, name);
         let change = self.job_changed(name.task.job);
-        self.end_job_if_failed(name.task.job);
+        if !long_running {
+            self.end_job_if_spent_by(name, failures);
+        }
         change
     }
 
--- a/src/scheduler/evidence.rs
+++ b/src/scheduler/evidence.rs
@@ -99,7 +99,7 @@
     /// only if the other workers could hold them.
     pub(super) fn caution(&self, group: &Group, service: &str) -> Option<Caution> {
         let now_ms = self.now_ms;
-        let terms = self.jobs[&group.key.job].terms.as_ref();
+        let terms = self.jobs[&group.key.job].terms();
         let max_attempts = terms.map_or(u32::MAX, |terms| terms.max_attempts);
         let caution = Caution::of(group, max_attempts, now_ms);
         if caution.is_needless() {
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -183,7 +183,7 @@
             }
         }
         if let Some(job) = self.jobs.get(&row.name.task.job) {
-            run.priority = job.priority;
+            run.priority = job.run_priority();
         }
         self.note_started(row.name);
         run.percent = row.percent;
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -23,7 +23,8 @@
     RunPhase,
     StepSpec,
     Task,
-    TaskState, //
+    TaskState,
+    VersionedTerms, //
 };
 use crate::core::JobId;
 use std::sync::Arc;
@@ -43,7 +44,7 @@
     /// What its caller asked for.
     pub record: Arc<JobRecord>,
     /// The terms of its queue; `None` while nobody could tell this owner.
-    pub terms: Option<Arc<QueueTerms>>,
+    pub terms: Option<VersionedTerms>,
     /// Priority of its queue.
     pub priority: u32,
     /// When the scheduler learned of it.
@@ -112,6 +113,11 @@
         }
     }
 
+    /// The terms of its queue, as far as they are known.
+    pub fn terms(&self) -> Option<&QueueTerms> {
+        self.terms.as_ref().map(|known| &*known.terms)
+    }
+
     /// Whether it is urgent work that counts against its account's guarantee.
     pub fn is_urgent(&self) -> bool {
         self.priority == 0
@@ -143,7 +149,7 @@
         let first = steps.first();
         let job = GraphJob {
             id,
-            priority: priority_under(terms.as_deref()),
+            priority: priority_under(terms.as_ref()),
             terms,
             known_ms: self.now_ms,
             cancelled: false,
@@ -208,8 +214,7 @@
             .iter()
             .map(|step| self.run_time_of(&job.record.queue, step.estimated_ms))
             .collect();
-        let terms = job.terms.as_deref();
-        let length_ms = self.objective_length_ms(terms, &job.steps, &run_times);
+        let length_ms = self.objective_length_ms(job, &run_times);
         let opened = Decision::JobOpened {
             job: id,
             occurrence,
@@ -217,7 +222,7 @@
             priority: job.priority,
             age_ms: self.now_ms.saturating_sub(due_ms),
             objective_ms: length_ms,
-            max_attempts: terms.map_or(0, |terms| terms.max_attempts),
+            max_attempts: job.terms().map_or(0, |terms| terms.max_attempts),
             configuration_version: self.configuration.version,
         };
         let blind = self.is_blind();
@@ -317,14 +322,9 @@
 
     /// The time that a job has until it is late; the chain of its work alone
     /// while the terms of its queue are not known.
-    fn objective_length_ms(
-        &self,
-        terms: Option<&QueueTerms>,
-        steps: &[Arc<StepSpec>],
-        run_times: &[Belief],
-    ) -> u64 {
-        let chain_ms = self.chain_ms(steps, run_times);
-        let (stretch, extra_ms) = terms.map_or((1.0, 0), |terms| {
+    fn objective_length_ms(&self, job: &GraphJob, run_times: &[Belief]) -> u64 {
+        let chain_ms = self.chain_ms(&job.steps, run_times);
+        let (stretch, extra_ms) = job.terms().map_or((1.0, 0), |terms| {
             (terms.stretch_factor.max(1.0), terms.target_latency_ms)
         });
         (stretch * chain_ms) as u64 + extra_ms
@@ -346,7 +346,7 @@
         let Some(run_times) = run_times else {
             return;
         };
-        let length_ms = self.objective_length_ms(job.terms.as_deref(), &job.steps, &run_times);
+        let length_ms = self.objective_length_ms(job, &run_times);
         for key in keys {
             if let Some(group) = self.groups.get_mut(&key) {
                 let due_ms = group.objective_ms - group.objective_length_ms;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -49,7 +49,8 @@
     ClusterConfiguration,
     Queue,
     QueueTerms,
-    RequestLimits, //
+    RequestLimits,
+    VersionedTerms, //
 };
 pub use estimate::RunTimes;
 pub use group::{
@@ -85,7 +86,6 @@
     ProgressRecord, //
 };
 pub use spec::{
-    AcceptedTerms,
     JobRecord,
     JobSpec,
     Resources,
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -178,7 +178,7 @@
             let priority = self
                 .terms
                 .get(name)
-                .map_or(u32::MAX, |queue| queue.priority);
+                .map_or(u32::MAX, |known| known.terms.priority);
             worth += history.jobs * worth_of(priority);
             work += history.jobs * history.mean_work;
         }
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -137,9 +137,10 @@
             && group.step.required_label.is_empty()
             && group.step.data_rack.is_empty()
             && group.step.max_per_worker == 0;
-        let Some(queue) = self.jobs[&key.job].terms.clone() else {
+        let Some(known) = &self.jobs[&key.job].terms else {
             return 0;
         };
+        let queue = known.terms.clone();
         if plain && queue.advice.is_none() && misses.covers(&group.room) {
             return 0;
         }
@@ -341,7 +342,7 @@
         const ASK_AGAIN_MS: u64 = 200;
         let now_ms = self.now_ms;
         let validity_ms = self.jobs.get(&key.job).map_or(0, |job| {
-            let advice = job.terms.as_ref().and_then(|terms| terms.advice);
+            let advice = job.terms().and_then(|terms| terms.advice);
             advice.map_or(0, |advice| advice.validity_ms)
         });
         let index = &self.worker_index;
--- a/src/scheduler/spec.rs
+++ b/src/scheduler/spec.rs
@@ -1,11 +1,10 @@
 //! What a caller submits: a graph of steps of like tasks.
 
-use super::QueueTerms;
+use super::VersionedTerms;
 use serde::{
     Deserialize,
     Serialize, //
 };
-use std::sync::Arc;
 
 /// An amount of what a worker has.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -156,15 +155,6 @@
     }
 }
 
-/// The terms of a queue as the daemon knew them that accepted a job.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct AcceptedTerms {
-    /// Version of the configuration that they are from.
-    pub configuration_version: u64,
-    /// The terms.
-    pub terms: Arc<QueueTerms>,
-}
-
 /// A job as it is stored when it is accepted.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct JobRecord {
@@ -177,7 +167,7 @@
     /// What its queue said when it was accepted; `None` in values that an older
     /// version of the program stored.
     #[serde(default)]
-    pub accepted_under: Option<AcceptedTerms>,
+    pub accepted_under: Option<VersionedTerms>,
     /// What to run.
     pub spec: JobSpec,
 }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -14,10 +14,10 @@
     Group,
     GroupKey,
     Input,
-    QueueTerms,
     Resources,
     RunTimes,
     Tuning,
+    VersionedTerms,
     Worker, //
 };
 use crate::core::{
@@ -96,7 +96,7 @@
     pub(super) earlier_owner_over: bool,
     pub(super) configuration: Arc<ClusterConfiguration>,
     /// Terms of the queues by name, those of removed queues with jobs included.
-    pub(super) terms: HashMap<String, Arc<QueueTerms>>,
+    pub(super) terms: HashMap<String, VersionedTerms>,
     pub(super) history: HashMap<String, QueueHistory>,
     pub(super) workers: Vec<Worker>,
     /// What urgent work lately used.
@@ -331,7 +331,7 @@
             return;
         }
         for queue in &configuration.queues {
-            let terms = Arc::new(queue.terms());
+            let terms = queue.terms_in(configuration.version);
             self.terms.insert(queue.name.clone(), terms);
         }
         self.configuration = configuration;
@@ -396,6 +396,9 @@
     /// Looks through workers and runs for what has become due.
     fn review(&mut self) {
         self.review_blindness();
+        // An owner that knows no configuration starts nothing: what it stopped, to
+        // have it run better elsewhere, would only be thrown away.
+        let may_move = self.configuration.version > 0;
         for at in 0..self.workers.len() {
             let key = WorkerKey(at as u32);
             if self.workers[at].contact == Contact::Gone {
@@ -403,13 +406,19 @@
             }
             self.review_lapse(key);
             self.review_runs(key);
-            self.review_leaving(key);
+            if may_move {
+                self.review_leaving(key);
+            }
             self.review_closing(key);
             self.look_if_due(key);
         }
-        self.review_evidence();
+        if may_move {
+            self.review_evidence();
+        }
         self.review_sharing();
-        self.review_upkeep();
+        if may_move {
+            self.review_upkeep();
+        }
         self.forget_old_jobs();
     }
 
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -245,3 +245,26 @@
         shown == r#"{"state":"completed"}"#
     });
 }
+
+/// All that ran was lost while one read of a new owner was not answered: its takeover
+/// waited for the configuration, and the workers' leases ran out.
+#[test]
+fn running_work_goes_on_while_the_configuration_cannot_be_read() {
+    let operator = Operator::spawn(1);
+    configure(&operator, 1);
+    let mut daemons = fleet(7, 2, &operator);
+    daemons[0].request("POST", &path(1), &job(1, 10_000));
+    wait_until("running", || operator.world().records.len() == 1);
+    operator.world().withheld_key = Some(CONFIGURATION_KEY);
+    daemons.iter_mut().for_each(Daemon::kill);
+
+    daemons.iter_mut().for_each(Daemon::start);
+    // Longer than a lease of the owner that was killed.
+    std::thread::sleep(Duration::from_millis(8_500));
+    operator.world().withheld_key = None;
+
+    wait_until("completed", || {
+        state(&daemons[0], 1) == r#"{"state":"completed"}"#
+    });
+    assert_eq!(operator.world().records.len(), 1, "what ran went on");
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -9,6 +9,7 @@
 
 use fuchsiaslip::platform::{
     SettingsError,
+    decode_configuration,
     read_settings, //
 };
 use operator::Operator;
@@ -131,3 +132,16 @@
     assert_eq!(show(&["00000000000000ab"]).0, Some(5), "not found");
     assert_eq!(show(&["nothing"]).0, Some(2), "wrong usage");
 }
+
+/// A whole configuration was passed over, since one queue's terms for advice left a
+/// field out: fields whose value is 0 are omitted on the wire.
+#[test]
+fn a_configuration_may_omit_what_is_zero() {
+    let text = br#"{"version":3,"routes":[{"name":"q","host":"h","prefix":"/q/","service":"s",
+        "max_attempts":2,"recommendation":{"decision_ms":40,"validity_ms":3000}}]}"#;
+
+    let read = decode_configuration(text).expect("it reads");
+
+    let advice = read.queues[0].advice.expect("terms for advice");
+    assert_eq!((advice.decision_ms, advice.per_worker_ms), (40, 0));
+}
--- a/tests/store_health.rs
+++ b/tests/store_health.rs
@@ -101,3 +101,34 @@
 
     assert!((100..200).contains(&patience_ms), "{patience_ms} ms");
 }
+
+/// Daemons that were started in a silence of the store had no configuration for a
+/// second after its return. Their first calls had just reached their bound, which
+/// counted as a failure and not as a silence, and what was made anew a tenth of a
+/// second before the return waited for its own bound.
+#[test]
+fn calls_made_anew_just_before_the_return_are_given_up_too() {
+    let mut health = StoreHealth::default();
+    let first = health.began(36_455);
+    health.ended(first);
+    health.went(false, 37_455);
+    health.began(37_555);
+
+    let back = health.went(true, 37_662);
+
+    assert_eq!(back, Some(HealthChange::Back { for_ms: 207 }));
+    assert!(health.fell_silent(37_555));
+}
+
+/// A call that failed by itself, beside others that were answered, shows no silence:
+/// what is under way is waited for.
+#[test]
+fn one_failure_beside_answers_gives_up_no_other_call() {
+    let mut health = answering(5, 10_000);
+    health.began(10_000);
+    health.went(false, 10_100);
+
+    health.went(true, 10_250);
+
+    assert!(!health.fell_silent(10_000));
+}
