Log each end that a worker forgets before it is stored

The logs told which ends an owner heard, not of which it told the worker that they are noted. E308 names each end that is let go of while nothing stored tells of it, with the reason, and is counted as fuchsiaslip_decisions_total{kind=end_released}. fuchsiaslip_kept{what=unnoted_ends} shows how many ends wait. The watch of the jobs now tells the scheduler up to when it knows all of them; nothing rests on it yet.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -160,6 +160,7 @@
         if now_ms >= gauges_at_ms {
             gauges_at_ms = now_ms + GAUGES_MS;
             show_sizes(&scheduler.sizes());
+            show_kept("unnoted_ends", scheduler.unnoted_ends());
         }
         let output = decide(scheduler, timer.now_ms());
         if !output.actions.is_empty() && outputs.send(output).is_err() {
@@ -177,10 +178,14 @@
         ("queues", sizes.queues),
     ];
     for (what, count) in kept {
-        metrics::gauge!("fuchsiaslip_kept", "what" => what).set(count as f64);
+        show_kept(what, count);
     }
 }
 
+fn show_kept(what: &'static str, count: usize) {
+    metrics::gauge!("fuchsiaslip_kept", "what" => what).set(count as f64);
+}
+
 fn apply(scheduler: &mut Option<Scheduler>, command: Command, timer: &Timer) {
     let now_ms = timer.now_ms();
     match command {
--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -254,6 +254,7 @@
 pub async fn jobs(node: Rc<Node>, epoch: u64, from: u64) {
     let mut revision = from;
     while node.epoch() == epoch {
+        let sent_ms = node.now_ms();
         let watch = node.store.watch(JOBS_PREFIX, revision, WATCH_WAIT_MS);
         let watched = node.unless_silenced(watch).await;
         let events = match watched {
@@ -269,11 +270,11 @@
                     revision = range.revision;
                     range.items.into_iter().map(StoreEvent::Put).collect()
                 }
-                Err(_) => Vec::new(),
+                Err(_) => continue,
             },
             Err(_) => {
                 node.timer.after(AGAIN_MS).await;
-                Vec::new()
+                continue;
             }
         };
         for event in events {
@@ -281,6 +282,7 @@
                 take_job_value(&node, epoch, &item.key, &item.value);
             }
         }
+        node.control.take(epoch, Input::JobsRead { sent_ms });
     }
 }
 
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -207,6 +207,16 @@
             *kind,
             json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker }),
         ),
+        Decision::EndReleased {
+            name,
+            worker,
+            reason,
+        } => (
+            events::END_RELEASED,
+            "end_released",
+            *reason,
+            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker }),
+        ),
         Decision::Retried {
             name,
             worker,
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -153,6 +153,15 @@
         /// How, as workers say it.
         kind: &'static str,
     },
+    /// A worker was told that an end is noted, and nothing stored tells of it.
+    EndReleased {
+        /// The run.
+        name: RunName,
+        /// The worker's incarnation.
+        worker: Arc<str>,
+        /// Why.
+        reason: &'static str,
+    },
     /// A start was refused or not answered.
     Retried {
         /// The run.
--- a/src/scheduler/closing.rs
+++ b/src/scheduler/closing.rs
@@ -64,7 +64,7 @@
             return Some((false, Vec::new()));
         }
         // An end that is not durable is known only here and on the worker.
-        let ended = worker.undurable.iter().map(|&(_, name, _)| name);
+        let ended = worker.unnoted.iter().map(|end| end.row.name);
         let runs = worker.runs.keys().copied().chain(ended).collect();
         Some((true, runs))
     }
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -4,6 +4,7 @@
     Decision,
     StopReason, //
 };
+use super::noting::HeardEnd;
 use super::progress::FinalState;
 use super::state::Scheduler;
 use super::{
@@ -35,9 +36,15 @@
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => 0,
         };
         self.run_gone(key, row.name);
-        let worker = self.worker_mut(key);
-        worker.undurable.push_back((row.number, row.name, change));
-        self.with_undurable.insert(key);
+        let job = self.jobs.get(&row.name.task.job);
+        let job_change = job.map_or(0, |job| job.change);
+        let end = HeardEnd {
+            row,
+            change,
+            job_change,
+        };
+        self.worker_mut(key).unnoted.push_back(end);
+        self.with_unnoted.insert(key);
     }
 
     fn keep_end_checkpoint(&mut self, row: &EndedRow) {
@@ -153,37 +160,6 @@
         change
     }
 
-    /// More is durable: tells the workers that listed ends of it.
-    pub(super) fn acknowledge_ends(&mut self) {
-        let waiting: Vec<WorkerKey> = self.with_undurable.iter().copied().collect();
-        for key in waiting {
-            if self.advance_last_seen(key) {
-                let now_ms = self.now_ms;
-                let worker = self.worker_mut(key);
-                worker.look_at_ms = worker.look_at_ms.min(now_ms);
-                self.look_if_due(key);
-            }
-        }
-    }
-
-    /// Moves `last_seen` of a worker past the ends that are durable; whether
-    /// all of them are.
-    pub(super) fn advance_last_seen(&mut self, key: WorkerKey) -> bool {
-        let jobs = &self.jobs;
-        let worker = &mut self.workers[key.index()];
-        while let Some(&(number, name, change)) = worker.undurable.front() {
-            let job = jobs.get(&name.task.job);
-            let durable = change == 0 || job.is_none_or(|job| job.stored >= change);
-            if !durable {
-                return false;
-            }
-            worker.undurable.pop_front();
-            worker.last_seen = number;
-        }
-        self.with_undurable.remove(&key);
-        true
-    }
-
     /// A run is off its worker without being done: its task waits again.
     pub(super) fn run_gone(&mut self, key: WorkerKey, name: RunName) {
         self.worker_mut(key).remove_run(&name);
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -169,6 +169,11 @@
     },
     /// The job's cancellation is stored.
     Cancelled(JobId),
+    /// All jobs that were stored before `sent_ms` are told.
+    JobsRead {
+        /// When the store was asked.
+        sent_ms: u64,
+    },
     /// A worker is registered, or its entry changed.
     Worker(WorkerInfo),
     /// A worker that earlier owners used; it may still run their orders.
--- a/src/scheduler/looks.rs
+++ b/src/scheduler/looks.rs
@@ -27,7 +27,7 @@
         worker.first_look = first;
         // A worker that does not answer is asked for a quick sign of life, and
         // ends that are not durable yet would answer a waiting look at once.
-        let quick = worker.contact != Contact::Answering || !worker.undurable.is_empty();
+        let quick = worker.contact != Contact::Answering || !worker.unnoted.is_empty();
         let shares =
             worker.runs.values().any(|run| run.serves) && worker.runs.values().any(|run| run.fills);
         let wait_ms = match (quick, shares) {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod leaving;
 mod looks;
 mod membership;
+mod noting;
 mod order;
 mod orders;
 mod pass;
@@ -73,6 +74,7 @@
     GraphJob,
     JobView, //
 };
+pub use noting::HeardEnd;
 pub use order::{
     OrderRule,
     Terms, //
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -105,8 +105,10 @@
     pub(super) worker_index: HashMap<String, WorkerKey>,
     /// Workers by address, those that are gone included.
     pub(super) address_index: HashMap<String, Vec<WorkerKey>>,
-    /// Workers that listed ends which are not durable yet.
-    pub(super) with_undurable: BTreeSet<WorkerKey>,
+    /// Workers that listed ends of which they are not told yet.
+    pub(super) with_unnoted: BTreeSet<WorkerKey>,
+    /// All jobs that were stored before then are known.
+    pub(super) jobs_read_ms: u64,
     pub(super) jobs: BTreeMap<JobId, GraphJob>,
     /// Urgent jobs within their account's guarantee, as of the last pass.
     pub(super) guaranteed: HashSet<JobId>,
@@ -149,7 +151,8 @@
             demand: Demand::default(),
             worker_index: HashMap::new(),
             address_index: HashMap::new(),
-            with_undurable: BTreeSet::new(),
+            with_unnoted: BTreeSet::new(),
+            jobs_read_ms: 0,
             jobs: BTreeMap::new(),
             guaranteed: HashSet::new(),
             cancelled_early: HashSet::new(),
@@ -183,6 +186,7 @@
                 }
             }
             Input::Cancelled(id) => self.cancel_job(id),
+            Input::JobsRead { sent_ms } => self.jobs_read(sent_ms),
             Input::Worker(info) => self.take_worker(info),
             Input::KnownWorker {
                 incarnation,
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -5,6 +5,7 @@
     Belief,
     Drag,
     GroupKey,
+    HeardEnd,
     Progress,
     Resources,
     RunName,
@@ -183,8 +184,8 @@
     pub last_seen: u64,
     /// Ends up to here are taken in.
     pub taken_in: u64,
-    /// Ends taken in that are not durable: number, run and its job's change.
-    pub undurable: VecDeque<(u64, RunName, u64)>,
+    /// Ends taken in that are not durable, in the order of their numbers.
+    pub unnoted: VecDeque<HeardEnd>,
     /// A look is on its way.
     pub look_in_flight: bool,
     /// That look is one of the first, which are bounded.
@@ -237,7 +238,7 @@
             used: Resources::default(),
             last_seen: 0,
             taken_in: 0,
-            undurable: VecDeque::new(),
+            unnoted: VecDeque::new(),
             look_in_flight: false,
             first_look: false,
             look_at_ms: 0,
