--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -32,7 +32,8 @@
 };
 use std::collections::{
     BTreeMap,
-    HashMap, //
+    HashMap,
+    HashSet, //
 };
 use std::sync::Arc;
 
@@ -68,6 +69,15 @@
     }
 }
 
+/// An end in the moment in which a worker was told that it is noted.
+#[derive(Clone, Debug)]
+pub struct Acknowledged {
+    pub worker: String,
+    pub row: EndedRow,
+    /// What was stored of its job then.
+    pub stored: Option<ProgressRecord>,
+}
+
 /// A scheduler with its workers and its store.
 pub struct Fleet {
     pub scheduler: Scheduler,
@@ -79,7 +89,16 @@
     pub stops_take_effect: bool,
     /// Whether stores are carried out at once.
     pub store_answers: bool,
+    /// Whether progress waits in `pending` until a test commits it.
+    pub holds_progress: bool,
+    pub pending: BTreeMap<JobId, (u64, ProgressRecord)>,
     pub stored: HashMap<JobId, (u64, ProgressRecord)>,
+    /// Jobs that were removed from the store.
+    pub forgotten: HashSet<JobId>,
+    /// Whether all stored jobs are told by now.
+    pub follows_jobs: bool,
+    /// Ends that workers were told to be noted, in the order of the messages.
+    pub acknowledged: Vec<Acknowledged>,
     /// Closed workers with what may run there.
     pub closed: HashMap<String, Option<Vec<RunName>>>,
     /// Everything that was decided, newest last.
@@ -246,7 +265,12 @@
             silent: Vec::new(),
             stops_take_effect: true,
             store_answers: true,
+            holds_progress: false,
+            pending: BTreeMap::new(),
             stored: HashMap::new(),
+            forgotten: HashSet::new(),
+            follows_jobs: true,
+            acknowledged: Vec::new(),
             closed: HashMap::new(),
             actions: Vec::new(),
             starts: Vec::new(),
@@ -341,6 +365,10 @@
         while self.now_ms < until_ms {
             self.now_ms = (self.now_ms + STEP_MS).min(until_ms);
             self.tell(Input::Confirmed(self.now_ms));
+            if self.follows_jobs {
+                let sent_ms = self.now_ms;
+                self.tell(Input::JobsRead { sent_ms });
+            }
             self.return_machines();
             self.settle();
         }
@@ -391,6 +419,7 @@
                 ..
             } => {
                 let name = callee.incarnation.to_string();
+                self.note_acknowledged(&name, last_seen);
                 let seen = self.highest_last_seen.entry(name.clone()).or_default();
                 *seen = last_seen.max(*seen);
                 if let Some(fake) = self.workers.get_mut(&name) {
@@ -399,8 +428,16 @@
                 self.looks
                     .push((callee.worker, name, self.now_ms, last_seen));
             }
-            Action::Start { callee, name, .. } => {
+            Action::Start {
+                callee,
+                name,
+                lease_end_ms,
+                ..
+            } => {
                 let worker = callee.incarnation.to_string();
+                if let Some(fake) = self.workers.get_mut(&worker) {
+                    fake.lease_end_ms = fake.lease_end_ms.max(lease_end_ms);
+                }
                 self.starts.push((name, worker.clone(), self.now_ms));
                 let outcome = self.start(&worker, name);
                 self.tell(Input::StartOver {
@@ -432,6 +469,11 @@
                     outcome,
                 });
             }
+            Action::Store { job } if self.holds_progress => {
+                if let Some(progress) = self.scheduler.progress(job) {
+                    self.pending.insert(job, progress);
+                }
+            }
             Action::Store { job } if self.store_answers => {
                 if let Some((change, progress)) = self.scheduler.progress(job) {
                     self.stored.insert(job, (change, progress));
@@ -491,6 +533,7 @@
             }
             Action::Forget { job } if self.store_answers => {
                 self.stored.remove(&job);
+                self.forgotten.insert(job);
                 self.tell(Input::Forgotten(job));
             }
             Action::StoreRoster if self.store_answers => {
@@ -501,6 +544,37 @@
         }
     }
 
+    /// Stores the progress of a job that waits for it; the scheduler is told
+    /// of it unless the store's answer is lost.
+    pub fn commit(&mut self, job: JobId, answered: bool) {
+        let Some((change, progress)) = self.pending.get(&job).cloned() else {
+            return;
+        };
+        self.stored.insert(job, (change, progress));
+        if answered {
+            self.pending.remove(&job);
+            self.tell(Input::Stored { job, change });
+        }
+    }
+
+    fn note_acknowledged(&mut self, worker: &str, last_seen: u64) {
+        let before = self.highest_last_seen.get(worker).copied().unwrap_or(0);
+        let Some(fake) = self.workers.get(worker) else {
+            return;
+        };
+        for row in &fake.ended {
+            if row.number <= before || row.number > last_seen {
+                continue;
+            }
+            let stored = self.stored.get(&row.name.task.job);
+            self.acknowledged.push(Acknowledged {
+                worker: worker.to_owned(),
+                row: row.clone(),
+                stored: stored.map(|(_, progress)| progress.clone()),
+            });
+        }
+    }
+
     fn start(&mut self, worker: &str, name: RunName) -> CallOutcome {
         if self.silent.iter().any(|silent| silent == worker) {
             return CallOutcome::NoAnswer;
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -256,6 +256,11 @@
         self.put(&key, &value);
     }
 
+    /// How many ends a worker lists.
+    pub fn listed_ends(&self, at: usize) -> usize {
+        self.workers[at].ended.len()
+    }
+
     /// Whether anything of a job is on a worker.
     pub fn runs_of(&mut self, job: u64) -> usize {
         for at in 0..self.workers.len() {
