No worker is told that an end is noted before it is stored

Cause: an end that changed nothing in memory counted as noted at once. Memory moves on with the first end: when the job is over in it, its tasks are gone, and ends of the other members (or a second report of a gang's failure) change nothing. Ends of jobs that the owner did not know were let go of in the same way. Ruled out: lost log lines (none were dropped), ends that the new owner ignored (its workers did not list them).

Change: an end waits for the last change that its job had when it was taken in. One of an unknown job waits until all jobs stored at that time were read; if the job becomes known before, the end is taken in then. An end of an occurrence that is not open here opens it. A full list of ends (500) proves no run to be gone. scheduler/noting.rs states the invariant and holds all of it.

The property test no longer draws a job that an ended owner had started and its successor does not know: the job was stored before that owner ended, so its successor reads it.

--- a/src/events.rs
+++ b/src/events.rs
@@ -78,8 +78,8 @@
     TASK_ENDED = 306, Info, "a worker listed the end of a run", "none, unless one worker lists failures only";
     /// An order was refused or not answered.
     TASK_RETRIED = 307, Info, "an order to a worker was refused or not answered", "none, unless it repeats on one worker";
-    /// A worker was told that an end is noted that is not.
-    END_RELEASED = 308, Warn, "a worker was told that the end of a run is noted, and nothing stored tells of it", "find the task in the store with `fuchsiaslip fleet`; started again, it runs twice";
+    /// The end of a job that is not stored.
+    END_RELEASED = 308, Info, "a worker may forget the end of a run of which nothing is stored, for the reason named", "none, unless E205 names the job: then it is stored and does not read";
     /// A guarantee falls short.
     GUARANTEE_SHORT = 310, Error, "an account's guaranteed shapes cannot all be had back now", "add workers or lower a guarantee";
     /// A job cannot run anywhere.
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -153,7 +153,7 @@
         /// How, as workers say it.
         kind: &'static str,
     },
-    /// A worker was told that an end is noted, and nothing stored tells of it.
+    /// A worker was told that an end is noted of which nothing is stored.
     EndReleased {
         /// The run.
         name: RunName,
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -19,8 +19,7 @@
 use std::sync::Arc;
 
 impl Scheduler {
-    /// Takes in an end that a worker lists. It counts as seen only once what
-    /// it changed is durable.
+    /// Takes in an end that a worker lists.
     pub(super) fn take_end(&mut self, key: WorkerKey, row: EndedRow) {
         let worker = self.worker(key).incarnation();
         self.decided(Decision::Ended {
@@ -28,26 +27,14 @@
             worker,
             kind: row.kind.name(),
         });
-        self.keep_end_checkpoint(&row);
-        self.drop_older_claims(row.name);
-        let change = match row.kind {
-            EndKind::Done => self.take_done(key, row.name),
-            EndKind::Failed => self.take_failed(key, row.name),
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => 0,
-        };
+        let waits_for = self.note_end(key, &row);
         self.run_gone(key, row.name);
-        let job = self.jobs.get(&row.name.task.job);
-        let job_change = job.map_or(0, |job| job.change);
-        let end = HeardEnd {
-            row,
-            change,
-            job_change,
-        };
+        let end = HeardEnd { row, waits_for };
         self.worker_mut(key).unnoted.push_back(end);
         self.with_unnoted.insert(key);
     }
 
-    fn keep_end_checkpoint(&mut self, row: &EndedRow) {
+    pub(super) fn keep_end_checkpoint(&mut self, row: &EndedRow) {
         if row.checkpoint.is_empty() || row.kind == EndKind::Done {
             return;
         }
@@ -64,19 +51,19 @@
         }
     }
 
-    /// Returns the number of the change to store, 0 for none.
-    fn take_done(&mut self, key: WorkerKey, name: RunName) -> u64 {
+    /// Counts a task as done, and has that stored.
+    pub(super) fn take_done(&mut self, key: WorkerKey, name: RunName) {
         let group_key = GroupKey::of(name.task);
         self.note_success(key);
         self.learn_from_end(key, name);
         let Some(group) = self.groups.get_mut(&group_key) else {
-            return 0;
+            return;
         };
         if group.step.long_running {
-            return 0;
+            return;
         }
         let Some(task) = group.tasks.get(name.task.index as usize) else {
-            return 0;
+            return;
         };
         let own = TaskState::Placed {
             worker: key,
@@ -85,18 +72,17 @@
         // A done end whose lease had lapsed comes after the task was started
         // anew: the new run counts then.
         if task.state != own && task.state != TaskState::Waiting {
-            return 0;
+            return;
         }
         if group.step.gang {
             self.gang_done(group_key, name.run);
         } else {
             group.set_state(name.task.index, TaskState::Done);
         }
-        let change = self.job_changed(name.task.job);
+        self.job_changed(name.task.job);
         if self.groups[&group_key].is_done() {
             self.group_done(group_key);
         }
-        change
     }
 
     /// One end of a gang stands for all: the other members have ended too, but
@@ -131,20 +117,21 @@
         }
     }
 
-    fn take_failed(&mut self, key: WorkerKey, name: RunName) -> u64 {
+    /// Counts a failure of a task, and has that stored.
+    pub(super) fn take_failed(&mut self, key: WorkerKey, name: RunName) {
         let now_ms = self.now_ms;
         let group_key = GroupKey::of(name.task);
         let Some(group) = self.groups.get_mut(&group_key) else {
-            return 0;
+            return;
         };
         // A gang fails as one: its first task carries the count.
         let counted = if group.step.gang { 0 } else { name.task.index };
         let long_running = group.step.long_running;
         let Some(task) = group.tasks.get_mut(counted as usize) else {
-            return 0;
+            return;
         };
         if task.state == TaskState::Done || !task.count_failure(name.run) {
-            return 0;
+            return;
         }
         let failures = task.failed_runs.len() as u32;
         if let Some(task) = group.tasks.get_mut(name.task.index as usize) {
@@ -152,12 +139,11 @@
             task.avoided_ms = now_ms;
         }
         self.note_failure(key, name);
-        let change = self.job_changed(name.task.job);
+        self.job_changed(name.task.job);
         let max_attempts = self.jobs[&name.task.job].max_attempts;
         if !long_running && failures >= max_attempts {
             self.end_job(name.task.job, FinalState::Failed);
         }
-        change
     }
 
     /// A run is off its worker without being done: its task waits again.
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -28,6 +28,8 @@
 const FAILED_LOOK_MS: u64 = 100;
 /// Longest such wait: a worker that returns is found this soon.
 const MAX_FAILED_LOOK_MS: u64 = 400;
+/// Most ends that a worker lists at a time, as the platform says.
+const MAX_LISTED_ENDS: usize = 500;
 
 impl Scheduler {
     /// Takes in the answer to a look.
@@ -51,6 +53,7 @@
         worker.heard_ms = now_ms;
         worker.clock = Some((report.clock_ms, now_ms));
         let listed: HashSet<RunName> = report.ended.iter().map(|row| row.name).collect();
+        let lists_all = report.ended.len() < MAX_LISTED_ENDS;
         let mut ended = report.ended;
         ended.sort_by_key(|row| row.number);
         for row in ended {
@@ -66,7 +69,11 @@
                 self.take_running(key, row, report.clock_ms);
             }
         }
-        self.settle_absent(key, sent_ms, &seen);
+        // A run whose end finds no place on a full list is not listed either:
+        // taken for gone, it would be started again though it may be done.
+        if lists_all {
+            self.settle_absent(key, sent_ms, &seen);
+        }
         self.review_blindness();
         // Looking again at once would bring the same ends until they are durable.
         let all_durable = self.advance_last_seen(key);
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -94,6 +94,19 @@
         schedule.map_or(1, |schedule| schedule.repetitions.max(1))
     }
 
+    /// Whether an occurrence is open, or was.
+    fn has_opened(&self, occurrence: u32) -> bool {
+        self.done_occurrences.contains(&occurrence) || self.open_occurrences.contains(&occurrence)
+    }
+
+    /// When an occurrence is due.
+    fn due_ms(&self, occurrence: u32, now_ms: u64) -> u64 {
+        match &self.record.spec.schedule {
+            Some(schedule) => schedule.due_ms(occurrence),
+            None => self.record.received_ms.min(now_ms),
+        }
+    }
+
     /// Whether nothing of it may start any more.
     pub fn is_over(&self) -> bool {
         self.cancelled || self.ended.is_some()
@@ -163,8 +176,9 @@
         self.jobs.insert(id, job);
         if !over {
             self.open_occurrences(id);
-            self.end_job_if_done(id);
         }
+        self.take_early_ends(id);
+        self.end_job_if_done(id);
         self.changed = true;
     }
 
@@ -178,14 +192,11 @@
                 return;
             }
             let occurrence = job.next_occurrence;
-            if job.done_occurrences.contains(&occurrence) {
+            if job.has_opened(occurrence) {
                 self.job_mut(id).next_occurrence += 1;
                 continue;
             }
-            let due_ms = match &job.record.spec.schedule {
-                Some(schedule) => schedule.due_ms(occurrence),
-                None => job.record.received_ms.min(self.now_ms),
-            };
+            let due_ms = job.due_ms(occurrence, self.now_ms);
             if due_ms > self.now_ms || job.open_occurrences.len() >= MAX_OPEN_OCCURRENCES {
                 self.due.insert((due_ms.max(self.now_ms + 1), id));
                 return;
@@ -195,6 +206,21 @@
         }
     }
 
+    /// Opens the occurrence of an end that was listed, unless it was open: an
+    /// earlier owner, whose clock was ahead, ran it. Not counted, the end would
+    /// be lost and its task would run again when the occurrence opens.
+    pub(super) fn open_for_end(&mut self, key: GroupKey) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let (id, occurrence) = (key.job, key.occurrence);
+        let is_one = occurrence < job.repetitions();
+        if is_one && !job.is_over() && !job.has_opened(occurrence) {
+            let due_ms = job.due_ms(occurrence, self.now_ms);
+            self.open_occurrence(id, occurrence, due_ms);
+        }
+    }
+
     fn open_occurrence(&mut self, id: JobId, occurrence: u32, due_ms: u64) {
         let job = &self.jobs[&id];
         let queue = self.queue_terms(&job.record.queue);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -74,7 +74,10 @@
     GraphJob,
     JobView, //
 };
-pub use noting::HeardEnd;
+pub use noting::{
+    HeardEnd,
+    WaitsFor, //
+};
 pub use order::{
     OrderRule,
     Terms, //
--- a/src/scheduler/noting.rs
+++ b/src/scheduler/noting.rs
@@ -1,14 +1,29 @@
 //! When a worker may be told that an end is noted.
 //!
-//! A worker lists an end until it is told so, and then forgets it.
+//! A worker lists an end until it is told so, and then forgets it; the next
+//! owner knows only what is stored and what workers list. So **no worker is told
+//! that an end is noted before everything that follows from it is stored**: the
+//! change of its job, also where the job is over in memory, since it is over only
+//! here until that is stored. Otherwise a done task runs again, or one that failed
+//! too often, after a change of owner.
+//!
+//! An end waits for the last change that its job had when it was taken in. One of
+//! a job that this owner does not know waits until all jobs that were stored when
+//! it was heard have been read: by then the job is known, and the end is taken in,
+//! or the job is not stored any more and nothing of it can start. Each of these
+//! comes once the store answers, so no end waits for longer than that.
 
 use super::action::Decision;
 use super::state::Scheduler;
 use super::{
     EndKind,
-    EndedRow, //
+    EndedRow,
+    GroupKey, //
+};
+use crate::core::{
+    JobId,
+    WorkerKey, //
 };
-use crate::core::WorkerKey;
 
 /// An end that was taken in and of which its worker was not told that it is
 /// noted.
@@ -16,14 +31,70 @@
 pub struct HeardEnd {
     /// As the worker lists it.
     pub row: EndedRow,
-    /// The change of its job that has to be stored before; 0 for none.
-    pub change: u64,
-    /// The last change of its job when it was taken in.
-    pub job_change: u64,
+    /// What comes before its worker is told.
+    pub waits_for: WaitsFor,
+}
+
+/// What comes before a worker is told that an end is noted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WaitsFor {
+    /// Nothing has to be stored.
+    Nothing,
+    /// The change of its job with this number is durable.
+    Change(u64),
+    /// All jobs that were stored at this time are read: its own is not known.
+    JobsAt(u64),
 }
 
 impl Scheduler {
-    /// More is durable: tells the workers that listed ends of it.
+    /// Notes what follows from an end, and returns what has to be durable
+    /// before its worker may forget it.
+    pub(super) fn note_end(&mut self, key: WorkerKey, row: &EndedRow) -> WaitsFor {
+        let id = row.name.task.job;
+        self.keep_end_checkpoint(row);
+        self.drop_older_claims(row.name);
+        if !matches!(row.kind, EndKind::Done | EndKind::Failed) {
+            return WaitsFor::Nothing;
+        }
+        if self.leaving_jobs.contains_key(&id) {
+            // It was over, durably, before it was forgotten.
+            return WaitsFor::Nothing;
+        }
+        if !self.jobs.contains_key(&id) {
+            return WaitsFor::JobsAt(self.now_ms);
+        }
+        self.open_for_end(GroupKey::of(row.name.task));
+        match row.kind {
+            EndKind::Done => self.take_done(key, row.name),
+            _ => self.take_failed(key, row.name),
+        }
+        // Also where nothing changed: the job may be over, or the task done,
+        // by an end of another worker that is not stored yet and can be lost.
+        let job = &self.jobs[&id];
+        match job.cancelled {
+            // Cancellations are stored before they are told.
+            true => WaitsFor::Nothing,
+            false => WaitsFor::Change(job.change),
+        }
+    }
+
+    /// Takes in the ends that were heard before their job was known.
+    pub(super) fn take_early_ends(&mut self, id: JobId) {
+        let waiting: Vec<WorkerKey> = self.with_unnoted.iter().copied().collect();
+        for key in waiting {
+            for at in 0..self.worker(key).unnoted.len() {
+                let end = &self.worker(key).unnoted[at];
+                let own = end.row.name.task.job == id;
+                if own && matches!(end.waits_for, WaitsFor::JobsAt(_)) {
+                    let row = end.row.clone();
+                    let waits_for = self.note_end(key, &row);
+                    self.worker_mut(key).unnoted[at].waits_for = waits_for;
+                }
+            }
+        }
+    }
+
+    /// More is durable, or known: tells the workers that listed ends of it.
     pub(super) fn acknowledge_ends(&mut self) {
         let waiting: Vec<WorkerKey> = self.with_unnoted.iter().copied().collect();
         for key in waiting {
@@ -36,28 +107,40 @@
         }
     }
 
-    /// Moves `last_seen` of a worker past the ends that are durable; whether
-    /// all of them are.
+    /// Moves `last_seen` of a worker past the ends that it may forget; whether
+    /// it may forget all of them.
     pub(super) fn advance_last_seen(&mut self, key: WorkerKey) -> bool {
         while let Some(end) = self.worker(key).unnoted.front() {
-            let job = self.jobs.get(&end.row.name.task.job);
-            let durable = end.change == 0 || job.is_none_or(|job| job.stored >= end.change);
-            if !durable {
+            if !self.may_be_forgotten(end) {
                 return false;
             }
-            let Some(end) = self.worker_mut(key).unnoted.pop_front() else {
+            let worker = self.worker_mut(key);
+            let Some(end) = worker.unnoted.pop_front() else {
                 break;
             };
-            self.worker_mut(key).last_seen = end.row.number;
-            self.report_unstored(key, &end);
+            worker.last_seen = end.row.number;
+            self.report_released(key, &end);
         }
         self.with_unnoted.remove(&key);
         true
     }
 
+    fn may_be_forgotten(&self, end: &HeardEnd) -> bool {
+        match end.waits_for {
+            WaitsFor::Nothing => true,
+            // A job leaves the memory only after its last change is durable.
+            WaitsFor::Change(change) => {
+                let job = self.jobs.get(&end.row.name.task.job);
+                job.is_none_or(|job| job.stored >= change)
+            }
+            WaitsFor::JobsAt(heard_ms) => self.jobs_read_ms > heard_ms,
+        }
+    }
+
     /// All jobs that were stored before `sent_ms` are known.
     pub(super) fn jobs_read(&mut self, sent_ms: u64) {
         self.jobs_read_ms = self.jobs_read_ms.max(sent_ms);
+        self.acknowledge_ends();
     }
 
     /// Ends that were taken in and of which no worker was told yet.
@@ -66,23 +149,15 @@
         waiting.map(|&key| self.worker(key).unnoted.len()).sum()
     }
 
-    /// Logs an end that its worker forgets now although nothing stored tells of
-    /// it.
-    fn report_unstored(&mut self, key: WorkerKey, end: &HeardEnd) {
-        if !matches!(end.row.kind, EndKind::Done | EndKind::Failed) {
-            return;
+    /// Logs an end of which nothing was stored, since its job is not.
+    fn report_released(&mut self, key: WorkerKey, end: &HeardEnd) {
+        if matches!(end.waits_for, WaitsFor::JobsAt(_)) {
+            let worker = self.worker(key).incarnation();
+            self.decided(Decision::EndReleased {
+                name: end.row.name,
+                worker,
+                reason: "job_not_stored",
+            });
         }
-        let id = end.row.name.task.job;
-        let reason = match self.jobs.get(&id) {
-            None if !self.leaving_jobs.contains_key(&id) => "job_unknown",
-            Some(job) if !job.cancelled && job.stored < end.job_change => "job_not_stored",
-            _ => return,
-        };
-        let worker = self.worker(key).incarnation();
-        self.decided(Decision::EndReleased {
-            name: end.row.name,
-            worker,
-            reason,
-        });
     }
 }
--- a/tests/support/twice.rs
+++ b/tests/support/twice.rs
@@ -132,7 +132,8 @@
 
     /// Mends everything; ends must then be noted soon.
     pub fn calm_down(&mut self) {
-        self.fleet.silent.clear();
+        let workers = &self.fleet.workers;
+        self.fleet.silent.retain(|name| !workers.contains_key(name));
         self.tell_jobs();
         for _ in 0..CALM_MS / STEP_MS {
             self.pass(STEP_MS);
@@ -271,7 +272,7 @@
 
     fn lose(&mut self, worker: &str) {
         self.fleet.workers.remove(worker);
-        self.fleet.silent.retain(|name| name != worker);
+        self.fleet.silent.push(worker.to_owned());
         self.fleet.tell(Input::WorkerUnlisted(worker.to_owned()));
         let next = format!("w{}", self.lives);
         self.lives += 1;
@@ -282,9 +283,12 @@
         self.check();
         self.epoch += 1;
         self.untold.clear();
-        // A job of which progress is stored was stored long before.
+        // An earlier owner that goes on may hear of a job that was stored after
+        // the next one had read what is stored. A job of which progress is
+        // stored is none of these.
         let newest = self.jobs.last().map(|(job, _)| *job);
-        let newest = newest.filter(|job| behind && !self.fleet.stored.contains_key(job));
+        let may_be_new = |job: &JobId| !earlier_owner_over && !self.fleet.stored.contains_key(job);
+        let newest = newest.filter(|job| behind && may_be_new(job));
         self.untold.extend(newest);
         let told = |job: &JobId| !self.untold.contains(job) && !self.fleet.forgotten.contains(job);
         let jobs = self.jobs.iter().filter(|(job, _)| told(job));
