A job is new to a new owner only once the older ones are read

The time alone proves nothing: a new owner whose watch of the jobs is behind is told late of one that the earlier owner has started, on a worker that the new one can't reach. It then ran twice at a time.

Now a job counts as new once all jobs that were stored in that second have been read. A new owner's watches return after 100 ms for its first 1.2 s, so that new jobs don't wait for the usual 900 ms.

Test: a_job_that_is_told_late_may_have_been_started_by_the_earlier_owner failed before.

--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -45,6 +45,12 @@
 /// Wait of a watch. Short: a connection that went silent without a reset shows
 /// only by this time-out, and a version has to be in force within 2 s.
 const WATCH_WAIT_MS: u64 = 900;
+/// Wait of a new owner's watches of the jobs. The scheduler holds a job back that
+/// an earlier owner may have started until it is read which jobs were stored in
+/// the first second; the usual wait would hold new jobs up for as long.
+const FIRST_WATCH_WAIT_MS: u64 = 100;
+/// For how long they wait so: that second, and one such wait more.
+const FIRST_WATCHES_MS: u64 = 1_200;
 /// Wait after a call that failed.
 const AGAIN_MS: u64 = 100;
 /// Length of a member's lease: several renewals may be lost.
@@ -252,10 +258,15 @@
 /// Follows accepted and cancelled jobs, for as long as this daemon owns: what
 /// daemons told of them directly may be lost.
 pub async fn jobs(node: Rc<Node>, epoch: u64, from: u64) {
+    let began_ms = node.now_ms();
     let mut revision = from;
     while node.epoch() == epoch {
         let sent_ms = node.now_ms();
-        let watch = node.store.watch(JOBS_PREFIX, revision, WATCH_WAIT_MS);
+        let wait_ms = match sent_ms < began_ms + FIRST_WATCHES_MS {
+            true => FIRST_WATCH_WAIT_MS,
+            false => WATCH_WAIT_MS,
+        };
+        let watch = node.store.watch(JOBS_PREFIX, revision, wait_ms);
         let watched = node.unless_silenced(watch).await;
         let events = match watched {
             Ok(Watched::Changes {
--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -13,8 +13,8 @@
 //! An earlier owner whose process has ended gives no more leases. One that is
 //! cut off learns of no new jobs, one that was paused confirms its epoch before
 //! it gives orders again, and any other hears of its successor within a
-//! heartbeat or two; so jobs that become known later than that are started at
-//! once.
+//! heartbeat or two; so jobs that were stored later than that, as far as those
+//! stored until then have been read, are started at once.
 
 use super::action::Decision;
 use super::state::Scheduler;
@@ -64,7 +64,9 @@
     /// known now.
     pub(super) fn is_blind(&self) -> bool {
         match self.blind_until_ms {
-            Some(_) => !self.earlier_owner_over && self.now_ms < self.began_ms + DEPOSED_MS,
+            // The time alone proves nothing: an owner whose view of the jobs is
+            // behind is told late of one that the earlier owner may have started.
+            Some(_) => !self.earlier_owner_over && self.jobs_read_ms < self.began_ms + DEPOSED_MS,
             None => !self.recovered,
         }
     }
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -244,6 +244,30 @@
     assert_eq!(next.starts[0].0.task.job, JobId(2));
 }
 
+/// A task ran twice at a time. An earlier owner that still gave orders was told
+/// of a job and started it on a worker that its successor could not reach. The
+/// successor's view of the jobs was behind: it heard of the job more than a second
+/// after it had taken over, and took it for one that no earlier owner can know.
+#[test]
+fn a_job_that_is_told_late_may_have_been_started_by_the_earlier_owner() {
+    const LATE_MS: u64 = 2_000;
+    let fleet = Fleet::with_workers(2);
+    let mut next = fleet.next_owner(2, &[], false);
+    next.follows_jobs = false;
+    next.silent.push("w0".to_owned());
+    next.advance(LATE_MS);
+
+    next.submit(1, record("plain", vec![step(1, 1)]));
+    next.follows_jobs = true;
+    next.advance(500);
+    assert!(next.starts.is_empty(), "it may run on w0");
+
+    next.submit(2, record("plain", vec![step(1, 1)]));
+    next.advance(50);
+    let started: Vec<JobId> = next.starts.iter().map(|start| start.0.task.job).collect();
+    assert_eq!(started, [JobId(2)], "stored after the jobs had been read");
+}
+
 #[test]
 fn an_owner_that_cannot_confirm_its_epoch_gives_no_orders() {
     let mut fleet = Fleet::with_workers(1);
