--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -58,6 +58,8 @@
 /// Occurrences may begin this much before they are due.
 const EARLY_MS: u64 = 250;
 const MAX_ATTEMPTS: usize = 8;
+/// One round in so many begins with the owner cut off from the store.
+const OWNER_CUT_ONE_IN: u32 = 4;
 
 /// What a caller knows of a job that it sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -83,6 +85,8 @@
 struct Soak {
     seed: u64,
     random: StdRng,
+    /// Draws of its own, so that known seeds draw their other faults as before.
+    owner_cuts: StdRng,
     operator: Operator,
     store_links: Vec<Proxy>,
     worker_links: Vec<Proxy>,
@@ -129,6 +133,7 @@
         let soak = Self {
             seed,
             random: StdRng::seed_from_u64(seed),
+            owner_cuts: StdRng::seed_from_u64(!seed),
             operator,
             store_links,
             worker_links,
@@ -185,6 +190,20 @@
         }
     }
 
+    /// Cuts the owner off from the store alone: it goes on hearing of its workers
+    /// and can store nothing of it, until another daemon owns.
+    fn cut_owner_off(&mut self) {
+        if self.owner_cuts.random_range(0..OWNER_CUT_ONE_IN) != 0 {
+            return;
+        }
+        let root = self.operator.world().value("owner");
+        let name = root.and_then(|root| Some(root["owner"].as_str()?.to_owned()));
+        let number = name.and_then(|name| name.strip_prefix('d')?.parse::<usize>().ok());
+        if let Some(link) = number.and_then(|number| self.store_links.get(number)) {
+            link.set_mode(LinkMode::Cut);
+        }
+    }
+
     fn harm_process_or_link(&mut self, daemon: usize, worker: usize) {
         let links = [&self.store_links[daemon], &self.worker_links[worker]];
         let link = links[self.random.random_range(0..links.len())];
@@ -313,6 +332,7 @@
             for _ in 0..self.random.random_range(1..3u32) {
                 self.harm();
             }
+            self.cut_owner_off();
             for number in 0..JOBS_A_ROUND {
                 let job = self.seed * 1_000 + u64::from(round) * JOBS_A_ROUND + number + 1;
                 self.submit(job);
