Log done ends that a newer run makes worthless

The one done end that may go without being stored, since its lease had lapsed and the task was started anew, was let go of without a word: E308 names it (newer_run).

--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -71,7 +71,11 @@
         };
         // A done end whose lease had lapsed comes after the task was started
         // anew: the new run counts then.
+        if task.state == TaskState::Done {
+            return;
+        }
         if task.state != own && task.state != TaskState::Waiting {
+            self.end_released(key, name, "newer_run");
             return;
         }
         if group.step.gang {
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -207,8 +207,9 @@
     }
 
     /// Opens the occurrence of an end that was listed, unless it was open: an
-    /// earlier owner, whose clock was ahead, ran it. Not counted, the end would
-    /// be lost and its task would run again when the occurrence opens.
+    /// earlier owner ran it, by a clock that was ahead or since others were done.
+    /// Not counted, the end would be lost, and its task would run again when the
+    /// occurrence opens.
     pub(super) fn open_for_end(&mut self, key: GroupKey) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
--- a/src/scheduler/noting.rs
+++ b/src/scheduler/noting.rs
@@ -18,7 +18,8 @@
 use super::{
     EndKind,
     EndedRow,
-    GroupKey, //
+    GroupKey,
+    RunName, //
 };
 use crate::core::{
     JobId,
@@ -119,7 +120,9 @@
                 break;
             };
             worker.last_seen = end.row.number;
-            self.report_released(key, &end);
+            if matches!(end.waits_for, WaitsFor::JobsAt(_)) {
+                self.end_released(key, end.row.name, "job_not_stored");
+            }
         }
         self.with_unnoted.remove(&key);
         true
@@ -149,15 +152,13 @@
         waiting.map(|&key| self.worker(key).unnoted.len()).sum()
     }
 
-    /// Logs an end of which nothing was stored, since its job is not.
-    fn report_released(&mut self, key: WorkerKey, end: &HeardEnd) {
-        if matches!(end.waits_for, WaitsFor::JobsAt(_)) {
-            let worker = self.worker(key).incarnation();
-            self.decided(Decision::EndReleased {
-                name: end.row.name,
-                worker,
-                reason: "job_not_stored",
-            });
-        }
+    /// Logs an end of which nothing is stored.
+    pub(super) fn end_released(&mut self, key: WorkerKey, name: RunName, reason: &'static str) {
+        let worker = self.worker(key).incarnation();
+        self.decided(Decision::EndReleased {
+            name,
+            worker,
+            reason,
+        });
     }
 }
