Failing test: no daemon owns after a takeover that could not begin

The logs show the owner of epoch 1 stepping down (E201) and no E200 after it. By reading: the daemon that took epoch 2 could not read what is stored, gave up, and knows of no owner but the first, which it hears; that one knows from the store that the second owns, and hears it too. So does the third.

--- a/tests/owner_cut_off.rs
+++ b/tests/owner_cut_off.rs
@@ -13,7 +13,8 @@
 
 use operator::{
     Operator,
-    RunRecord, //
+    RunRecord,
+    StoreMode, //
 };
 use processes::{
     Answer,
@@ -101,6 +102,9 @@
     }
 }
 
+/// A daemon that took the epoch tries so long to read what is stored.
+const READS_TRIED: Duration = Duration::from_millis(1_500);
+
 fn path(job: u64) -> String {
     format!("/q/{job:016x}")
 }
@@ -157,3 +161,28 @@
     assert!(fleet.epoch() > epoch, "another daemon owns");
     assert_eq!(fleet.records().len(), 2, "{:#?}", fleet.records());
 }
+
+/// No daemon owned for as long as all of them lived. The owner had lost the store;
+/// another one took the next epoch, could not read what is stored, and gave up.
+/// By then the first one had the store again and was heard, so the second waited
+/// for it; it had stepped down, and waited for the one that the store names.
+#[test]
+fn a_daemon_that_took_the_epoch_and_could_not_begin_tries_again() {
+    const JOB: u64 = 1;
+    let fleet = Fleet::begin(32, 2);
+    wait_until("an owner has begun", || {
+        fleet.operator.world().value("roster").is_some()
+    });
+    let (owner, epoch) = (fleet.owner(), fleet.epoch());
+    fleet.operator.world().mode = StoreMode::RefusingRanges;
+    fleet.store_links[owner].set_mode(LinkMode::Cut);
+    wait_until("another daemon took the epoch", || fleet.epoch() > epoch);
+
+    fleet.store_links[owner].set_mode(LinkMode::Passing);
+    fleet.store_links[owner].reset_open();
+    std::thread::sleep(READS_TRIED);
+    fleet.operator.world().mode = StoreMode::Serving;
+
+    fleet.submit(JOB, &gang(2));
+    wait_until("the job is completed", || fleet.is_completed(owner, JOB));
+}
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -59,6 +59,8 @@
     /// One in three writes gets no answer and is carried out late, if its
     /// condition still holds.
     Late,
+    /// It answers 503 to reads of whole prefixes, and serves all else.
+    RefusingRanges,
 }
 
 /// One run, as the worker saw it.
@@ -727,6 +729,9 @@
             Some(item) => (StatusCode::OK, item),
             None => (StatusCode::NOT_FOUND, json!({})),
         },
+        ("kv-range", _) if mode == StoreMode::RefusingRanges => {
+            (StatusCode::SERVICE_UNAVAILABLE, json!({}))
+        }
         ("kv-range", _) => {
             let items: Vec<Value> = world
                 .keys(&query["prefix"])
