A daemon that took the epoch and could not begin tries again

Such a daemon now knows itself as the owner that the store names, so it is silent to itself and takes the next epoch.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -5,7 +5,10 @@
     self,
     Changes, //
 };
-use super::node::Node;
+use super::node::{
+    KnownOwner,
+    Node, //
+};
 use super::records::{
     CLOSED_PREFIX,
     ClosedRecord,
@@ -97,6 +100,17 @@
     let Some(root_revision) = taken else {
         return Ok(());
     };
+    // Also if it cannot begin: the others wait for this daemon as long as they
+    // hear it, since the store names it, and one that goes on waiting for the
+    // owner before would leave the fleet without any. It tries again instead once
+    // it counts as silent to itself.
+    node.learn_owner(KnownOwner {
+        epoch: next.epoch,
+        name: next.owner.clone(),
+        address: node.settings.peer_address,
+        boot: next.boot,
+        since_ms: node.now_ms(),
+    });
     // A daemon that was restarted ended its earlier life; a peer is heard with
     // the life that it has now.
     let earlier_owner_over = known.epoch == 0 || node.is_over(&known.owner, known.boot);
