--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -4,6 +4,7 @@
     Decision,
     StopReason, //
 };
+use super::noting::HeardEnd;
 use super::state::Scheduler;
 use super::{
     EndKind,
@@ -17,8 +18,7 @@
 use std::sync::Arc;
 
 impl Scheduler {
-    /// Takes in an end that a worker lists. It counts as seen only once what
-    /// it changed is durable.
+    /// Takes in an end that a worker lists.
     pub(super) fn take_end(&mut self, key: WorkerKey, row: EndedRow) {
         let worker = self.worker(key).incarnation();
         self.decided(Decision::Ended {
@@ -26,20 +26,14 @@
             worker,
             kind: row.kind.name(),
         });
-        self.keep_end_checkpoint(&row);
-        self.drop_older_claims(row.name);
-        let change = match row.kind {
-            EndKind::Done => self.take_done(key, row.name),
-            EndKind::Failed => self.take_failed(key, row.name),
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => 0,
-        };
+        let waits_for = self.note_end(key, &row);
         self.run_gone(key, row.name);
-        let worker = self.worker_mut(key);
-        worker.undurable.push_back((row.number, row.name, change));
-        self.with_undurable.insert(key);
+        let end = HeardEnd { row, waits_for };
+        self.worker_mut(key).unnoted.push_back(end);
+        self.with_unnoted.insert(key);
     }
 
-    fn keep_end_checkpoint(&mut self, row: &EndedRow) {
+    pub(super) fn keep_end_checkpoint(&mut self, row: &EndedRow) {
         if row.checkpoint.is_empty() || row.kind == EndKind::Done {
             return;
         }
@@ -56,19 +50,19 @@
         }
     }
 
-    /// Returns the number of the change to store, 0 for none.
-    fn take_done(&mut self, key: WorkerKey, name: RunName) -> u64 {
+    /// Counts a task as done, and has that stored.
+    pub(super) fn take_done(&mut self, key: WorkerKey, name: RunName) {
         let group_key = GroupKey::of(name.task);
         self.note_success(key);
         self.learn_from_end(key, name);
         let Some(group) = self.groups.get_mut(&group_key) else {
-            return 0;
+            return;
         };
         if group.step.long_running {
-            return 0;
+            return;
         }
         let Some(task) = group.tasks.get(name.task.index as usize) else {
-            return 0;
+            return;
         };
         let own = TaskState::Placed {
             worker: key,
@@ -76,19 +70,22 @@
         };
         // A done end whose lease had lapsed comes after the task was started
         // anew: the new run counts then.
+        if task.state == TaskState::Done {
+            return;
+        }
         if task.state != own && task.state != TaskState::Waiting {
-            return 0;
+            self.end_released(key, name, "newer_run");
+            return;
         }
         if group.step.gang {
             self.gang_done(group_key, name.run);
         } else {
             group.set_state(name.task.index, TaskState::Done);
         }
-        let change = self.job_changed(name.task.job);
+        self.job_changed(name.task.job);
         if self.groups[&group_key].is_done() {
             self.group_done(group_key);
         }
-        change
     }
 
     /// One end of a gang stands for all: the other members have ended too, but
@@ -123,20 +120,21 @@
         }
     }
 
-    fn take_failed(&mut self, key: WorkerKey, name: RunName) -> u64 {
+    /// Counts a failure of a task, and has that stored.
+    pub(super) fn take_failed(&mut self, key: WorkerKey, name: RunName) {
         let now_ms = self.now_ms;
         let group_key = GroupKey::of(name.task);
         let Some(group) = self.groups.get_mut(&group_key) else {
-            return 0;
+            return;
         };
         // A gang fails as one: its first task carries the count.
         let counted = if group.step.gang { 0 } else { name.task.index };
         let long_running = group.step.long_running;
         let Some(task) = group.tasks.get_mut(counted as usize) else {
-            return 0;
+            return;
         };
         if task.state == TaskState::Done || !task.count_failure(name.run) {
-            return 0;
+            return;
         }
         let failures = task.failed_runs.len();
         if let Some(task) = group.tasks.get_mut(name.task.index as usize) {
@@ -144,42 +142,10 @@
             task.avoided_ms = now_ms;
         }
         self.note_failure(key, name);
-        let change = self.job_changed(name.task.job);
+        self.job_changed(name.task.job);
         if !long_running {
             self.end_job_if_spent_by(name, failures);
         }
-        change
-    }
-
-    /// More is durable: tells the workers that listed ends of it.
-    pub(super) fn acknowledge_ends(&mut self) {
-        let waiting: Vec<WorkerKey> = self.with_undurable.iter().copied().collect();
-        for key in waiting {
-            if self.advance_last_seen(key) {
-                let now_ms = self.now_ms;
-                let worker = self.worker_mut(key);
-                worker.look_at_ms = worker.look_at_ms.min(now_ms);
-                self.look_if_due(key);
-            }
-        }
-    }
-
-    /// Moves `last_seen` of a worker past the ends that are durable; whether
-    /// all of them are.
-    pub(super) fn advance_last_seen(&mut self, key: WorkerKey) -> bool {
-        let jobs = &self.jobs;
-        let worker = &mut self.workers[key.index()];
-        while let Some(&(number, name, change)) = worker.undurable.front() {
-            let job = jobs.get(&name.task.job);
-            let durable = change == 0 || job.is_none_or(|job| job.stored >= change);
-            if !durable {
-                return false;
-            }
-            worker.undurable.pop_front();
-            worker.last_seen = number;
-        }
-        self.with_undurable.remove(&key);
-        true
     }
 
     /// A run is off its worker without being done: its task waits again.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod leaving;
 mod looks;
 mod membership;
+mod noting;
 mod order;
 mod orders;
 mod pass;
@@ -77,6 +78,10 @@
     GraphJob,
     JobView, //
 };
+pub use noting::{
+    HeardEnd,
+    WaitsFor, //
+};
 pub use order::{
     OrderRule,
     Terms, //
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -59,6 +59,8 @@
     /// One in three writes gets no answer and is carried out late, if its
     /// condition still holds.
     Late,
+    /// It answers 503 to reads of whole prefixes, and serves all else.
+    RefusingRanges,
 }
 
 /// One run, as the worker saw it.
@@ -266,6 +268,11 @@
         self.put(&key, &value);
     }
 
+    /// How many ends a worker lists.
+    pub fn listed_ends(&self, at: usize) -> usize {
+        self.workers[at].ended.len()
+    }
+
     /// Whether anything of a job is on a worker.
     pub fn runs_of(&mut self, job: u64) -> usize {
         for at in 0..self.workers.len() {
@@ -737,6 +744,9 @@
             Some(item) => (StatusCode::OK, item),
             None => (StatusCode::NOT_FOUND, json!({})),
         },
+        ("kv-range", _) if mode == StoreMode::RefusingRanges => {
+            (StatusCode::SERVICE_UNAVAILABLE, json!({}))
+        }
         ("kv-range", _) => {
             let items: Vec<Value> = world
                 .keys(&query["prefix"])
