Read a worker's entry by one rule

Cause: the decoder took any state but draining, a missing one too, for a worker that may be used; a missing service or data centre became an empty text and went on into the scheduler; an address that cannot be called, capacities of four billion and names with line breaks passed.

Change: one rule in platform/registration.rs, with a typed reason for each way in which an entry names no worker to use. Entries are bounded by bytes and by nesting before they are parsed; structs are no longer read from lists. Every field that workers write for placing has to be there; gpu and what is not used may be left out, but has its type if present.

Ruled out: refusing two entries with one address. A crashed life's entry stays beside its successor's for seconds, and orders name the life they are meant for.

--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -1,12 +1,11 @@
-//! Bodies and headers of clients' requests, and of what workers register.
+//! Bodies and headers of clients' requests.
 
 use crate::scheduler::{
     JobSpec,
     JobView,
     Resources,
     Schedule,
-    StepSpec,
-    WorkerInfo, //
+    StepSpec, //
 };
 use awc::http::header::HeaderMap;
 use serde::{
@@ -120,56 +119,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct WorkerBody {
-    #[serde(default)]
-    service: String,
-    address: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    state: String,
-    #[serde(default)]
-    capacity: CapacityBody,
-    #[serde(default)]
-    labels: Vec<String>,
-    #[serde(default)]
-    remaining_ms: Option<f64>,
-}
-
-#[derive(Default, Deserialize)]
-struct CapacityBody {
-    #[serde(default)]
-    cpu: u32,
-    #[serde(default)]
-    mem_mb: u32,
-    #[serde(default)]
-    gpu: u32,
-}
-
-/// Reads what a worker registered under its incarnation.
-///
-/// # Errors
-///
-/// The bytes are no registration.
-pub fn decode_worker(incarnation: &str, value: &[u8]) -> Result<WorkerInfo, serde_json::Error> {
-    let body: WorkerBody = serde_json::from_slice(value)?;
-    Ok(WorkerInfo {
-        incarnation: incarnation.to_owned(),
-        address: body.address,
-        service: body.service,
-        data_centre: body.zone,
-        labels: body.labels,
-        capacity: Resources {
-            cpu_millis: body.capacity.cpu,
-            memory_mb: body.capacity.mem_mb,
-            accelerators: body.capacity.gpu,
-        },
-        draining: body.state == "draining",
-        remaining_ms: body.remaining_ms.map(|remaining_ms| remaining_ms as u64),
-    })
-}
-
 #[derive(Serialize)]
 struct StateBody {
     state: &'static str,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 mod http;
 mod ingress;
 mod machines;
+mod registration;
 mod settings;
 mod store;
 mod workers;
@@ -18,7 +19,6 @@
     READINESS_PATH,
     deadline_header,
     decode_job,
-    decode_worker,
     encode_pending,
     encode_state,
     key_header, //
@@ -30,6 +30,11 @@
     is_wave_completed,
     wave_state_key, //
 };
+pub use registration::{
+    MAX_ENTRY_BYTES,
+    WorkerEntryError,
+    decode_worker, //
+};
 pub use settings::{
     BOOT_VARIABLE,
     SettingsError,
