--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -122,5 +122,12 @@
     for (daemon, address) in &report.daemons {
         text += &format!("daemon {daemon} at {address}\n");
     }
+    for value in &report.unused {
+        // A key of another writer may hold anything.
+        text += &format!(
+            "not used {:?}, revision {}: {} {}\n  {}\n",
+            value.key, value.revision, value.reason, value.problem, value.done
+        );
+    }
     text
 }
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -175,6 +175,7 @@
         ("workers", sizes.workers),
         ("leaving_jobs", sizes.leaving_jobs),
         ("queues", sizes.queues),
+        ("unread_jobs", sizes.unread_jobs),
     ];
     for (what, count) in kept {
         metrics::gauge!("fuchsiaslip_kept", "what" => what).set(count as f64);
--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -18,6 +18,8 @@
     ROOT_KEY,
     RootRecord,
     decode,
+    decode_job_record,
+    decode_root,
     encode,
     member_key,
     read_job_key, //
@@ -26,10 +28,14 @@
     Range,
     StoreError,
     StoreEvent,
+    StoredItem,
     Transaction,
     Watched, //
 };
-use crate::events;
+use super::unused::{
+    StoredKind,
+    Unused, //
+};
 use crate::platform::{
     CONFIGURATION_KEY,
     OPERATOR_PREFIX,
@@ -83,14 +89,18 @@
 
 /// Returns the revision to watch from; `None` while there is no configuration.
 async fn read_configuration(node: &Node) -> Result<Option<u64>, StoreError> {
-    let item = node.store.get(CONFIGURATION_KEY).await?;
-    let Some(item) = item else {
+    // As a list, since that tells the store's revision: a watch from the item's
+    // own one would bring what is read here, or a history that is long gone, again
+    // and again.
+    let range = node.store.range(CONFIGURATION_KEY, false).await?;
+    let mut items = range.items.iter();
+    let Some(item) = items.find(|item| item.key == CONFIGURATION_KEY) else {
         node.timer.after(AGAIN_MS).await;
         return Ok(None);
     };
-    take_configuration(node, &item.value);
+    take_configuration(node, item);
     node.configuration_checked();
-    Ok(Some(item.revision))
+    Ok(Some(range.revision))
 }
 
 async fn watch_configuration(node: &Node, revision: u64) -> Result<Option<u64>, StoreError> {
@@ -103,7 +113,7 @@
             if node.owns() {
                 let waves = node.store.range(WAVES_PREFIX, false).await?;
                 for item in &waves.items {
-                    take_wave(node, &item.key, &item.value);
+                    take_wave(node, item);
                 }
             }
             Ok(None)
@@ -114,9 +124,9 @@
                     continue;
                 };
                 if item.key == CONFIGURATION_KEY {
-                    take_configuration(node, &item.value);
+                    take_configuration(node, &item);
                 } else if item.key.starts_with(WAVES_PREFIX) {
-                    take_wave(node, &item.key, &item.value);
+                    take_wave(node, &item);
                 }
             }
             node.configuration_checked();
@@ -127,22 +137,19 @@
 
 /// A wave matters to the owner; another daemon reads all of them if it takes
 /// over.
-fn take_wave(node: &Node, key: &str, value: &[u8]) {
+fn take_wave(node: &Node, item: &StoredItem) {
     if !node.owns() {
         return;
     }
-    if let Some(order) = wave_order(key, value) {
+    if let Some(order) = wave_order(node, item) {
         node.control.take(node.epoch(), Input::Wave(order));
     }
 }
 
-fn take_configuration(node: &Node, value: &[u8]) {
-    match decode_configuration(value) {
-        Ok(configuration) => node.configure(configuration),
-        Err(error) => events::log(
-            events::RECORD_UNREADABLE,
-            format_args!("{CONFIGURATION_KEY}: {error}"),
-        ),
+fn take_configuration(node: &Node, item: &StoredItem) {
+    let read = decode_configuration(&item.value);
+    if let Some(configuration) = node.used(StoredKind::Configuration, item, read) {
+        node.configure(configuration);
     }
 }
 
@@ -203,7 +210,7 @@
     let mut names = Vec::new();
     for item in &members.items {
         let name = item.key.strip_prefix(MEMBERS_PREFIX).unwrap_or_default();
-        let record: Option<MemberRecord> = decode(&item.key, &item.value);
+        let record: Option<MemberRecord> = node.used(StoredKind::Member, item, decode(&item.value));
         let address = record.and_then(|record| record.address.parse().ok());
         let Some(address) = address.filter(|_| name != node.settings.daemon) else {
             continue;
@@ -227,7 +234,8 @@
     node.keep_listed(&names);
     if node.owner().is_none() {
         let root = node.store.get(ROOT_KEY).await?;
-        let root = root.and_then(|item| decode(ROOT_KEY, &item.value));
+        let root =
+            root.and_then(|item| node.used(StoredKind::Root, &item, decode_root(&item.value)));
         learn_root(node, &root.unwrap_or_default());
     }
     Ok(())
@@ -278,27 +286,32 @@
         };
         for event in events {
             if let StoreEvent::Put(item) = event {
-                take_job_value(&node, epoch, &item.key, &item.value);
+                take_job_value(&node, epoch, &item);
             }
         }
     }
 }
 
 /// Tells the scheduler of a value under the jobs' prefix.
-fn take_job_value(node: &Node, epoch: u64, key: &str, value: &[u8]) {
-    match read_job_key(key) {
+fn take_job_value(node: &Node, epoch: u64, item: &StoredItem) {
+    match read_job_key(&item.key) {
         Some(JobKeyKind::Job(id)) => {
-            if let Some(record) = decode(key, value) {
-                let input = Input::Job {
+            let read = decode_job_record(&item.value);
+            let input = match node.used(StoredKind::Job, item, read) {
+                Some(record) => Input::Job {
                     id,
                     record: Arc::new(record),
                     progress: None,
-                };
-                node.control.take(epoch, input);
-            }
+                },
+                None => {
+                    node.note_unread(id);
+                    Input::JobUnread(id)
+                }
+            };
+            node.control.take(epoch, input);
         }
         Some(JobKeyKind::Cancelled(id)) => node.control.take(epoch, Input::Cancelled(id)),
-        None => {}
+        None => node.note_unused(StoredKind::Job, item, &Unused::because("bad_name")),
     }
 }
 
@@ -335,7 +348,7 @@
 fn take_worker_event(node: &Node, epoch: u64, event: StoreEvent, known: &mut BTreeSet<String>) {
     match event {
         StoreEvent::Put(item) => {
-            if let Some(input) = worker_input(&item.key, &item.value) {
+            if let Some(input) = worker_input(node, &item) {
                 node.control.take(epoch, input);
             }
             known.insert(item.key);
@@ -348,7 +361,7 @@
 }
 
 fn relist(node: &Node, epoch: u64, range: &Range, known: &mut BTreeSet<String>) {
-    for input in worker_inputs(range) {
+    for input in worker_inputs(node, range) {
         node.control.take(epoch, input);
     }
     let listed: BTreeSet<String> = range.items.iter().map(|item| item.key.clone()).collect();
--- a/src/cluster/inspect.rs
+++ b/src/cluster/inspect.rs
@@ -1,5 +1,6 @@
 //! What is stored of a fleet, read by people: it needs no daemon that answers.
 
+use super::ownership::read_wave;
 use super::records::{
     CLOSED_PREFIX,
     ClosedRecord,
@@ -10,19 +11,37 @@
     PROGRESS_PREFIX,
     ROOT_KEY,
     ROSTER_KEY,
-    RootRecord,
     RosterRow,
     cancelled_key,
     decode,
+    decode_job_record,
+    decode_progress,
+    decode_root,
+    job_id,
     job_key,
     progress_key,
     read_job_key, //
 };
-use super::services::StoreError;
+use super::services::{
+    StoreError,
+    StoredItem, //
+};
+use super::unused::{
+    StoredKind,
+    Unused, //
+};
 use crate::core::JobId;
 use crate::platform::{
+    CONFIGURATION_KEY,
     HttpClient,
-    StoreClient, //
+    OPERATOR_PREFIX,
+    StoreClient,
+    WAVE_STATES_PREFIX,
+    WAVES_PREFIX,
+    WORKERS_PREFIX,
+    decode_configuration,
+    decode_worker,
+    is_wave_completed, //
 };
 use crate::scheduler::{
     FinalState,
@@ -56,17 +75,62 @@
     pub failed_jobs: usize,
     /// Jobs that were cancelled and are remembered.
     pub cancelled_jobs: usize,
+    /// Entries and records that cannot be used, in the order of their keys.
+    pub unused: Vec<UnusedValue>,
+}
+
+/// A stored value that cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct UnusedValue {
+    /// Its key.
+    pub key: String,
+    /// The revision of its last change.
+    pub revision: u64,
+    /// Why, as counters name it.
+    pub reason: &'static str,
+    /// The same in full.
+    pub problem: String,
+    /// What daemons do about it.
+    pub done: &'static str,
+}
+
+impl FleetReport {
+    /// What was read; `None` for what cannot be used, which is reported.
+    fn used<T>(
+        &mut self,
+        kind: StoredKind,
+        item: &StoredItem,
+        read: Result<T, impl Into<Unused>>,
+    ) -> Option<T> {
+        match read {
+            Ok(value) => Some(value),
+            Err(why) => {
+                self.add_unused(kind, item, why.into());
+                None
+            }
+        }
+    }
+
+    fn add_unused(&mut self, kind: StoredKind, item: &StoredItem, why: Unused) {
+        self.unused.push(UnusedValue {
+            key: item.key.clone(),
+            revision: item.revision,
+            reason: why.reason,
+            problem: why.problem,
+            done: kind.done(),
+        });
+    }
 }
 
 /// A job as the store shows it.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct StoredJob {
-    /// What its caller asked for.
-    pub record: JobRecord,
+    /// What its caller asked for, or why that does not read.
+    pub record: Result<JobRecord, Unused>,
     /// Its cancellation is stored.
     pub cancelled: bool,
-    /// What the owner noted of it.
-    pub progress: Option<ProgressRecord>,
+    /// What the owner noted of it, or why that does not read.
+    pub progress: Option<Result<ProgressRecord, Unused>>,
 }
 
 /// Reads what is stored of the fleet whose store is at `address`.
@@ -78,29 +142,35 @@
     let store = StoreClient::open(HttpClient::open(timer), address);
     let mut report = FleetReport::default();
     if let Some(item) = store.get(ROOT_KEY).await? {
-        let root: RootRecord = decode(ROOT_KEY, &item.value).unwrap_or_default();
+        let root = report.used(StoredKind::Root, &item, decode_root(&item.value));
+        let root = root.unwrap_or_default();
         report.owner = root.owner;
         report.epoch = root.epoch;
         report.owner_address = root.address;
     }
     for item in store.range(MEMBERS_PREFIX, true).await?.items {
-        if let Some(member) = decode::<MemberRecord>(&item.key, &item.value) {
+        let read = decode::<MemberRecord>(&item.value);
+        if let Some(member) = report.used(StoredKind::Member, &item, read) {
             let name = name_of(&item.key, MEMBERS_PREFIX);
             report.daemons.insert(name, member.address);
         }
     }
     if let Some(item) = store.get(ROSTER_KEY).await? {
-        let rows: Vec<RosterRow> = decode(ROSTER_KEY, &item.value).unwrap_or_default();
-        report.workers = rows.len();
+        let read = decode::<Vec<RosterRow>>(&item.value);
+        let rows = report.used(StoredKind::Roster, &item, read);
+        report.workers = rows.unwrap_or_default().len();
     }
     for item in store.range(CLOSED_PREFIX, true).await?.items {
-        let record: Option<ClosedRecord> = decode(&item.key, &item.value);
+        let read = decode::<ClosedRecord>(&item.value);
+        let record = report.used(StoredKind::Closed, &item, read);
         if let Some(record) = record.filter(|record| record.closed) {
             let name = name_of(&item.key, CLOSED_PREFIX);
             report.closed_workers.insert(name, record.runs);
         }
     }
     count_jobs(&store, &mut report).await?;
+    read_others(&store, &mut report).await?;
+    report.unused.sort_by(|a, b| a.key.cmp(&b.key));
     Ok(report)
 }
 
@@ -108,17 +178,45 @@
     key.strip_prefix(prefix).unwrap_or(key).to_owned()
 }
 
+/// Looks for values of the operator and of workers that cannot be used.
+async fn read_others(store: &StoreClient, report: &mut FleetReport) -> Result<(), StoreError> {
+    for item in store.range(WORKERS_PREFIX, true).await?.items {
+        let name = name_of(&item.key, WORKERS_PREFIX);
+        let read = decode_worker(&name, &item.value);
+        report.used(StoredKind::Worker, &item, read);
+    }
+    for item in store.range(OPERATOR_PREFIX, true).await?.items {
+        if item.key == CONFIGURATION_KEY {
+            let read = decode_configuration(&item.value);
+            report.used(StoredKind::Configuration, &item, read);
+        } else if item.key.starts_with(WAVES_PREFIX) {
+            report.used(StoredKind::Wave, &item, read_wave(&item));
+        }
+    }
+    for item in store.range(WAVE_STATES_PREFIX, true).await?.items {
+        report.used(StoredKind::WaveState, &item, is_wave_completed(&item.value));
+    }
+    Ok(())
+}
+
 async fn count_jobs(store: &StoreClient, report: &mut FleetReport) -> Result<(), StoreError> {
     let mut states: BTreeMap<JobId, Option<FinalState>> = BTreeMap::new();
     for item in store.range(PROGRESS_PREFIX, true).await?.items {
-        let job = item.key.strip_prefix(PROGRESS_PREFIX);
-        let progress: Option<ProgressRecord> = decode(&item.key, &item.value);
-        if let (Some(job), Some(progress)) = (job.and_then(super::records::job_id), progress) {
+        let Some(job) = item.key.strip_prefix(PROGRESS_PREFIX).and_then(job_id) else {
+            report.add_unused(StoredKind::Progress, &item, Unused::because("bad_name"));
+            continue;
+        };
+        let read = decode_progress(&item.value);
+        if let Some(progress) = report.used(StoredKind::Progress, &item, read) {
             states.insert(job, progress.ended);
         }
     }
     for item in store.range(JOBS_PREFIX, true).await?.items {
-        match read_job_key(&item.key) {
+        let kind = read_job_key(&item.key);
+        if let Some(JobKeyKind::Job(_)) = kind {
+            report.used(StoredKind::Job, &item, decode_job_record(&item.value));
+        }
+        match kind {
             Some(JobKeyKind::Job(job)) => match states.get(&job).copied().flatten() {
                 Some(FinalState::Completed) => report.completed_jobs += 1,
                 Some(FinalState::Failed) => report.failed_jobs += 1,
@@ -129,7 +227,8 @@
                 report.cancelled_jobs += 1;
                 report.open_jobs = report.open_jobs.saturating_sub(1);
             }
-            Some(JobKeyKind::Cancelled(_)) | None => {}
+            Some(JobKeyKind::Cancelled(_)) => {}
+            None => report.add_unused(StoredKind::Job, &item, Unused::because("bad_name")),
         }
     }
     Ok(())
@@ -148,11 +247,11 @@
     let store = StoreClient::open(HttpClient::open(timer), address);
     let key = progress_key(job);
     let progress = store.get(&key).await?;
-    let progress = progress.and_then(|item| decode(&key, &item.value));
+    let progress = progress.map(|item| decode_progress(&item.value));
     let cancelled = store.get(&cancelled_key(job)).await?.is_some();
     let key = job_key(job);
     let record = store.get(&key).await?;
-    let record = record.and_then(|item| decode(&key, &item.value));
+    let record = record.map(|item| decode_job_record(&item.value));
     Ok(record.map(|record| StoredJob {
         record,
         cancelled,
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -147,6 +147,22 @@
     pub has_store: bool,
 }
 
+/// What is logged of a value that is not used.
+pub struct UnusedLine<'a> {
+    /// Its key.
+    pub key: &'a str,
+    /// Its revision.
+    pub revision: u64,
+    /// What it should be.
+    pub kind: &'static str,
+    /// Why it is not used, as counters name it.
+    pub reason: &'static str,
+    /// The same in full.
+    pub problem: &'a str,
+    /// What was done.
+    pub done: &'static str,
+}
+
 /// Logs and counts a request's answer. Questions for states that were answered
 /// are only counted: they are most of the requests and decide nothing.
 pub fn request(line: &RequestLine<'_>) {
@@ -171,6 +187,17 @@
     );
 }
 
+/// Logs a value of the store that is not used.
+pub fn value_unused(line: &UnusedLine<'_>) {
+    emit(
+        crate::events::RECORD_UNREADABLE,
+        json!({
+            "key": line.key, "revision": line.revision, "kind": line.kind,
+            "reason": line.reason, "problem": line.problem, "done": line.done,
+        }),
+    );
+}
+
 /// Logs and counts a decision of the scheduler.
 pub fn decision(epoch: u64, decision: &Decision) {
     use crate::events;
@@ -276,6 +303,22 @@
             outcome.name(),
             json!({ "wave": wave, "machine": &**machine }),
         ),
+        Decision::EntryUnusable {
+            worker,
+            reason,
+            runs,
+        } => (
+            events::ENTRY_UNUSABLE,
+            "entry_unusable",
+            *reason,
+            json!({ "worker": &**worker, "runs": runs }),
+        ),
+        Decision::EntryUsable { worker, runs } => (
+            events::ENTRY_USABLE,
+            "entry_usable",
+            "readable",
+            json!({ "worker": &**worker, "runs": runs }),
+        ),
         Decision::WorkerLost {
             worker,
             runs,
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -20,6 +20,8 @@
 mod settings;
 mod store_health;
 mod submit;
+mod unread_jobs;
+mod unused;
 
 pub use control::{
     Command,
@@ -61,3 +63,8 @@
     HealthChange,
     StoreHealth, //
 };
+pub use unused::{
+    StoredKind,
+    Unused,
+    UnusedValues, //
+};
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -11,13 +11,22 @@
 };
 use super::ledger::Ledger;
 use super::peers::Peers;
-use super::services::StoreError;
+use super::services::{
+    StoreError,
+    StoredItem, //
+};
 use super::settings::ClusterSettings;
 use super::store_health::{
     CallKey,
     HealthChange,
     StoreHealth, //
 };
+use super::unused::{
+    StoredKind,
+    Unused,
+    UnusedValues, //
+};
+use crate::core::JobId;
 use crate::events;
 use crate::platform::{
     MachineClient,
@@ -33,7 +42,10 @@
     Cell,
     RefCell, //
 };
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -139,6 +151,8 @@
     draining: Cell<bool>,
     behind_since_ms: Cell<Option<u64>>,
     fetching: Cell<bool>,
+    unused: RefCell<UnusedValues>,
+    unread_jobs: RefCell<BTreeSet<JobId>>,
 }
 
 /// A call to the store that ends when this does: a client that leaves takes its
@@ -188,6 +202,8 @@
             draining: Cell::new(false),
             behind_since_ms: Cell::new(None),
             fetching: Cell::new(false),
+            unused: RefCell::default(),
+            unread_jobs: RefCell::default(),
             timer,
         })
     }
@@ -352,6 +368,46 @@
         !self.store_health.borrow().is_away(self.now_ms())
     }
 
+    /// What was read of a stored value; `None`, told once, for one that cannot be
+    /// used.
+    pub fn used<T>(
+        &self,
+        kind: StoredKind,
+        item: &StoredItem,
+        read: Result<T, impl Into<Unused>>,
+    ) -> Option<T> {
+        match read {
+            Ok(value) => Some(value),
+            Err(why) => {
+                self.note_unused(kind, item, &why.into());
+                None
+            }
+        }
+    }
+
+    /// Tells once of a stored value that cannot be used.
+    pub fn note_unused(&self, kind: StoredKind, item: &StoredItem, why: &Unused) {
+        let now_ms = self.now_ms();
+        self.unused.borrow_mut().note(kind, item, why, now_ms);
+    }
+
+    /// A value of a job does not read: it is read again, until it does. The
+    /// scheduler is told by who found it.
+    pub fn note_unread(&self, job: JobId) {
+        self.unread_jobs.borrow_mut().insert(job);
+    }
+
+    /// Jobs with a value that does not read, from `from` on.
+    pub fn unread_jobs(&self, from: JobId, most: usize) -> Vec<JobId> {
+        let jobs = self.unread_jobs.borrow();
+        jobs.range(from..).take(most).copied().collect()
+    }
+
+    /// The values of a job read now, or are gone.
+    pub fn job_read(&self, job: JobId) {
+        self.unread_jobs.borrow_mut().remove(&job);
+    }
+
     /// Begins to drain.
     pub fn drain(&self) {
         self.draining.set(true);
@@ -381,6 +437,7 @@
     pub fn begin_owning(&self, epoch: u64, root_revision: u64) {
         self.epoch.set(epoch);
         self.root_revision.set(root_revision);
+        self.unread_jobs.borrow_mut().clear();
         self.learn_owner(KnownOwner {
             epoch,
             name: self.settings.daemon.clone(),
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -17,6 +17,9 @@
     RootRecord,
     RosterRow,
     decode,
+    decode_job_record,
+    decode_progress,
+    decode_root,
     encode,
     job_id,
     read_job_key, //
@@ -25,8 +28,15 @@
     Committed,
     Range,
     StoreError,
+    StoredItem,
     Transaction, //
 };
+use super::unread_jobs;
+use super::unused::{
+    StoredKind,
+    Unused, //
+};
+use crate::core::JobId;
 use crate::events;
 use crate::platform::{
     WAVE_STATES_PREFIX,
@@ -39,6 +49,7 @@
 };
 use crate::scheduler::{
     Input,
+    JobRecord,
     ProgressRecord,
     WaveOrder, //
 };
@@ -55,6 +66,8 @@
 const BEGIN_TRIES: u32 = 4;
 /// Wait before the next of them.
 const BEGIN_AGAIN_MS: u64 = 120;
+/// Wait of a daemon that found a root that does not read: people have to mend it.
+const UNREAD_ROOT_MS: u64 = 2_000;
 
 /// Takes the next epoch, reads what is stored and begins to own.
 ///
@@ -65,9 +78,19 @@
     let began_ms = node.now_ms();
     let root = node.store.get(ROOT_KEY).await?;
     let revision = root.as_ref().map_or(0, |item| item.revision);
-    let known: RootRecord = root
-        .and_then(|item| decode(ROOT_KEY, &item.value))
-        .unwrap_or_default();
+    let known = match root {
+        None => RootRecord::default(),
+        Some(item) => {
+            let read = decode_root(&item.value);
+            let Some(known) = node.used(StoredKind::Root, &item, read) else {
+                // Taken for none, it would be followed by the first epoch, whose
+                // orders every worker refuses, and two owners could share it.
+                node.timer.after(UNREAD_ROOT_MS).await;
+                return Ok(());
+            };
+            known
+        }
+    };
     if follow::learn_root(node, &known) && !node.is_over(&known.owner, known.boot) {
         // Somebody took over just now: wait for its heartbeats.
         return Ok(());
@@ -90,7 +113,7 @@
         // It may have been carried out: the root tells.
         Err(StoreError::NoAnswer) => {
             let root = node.store.get(ROOT_KEY).await?;
-            let own = root.filter(|item| decode(ROOT_KEY, &item.value) == Some(next.clone()));
+            let own = root.filter(|item| decode_root(&item.value) == Ok(next.clone()));
             own.map(|item| item.revision)
         }
     };
@@ -146,16 +169,26 @@
     let mut roster_count = 0;
     if let Some(item) = roster {
         node.ledger.note_revision(ROSTER_KEY, item.revision);
-        let rows: Vec<RosterRow> = decode(ROSTER_KEY, &item.value).unwrap_or_default();
-        roster_count = rows.len();
-        stored.extend(known_workers(node, rows, &closed));
+        let read = decode::<Vec<RosterRow>>(&item.value);
+        let rows = node.used(StoredKind::Roster, &item, read);
+        let records = closed_records(node, &closed);
+        match rows {
+            Some(rows) => {
+                roster_count = rows.len();
+                stored.extend(known_workers(node, rows, records));
+            }
+            None => {
+                stored.push(Input::RosterUnread);
+                stored.extend(closed_workers(records));
+            }
+        }
     }
-    stored.extend(worker_inputs(&workers));
+    stored.extend(worker_inputs(node, &workers));
     stored.extend(job_inputs(node, &jobs, &progress));
     for item in &states.items {
         node.ledger.note_revision(&item.key, item.revision);
     }
-    stored.extend(wave_inputs(&waves, &states));
+    stored.extend(wave_inputs(node, &waves, &states));
     stored.push(Input::Confirmed(began_ms));
     stored.push(Input::Recovered {
         earlier_owner_over: taken.earlier_owner_over,
@@ -177,23 +210,37 @@
     actix_rt::spawn(ledger::run(node.clone(), epoch));
     actix_rt::spawn(follow::jobs(node.clone(), epoch, jobs.revision));
     actix_rt::spawn(follow::workers(node.clone(), epoch, workers));
+    actix_rt::spawn(unread_jobs::read_again(node.clone(), epoch));
     actix_rt::spawn(confirm(node.clone(), epoch));
     Ok(())
 }
 
-/// The workers that earlier owners used, with what is stored of closed ones.
-fn known_workers(node: &Node, rows: Vec<RosterRow>, closed: &Range) -> Vec<Input> {
-    let mut records: HashMap<&str, ClosedRecord> = HashMap::new();
-    for item in &closed.items {
+/// What is stored of closed workers, by incarnation; `None` for what does not read.
+type ClosedRecords = HashMap<String, Option<ClosedRecord>>;
+
+fn closed_records(node: &Node, closed: &Range) -> ClosedRecords {
+    let records = closed.items.iter().map(|item| {
         node.ledger.note_revision(&item.key, item.revision);
         let incarnation = item.key.strip_prefix(CLOSED_PREFIX).unwrap_or_default();
-        if let Some(record) = decode(&item.key, &item.value) {
-            records.insert(incarnation, record);
-        }
-    }
+        let record = node.used(StoredKind::Closed, item, decode(&item.value));
+        (incarnation.to_owned(), record)
+    });
+    records.collect()
+}
+
+/// The workers that earlier owners used, with what is stored of closed ones. A
+/// record that does not read names no runs, so its worker may run anything, and
+/// is told to the store anew as open.
+fn known_workers(node: &Node, rows: Vec<RosterRow>, mut records: ClosedRecords) -> Vec<Input> {
     let mut inputs = Vec::with_capacity(rows.len());
+    let mut changed = Vec::new();
     for row in rows {
-        let record = records.remove(row.incarnation.as_str());
+        let record = records.remove(&row.incarnation);
+        if record == Some(None) {
+            let open = ClosedRecord::of(false, &[]);
+            changed.push((row.incarnation.clone(), Some(open)));
+        }
+        let record = record.flatten();
         inputs.push(Input::KnownWorker {
             closed_with: record.and_then(|record| record.closed_with()),
             incarnation: row.incarnation,
@@ -201,86 +248,128 @@
         });
     }
     // What is left names workers that are gone.
-    let left = records.into_keys().map(|key| (key.to_owned(), None));
+    let left = records.into_iter().filter(|(_, record)| record.is_some());
+    changed.extend(left.map(|(incarnation, _)| (incarnation, None)));
     node.ledger.add(Changes {
-        closed: left.collect(),
+        closed: changed,
         ..Changes::default()
     });
     inputs
 }
 
+/// The closed workers beside a roster that does not read: it may name them.
+fn closed_workers(records: ClosedRecords) -> Vec<Input> {
+    let records = records.into_iter();
+    let closed = records.filter_map(|(incarnation, record)| {
+        let runs = record?.closed_with()?;
+        Some(Input::ClosedWorker { incarnation, runs })
+    });
+    closed.collect()
+}
+
 /// The waves of upkeep that are not completed.
-fn wave_inputs(waves: &Range, states: &Range) -> Vec<Input> {
-    let completed: Vec<&str> = states
-        .items
-        .iter()
-        .filter(|item| is_wave_completed(&item.value))
-        .map(|item| item.key.as_str())
-        .collect();
+fn wave_inputs(node: &Node, waves: &Range, states: &Range) -> Vec<Input> {
+    let is_completed = |item: &&StoredItem| {
+        let read = is_wave_completed(&item.value);
+        node.used(StoredKind::WaveState, item, read) == Some(true)
+    };
+    let completed = states.items.iter().filter(is_completed);
+    let completed: Vec<&str> = completed.map(|item| item.key.as_str()).collect();
     let open = waves.items.iter().filter_map(|item| {
-        let order = wave_order(&item.key, &item.value)?;
+        let order = wave_order(node, item)?;
         let done = completed.contains(&wave_state_key(order.number).as_str());
         (!done).then_some(Input::Wave(order))
     });
     open.collect()
 }
 
-/// A wave; one that does not read is logged and passed over.
-pub fn wave_order(key: &str, value: &[u8]) -> Option<WaveOrder> {
-    let order = decode_wave(value);
-    order
-        .inspect_err(|error| events::log(events::RECORD_UNREADABLE, format_args!("{key}: {error}")))
-        .ok()
+/// A wave; one that cannot be used is told and passed over.
+pub fn wave_order(node: &Node, item: &StoredItem) -> Option<WaveOrder> {
+    node.used(StoredKind::Wave, item, read_wave(item))
+}
+
+/// Reads a wave.
+///
+/// # Errors
+///
+/// It is none, or its key names another.
+pub fn read_wave(item: &StoredItem) -> Result<WaveOrder, Unused> {
+    let order = decode_wave(&item.value)?;
+    match item.key.strip_prefix(WAVES_PREFIX) == Some(&order.number.to_string()) {
+        true => Ok(order),
+        false => Err(Unused::because("bad_name")),
+    }
 }
 
 /// The registrations of workers as news.
-pub fn worker_inputs(workers: &Range) -> Vec<Input> {
+pub fn worker_inputs(node: &Node, workers: &Range) -> Vec<Input> {
     let rows = workers.items.iter();
-    rows.filter_map(|item| worker_input(&item.key, &item.value))
-        .collect()
+    rows.filter_map(|item| worker_input(node, item)).collect()
 }
 
-/// One registration as news; one that does not read is logged and passed over.
-pub fn worker_input(key: &str, value: &[u8]) -> Option<Input> {
-    let incarnation = key.strip_prefix(WORKERS_PREFIX)?;
-    match decode_worker(incarnation, value) {
-        Ok(info) => Some(Input::Worker(info)),
+/// One registration as news: also one that names no worker to use, since the
+/// worker may be known.
+pub fn worker_input(node: &Node, item: &StoredItem) -> Option<Input> {
+    let incarnation = item.key.strip_prefix(WORKERS_PREFIX)?;
+    Some(match decode_worker(incarnation, &item.value) {
+        Ok(info) => Input::Worker(info),
         Err(error) => {
-            events::log(events::RECORD_UNREADABLE, format_args!("{key}: {error}"));
-            None
+            let reason = error.reason();
+            node.note_unused(StoredKind::Worker, item, &error.into());
+            Input::WorkerUnusable {
+                incarnation: incarnation.to_owned(),
+                reason,
+            }
         }
-    }
+    })
 }
 
-/// Stored jobs with their progress and cancellations as news.
+/// Stored jobs with their progress and cancellations as news. A job of which a
+/// value does not read is news too: taken for one without progress, what is done
+/// of it would run again.
 fn job_inputs(node: &Node, jobs: &Range, progress: &Range) -> Vec<Input> {
-    let mut noted: HashMap<_, ProgressRecord> = HashMap::new();
+    let mut noted: HashMap<JobId, Option<ProgressRecord>> = HashMap::new();
     for item in &progress.items {
         node.ledger.note_revision(&item.key, item.revision);
-        let job = item.key.strip_prefix(PROGRESS_PREFIX).and_then(job_id);
-        if let (Some(job), Some(record)) = (job, decode(&item.key, &item.value)) {
-            noted.insert(job, record);
-        }
+        let Some(job) = item.key.strip_prefix(PROGRESS_PREFIX).and_then(job_id) else {
+            node.note_unused(StoredKind::Progress, item, &Unused::because("bad_name"));
+            continue;
+        };
+        let read = decode_progress(&item.value);
+        noted.insert(job, node.used(StoredKind::Progress, item, read));
     }
     let mut inputs = Vec::with_capacity(jobs.items.len());
     for item in &jobs.items {
         match read_job_key(&item.key) {
             Some(JobKeyKind::Job(id)) => {
-                if let Some(record) = decode(&item.key, &item.value) {
-                    inputs.push(Input::Job {
-                        id,
-                        record: Arc::new(record),
-                        progress: noted.remove(&id),
-                    });
+                let read = decode_job_record(&item.value);
+                let record = node.used(StoredKind::Job, item, read);
+                match (record, noted.remove(&id)) {
+                    (Some(record), None) => inputs.push(job_input(id, record, None)),
+                    (Some(record), Some(Some(progress))) => {
+                        inputs.push(job_input(id, record, Some(progress)));
+                    }
+                    _ => {
+                        node.note_unread(id);
+                        inputs.push(Input::JobUnread(id));
+                    }
                 }
             }
             Some(JobKeyKind::Cancelled(id)) => inputs.push(Input::Cancelled(id)),
-            None => {}
+            None => node.note_unused(StoredKind::Job, item, &Unused::because("bad_name")),
         }
     }
     inputs
 }
 
+fn job_input(id: JobId, record: JobRecord, progress: Option<ProgressRecord>) -> Input {
+    Input::Job {
+        id,
+        record: Arc::new(record),
+        progress,
+    }
+}
+
 /// Confirms the epoch while this daemon owns.
 async fn confirm(node: Rc<Node>, epoch: u64) {
     while node.epoch() == epoch {
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -1,7 +1,12 @@
 //! Keys and values that the product keeps in the store.
 
+use super::unused::Unused;
 use crate::core::JobId;
-use crate::scheduler::RunName;
+use crate::scheduler::{
+    JobRecord,
+    ProgressRecord,
+    RunName, //
+};
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{
@@ -22,6 +27,11 @@
 /// Workers that owners closed, written by the owner.
 pub const CLOSED_PREFIX: &str = "closed/";
 const CANCELLED_SUFFIX: &str = "/cancelled";
+/// Highest epoch that is believed: with one owner a second, after 30,000 years.
+/// Runs are numbered by thousands for each epoch, and must not overflow.
+const MAX_EPOCH: u64 = 1 << 40;
+/// Highest number of a run that is believed, far above those of that epoch.
+const MAX_RUN: u64 = 1 << 52;
 
 /// The value of the root.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -138,14 +148,53 @@
     Bytes::from(serde_json::to_vec(value).unwrap_or_default())
 }
 
-/// A stored value; one that does not read is logged and passed over.
-pub fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Option<T> {
-    let read = serde_json::from_slice(value);
-    read.inspect_err(|error| {
-        crate::events::log(
-            crate::events::RECORD_UNREADABLE,
-            format_args!("{key}: {error}"),
-        );
-    })
-    .ok()
+/// Reads a stored value.
+///
+/// # Errors
+///
+/// It is none of this kind.
+pub fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, Unused> {
+    Ok(serde_json::from_slice(value)?)
+}
+
+/// Reads the root.
+///
+/// # Errors
+///
+/// It is none, or its epoch is higher than any owner comes.
+pub fn decode_root(value: &[u8]) -> Result<RootRecord, Unused> {
+    let root: RootRecord = decode(value)?;
+    match root.epoch <= MAX_EPOCH {
+        true => Ok(root),
+        false => Err(Unused::because("bad_number")),
+    }
+}
+
+/// Reads a job.
+///
+/// # Errors
+///
+/// It is none, or nobody can run it.
+pub fn decode_job_record(value: &[u8]) -> Result<JobRecord, Unused> {
+    let record: JobRecord = decode(value)?;
+    match record.spec.problem() {
+        None => Ok(record),
+        Some(problem) => Err(Unused {
+            reason: "bad_job",
+            problem: problem.to_owned(),
+        }),
+    }
+}
+
+/// Reads the progress of a job.
+///
+/// # Errors
+///
+/// It is none, or names runs that no owner numbers so.
+pub fn decode_progress(value: &[u8]) -> Result<ProgressRecord, Unused> {
+    let record: ProgressRecord = decode(value)?;
+    match record.highest_run() <= MAX_RUN {
+        true => Ok(record),
+        false => Err(Unused::because("bad_number")),
+    }
 }
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -14,7 +14,8 @@
 use super::records::{
     ROOT_KEY,
     cancelled_key,
-    decode,
+    decode_job_record,
+    decode_progress,
     encode,
     job_key,
     progress_key, //
@@ -24,12 +25,12 @@
     StoreError,
     Transaction, //
 };
+use super::unused::StoredKind;
 use crate::core::JobId;
 use crate::scheduler::{
     Input,
     JobRecord,
-    JobView,
-    ProgressRecord, //
+    JobView, //
 };
 use bytes::Bytes;
 use std::rc::Rc;
@@ -159,8 +160,13 @@
 /// message costs only time.
 pub fn tell_owner_of_job(node: &Rc<Node>, job: JobId, record: Bytes) {
     if node.owns() {
-        if let Some(record) = decode(&job_key(job), &record) {
-            take_job(node, job, record);
+        match decode_job_record(&record) {
+            Ok(record) => take_job(node, job, record),
+            // Whoever follows the store tells of it.
+            Err(_) => {
+                node.note_unread(job);
+                node.control.take(node.epoch(), Input::JobUnread(job));
+            }
         }
         return;
     }
@@ -289,7 +295,8 @@
     // it could be told to the owner as new after it was done and removed.
     let key = progress_key(job);
     let progress = node.store.get(&key).await?;
-    let progress: Option<ProgressRecord> = progress.and_then(|item| decode(&key, &item.value));
+    let progress =
+        progress.map(|item| node.used(StoredKind::Progress, &item, decode_progress(&item.value)));
     let cancelled = node.store.get(&cancelled_key(job)).await?.is_some();
     let Some(item) = node.store.get(&job_key(job)).await? else {
         return Ok(None);
@@ -297,9 +304,11 @@
     if cancelled {
         return Ok(Some(JobView::Cancelled));
     }
-    let view = match progress.map(|progress| progress.ended) {
+    let view = match progress.map(|progress| progress.and_then(|progress| progress.ended)) {
         Some(Some(FinalState::Completed)) => JobView::Completed,
         Some(Some(FinalState::Failed)) => JobView::Failed,
+        // Also if it does not read: something of the job has begun, and whether
+        // it ended is not known.
         Some(None) => JobView::Running,
         None => JobView::Queued,
     };
--- a/src/events.rs
+++ b/src/events.rs
@@ -55,7 +55,7 @@
     /// A ledger value cannot be read.
     LEDGER_DAMAGED = 204, Error, "a ledger value cannot be read; no owner starts", "run `fuchsiaslip ledger check` and restore the value named there";
     /// A stored value cannot be read.
-    RECORD_UNREADABLE = 205, Error, "a value in the store cannot be read and is passed over", "look at the key named; an older version may have written it";
+    RECORD_UNREADABLE = 205, Warn, "a value in the store cannot be used, and the line says what was done; the others hold", "look at the key named: another writer or another version wrote it; docs/OPERATIONS.md says what each kind needs";
     /// A new owner knows what runs.
     RECOVERY_OVER = 206, Info, "this owner knows what earlier owners' orders left running; stored work starts", "if it waited for seconds, look at the workers that did not answer";
     /// The store answers again.
@@ -78,6 +78,10 @@
     TASK_ENDED = 306, Info, "a worker listed the end of a run", "none, unless one worker lists failures only";
     /// An order was refused or not answered.
     TASK_RETRIED = 307, Info, "an order to a worker was refused or not answered", "none, unless it repeats on one worker";
+    /// The entry of a known worker cannot be used.
+    ENTRY_UNUSABLE = 308, Warn, "the entry of a worker in use names no worker to use; it gets no new work, what runs there goes on", "look for the E205 of its key: who writes there besides the worker?";
+    /// The entry can be used again.
+    ENTRY_USABLE = 309, Info, "the entry of a worker can be used again", "none";
     /// A guarantee falls short.
     GUARANTEE_SHORT = 310, Error, "an account's guaranteed shapes cannot all be had back now", "add workers or lower a guarantee";
     /// A job cannot run anywhere.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -46,6 +46,19 @@
     recommendation: Option<AdviceTerms>,
 }
 
+impl RouteBody {
+    /// Whether sums with its numbers stay in range.
+    fn is_in_range(&self) -> bool {
+        (0.0..=MAX_STRETCH).contains(&self.stretch_factor)
+            && (0.0..=MAX_LATENCY_MS).contains(&self.target_latency_ms)
+    }
+}
+
+/// Largest factor that is believed: more than a thousand is no objective.
+const MAX_STRETCH: f64 = 1e6;
+/// Longest latency that is believed, 30 years.
+const MAX_LATENCY_MS: f64 = 1e12;
+
 fn one_attempt() -> u32 {
     1
 }
@@ -91,6 +104,10 @@
 /// The bytes are no configuration.
 pub fn decode_configuration(value: &[u8]) -> Result<ClusterConfiguration, serde_json::Error> {
     let body: ConfigurationBody = serde_json::from_slice(value)?;
+    if let Some(route) = body.routes.iter().find(|route| !route.is_in_range()) {
+        let problem = format!("a number of route {} is out of range", route.name);
+        return Err(serde::de::Error::custom(problem));
+    }
     let default = RequestLimits::default();
     let limits = RequestLimits {
         max_header_bytes: body
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -29,6 +29,8 @@
     NotSent,
     /// It was sent, at least in part, and nothing is known of it.
     NoAnswer,
+    /// It was answered at a length that is not read.
+    TooLarge,
 }
 
 /// A client that keeps its connections; lives on one thread.
@@ -97,7 +99,7 @@
             };
             let chunk = chunk.map_err(|_| CallFailure::NoAnswer)?;
             if body.len() + chunk.len() > MAX_ANSWER_BYTES {
-                break;
+                return Err(CallFailure::TooLarge);
             }
             body.extend_from_slice(&chunk);
         }
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -141,7 +141,7 @@
         let call = self.http.post(url, &headers, &body, CALL_LIMIT_MS);
         match call.await {
             Ok((status, body)) => outcome_of(status, &body),
-            Err(CallFailure::NotSent | CallFailure::NoAnswer) => UpkeepOutcome::NoAnswer,
+            Err(_) => UpkeepOutcome::NoAnswer,
         }
     }
 }
@@ -182,7 +182,13 @@
 ///
 /// The bytes are no wave.
 pub fn decode_wave(value: &[u8]) -> Result<WaveOrder, serde_json::Error> {
+    use serde::de::Error;
+    /// Longest time that is believed, 30 years: sums with it stay in range.
+    const MAX_DURATION_S: f64 = 1e9;
     let body: WaveBody = serde_json::from_slice(value)?;
+    if !(0.0..=MAX_DURATION_S).contains(&body.duration_s) {
+        return Err(Error::custom("duration_s is out of range"));
+    }
     Ok(WaveOrder {
         number: body.wave,
         machines: body.machines,
@@ -207,7 +213,11 @@
 }
 
 /// Whether what was written says that a wave is completed.
-pub fn is_wave_completed(value: &[u8]) -> bool {
-    let body: Option<WaveStateBody> = serde_json::from_slice(value).ok();
-    body.is_some_and(|body| body.state == COMPLETED)
+///
+/// # Errors
+///
+/// The bytes are no state of a wave.
+pub fn is_wave_completed(value: &[u8]) -> Result<bool, serde_json::Error> {
+    let body: WaveStateBody = serde_json::from_slice(value)?;
+    Ok(body.state == COMPLETED)
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,6 +4,7 @@
     CallFailure,
     HttpClient, //
 };
+use super::registration::MAX_ENTRY_BYTES;
 use crate::cluster::{
     Committed,
     Range,
@@ -46,7 +47,7 @@
 struct ItemBody {
     key: String,
     #[serde(default)]
-    value: String,
+    value: Option<String>,
     revision: u64,
     #[serde(default)]
     deleted: bool,
@@ -117,15 +118,48 @@
 }
 
 impl ItemBody {
-    fn into_item(self) -> Result<StoredItem, StoreError> {
-        // A value that is no base64 is an answer that cannot be trusted.
-        let value = BASE64_STANDARD.decode(&self.value);
-        Ok(StoredItem {
+    /// The item with its value. One that is not base64 is empty, which reads as
+    /// nothing that is ever stored: the others of its page or event hold.
+    fn into_item(self) -> StoredItem {
+        let text = self.value.unwrap_or_default();
+        let text = bounded(&self.key, text.as_bytes());
+        let value = BASE64_STANDARD.decode(text).unwrap_or_else(|_| {
+            metrics::counter!("fuchsiaslip_store_values_unread_total").increment(1);
+            Vec::new()
+        });
+        StoredItem {
             key: self.key,
-            value: Bytes::from(value.map_err(|_| StoreError::NoAnswer)?),
+            value: Bytes::from(value),
             revision: self.revision,
-        })
+        }
+    }
+}
+
+/// As much of a value's base64 as is kept. Of a worker's entry that is too long
+/// to be one, just so much that this shows: a tenth of a large fleet's entries at
+/// a megabyte each would not fit into a VM's memory.
+fn bounded<'a>(key: &str, text: &'a [u8]) -> &'a [u8] {
+    const BYTES_IN: usize = 3;
+    const BYTES_OUT: usize = 4;
+    let most = (MAX_ENTRY_BYTES / BYTES_IN + 1) * BYTES_OUT;
+    match key.starts_with(WORKERS_PREFIX) {
+        true => &text[..text.len().min(most)],
+        false => text,
+    }
+}
+
+/// A text for the query of a call. Keys of other writers may hold what ends a
+/// query or its field: unescaped, the page after such a key is never found.
+fn query_text(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'-' | b'_' | b'.' | b'~' | b'/' | b':' => escaped.push(byte.into()),
+            _ if byte.is_ascii_alphanumeric() => escaped.push(byte.into()),
+            _ => escaped.push_str(&format!("%{byte:02X}")),
+        }
     }
+    escaped
 }
 
 /// The client of the store; lives on one thread.
@@ -154,11 +188,11 @@
     ///
     /// The store refused or did not answer.
     pub async fn get(&self, key: &str) -> Result<Option<StoredItem>, StoreError> {
-        let url = self.url(&format!("kv-key?key={key}"));
+        let url = self.url(&format!("kv-key?key={}", query_text(key)));
         let answer = self.http.call(Method::GET, url, &[], None, CALL_LIMIT_MS);
         let (status, body) = answered(answer.await)?;
         match status {
-            StatusCode::OK => decode::<ItemBody>(&body)?.into_item().map(Some),
+            StatusCode::OK => Ok(Some(decode::<ItemBody>(&body)?.into_item())),
             StatusCode::NOT_FOUND => Ok(None),
             other => Err(refused(other)),
         }
@@ -188,12 +222,12 @@
         let mut range = Range::default();
         let mut after = String::new();
         loop {
-            let mut call = format!("kv-range?prefix={prefix}");
+            let mut call = format!("kv-range?prefix={}", query_text(prefix));
             if stale {
                 call.push_str("&serializable=1");
             }
             if !after.is_empty() {
-                call.push_str(&format!("&after={after}"));
+                call.push_str(&format!("&after={}", query_text(&after)));
             }
             let answer = self
                 .http
@@ -206,11 +240,13 @@
             if range.items.is_empty() && after.is_empty() {
                 range.revision = page.current_rev;
             }
-            for item in page.items {
-                range.items.push(item.into_item()?);
-            }
+            range
+                .items
+                .extend(page.items.into_iter().map(ItemBody::into_item));
             match range.items.last() {
-                Some(last) if page.has_more => after.clone_from(&last.key),
+                Some(last) if page.has_more && last.key > after => after.clone_from(&last.key),
+                // A page that does not go on would be read for ever.
+                Some(_) if page.has_more => return Err(StoreError::NoAnswer),
                 _ => return Ok(range),
             }
         }
@@ -227,23 +263,29 @@
         revision: u64,
         wait_ms: u64,
     ) -> Result<Watched, StoreError> {
+        let prefix = query_text(prefix);
         let call = format!("kv-watch?prefix={prefix}&after={revision}&wait_ms={wait_ms}");
         let limit_ms = wait_ms + WATCH_SLACK_MS;
         let answer = self
             .http
             .call(Method::GET, self.url(&call), &[], None, limit_ms);
-        let (status, body) = answered(answer.await)?;
+        let answer = answer.await;
+        if answer == Err(CallFailure::TooLarge) {
+            // Asked again, it would be as long: pages are bounded.
+            return Ok(Watched::HistoryGone);
+        }
+        let (status, body) = answered(answer)?;
         match status {
             StatusCode::OK => {
                 let body: WatchBody = decode(&body)?;
                 let events = body.events.into_iter().map(|event| {
                     if event.deleted {
-                        return Ok(StoreEvent::Removed { key: event.key });
+                        return StoreEvent::Removed { key: event.key };
                     }
-                    event.into_item().map(StoreEvent::Put)
+                    StoreEvent::Put(event.into_item())
                 });
                 Ok(Watched::Changes {
-                    events: events.collect::<Result<_, _>>()?,
+                    events: events.collect(),
                     revision: body.current_rev,
                 })
             }
@@ -302,8 +344,9 @@
                 let items = decode::<ConflictBody>(&body)?.items.into_iter();
                 // A key that does not exist may be shown with revision 0.
                 let items = items.filter(|item| item.revision > 0 && !item.deleted);
-                let items = items.map(ItemBody::into_item).collect::<Result<_, _>>()?;
-                Ok(Committed::Conflict(items))
+                Ok(Committed::Conflict(
+                    items.map(ItemBody::into_item).collect(),
+                ))
             }
             StatusCode::NOT_FOUND => Ok(Committed::LeaseOver),
             other => Err(refused(other)),
@@ -349,7 +392,7 @@
 ) -> Result<(StatusCode, Bytes), StoreError> {
     answer.map_err(|failure| match failure {
         CallFailure::NotSent => StoreError::Refused,
-        CallFailure::NoAnswer => StoreError::NoAnswer,
+        CallFailure::NoAnswer | CallFailure::TooLarge => StoreError::NoAnswer,
     })
 }
 
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -1,9 +1,6 @@
 //! Calls to workers and to the policy that decides on them.
 
-use super::http::{
-    CallFailure,
-    HttpClient, //
-};
+use super::http::HttpClient;
 use crate::scheduler::{
     CallOutcome,
     EndKind,
@@ -195,7 +192,7 @@
             Ok((status, body)) => outcome_of(status, &body),
             // A connection that did not open may also mean that the opening
             // packet is still under way; nothing of the order was sent.
-            Err(CallFailure::NotSent | CallFailure::NoAnswer) => CallOutcome::NoAnswer,
+            Err(_) => CallOutcome::NoAnswer,
         }
     }
 
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -211,6 +211,22 @@
         /// What became of it.
         outcome: UpkeepOutcome,
     },
+    /// The entry of a known worker names no worker to use: it gets no new work.
+    EntryUnusable {
+        /// The worker's incarnation.
+        worker: Arc<str>,
+        /// Why.
+        reason: &'static str,
+        /// Runs that go on there.
+        runs: usize,
+    },
+    /// It does again.
+    EntryUsable {
+        /// The worker's incarnation.
+        worker: Arc<str>,
+        /// Runs that went on there.
+        runs: usize,
+    },
     /// A worker was lost with all that ran there.
     WorkerLost {
         /// The worker's incarnation.
--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -7,6 +7,9 @@
 //! until every worker of the roster has answered, tasks of jobs that the
 //! earlier owner knew are not started anew: they could run twice.
 //!
+//! A roster that does not read may name any worker: then only the longest lease
+//! ends the blindness.
+//!
 //! What runs on a worker that an earlier owner closed is stored, so only those
 //! tasks wait for it.
 //!
@@ -81,13 +84,15 @@
                 && worker.intake != Intake::Closed
         };
         // This runs after each look; it stops at the first worker not heard.
-        if self.now_ms < until_ms && self.workers.iter().any(|worker| is_unheard(&worker)) {
+        let unheard = || self.workers.iter().any(|worker| is_unheard(&worker));
+        if self.now_ms < until_ms && (self.roster_unread || unheard()) {
             return;
         }
         let unheard = self.workers.iter().filter(is_unheard);
         let unheard: Vec<_> = unheard.map(Worker::incarnation).collect();
         self.blind_until_ms = None;
         self.changed = true;
+        self.replace_unread_roster();
         self.decided(Decision::RecoveryOver {
             waited_ms: self.now_ms - self.began_ms,
             groups: self.groups.values().filter(|group| group.blind).count(),
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -6,6 +6,7 @@
 };
 use super::progress::FinalState;
 use super::state::Scheduler;
+use super::unread::UNREAD_CHANGE;
 use super::{
     EndKind,
     EndedRow,
@@ -34,13 +35,17 @@
             EndKind::Failed => self.take_failed(key, row.name),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => 0,
         };
+        let change = match self.keep_unread_end(key, &row) {
+            true => UNREAD_CHANGE,
+            false => change,
+        };
         self.run_gone(key, row.name);
         let worker = self.worker_mut(key);
         worker.undurable.push_back((row.number, row.name, change));
         self.with_undurable.insert(key);
     }
 
-    fn keep_end_checkpoint(&mut self, row: &EndedRow) {
+    pub(super) fn keep_end_checkpoint(&mut self, row: &EndedRow) {
         if row.checkpoint.is_empty() || row.kind == EndKind::Done {
             return;
         }
@@ -58,7 +63,7 @@
     }
 
     /// Returns the number of the change to store, 0 for none.
-    fn take_done(&mut self, key: WorkerKey, name: RunName) -> u64 {
+    pub(super) fn take_done(&mut self, key: WorkerKey, name: RunName) -> u64 {
         let group_key = GroupKey::of(name.task);
         self.note_success(key);
         self.learn_from_end(key, name);
@@ -124,7 +129,7 @@
         }
     }
 
-    fn take_failed(&mut self, key: WorkerKey, name: RunName) -> u64 {
+    pub(super) fn take_failed(&mut self, key: WorkerKey, name: RunName) -> u64 {
         let now_ms = self.now_ms;
         let group_key = GroupKey::of(name.task);
         let Some(group) = self.groups.get_mut(&group_key) else {
@@ -173,7 +178,11 @@
         let worker = &mut self.workers[key.index()];
         while let Some(&(number, name, change)) = worker.undurable.front() {
             let job = jobs.get(&name.task.job);
-            let durable = change == 0 || job.is_none_or(|job| job.stored >= change);
+            let durable = match change {
+                0 => true,
+                UNREAD_CHANGE => false,
+                _ => job.is_none_or(|job| job.stored >= change),
+            };
             if !durable {
                 return false;
             }
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -67,6 +67,7 @@
             }
         }
         self.settle_absent(key, sent_ms, &seen);
+        self.answered_at_address(key);
         self.review_blindness();
         // Looking again at once would bring the same ends until they are durable.
         let all_durable = self.advance_last_seen(key);
@@ -80,12 +81,14 @@
     /// Takes in that a look failed.
     pub(super) fn hold_failed(&mut self, key: WorkerKey, outcome: CallOutcome) {
         let now_ms = self.now_ms;
+        let judged = self.judged(key, outcome);
         self.look_over(key);
+        self.try_other_address(key);
         let worker = self.worker_mut(key);
         worker.failed_looks += 1;
         let wait_ms = FAILED_LOOK_MS << (worker.failed_looks - 1).min(2);
         worker.look_at_ms = now_ms + wait_ms.min(MAX_FAILED_LOOK_MS);
-        match outcome {
+        match judged {
             CallOutcome::OtherIncarnation => self.worker_gone(key, "other_incarnation"),
             CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::Deposed),
             _ if worker.contact == Contact::Answering => {
@@ -147,7 +150,7 @@
 
     /// Takes over a run that an earlier owner started, or stops one that has
     /// no place any more.
-    fn adopt(&mut self, key: WorkerKey, row: &RunningRow) {
+    pub(super) fn adopt(&mut self, key: WorkerKey, row: &RunningRow) {
         let now_ms = self.now_ms;
         self.drop_older_claims(row.name);
         let group_key = GroupKey::of(row.name.task);
@@ -155,8 +158,10 @@
         let (mut fits, mut run) = (false, Run::found(now_ms, group_key));
         // What it takes is not known: nothing else goes there meanwhile.
         run.room = self.worker(key).info.capacity;
+        run.room_unknown = true;
         if let Some(group) = self.groups.get_mut(&group_key) {
             run.room = group.room;
+            run.room_unknown = false;
             run.fills = group.step.fills;
             run.pace_percent = if run.fills { u32::MAX } else { 100 };
             run.serves = group.step.serves();
@@ -189,7 +194,8 @@
         run.percent = row.percent;
         run.usage = row.usage;
         self.worker_mut(key).add_run(row.name, run);
-        if !fits {
+        // A job that does not read keeps what it has.
+        if !fits && !self.is_unread(row.name.task.job) {
             self.stop_run(key, row.name, StopReason::Stray);
         }
     }
@@ -214,11 +220,12 @@
 
     /// A change of pace was answered, or not.
     pub(super) fn pace_over(&mut self, key: WorkerKey, name: RunName, outcome: CallOutcome) {
+        let judged = self.judged(key, outcome);
         let Some(run) = self.worker_mut(key).runs.get_mut(&name) else {
             return;
         };
         run.pace_in_flight = false;
-        match outcome {
+        match judged {
             CallOutcome::Done => {}
             CallOutcome::OtherIncarnation => self.worker_gone(key, "other_incarnation"),
             CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::Deposed),
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -183,6 +183,34 @@
     },
     /// The worker's entry is gone.
     WorkerUnlisted(String),
+    /// The worker's entry is there, and names no worker to use.
+    WorkerUnusable {
+        /// The incarnation that the entry's key names.
+        incarnation: String,
+        /// Why, as logs and counters name it.
+        reason: &'static str,
+    },
+    /// A stored value of a job does not read: what is done of it is not known.
+    JobUnread(JobId),
+    /// The values of a job that did not read do so now.
+    JobRead {
+        /// Its name.
+        id: JobId,
+        /// What was stored.
+        record: Arc<JobRecord>,
+        /// What an earlier owner noted of it.
+        progress: Option<ProgressRecord>,
+    },
+    /// The stored roster does not read: earlier owners may have used any worker.
+    RosterUnread,
+    /// Beside a roster that does not read, the store says that a worker got no
+    /// more starts; where it is called is told by its entry, if it has one.
+    ClosedWorker {
+        /// The incarnation.
+        incarnation: String,
+        /// Runs that may be there.
+        runs: Vec<RunName>,
+    },
     /// All that was stored before this owner began is told.
     Recovered {
         /// The process of the earlier owner has certainly ended.
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -154,7 +154,8 @@
             change: 0,
             stored: 0,
             work,
-            first_step_accelerators: first.map_or(0, |step| step.count * step.needs.accelerators),
+            first_step_accelerators: first
+                .map_or(0, |step| step.count.saturating_mul(step.needs.accelerators)),
             steps,
             record,
             restored: Some(progress),
@@ -212,7 +213,9 @@
             age_ms: self.now_ms.saturating_sub(due_ms),
             objective_ms: length_ms,
         };
-        let blind = self.is_blind();
+        // A job that did not read may run where this owner cannot look yet.
+        let late = self.is_unread(id) && self.blind_until_ms.is_some();
+        let blind = self.is_blind() || late;
         let mut groups = Vec::new();
         for (at, step) in job.steps.iter().enumerate() {
             let key = GroupKey {
@@ -443,6 +446,7 @@
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&id) else {
             self.cancelled_early.insert(id);
+            self.unread_job_cancelled(id);
             return;
         };
         if job.is_over() {
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -41,22 +41,19 @@
     pub(super) fn take_worker(&mut self, info: WorkerInfo) {
         let known = self.worker_index.get(&info.incarnation).copied();
         let key = known.unwrap_or_else(|| self.add_worker(info.clone()));
-        if self.worker(key).info.address != info.address {
-            self.forget_address(key);
-            self.note_address(&info.address, key);
-        }
-        let now_ms = self.now_ms;
+        self.take_entry(key, info);
         let worker = self.worker_mut(key);
-        worker.update(info, now_ms);
         if worker.contact == Contact::Gone {
             // It was silent and not listed for a whole lease, and is back.
             worker.contact = Contact::Unfenced;
             self.vacant.retain(|&(_, vacant)| vacant != key);
         }
         let unknown = !self.worker(key).on_roster;
-        if unknown && !self.roster_asked {
+        if unknown && self.roster_unread {
+            self.join_unread_roster(key);
+        } else if unknown && !self.roster_asked {
             self.roster_asked = true;
-            self.actions.push(Action::StoreRoster);
+            self.ask_to_store_roster();
         }
         self.changed = true;
     }
@@ -84,19 +81,19 @@
             .into_iter()
             .flatten()
             .copied()
-            .filter(|&other| other != key)
+            .filter(|&other| other != key && self.worker(other).dispute.is_none())
             .collect();
         for other in others {
             self.worker_gone(other, "replaced");
         }
     }
 
-    fn note_address(&mut self, address: &str, key: WorkerKey) {
+    pub(super) fn note_address(&mut self, address: &str, key: WorkerKey) {
         let there = self.address_index.entry(address.to_owned()).or_default();
         there.push(key);
     }
 
-    fn forget_address(&mut self, key: WorkerKey) {
+    pub(super) fn forget_address(&mut self, key: WorkerKey) {
         let address = &self.workers[key.index()].info.address;
         if let Some(there) = self.address_index.get_mut(address) {
             there.retain(|&other| other != key);
@@ -165,7 +162,7 @@
             .iter()
             .any(|worker| !worker.on_roster && worker.contact != Contact::Gone);
         if self.roster_asked {
-            self.actions.push(Action::StoreRoster);
+            self.ask_to_store_roster();
         }
         self.changed = true;
     }
@@ -229,7 +226,7 @@
         worker.contact = Contact::Gone;
         if worker.on_roster {
             worker.on_roster = false;
-            self.actions.push(Action::StoreRoster);
+            self.ask_to_store_roster();
         }
         self.lose_runs(key, reason);
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod closing;
 mod configuration;
 mod ends;
+mod entries;
 mod estimate;
 mod evidence;
 mod group;
@@ -32,6 +33,7 @@
 mod speed;
 mod state;
 mod tuning;
+mod unread;
 mod upkeep;
 mod worker;
 
@@ -48,6 +50,7 @@
     Queue,
     RequestLimits, //
 };
+pub use entries::AddressDispute;
 pub use estimate::RunTimes;
 pub use group::{
     Group,
--- a/src/scheduler/orders.rs
+++ b/src/scheduler/orders.rs
@@ -47,6 +47,7 @@
         let entry = super::Run {
             group: group_key,
             room: group.room,
+            room_unknown: false,
             phase: RunPhase::Starting,
             ordered_ms: now_ms,
             sends: 0,
@@ -122,6 +123,7 @@
     }
 
     pub(super) fn start_over(&mut self, key: WorkerKey, name: RunName, outcome: CallOutcome) {
+        let judged = self.judged(key, outcome);
         /// Wait before a start without an answer is sent again.
         const RESEND_MS: u64 = 30;
         let now_ms = self.now_ms;
@@ -129,7 +131,7 @@
             return;
         };
         run.in_flight = false;
-        match outcome {
+        match judged {
             CallOutcome::Done if run.phase == RunPhase::Starting => {
                 run.phase = RunPhase::Running;
                 run.conclusive_ms = Some(now_ms + CONCLUSIVE_MS);
@@ -232,6 +234,7 @@
     }
 
     pub(super) fn stop_over(&mut self, key: WorkerKey, name: RunName, outcome: CallOutcome) {
+        let judged = self.judged(key, outcome);
         /// Wait before a stop without an answer is sent again.
         const RESEND_MS: u64 = 200;
         let (now_ms, stop_ms) = (self.now_ms, self.tuning.stop_ms);
@@ -240,7 +243,7 @@
             return;
         };
         run.in_flight = false;
-        match outcome {
+        match judged {
             CallOutcome::Done => {
                 run.conclusive_ms = Some(now_ms + stop_ms + CONCLUSIVE_MS);
                 worker.look_at_ms = worker.look_at_ms.min(now_ms + stop_ms);
--- a/src/scheduler/progress.rs
+++ b/src/scheduler/progress.rs
@@ -102,6 +102,13 @@
 }
 
 impl ProgressRecord {
+    /// The highest number of a run that it names; 0 for none.
+    pub fn highest_run(&self) -> u64 {
+        let failures = self.groups.iter().flat_map(|group| &group.failures);
+        let runs = failures.flat_map(|row| &row.runs);
+        runs.copied().max().unwrap_or(0)
+    }
+
     /// What is noted of a group.
     pub fn group(&self, key: GroupKey) -> Option<&GroupProgress> {
         self.groups
--- a/src/scheduler/spec.rs
+++ b/src/scheduler/spec.rs
@@ -36,12 +36,12 @@
         }
     }
 
-    /// The sum of both.
+    /// The sum of both; the largest number where it is too large for one.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu_millis: self.cpu_millis + other.cpu_millis,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -125,6 +125,10 @@
     pub interval_ms: u64,
 }
 
+/// Most tasks of a job, three times what the whole system runs at a time: each
+/// takes memory of the owner from when the job opens.
+const MAX_TASKS: u64 = 100_000;
+
 /// A job as its caller describes it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct JobSpec {
@@ -142,6 +146,10 @@
         if self.steps.is_empty() {
             return Some("a job needs at least one step");
         }
+        let tasks = self.steps.iter().map(|step| u64::from(step.count));
+        if tasks.fold(0, u64::saturating_add) > MAX_TASKS {
+            return Some("a job has at most 100,000 tasks; submit several");
+        }
         for (at, step) in self.steps.iter().enumerate() {
             if step.count == 0 {
                 return Some("a step needs at least one task");
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -5,6 +5,7 @@
     Decision, //
 };
 use super::headroom::Demand;
+use super::unread::UnreadEnd;
 use super::upkeep::Upkeep;
 use super::worker::Contact;
 use super::{
@@ -16,6 +17,7 @@
     Input,
     Queue,
     Resources,
+    RunName,
     RunTimes,
     Tuning,
     Worker, //
@@ -63,6 +65,8 @@
     pub leaving_jobs: usize,
     /// Terms of queues, those of removed queues with jobs included.
     pub queues: usize,
+    /// Jobs with a stored value that does not read.
+    pub unread_jobs: usize,
 }
 
 /// What was learned of a queue's jobs.
@@ -108,6 +112,12 @@
     /// Workers that listed ends which are not durable yet.
     pub(super) with_undurable: BTreeSet<WorkerKey>,
     pub(super) jobs: BTreeMap<JobId, GraphJob>,
+    /// Jobs with a stored value that does not read, and their ends that wait.
+    pub(super) unread_jobs: BTreeMap<JobId, Vec<UnreadEnd>>,
+    /// The stored roster does not read.
+    pub(super) roster_unread: bool,
+    /// Closed workers that such a roster may name, with what may run there.
+    pub(super) closed_unlisted: HashMap<String, Vec<RunName>>,
     /// Urgent jobs within their account's guarantee, as of the last pass.
     pub(super) guaranteed: HashSet<JobId>,
     pub(super) cancelled_early: HashSet<JobId>,
@@ -151,6 +161,9 @@
             address_index: HashMap::new(),
             with_undurable: BTreeSet::new(),
             jobs: BTreeMap::new(),
+            unread_jobs: BTreeMap::new(),
+            roster_unread: false,
+            closed_unlisted: HashMap::new(),
             guaranteed: HashSet::new(),
             cancelled_early: HashSet::new(),
             groups: BTreeMap::new(),
@@ -177,6 +190,10 @@
                 record,
                 progress,
             } => {
+                // Told without what was noted of it.
+                if self.is_unread(id) {
+                    return;
+                }
                 self.take_job(id, record, progress);
                 if self.cancelled_early.remove(&id) {
                     self.cancel_job(id);
@@ -190,6 +207,25 @@
                 closed_with,
             } => self.take_known_worker(incarnation, address, closed_with),
             Input::WorkerUnlisted(name) => self.worker_unlisted(&name),
+            Input::WorkerUnusable {
+                incarnation,
+                reason,
+            } => self.worker_unusable(&incarnation, reason),
+            Input::JobUnread(id) => self.job_unread(id),
+            Input::JobRead {
+                id,
+                record,
+                progress,
+            } => {
+                self.job_read(id, record, progress);
+                if self.cancelled_early.remove(&id) {
+                    self.cancel_job(id);
+                }
+            }
+            Input::RosterUnread => self.roster_unread = true,
+            Input::ClosedWorker { incarnation, runs } => {
+                self.closed_unlisted.insert(incarnation, runs);
+            }
             Input::Recovered { earlier_owner_over } => self.begin_recovery(earlier_owner_over),
             Input::RosterStored(workers) => self.roster_stored(&workers),
             Input::Held {
@@ -317,6 +353,7 @@
             workers: self.workers.len(),
             leaving_jobs: self.leaving_jobs.len(),
             queues: self.terms.len(),
+            unread_jobs: self.unread_jobs.len(),
         }
     }
 
@@ -377,7 +414,10 @@
     }
 
     pub(super) fn fleet_room(&self) -> Resources {
-        let live = self.workers.iter().filter(|worker| worker.listed);
+        let live = self
+            .workers
+            .iter()
+            .filter(|worker| worker.listed && worker.entry_problem.is_none());
         live.fold(Resources::default(), |sum, worker| {
             sum.plus(&worker.info.capacity)
         })
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -2,6 +2,7 @@
 
 use super::action::Callee;
 use super::{
+    AddressDispute,
     Belief,
     Drag,
     GroupKey,
@@ -31,6 +32,10 @@
 /// same one may have been sent before. A run held to be gone would run twice.
 pub(super) const CONCLUSIVE_MS: u64 = 2;
 
+/// Ends that a worker lists in one answer are 500 at most. One with nearly as many
+/// that wait gets no work: the ends that follow would never be heard of.
+const MAX_UNDURABLE: usize = 400;
+
 /// Where a run stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
@@ -54,6 +59,8 @@
     pub group: GroupKey,
     /// What it takes.
     pub room: Resources,
+    /// That is not known: it holds all the room there is.
+    pub room_unknown: bool,
     /// Where it stands.
     pub phase: RunPhase,
     /// When it was ordered.
@@ -129,6 +136,7 @@
         Self {
             group,
             room: Resources::default(),
+            room_unknown: false,
             phase: RunPhase::Running,
             ordered_ms: now_ms,
             sends: 1,
@@ -161,6 +169,10 @@
     pub draining_since_ms: Option<u64>,
     /// Its registration is there.
     pub listed: bool,
+    /// Why that names no worker to use, if it does not.
+    pub entry_problem: Option<&'static str>,
+    /// That names another address than the one at which it was known.
+    pub dispute: Option<AddressDispute>,
     /// The roster in the store names it.
     pub on_roster: bool,
     /// Whether the store says that it gets no more starts.
@@ -226,6 +238,8 @@
             info,
             draining_since_ms: None,
             listed: false,
+            entry_problem: None,
+            dispute: None,
             on_roster: false,
             intake: Intake::Open,
             contact: Contact::Unfenced,
@@ -257,10 +271,26 @@
             true => self.draining_since_ms.or(Some(now_ms)),
             false => None,
         };
-        self.address = info.address.as_str().into();
+        self.set_address(&info.address);
         self.rack = rack_of(&info).into();
+        let capacity = info.capacity;
         self.info = info;
         self.listed = true;
+        self.fill_with_unknown(capacity);
+    }
+
+    /// Has it called at `address` from now on.
+    pub(super) fn set_address(&mut self, address: &str) {
+        self.address = address.into();
+    }
+
+    /// A run of which nothing is known holds all the room, also if the capacity
+    /// was not known when it was found.
+    fn fill_with_unknown(&mut self, capacity: Resources) {
+        for run in self.runs.values_mut().filter(|run| run.room_unknown) {
+            self.used = self.used.minus(&run.room).plus(&capacity);
+            run.room = capacity;
+        }
     }
 
     /// Whom to call.
@@ -286,6 +316,8 @@
     pub fn takes_work(&self, now_ms: u64) -> bool {
         self.contact == Contact::Answering
             && self.listed
+            && self.entry_problem.is_none()
+            && self.undurable.len() < MAX_UNDURABLE
             && self.on_roster
             && self.intake == Intake::Open
             && !self.upkeep_next
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -1,8 +1,17 @@
 //! The documents and the program agree.
 
+use fuchsiaslip::cluster::StoredKind;
 use fuchsiaslip::core::RefusalReason;
 use fuchsiaslip::daemon::Settings;
 use fuchsiaslip::events;
+use fuchsiaslip::platform::{
+    MAX_ENTRY_BYTES,
+    decode_worker, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
 use std::collections::HashSet;
 
 fn document(name: &str) -> String {
@@ -49,6 +58,55 @@
     }
 }
 
+/// Someone reads `kind` and `reason` of a line and looks them up.
+#[test]
+fn every_kind_of_stored_value_is_in_the_pages() {
+    let (faults, operations) = (document("docs/FAULTS.md"), document("docs/OPERATIONS.md"));
+    let entry = json!({ "service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready",
+        "capacity": { "cpu": 1, "mem_mb": 1 }, "labels": ["a"] });
+    let with = |field: &str, value: Value| {
+        let mut entry = entry.clone();
+        entry[field] = value;
+        entry.to_string().into_bytes()
+    };
+    let deep = format!("{}{}", "[".repeat(40), "]".repeat(40));
+    let wrong = [
+        vec![b' '; MAX_ENTRY_BYTES + 1],
+        deep.into_bytes(),
+        vec![0xff],
+        vec![b'{'],
+        b"{}".to_vec(),
+        with("state", json!("down")),
+        with("service", json!("")),
+        with("zone", json!("")),
+        with("address", json!("nowhere")),
+        with("labels", json!([])),
+        with("slots", json!(-1)),
+    ];
+
+    for kind in StoredKind::ALL {
+        let name = format!("| `{}` |", kind.name());
+        assert!(faults.contains(&name), "docs/FAULTS.md lacks {name}");
+        let name = format!("`{}`", kind.name());
+        assert!(
+            operations.contains(&name),
+            "docs/OPERATIONS.md lacks {name}"
+        );
+    }
+    let mut reasons = HashSet::from(["bad_name", "bad_job", "other_address"]);
+    for value in wrong {
+        let error = decode_worker("i-1", &value).expect_err("it is wrong");
+        assert!(reasons.insert(error.reason()), "twice: {}", error.reason());
+    }
+    for reason in reasons {
+        let name = format!("`{reason}`");
+        assert!(
+            operations.contains(&name),
+            "docs/OPERATIONS.md lacks {name}"
+        );
+    }
+}
+
 #[test]
 fn sample_settings_and_configuration_are_right() {
     let settings = Settings::parse(&document("examples/fuchsiaslipd.toml"));
--- /dev/null
+++ b/tests/foreign/decoder.rs
@@ -0,0 +1,304 @@
+//! Which entries name a worker to use.
+
+use fuchsiaslip::platform::decode_worker;
+use fuchsiaslip::scheduler::{
+    Resources,
+    WorkerInfo, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+const INCARNATION: &str = "i-7f3a91c2";
+
+/// An entry as workers write it.
+fn entry() -> Value {
+    json!({
+        "service": "huvo11a", "address": "10.128.0.9:8080", "zone": "zg-dubrava",
+        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+        "capacity": { "cpu": 16000, "mem_mb": 32768, "gpu": 0 },
+        "labels": ["a", "r1-3"], "clock_ms": 482113, "sequence": 4,
+    })
+}
+
+fn with(field: &str, value: Value) -> Value {
+    let mut entry = entry();
+    entry[field] = value;
+    entry
+}
+
+fn without(field: &str) -> Value {
+    let mut entry = entry();
+    entry.as_object_mut().expect("an object").remove(field);
+    entry
+}
+
+fn read(entry: &Value) -> Option<WorkerInfo> {
+    read_bytes(entry.to_string().as_bytes())
+}
+
+fn read_bytes(value: &[u8]) -> Option<WorkerInfo> {
+    decode_worker(INCARNATION, value).ok()
+}
+
+#[test]
+fn an_entry_as_workers_write_it_is_read() {
+    let info = read(&entry()).expect("it names a worker");
+
+    let expected = WorkerInfo {
+        incarnation: INCARNATION.to_owned(),
+        address: "10.128.0.9:8080".to_owned(),
+        service: "huvo11a".to_owned(),
+        data_centre: "zg-dubrava".to_owned(),
+        labels: vec!["a".to_owned(), "r1-3".to_owned()],
+        capacity: Resources {
+            cpu_millis: 16_000,
+            memory_mb: 32_768,
+            accelerators: 0,
+        },
+        draining: false,
+        remaining_ms: None,
+    };
+    assert_eq!(info, expected);
+}
+
+#[test]
+fn what_may_be_left_out_has_its_default() {
+    for field in [
+        "version",
+        "slots",
+        "cold_remaining_ms",
+        "clock_ms",
+        "sequence",
+    ] {
+        assert!(read(&without(field)).is_some(), "without {field}");
+    }
+    let no_accelerators = with("capacity", json!({ "cpu": 16000, "mem_mb": 32768 }));
+    assert_eq!(read(&no_accelerators), read(&entry()));
+    let more = with(
+        "introduced_later",
+        json!({ "by": ["a", "newer", "version"] }),
+    );
+    assert_eq!(read(&more), read(&entry()));
+    let address = with("address", json!("[fd00::9]:8080"));
+    assert!(read(&address).is_some(), "an address of the sixth version");
+}
+
+#[test]
+fn a_draining_entry_says_how_long_its_worker_stays() {
+    let mut draining = with("state", json!("draining"));
+    assert_eq!(read(&draining).and_then(|info| info.remaining_ms), None);
+    draining["remaining_ms"] = json!(2_000.5);
+
+    let info = read(&draining).expect("it names a worker");
+
+    assert!(info.draining);
+    assert_eq!(info.remaining_ms, Some(2_000));
+}
+
+#[test]
+fn an_entry_that_lacks_a_field_names_no_worker_to_use() {
+    for field in ["service", "address", "zone", "state", "capacity", "labels"] {
+        assert_eq!(read(&without(field)), None, "without {field}");
+    }
+    for capacity in [json!({}), json!({ "cpu": 1000 }), json!({ "mem_mb": 1000 })] {
+        assert_eq!(
+            read(&with("capacity", capacity.clone())),
+            None,
+            "{capacity}"
+        );
+    }
+}
+
+#[test]
+fn a_field_of_another_type_names_no_worker_to_use() {
+    let texts = ["service", "address", "zone", "state", "version"];
+    let others = [
+        json!(null),
+        json!(7),
+        json!(true),
+        json!([]),
+        json!(["ready"]),
+        json!({}),
+    ];
+    for field in texts {
+        for value in &others {
+            assert_eq!(read(&with(field, value.clone())), None, "{field}: {value}");
+        }
+    }
+    let not_numbers = [
+        json!(null),
+        json!("8"),
+        json!("NaN"),
+        json!(true),
+        json!([8]),
+        json!({}),
+        json!(-1),
+        json!(1e300),
+    ];
+    for field in ["slots", "cold_remaining_ms", "sequence", "remaining_ms"] {
+        for value in &not_numbers {
+            assert_eq!(read(&with(field, value.clone())), None, "{field}: {value}");
+        }
+    }
+    for field in ["cpu", "mem_mb", "gpu"] {
+        for value in not_numbers.iter().chain(&[json!(1.5), json!(u32::MAX)]) {
+            let mut entry = entry();
+            entry["capacity"][field] = value.clone();
+            assert_eq!(read(&entry), None, "{field}: {value}");
+        }
+    }
+    for value in [
+        json!(null),
+        json!(7),
+        json!([16000, 32768, 0]),
+        json!("all"),
+    ] {
+        assert_eq!(read(&with("capacity", value.clone())), None, "{value}");
+    }
+    for value in [
+        json!(null),
+        json!("r1-3"),
+        json!([1, 2]),
+        json!(["a", null]),
+        json!({}),
+    ] {
+        assert_eq!(read(&with("labels", value.clone())), None, "{value}");
+    }
+}
+
+#[test]
+fn a_state_or_service_that_is_not_named_names_no_worker_to_use() {
+    for state in ["", "Ready", "READY", " ready", "ready ", "down", "failing"] {
+        assert_eq!(read(&with("state", json!(state))), None, "{state:?}");
+    }
+    for text in ["", " ", "a\u{0}b", "a\nb"] {
+        assert_eq!(read(&with("service", json!(text))), None, "{text:?}");
+        assert_eq!(read(&with("zone", json!(text))), None, "{text:?}");
+    }
+    assert_eq!(read(&with("service", json!("s".repeat(5_000)))), None);
+}
+
+#[test]
+fn an_address_that_cannot_be_called_names_no_worker_to_use() {
+    for address in [
+        "",
+        "10.128.0.9",
+        "10.128.0.9:",
+        "10.128.0.9:0",
+        "10.128.0.9:65536",
+        "10.128.0.9:-1",
+        "10.128.0.256:80",
+        "0.0.0.0:8080",
+        "[::]:8080",
+        "255.255.255.255:8080",
+        "224.0.0.1:8080",
+        "[ff02::1]:8080",
+        "worker.example:8080",
+        "http://10.128.0.9:8080",
+        "10.128.0.9:8080/-/run-start?",
+        " 10.128.0.9:8080",
+        "10.128.0.9:8080\r\nHost: x",
+        "10.128.0.9:8080,10.128.0.10:8080",
+    ] {
+        assert_eq!(read(&with("address", json!(address))), None, "{address:?}");
+    }
+}
+
+#[test]
+fn bytes_that_are_no_entry_name_no_worker_to_use() {
+    let text = entry().to_string();
+    for end in 0..text.len() {
+        assert_eq!(read_bytes(&text.as_bytes()[..end]), None, "cut at {end}");
+    }
+    let mut not_text = text.clone().into_bytes();
+    let at = text.find("r1-3").expect("a label");
+    not_text[at] = 0xff;
+    assert_eq!(read_bytes(&not_text), None);
+    // The same in a field that nobody reads.
+    let not_read = text.replace("{\"address\"", "{\"x\":\"?\",\"address\"");
+    let mut not_text = not_read.clone().into_bytes();
+    not_text[not_read.find('?').expect("the mark")] = 0xff;
+    assert_eq!(read_bytes(&not_text), None);
+    for value in [
+        "",
+        " ",
+        "null",
+        "0",
+        "[]",
+        "{}",
+        "\"ready\"",
+        "<xml/>",
+        "\u{feff}{}",
+        "[\"huvo11a\",\"10.128.0.9:8080\",\"zg-dubrava\",\"ready\",{\"cpu\":1,\"mem_mb\":1},[\"a\"]]",
+    ] {
+        assert_eq!(read_bytes(value.as_bytes()), None, "{value}");
+    }
+    assert_eq!(read_bytes(format!("{text}{text}").as_bytes()), None);
+    for spelling in ["NaN", "nan", "Infinity", "-Infinity", "1e999", "0x10", "08"] {
+        let entry = text.replace("\"slots\":8", &format!("\"slots\":{spelling}"));
+        assert_eq!(read_bytes(entry.as_bytes()), None, "{spelling}");
+    }
+}
+
+#[test]
+fn a_field_that_stands_twice_names_no_worker_to_use() {
+    let text = entry().to_string();
+    for again in [
+        "\"state\":\"ready\"",
+        "\"state\":\"draining\"",
+        "\"address\":\"10.128.0.9:8080\"",
+        "\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0}",
+    ] {
+        let twice = format!("{{{again},{}", &text[1..]);
+        assert_eq!(read_bytes(twice.as_bytes()), None, "{again}");
+    }
+    let twice = text.replace("\"cpu\":16000", "\"cpu\":16000,\"cpu\":64000");
+    assert_eq!(read_bytes(twice.as_bytes()), None);
+}
+
+#[test]
+fn an_entry_nested_too_deep_or_too_long_names_no_worker_to_use() {
+    for depth in [40, 200, 100_000] {
+        let nested = format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+        for field in ["labels", "introduced_later"] {
+            let text = without("labels").to_string();
+            let text = format!("{{\"{field}\":{nested},{}", &text[1..]);
+            assert_eq!(read_bytes(text.as_bytes()), None, "{field}, {depth} deep");
+        }
+    }
+    let long = with("introduced_later", json!("x".repeat(1 << 20)));
+    assert_eq!(read(&long), None);
+    let brackets = with("introduced_later", json!("[{\"\\".repeat(500)));
+    assert_eq!(read(&brackets), read(&entry()), "a text is not nested");
+}
+
+#[test]
+fn a_name_that_cannot_be_used_names_no_worker_to_use() {
+    let value = entry().to_string();
+    for name in [
+        "",
+        " ",
+        "a b",
+        "a/b",
+        "a\nb",
+        "a\r\nFencing-Token: 9",
+        "a\u{0}",
+        "ä",
+        "a&after=z",
+        "a#b",
+        "a%2Fb",
+        "a?b",
+        "a\"b",
+    ] {
+        let read = decode_worker(name, value.as_bytes());
+        assert!(read.is_err(), "{name:?}");
+    }
+    let long = "a".repeat(193);
+    assert!(decode_worker(&long, value.as_bytes()).is_err());
+    for name in ["i-7f3a91c2", "w0", "w0-3", "A.b_c:9~d@e"] {
+        let read = decode_worker(name, value.as_bytes());
+        assert!(read.is_ok(), "{name}");
+    }
+}
--- /dev/null
+++ b/tests/foreign/path.rs
@@ -0,0 +1,615 @@
+//! The whole path: real daemons beside a stand-in of the platform whose store has
+//! another writer.
+
+use super::operator::{
+    Operator,
+    World, //
+};
+use super::processes::{
+    Answer,
+    Daemon,
+    loopback, //
+};
+use fuchsiaslip::cluster::{
+    StoreError,
+    StoreEvent,
+    StoredItem,
+    Watched,
+    inspect_fleet, //
+};
+use fuchsiaslip::platform::{
+    HttpClient,
+    StoreClient, //
+};
+use fuchsiaslip::timer::Timer;
+use serde_json::{
+    Value,
+    json, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+const PATIENCE: Duration = Duration::from_secs(40);
+const PAUSE: Duration = Duration::from_millis(20);
+/// Longer than an owner needs to see an entry.
+const SEEN: Duration = Duration::from_millis(1_000);
+
+/// Numbers of tests in addresses, beside those of other test files.
+const FOREIGN: u8 = 230;
+
+fn fleet(test: u8, count: u8, operator: &Operator) -> Vec<Daemon> {
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons: Vec<Daemon> = (0..count)
+        .map(|at| {
+            let ip = loopback(FOREIGN + test, at);
+            Daemon::spawn(&format!("d{at}"), ip, operator.store)
+        })
+        .collect();
+    wait_until("every daemon is ready", || {
+        daemons.iter().all(Daemon::is_ready)
+    });
+    daemons
+}
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "waited in vain: {what}");
+        std::thread::sleep(PAUSE);
+    }
+}
+
+fn path(job: u64) -> String {
+    format!("/q/{job:016x}")
+}
+
+/// A job of so many tasks in each of its steps, one after the other.
+fn job(steps: &[u32], run_ms: u64) -> String {
+    let step = |(at, &count): (usize, &u32)| {
+        let mut step = json!({ "count": count, "cpu": 1000, "mem_mb": 100, "gpu": 1,
+            "estimated_ms": run_ms });
+        if at > 0 {
+            step["after"] = json!([at - 1]);
+        }
+        step
+    };
+    let steps: Vec<Value> = steps.iter().enumerate().map(step).collect();
+    json!({ "spec": run_ms.to_string(), "steps": steps }).to_string()
+}
+
+fn submit(daemon: &Daemon, id: u64, body: &str) {
+    wait_until("accepted", || {
+        matches!(
+            daemon.request("POST", &path(id), body),
+            Answer::Status(200, _)
+        )
+    });
+}
+
+fn state(daemon: &Daemon, id: u64) -> String {
+    match daemon.request("GET", &path(id), "") {
+        Answer::Status(200, body) => body,
+        other => format!("{other:?}"),
+    }
+}
+
+fn is_completed(daemon: &Daemon, id: u64) -> bool {
+    state(daemon, id) == r#"{"state":"completed"}"#
+}
+
+/// How often each task was started is all that a user wants to know here.
+fn assert_each_ran_once(world: &World, tasks: usize) {
+    let mut names: Vec<&str> = world.records.iter().map(|record| &*record.task).collect();
+    names.sort_unstable();
+    names.dedup();
+    let runs = world.records.len();
+    assert_eq!((names.len(), runs), (tasks, tasks), "{:#?}", world.records);
+}
+
+fn starts_on(world: &World, worker: usize) -> usize {
+    let records = world.records.iter();
+    records.filter(|record| record.worker == worker).count()
+}
+
+fn entry(address: &str) -> Value {
+    json!({ "service": "s", "address": address, "zone": "z", "version": "v1", "slots": 8,
+        "state": "ready", "labels": ["a", "r1"], "sequence": 1,
+        "capacity": { "cpu": 32000, "mem_mb": 131072, "gpu": 8 } })
+}
+
+/// Writes entries of all sorts that name no worker to use; how many.
+fn write_bad_entries(world: &mut World, round: u64) -> usize {
+    let good = entry("127.0.0.1:1");
+    let with = |field: &str, value: Value| {
+        let mut entry = good.clone();
+        entry[field] = value;
+        entry.to_string().into_bytes()
+    };
+    let long = format!("{{\"x\":\"{}\"}}", "x".repeat(1_000_000));
+    let values: Vec<Vec<u8>> = vec![
+        vec![],
+        vec![0xff, 0xfe, 0x00],
+        b"{".to_vec(),
+        b"null".to_vec(),
+        b"[]".to_vec(),
+        "[".repeat(50_000).into_bytes(),
+        long.into_bytes(),
+        with("state", json!("down")),
+        with("state", json!(1)),
+        with("service", json!(null)),
+        with("address", json!("nowhere")),
+        with("address", json!(["127.0.0.1:1"])),
+        with("capacity", json!({ "cpu": "NaN", "mem_mb": -1 })),
+        with("capacity", json!({ "cpu": 1e300, "mem_mb": 1 })),
+        with("labels", json!("r1")),
+        with("slots", json!({})),
+    ];
+    let names = [
+        "bad",
+        "a b",
+        "a&after=zzz",
+        "z#z",
+        "100%",
+        "\"q\"",
+        "zz?x=1",
+        "zzä",
+    ];
+    for (at, value) in values.iter().enumerate() {
+        let key = format!("servers/{}-{round}-{at}", names[at % names.len()]);
+        world.put_bytes(&key, value);
+    }
+    // A good entry under a name that cannot be used, and one that is no base64.
+    world.put("servers/", &good);
+    world.put("servers/a/b", &good);
+    world.put_unencoded("servers/unencoded");
+    values.len() + 3
+}
+
+/// Whatever another writer puts among the workers' entries, the workers beside them
+/// go on, an owner that is killed is followed, and on-call reads one line of each.
+#[test]
+fn bad_entries_beside_good_ones_change_nothing() {
+    let operator = Operator::spawn(3);
+    let count = write_bad_entries(&mut operator.world(), 0);
+    let mut daemons = fleet(0, 2, &operator);
+
+    submit(&daemons[0], 1, &job(&[6], 300));
+    wait_until("completed", || is_completed(&daemons[1], 1));
+    // Watch events, a lost history, and a change of owner.
+    write_bad_entries(&mut operator.world(), 1);
+    submit(&daemons[1], 2, &job(&[6], 300));
+    wait_until("completed", || is_completed(&daemons[0], 2));
+    operator.world().drop_history();
+    write_bad_entries(&mut operator.world(), 2);
+    submit(&daemons[1], 3, &job(&[6], 300));
+    wait_until("completed", || is_completed(&daemons[0], 3));
+    for daemon in &mut daemons {
+        daemon.kill();
+        daemon.start();
+    }
+    wait_until("every daemon is ready", || {
+        daemons.iter().all(Daemon::is_ready)
+    });
+    submit(&daemons[0], 4, &job(&[6], 300));
+    wait_until("completed", || is_completed(&daemons[1], 4));
+
+    assert_each_ran_once(&operator.world(), 24);
+    let roster = operator.world().value("roster").expect("a roster");
+    assert_eq!(roster.as_array().map(Vec::len), Some(3), "{roster}");
+    assert_lines_are_told_once(&daemons, count);
+}
+
+/// Each life of a daemon tells of a revision once.
+fn assert_lines_are_told_once(daemons: &[Daemon], count: usize) {
+    const LIVES: usize = 2;
+    let mut told = 0;
+    for daemon in daemons {
+        let log = std::fs::read_to_string(daemon.log()).expect("a log");
+        let lines: Vec<Value> = log
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .filter(|line: &Value| line["event"] == 205)
+            .collect();
+        told += lines.len();
+        for line in &lines {
+            let same = |other: &&Value| {
+                (&other["key"], &other["revision"]) == (&line["key"], &line["revision"])
+            };
+            let again = lines.iter().filter(same).count();
+            assert!(again <= LIVES, "told {again} times: {line}");
+            for field in ["reason", "kind", "done"] {
+                let text = line[field].as_str().unwrap_or_default();
+                assert!(!text.is_empty(), "{field} in {line}");
+            }
+        }
+    }
+    assert!(told >= count, "{told} lines of {count} entries");
+}
+
+/// A worker's entry is overwritten while a task runs there. Its owner went on
+/// giving it work by the last entry that it had been able to read.
+#[test]
+fn a_worker_whose_entry_is_overwritten_keeps_its_work_and_gets_none() {
+    let operator = Operator::spawn(2);
+    let daemons = fleet(1, 2, &operator);
+    submit(&daemons[0], 1, &job(&[1], 9_000));
+    wait_until("running", || operator.world().records.len() == 1);
+    let worker = operator.world().records[0].worker;
+    let key = operator.world().worker_key(worker);
+
+    operator.world().put_bytes(&key, b"{\"state\":\"ready\"");
+    std::thread::sleep(SEEN);
+    submit(&daemons[0], 2, &job(&[12], 100));
+    wait_until("completed", || is_completed(&daemons[1], 2));
+
+    assert_eq!(starts_on(&operator.world(), worker), 1, "no new work there");
+    wait_until("completed", || is_completed(&daemons[1], 1));
+    operator.world().register(worker, "ready");
+    std::thread::sleep(SEEN);
+    submit(&daemons[0], 3, &job(&[16], 300));
+    wait_until("completed", || is_completed(&daemons[1], 3));
+    assert!(starts_on(&operator.world(), worker) > 1, "it serves again");
+    assert_each_ran_once(&operator.world(), 29);
+}
+
+/// A worker's entry is overwritten with the address of another one, which says that
+/// it is not the one that was meant; the owner took the first for replaced, and its
+/// task ran a second time beside the first.
+#[test]
+fn a_worker_whose_entry_has_the_address_of_another_is_not_over() {
+    let operator = Operator::spawn(2);
+    let mut daemons = fleet(2, 2, &operator);
+    submit(&daemons[0], 1, &job(&[1], 9_000));
+    wait_until("running", || operator.world().records.len() == 1);
+    let worker = operator.world().records[0].worker;
+    let other = operator.world().worker_key(1 - worker);
+    let theirs = operator.world().value(&other).expect("an entry");
+    let key = operator.world().worker_key(worker);
+
+    operator.world().put(&key, &theirs);
+    std::thread::sleep(SEEN);
+    // The next owner reads the roster and the overwritten entry.
+    for daemon in &mut daemons {
+        daemon.kill();
+        daemon.start();
+    }
+    wait_until("completed", || is_completed(&daemons[1], 1));
+
+    assert_each_ran_once(&operator.world(), 1);
+}
+
+/// A daemon of another version takes over and cannot read what is noted of a job.
+/// It began the job anew, though half of it was done.
+#[test]
+fn a_job_whose_progress_does_not_read_is_neither_begun_anew_nor_shown_over() {
+    let operator = Operator::spawn(2);
+    let mut daemons = fleet(3, 2, &operator);
+    let key = format!("progress/{:016x}", 1);
+    submit(&daemons[0], 1, &job(&[2, 2], 2_500));
+    wait_until("one step is done", || {
+        let noted = operator.world().value(&key);
+        noted.is_some_and(|noted| noted["groups"][0]["done"] == json!([3]))
+    });
+    daemons.iter_mut().for_each(Daemon::kill);
+    let before = operator.world().bytes(&key).expect("progress");
+    operator
+        .world()
+        .put(&key, &json!({ "version": 9, "tasks": "v9" }));
+    daemons.iter_mut().for_each(Daemon::start);
+    wait_until("every daemon is ready", || {
+        daemons.iter().all(Daemon::is_ready)
+    });
+
+    submit(&daemons[0], 2, &job(&[4], 100));
+    wait_until("the others hold", || is_completed(&daemons[1], 2));
+    // Sent again, it is the same job.
+    submit(&daemons[0], 1, &job(&[2, 2], 2_500));
+    std::thread::sleep(Duration::from_secs(8));
+    assert_eq!(state(&daemons[0], 1), r#"{"state":"running"}"#);
+    assert_each_ran_once(&operator.world(), 8);
+    let unread = operator.world().value(&key).expect("progress");
+    assert_eq!(unread["version"], 9, "it is not written over");
+    operator.world().put_bytes(&key, &before);
+
+    wait_until("completed", || is_completed(&daemons[1], 1));
+    assert_each_ran_once(&operator.world(), 8);
+}
+
+/// What an accepted job asks for does not read after a change of owner: it is there,
+/// nothing of it starts, and a client may still cancel it.
+#[test]
+fn a_job_that_does_not_read_is_not_lost() {
+    let operator = Operator::spawn(1);
+    let mut daemons = fleet(4, 1, &operator);
+    submit(&daemons[0], 1, &job(&[1], 60_000));
+    submit(&daemons[0], 2, &job(&[1], 60_000));
+    wait_until("running", || operator.world().records.len() == 2);
+    daemons[0].kill();
+    let key = format!("jobs/{:016x}", 1);
+    let before = operator.world().bytes(&key).expect("a job");
+    operator.world().put_bytes(&key, b"\x08\x01");
+    let key_of_other = format!("jobs/{:016x}", 2);
+    operator.world().put_bytes(&key_of_other, b"\x08\x01");
+    operator.world().put("jobs/no-name", &json!({}));
+    daemons[0].start();
+    wait_until("ready", || daemons[0].is_ready());
+
+    submit(&daemons[0], 3, &job(&[1], 100));
+    std::thread::sleep(SEEN);
+    assert_eq!(state(&daemons[0], 1), r#"{"state":"queued"}"#);
+    assert_eq!(operator.world().runs_of(1), 1, "what runs goes on");
+    let cancelled = daemons[0].request("DELETE", &path(2), "");
+    assert_eq!(cancelled, Answer::Status(200, "{}".to_owned()));
+    wait_until("stopped", || operator.world().runs_of(2) == 0);
+    assert_eq!(state(&daemons[0], 2), r#"{"state":"cancelled"}"#);
+    operator.world().put_bytes(&key, &before);
+
+    wait_until("running", || {
+        state(&daemons[0], 1) == r#"{"state":"running"}"#
+    });
+    wait_until("it has room again", || is_completed(&daemons[0], 3));
+    assert_each_ran_once(&operator.world(), 3);
+}
+
+/// The root was overwritten. The next owner began with the first epoch again, which
+/// every worker refuses, and wrote over what might have told why.
+#[test]
+fn nobody_takes_over_while_the_root_does_not_read() {
+    let operator = Operator::spawn(1);
+    let daemons = fleet(5, 2, &operator);
+    submit(&daemons[0], 1, &job(&[1], 100));
+    wait_until("completed", || is_completed(&daemons[0], 1));
+    let before = operator.world().value("owner").expect("a root");
+    let epoch = before["epoch"].as_u64().expect("an epoch");
+
+    for wrong in [
+        "",
+        "{}",
+        "{\"epoch\":18446744073709551615,\"owner\":\"\",\"address\":\"\",\"boot\":0}",
+    ] {
+        operator.world().put_bytes("owner", wrong.as_bytes());
+        std::thread::sleep(Duration::from_secs(2));
+        let now = operator.world().bytes("owner");
+        assert_eq!(now.as_deref(), Some(wrong.as_bytes()), "not written over");
+    }
+    submit(&daemons[0], 2, &job(&[1], 100));
+    let mended = json!({ "epoch": epoch + 1, "owner": "", "address": "", "boot": 0 });
+    operator.world().put("owner", &mended);
+
+    wait_until("completed", || is_completed(&daemons[1], 2));
+    assert_each_ran_once(&operator.world(), 2);
+}
+
+/// The roster was overwritten, and a worker's entry is gone while it lives. A new
+/// owner knew nothing of the worker and started its task a second time.
+#[test]
+fn a_roster_that_does_not_read_is_not_taken_for_an_empty_one() {
+    let operator = Operator::spawn(2);
+    let mut daemons = fleet(6, 1, &operator);
+    submit(&daemons[0], 1, &job(&[1], 30_000));
+    wait_until("running", || operator.world().records.len() == 1);
+    let worker = operator.world().records[0].worker;
+    let began = Instant::now();
+    daemons[0].kill();
+    let key = operator.world().worker_key(worker);
+    operator.world().take_away(&key);
+    operator.world().put("roster", &json!({ "rows": 9 }));
+    daemons[0].start();
+    wait_until("it owns", || {
+        let root = operator.world().value("owner");
+        root.is_some_and(|root| root["epoch"] == 2)
+    });
+    std::thread::sleep(SEEN);
+
+    submit(&daemons[0], 2, &job(&[1], 100));
+    wait_until("new work starts at once", || is_completed(&daemons[0], 2));
+    assert!(began.elapsed() < Duration::from_secs(6), "it did not wait");
+    wait_until("the longest lease is over", || {
+        let mut world = operator.world();
+        // A worker that nobody calls ends what has lapsed when it is looked at.
+        world.runs_of(1);
+        world.records.len() == 3
+    });
+
+    let world = operator.world();
+    let (first, again) = (&world.records[0], &world.records[2]);
+    assert_eq!(first.task, again.task);
+    let (ended, how) = first.ended.expect("it ended");
+    assert_eq!(how, "lapsed");
+    assert!(ended <= again.began, "twice at a time");
+    drop(world);
+    wait_until("it is written anew", || {
+        let roster = operator.world().value("roster");
+        roster.is_some_and(|roster| roster.is_array())
+    });
+}
+
+/// A version that does not read was taken for news: the version before stays.
+#[test]
+fn a_configuration_or_wave_that_does_not_read_changes_nothing() {
+    let operator = Operator::spawn(1);
+    let daemons = fleet(7, 1, &operator);
+    let mut world = operator.world();
+    world.put(
+        "op/wave/1",
+        &json!({ "wave": 2, "machines": ["m"], "duration_s": 1, "cap": 1 }),
+    );
+    world.put(
+        "op/wave/2",
+        &json!({ "wave": 2, "machines": "m", "duration_s": 1, "cap": 1 }),
+    );
+    world.put(
+        "op/wave/3",
+        &json!({ "wave": 3, "machines": [], "duration_s": 1e300, "cap": 1 }),
+    );
+    world.put_bytes("op/config", b"{\"version\":7,\"routes\":[{}]}");
+    world.put_unencoded("op/elsewhere");
+    drop(world);
+    std::thread::sleep(SEEN);
+
+    submit(&daemons[0], 1, &job(&[1], 100));
+    wait_until("completed", || is_completed(&daemons[0], 1));
+    assert_eq!(operator.world().keys("status/wave/"), Vec::<String>::new());
+    operator.world().configure(8, &[("r", 1)], 5);
+    wait_until("the next version is in force", || {
+        matches!(daemons[0].request("GET", "/r/", ""), Answer::Status(200, _))
+    });
+}
+
+/// After a lost history a daemon read the configuration and watched from its old
+/// revision, whose history is gone: hundreds of calls a second, for ever.
+#[test]
+fn a_lost_history_is_not_asked_for_again_and_again() {
+    const WATCHES_A_SECOND: u64 = 60;
+    let operator = Operator::spawn(1);
+    let _daemons = fleet(8, 1, &operator);
+    std::thread::sleep(SEEN);
+    operator.world().drop_history();
+    operator.world().put("op/elsewhere", &json!({}));
+    operator.world().drop_history();
+    std::thread::sleep(SEEN);
+    let before = operator.world().calls;
+
+    std::thread::sleep(Duration::from_secs(2));
+
+    let calls = operator.world().calls - before;
+    assert!(calls < 2 * WATCHES_A_SECOND, "{calls} calls in 2 s");
+}
+
+fn with_store<T>(
+    operator: &Operator,
+    ask: impl AsyncFnOnce(StoreClient) -> Result<T, StoreError>,
+) -> T {
+    let address = operator.store.to_string();
+    let asked = actix_rt::System::new().block_on(async move {
+        let timer = Timer::spawn().expect("a timer");
+        ask(StoreClient::open(HttpClient::open(timer), &address)).await
+    });
+    asked.expect("the store answers")
+}
+
+/// A page that ended with a key that holds what ends a query was followed by the
+/// first page again, for ever.
+#[test]
+fn every_page_is_read_whatever_its_last_key_holds() {
+    const ITEMS: usize = 1_600;
+    let operator = Operator::spawn(0);
+    let odd = ["%2F", "#", "%", "+", " ", "?", "=", "ä", "\"", "&after="];
+    let mut keys: Vec<String> = (0..ITEMS)
+        .map(|at| format!("servers/{at:05}{}", odd[at % odd.len()]))
+        .collect();
+    for key in &keys {
+        operator.world().put(key, &json!({}));
+    }
+    keys.sort_unstable();
+
+    let range = with_store(&operator, async |store| store.range("servers/", true).await);
+
+    let read: Vec<String> = range.items.into_iter().map(|item| item.key).collect();
+    assert_eq!(read, keys);
+}
+
+/// A watch answer longer than what is read was asked for again until the history
+/// was over, and nothing else was seen meanwhile.
+#[test]
+fn long_entries_neither_fill_the_memory_nor_stop_a_watch() {
+    const LONG: usize = 1_000_000;
+    const KEPT: usize = 70_000;
+    let operator = Operator::spawn(0);
+    let from = with_store(&operator, async |store| store.range("servers/", true).await);
+    for at in 0..8 {
+        operator
+            .world()
+            .put_bytes(&format!("servers/long-{at}"), &vec![b'x'; LONG]);
+    }
+    operator.world().put("servers/short", &entry("127.0.0.1:1"));
+
+    let watched = with_store(&operator, async |store| {
+        store.watch("servers/", from.revision, 0).await
+    });
+    assert_eq!(watched, Watched::HistoryGone, "read anew, page by page");
+    let range = with_store(&operator, async |store| store.range("servers/", true).await);
+    assert_eq!(range.items.len(), 9);
+    let longest = range.items.iter().map(|item| item.value.len()).max();
+    assert!(
+        longest.is_some_and(|longest| longest <= KEPT),
+        "{longest:?}"
+    );
+}
+
+#[test]
+fn a_value_that_is_no_base64_leaves_the_others_of_its_page_and_event() {
+    let operator = Operator::spawn(0);
+    let from = with_store(&operator, async |store| store.range("servers/", true).await);
+    let good = entry("127.0.0.1:1");
+    operator.world().put("servers/a", &good);
+    operator.world().put_unencoded("servers/b");
+    operator.world().put("servers/c", &good);
+    let values = |items: Vec<StoredItem>| -> Vec<usize> {
+        items.iter().map(|item| item.value.len()).collect()
+    };
+    let expected = vec![good.to_string().len(), 0, good.to_string().len()];
+
+    let range = with_store(&operator, async |store| store.range("servers/", true).await);
+    assert_eq!(values(range.items), expected);
+    let watched = with_store(&operator, async |store| {
+        store.watch("servers/", from.revision, 0).await
+    });
+    let Watched::Changes { events, .. } = watched else {
+        panic!("the history is there");
+    };
+    let put = events.into_iter().filter_map(|event| match event {
+        StoreEvent::Put(item) => Some(item),
+        StoreEvent::Removed { .. } => None,
+    });
+    assert_eq!(values(put.collect()), expected);
+}
+
+/// What `fuchsiaslip fleet` shows.
+#[test]
+fn the_report_of_a_fleet_names_what_is_not_used() {
+    let operator = Operator::spawn(2);
+    let mut world = operator.world();
+    world.configure(1, &[("q", 1)], 5);
+    world.put("servers/w9", &json!({ "state": "ready" }));
+    world.put("op/wave/1", &json!(7));
+    world.put("status/wave/1", &json!([]));
+    world.put("roster", &json!("w0"));
+    world.put("owner", &json!({}));
+    world.put("closed/w0", &json!({ "closed": "yes" }));
+    world.put("members/d0", &json!({ "address": 7 }));
+    world.put("jobs/0000000000000001", &json!({ "queue": "q" }));
+    world.put("jobs/1", &json!({}));
+    world.put("progress/0000000000000002", &json!({ "groups": 1 }));
+    drop(world);
+    let address = operator.store.to_string();
+
+    let report = actix_rt::System::new().block_on(async move {
+        let timer = Timer::spawn().expect("a timer");
+        inspect_fleet(&address, timer).await
+    });
+
+    let report = report.expect("the store answers");
+    let shown: Vec<(&str, &str)> = report
+        .unused
+        .iter()
+        .map(|value| (&*value.key, value.reason))
+        .collect();
+    assert_eq!(
+        shown,
+        [
+            ("closed/w0", "bad_field"),
+            ("jobs/0000000000000001", "bad_field"),
+            ("jobs/1", "bad_name"),
+            ("members/d0", "bad_field"),
+            ("op/wave/1", "bad_field"),
+            ("owner", "bad_field"),
+            ("progress/0000000000000002", "bad_field"),
+            ("roster", "bad_field"),
+            ("servers/w9", "bad_field"),
+            ("status/wave/1", "bad_field"),
+        ]
+    );
+}
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -341,6 +341,7 @@
             workers: most.workers.max(sizes.workers),
             leaving_jobs: most.leaving_jobs.max(sizes.leaving_jobs),
             queues: most.queues.max(sizes.queues),
+            unread_jobs: most.unread_jobs.max(sizes.unread_jobs),
         };
     }
     let kept_lives = (Tuning::default().retention_ms / LIFE_MS) as usize + 2;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -144,10 +144,15 @@
     }
 }
 
+/// Where a worker answers.
+pub fn address_of(name: &str) -> String {
+    format!("{name}:1")
+}
+
 pub fn worker_info(name: &str, rack: &str) -> WorkerInfo {
     WorkerInfo {
         incarnation: name.to_owned(),
-        address: format!("{name}:1"),
+        address: address_of(name),
         service: "s".to_owned(),
         data_centre: "zg-dubrava".to_owned(),
         labels: vec!["a".to_owned(), rack.to_owned()],
@@ -210,6 +215,34 @@
         epoch: u64,
         jobs: &[(JobId, JobRecord)],
         earlier_owner_over: bool,
+    ) -> Self {
+        self.next_owner_told(epoch, earlier_owner_over, |next| {
+            let mut names: Vec<&String> = self.workers.keys().collect();
+            names.sort();
+            for name in names {
+                next.tell(Input::KnownWorker {
+                    incarnation: name.clone(),
+                    address: address_of(name),
+                    closed_with: self.closed.get(name).cloned().flatten(),
+                });
+                next.tell(Input::Worker(worker_info(name, "r1")));
+            }
+            for (id, record) in jobs {
+                next.tell(Input::Job {
+                    id: *id,
+                    record: Arc::new(record.clone()),
+                    progress: self.stored.get(id).map(|(_, progress)| progress.clone()),
+                });
+            }
+        })
+    }
+
+    /// The fleet of `self` under a new owner that knows what `tell` tells it.
+    pub fn next_owner_told(
+        &self,
+        epoch: u64,
+        earlier_owner_over: bool,
+        tell: impl FnOnce(&mut Self),
     ) -> Self {
         let scheduler = Scheduler::new(epoch, Tuning::default(), self.now_ms);
         let mut next = Self::bare(scheduler);
@@ -217,23 +250,7 @@
         next.workers = self.workers.clone();
         next.silent = self.silent.clone();
         next.tell(Input::Configure(Arc::new(configuration(64))));
-        let mut names: Vec<&String> = self.workers.keys().collect();
-        names.sort();
-        for name in names {
-            next.tell(Input::KnownWorker {
-                incarnation: name.clone(),
-                address: format!("{name}:1"),
-                closed_with: self.closed.get(name).cloned().flatten(),
-            });
-            next.tell(Input::Worker(worker_info(name, "r1")));
-        }
-        for (id, record) in jobs {
-            next.tell(Input::Job {
-                id: *id,
-                record: Arc::new(record.clone()),
-                progress: self.stored.get(id).map(|(_, progress)| progress.clone()),
-            });
-        }
+        tell(&mut next);
         next.tell(Input::Recovered { earlier_owner_over });
         next
     }
@@ -391,6 +408,14 @@
                 ..
             } => {
                 let name = callee.incarnation.to_string();
+                if *callee.address != *address_of(&name) {
+                    // Whoever is there is another.
+                    self.tell(Input::HoldFailed {
+                        worker: callee.worker,
+                        outcome: CallOutcome::OtherIncarnation,
+                    });
+                    return;
+                }
                 let seen = self.highest_last_seen.entry(name.clone()).or_default();
                 *seen = last_seen.max(*seen);
                 if let Some(fake) = self.workers.get_mut(&name) {
@@ -402,7 +427,10 @@
             Action::Start { callee, name, .. } => {
                 let worker = callee.incarnation.to_string();
                 self.starts.push((name, worker.clone(), self.now_ms));
-                let outcome = self.start(&worker, name);
+                let outcome = match *callee.address == *address_of(&worker) {
+                    true => self.start(&worker, name),
+                    false => CallOutcome::OtherIncarnation,
+                };
                 self.tell(Input::StartOver {
                     worker: callee.worker,
                     name,
@@ -412,7 +440,8 @@
             Action::Stop { callee, name } => {
                 let worker = callee.incarnation.to_string();
                 self.stops.push((name, worker.clone()));
-                let silent = self.silent.contains(&worker);
+                let there = *callee.address == *address_of(&worker);
+                let silent = self.silent.contains(&worker) || !there;
                 if let Some(fake) = self
                     .workers
                     .get_mut(&worker)
@@ -421,10 +450,10 @@
                     fake.end(name, EndKind::Stopped);
                     fake.refused_runs.insert(name.task, name.run);
                 }
-                let outcome = if silent {
-                    CallOutcome::NoAnswer
-                } else {
-                    CallOutcome::Done
+                let outcome = match (there, silent) {
+                    (false, _) => CallOutcome::OtherIncarnation,
+                    (true, true) => CallOutcome::NoAnswer,
+                    (true, false) => CallOutcome::Done,
                 };
                 self.tell(Input::StopOver {
                     worker: callee.worker,
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -143,6 +143,8 @@
     revision: u64,
     leases: HashMap<u64, (Instant, u64)>,
     next_lease: u64,
+    /// Calls that the store was asked.
+    pub calls: u64,
     writes: u64,
     workers: Vec<FakeWorker>,
     steps: HashMap<String, Vec<StepAsked>>,
@@ -181,6 +183,31 @@
         self.put_raw(key, value, 0);
     }
 
+    /// Writes any bytes, as another writer may.
+    pub fn put_bytes(&mut self, key: &str, value: &[u8]) {
+        self.put_raw(key, BASE64_STANDARD.encode(value), 0);
+    }
+
+    /// Has the store answer with a value that is not base64.
+    pub fn put_unencoded(&mut self, key: &str) {
+        self.put_raw(key, "*not base64*".to_owned(), 0);
+    }
+
+    /// The bytes of a value.
+    pub fn bytes(&self, key: &str) -> Option<Vec<u8>> {
+        BASE64_STANDARD.decode(&self.items.get(key)?.value).ok()
+    }
+
+    /// Removes a value, as another writer may.
+    pub fn take_away(&mut self, key: &str) {
+        self.remove(key);
+    }
+
+    /// The key of a worker's entry.
+    pub fn worker_key(&self, at: usize) -> String {
+        format!("servers/{}", self.workers[at].id)
+    }
+
     /// A value that daemons stored.
     pub fn value(&self, key: &str) -> Option<Value> {
         let item = self.items.get(key)?;
@@ -317,6 +344,22 @@
         )
     }
 
+    /// The first of these items, as many as a page holds, and whether there are
+    /// more.
+    fn page(&self, keys: &[&String]) -> (Vec<Value>, bool) {
+        const MOST_ITEMS: usize = 500;
+        const MOST_BYTES: usize = 1 << 20;
+        let (mut page, mut bytes) = (Vec::new(), 0);
+        for key in keys {
+            if page.len() == MOST_ITEMS || bytes >= MOST_BYTES {
+                return (page, true);
+            }
+            bytes += self.items[*key].value.len();
+            page.extend(self.item_json(key));
+        }
+        (page, false)
+    }
+
     fn events_after(&self, prefix: &str, after: u64) -> Option<Vec<Value>> {
         if after < self.oldest {
             return None;
@@ -602,6 +645,7 @@
             revision: 1,
             leases: HashMap::new(),
             next_lease: 1,
+            calls: 0,
             writes: 0,
             workers: (0..worker_count)
                 .map(|at| FakeWorker {
@@ -717,19 +761,19 @@
     }
     let mut world = lock(&world);
     world.end_leases();
+    world.calls += 1;
     respond(match path.split_once('/').unwrap_or((&path, "")) {
         ("kv-key", _) => match world.item_json(&query["key"]) {
             Some(item) => (StatusCode::OK, item),
             None => (StatusCode::NOT_FOUND, json!({})),
         },
         ("kv-range", _) => {
-            let items: Vec<Value> = world
-                .keys(&query["prefix"])
-                .iter()
-                .filter_map(|key| world.item_json(key))
-                .collect();
+            let after = query.get("after").map_or("", String::as_str);
+            let keys = world.keys(&query["prefix"]);
+            let keys: Vec<&String> = keys.iter().filter(|key| key.as_str() > after).collect();
+            let (page, has_more) = world.page(&keys);
             let answer =
-                json!({ "items": items, "has_more": false, "current_rev": world.revision });
+                json!({ "items": page, "has_more": has_more, "current_rev": world.revision });
             (StatusCode::OK, answer)
         }
         ("kv-lease", _) => {
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -87,7 +87,7 @@
     }
 
     /// Where the lives of this daemon log.
-    fn log(&self) -> PathBuf {
+    pub fn log(&self) -> PathBuf {
         self.settings.with_extension("log")
     }
 
