The soak has another writer beside its faults

Once a round it writes over a worker's entry (bytes, no base64, another's address, a null for its state), over the roster, or beside them. It draws from numbers of its own, so the faults of a seed stay as they were.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -83,6 +83,9 @@
 struct Soak {
     seed: u64,
     random: StdRng,
+    /// Draws what another writer writes: beside the faults, which stay as they
+    /// were drawn for a seed.
+    other_writer: StdRng,
     operator: Operator,
     store_links: Vec<Proxy>,
     worker_links: Vec<Proxy>,
@@ -129,6 +132,7 @@
         let soak = Self {
             seed,
             random: StdRng::seed_from_u64(seed),
+            other_writer: StdRng::seed_from_u64(!seed),
             operator,
             store_links,
             worker_links,
@@ -185,6 +189,37 @@
         }
     }
 
+    /// Another writer writes over entries and records, and beside them. Entries of
+    /// workers are mended with everything else, the others by their owner.
+    fn write_as_another(&mut self) {
+        let random = &mut self.other_writer;
+        let (at, other) = (
+            random.random_range(0..self.worker_links.len()),
+            random.random_range(0..self.worker_links.len()),
+        );
+        let stray: u64 = random.random();
+        let sort = random.random_range(0..8u32);
+        let mut world = self.operator.world();
+        let key = world.worker_key(at);
+        match sort {
+            0 => world.put_bytes(&key, &stray.to_le_bytes()),
+            1 => world.put_unencoded(&key),
+            2 => {
+                let theirs = world.value(&world.worker_key(other));
+                world.put(&key, &theirs.unwrap_or_default());
+            }
+            3 => {
+                let mut entry = world.value(&key).unwrap_or_default();
+                entry["state"] = json!(null);
+                world.put(&key, &entry);
+            }
+            4 => world.put(&format!("servers/{stray}&after=#%"), &json!([])),
+            5 => world.put_bytes(&format!("servers/{stray}"), &vec![b'['; 100_000]),
+            6 => world.put(&format!("jobs/{stray:x}/x"), &json!({})),
+            _ => world.put("roster", &json!({ "rows": stray })),
+        }
+    }
+
     fn harm_process_or_link(&mut self, daemon: usize, worker: usize) {
         let links = [&self.store_links[daemon], &self.worker_links[worker]];
         let link = links[self.random.random_range(0..links.len())];
@@ -313,6 +348,7 @@
             for _ in 0..self.random.random_range(1..3u32) {
                 self.harm();
             }
+            self.write_as_another();
             for number in 0..JOBS_A_ROUND {
                 let job = self.seed * 1_000 + u64::from(round) * JOBS_A_ROUND + number + 1;
                 self.submit(job);
