--- /dev/null
+++ b/benches/entries.rs
@@ -0,0 +1,183 @@
+//! Reading the entries of a large fleet's workers: a clean list beside one of which
+//! a tenth names no worker to use, in turns within one run.
+//!
+//! `cargo bench --bench entries` prints lines `figure NAME VALUE`: the medians of
+//! both, of the decoder with what is told and of the whole reading over HTTP, and
+//! the median of the paired ratios.
+
+#[expect(dead_code, reason = "tests use the rest")]
+#[path = "../tests/support/operator.rs"]
+mod operator;
+
+use fuchsiaslip::cluster::{
+    StoredItem,
+    StoredKind,
+    UnusedValues, //
+};
+use fuchsiaslip::platform::{
+    HttpClient,
+    StoreClient,
+    WORKERS_PREFIX,
+    decode_worker, //
+};
+use fuchsiaslip::scheduler::{
+    Input,
+    Scheduler,
+    Tuning, //
+};
+use fuchsiaslip::timer::Timer;
+use operator::Operator;
+use serde_json::{
+    Value,
+    json, //
+};
+use std::time::Instant;
+
+const WORKERS: usize = 7_300;
+/// One entry of so many is bad.
+const BAD_ONE_IN: usize = 10;
+const DECODED_PAIRS: usize = 150;
+const READ_PAIRS: usize = 40;
+const NOW_MS: u64 = 1_000_000;
+
+fn entry(at: usize) -> Value {
+    let (third, last) = (at / 250, at % 250 + 1);
+    json!({ "service": "s", "address": format!("10.1.{third}.{last}:8080"), "zone": "z",
+        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+        "capacity": { "cpu": 32000, "mem_mb": 131072, "gpu": 8 },
+        "labels": ["a", format!("r{third}")], "clock_ms": 482113, "sequence": 4 })
+}
+
+/// An entry of about the usual length that names no worker to use.
+fn bad_entry(at: usize) -> Vec<u8> {
+    let mut bad = entry(at);
+    match at / BAD_ONE_IN % 8 {
+        0 => bad["state"] = json!("down"),
+        1 => bad["address"] = json!("nowhere"),
+        2 => bad["capacity"]["cpu"] = json!("NaN"),
+        3 => bad["labels"] = json!(null),
+        4 => bad["service"] = json!(7),
+        5 => drop(bad.as_object_mut().map(|fields| fields.remove("zone"))),
+        6 => return bad.to_string().into_bytes().into_iter().rev().collect(),
+        _ => return vec![0xff; bad.to_string().len()],
+    }
+    bad.to_string().into_bytes()
+}
+
+fn items(bad: bool) -> Vec<StoredItem> {
+    let item = |at: usize| {
+        let value = match bad && at.is_multiple_of(BAD_ONE_IN) {
+            true => bad_entry(at),
+            false => entry(at).to_string().into_bytes(),
+        };
+        StoredItem {
+            key: format!("{WORKERS_PREFIX}w{at}"),
+            value: value.into(),
+            revision: at as u64 + 1,
+        }
+    };
+    (0..WORKERS).map(item).collect()
+}
+
+fn elapsed_ms(began: Instant) -> f64 {
+    began.elapsed().as_secs_f64() * 1_000.0
+}
+
+/// Reads a list as a new owner does: each entry is decoded, what cannot be used is
+/// told, and the scheduler takes it in.
+fn decode(items: &[StoredItem]) -> f64 {
+    let mut scheduler = Scheduler::new(1, Tuning::default(), NOW_MS);
+    let mut unused = UnusedValues::default();
+    let began = Instant::now();
+    for item in items {
+        let incarnation = item.key.strip_prefix(WORKERS_PREFIX).unwrap_or_default();
+        let input = match decode_worker(incarnation, &item.value) {
+            Ok(info) => Input::Worker(info),
+            Err(error) => {
+                let reason = error.reason();
+                unused.note(StoredKind::Worker, item, &error.into(), NOW_MS);
+                Input::WorkerUnusable {
+                    incarnation: incarnation.to_owned(),
+                    reason,
+                }
+            }
+        };
+        scheduler.take(input, NOW_MS);
+    }
+    elapsed_ms(began)
+}
+
+/// Reads a list from a store, and decodes it.
+async fn read(store: &StoreClient, prefix: &str) -> f64 {
+    let began = Instant::now();
+    let range = store.range(prefix, true).await;
+    let range = range.expect("the stand-in answers");
+    assert_eq!(range.items.len(), WORKERS);
+    let mut read = 0;
+    for item in &range.items {
+        read += usize::from(decode_worker("w", &item.value).is_ok());
+    }
+    let took_ms = elapsed_ms(began);
+    assert!(read >= WORKERS - WORKERS / BAD_ONE_IN);
+    took_ms
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+fn show(what: &str, pairs: &[(f64, f64)]) {
+    let clean = median(pairs.iter().map(|(clean, _)| *clean).collect());
+    let bad = median(pairs.iter().map(|(_, bad)| *bad).collect());
+    let ratio = median(pairs.iter().map(|(clean, bad)| bad / clean).collect());
+    println!("figure {what}_clean_ms {clean:.3}");
+    println!("figure {what}_tenth_bad_ms {bad:.3}");
+    println!("figure {what}_paired_ratio {ratio:.3}");
+}
+
+/// Both in turns, each first every other time.
+fn paired(count: usize, mut measure: impl FnMut(bool) -> f64) -> Vec<(f64, f64)> {
+    let mut pair = |at: usize| match at.is_multiple_of(2) {
+        true => {
+            let clean = measure(false);
+            (clean, measure(true))
+        }
+        false => {
+            let bad = measure(true);
+            (measure(false), bad)
+        }
+    };
+    // The first ones warm up.
+    let warm_up = count / 10;
+    let all = (0..count + warm_up).map(&mut pair);
+    all.skip(warm_up).collect()
+}
+
+fn main() {
+    let (clean, bad) = (items(false), items(true));
+    let pairs = paired(DECODED_PAIRS, |is_bad| {
+        decode(if is_bad { &bad } else { &clean })
+    });
+    show("decoded", &pairs);
+
+    let operator = Operator::spawn(0);
+    for (prefix, items) in [("clean/", &clean), ("tenth/", &bad)] {
+        for item in items {
+            let name = item.key.strip_prefix(WORKERS_PREFIX).unwrap_or_default();
+            let mut world = operator.world();
+            world.put_bytes(&format!("{prefix}{name}"), &item.value);
+        }
+    }
+    let system = actix_rt::System::new();
+    let address = operator.store.to_string();
+    let store = system.block_on(async move {
+        let timer = Timer::spawn().expect("a timer");
+        StoreClient::open(HttpClient::open(timer), &address)
+    });
+    let pairs = paired(READ_PAIRS, |is_bad| {
+        let prefix = if is_bad { "tenth/" } else { "clean/" };
+        system.block_on(read(&store, prefix))
+    });
+    show("read", &pairs);
+}
--- a/justfile
+++ b/justfile
@@ -34,6 +34,14 @@
 bench-failover only="":
     cargo bench --bench failover -- {{only}}
 
+# Reading 7,300 workers' entries, a tenth of them bad, beside a clean list.
+bench-entries:
+    cargo bench --bench entries
+
+# Drawn entries of other writers, on the decoder and on fleets; `just fuzz-entries 20000 7`.
+fuzz-entries cases="20000" seed="1":
+    FOREIGN_CASES={{cases}} FOREIGN_SEED={{seed}} cargo test --release --test foreign_entries drawn
+
 # Real daemons under drawn faults; `just soak 1-50`.
 soak seeds="1-8":
     SOAK_SEEDS={{seeds}} cargo test --release --test soak -- --nocapture
