--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -175,7 +175,8 @@
             change: 0,
             stored: 0,
             work,
-            first_step_accelerators: first.map_or(0, |step| step.count * step.needs.accelerators),
+            first_step_accelerators: first
+                .map_or(0, |step| step.count.saturating_mul(step.needs.accelerators)),
             steps,
             record,
             restored: Some(progress),
@@ -252,7 +253,9 @@
             max_attempts: job.terms().map_or(0, |terms| terms.max_attempts),
             configuration_version: self.configuration.version,
         };
-        let blind = self.is_blind();
+        // A job that did not read may run where this owner cannot look yet.
+        let late = self.is_unread(id) && self.blind_until_ms.is_some();
+        let blind = self.is_blind() || late;
         let mut groups = Vec::new();
         for (at, step) in job.steps.iter().enumerate() {
             let key = GroupKey {
@@ -315,7 +318,7 @@
             task: key.task(0),
             run: 0,
         };
-        let found: Vec<_> = self
+        let mut found: Vec<_> = self
             .workers
             .iter()
             .flat_map(|worker| {
@@ -327,12 +330,18 @@
         let Some(group) = self.groups.get_mut(&key) else {
             return;
         };
+        // An owner gives a run only after those before it are over, so of runs that
+        // were only noted the newest holds the task: held by an earlier one, the
+        // task would start again once that is known to be over.
+        found.sort_by_key(|(_, name, _)| std::cmp::Reverse(name.run));
+        let newest = found.first().map_or(0, |(_, name, _)| name.run);
         for (worker, name, seen) in found {
             let index = name.task.index;
             let Some(task) = group.tasks.get_mut(index as usize) else {
                 continue;
             };
-            let over = !seen && name.run < task.last_run;
+            let older = name.run < task.last_run || (group.step.gang && name.run < newest);
+            let over = !seen && older;
             task.last_run = task.last_run.max(name.run);
             if over || task.state != TaskState::Waiting {
                 continue;
@@ -481,6 +490,7 @@
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&id) else {
             self.cancelled_early.insert(id);
+            self.unread_job_cancelled(id);
             return;
         };
         if job.is_over() {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod closing;
 mod configuration;
 mod ends;
+mod entries;
 mod estimate;
 mod evidence;
 mod group;
@@ -34,6 +35,7 @@
 mod state;
 mod terms;
 mod tuning;
+mod unread;
 mod upkeep;
 mod worker;
 
@@ -53,6 +55,7 @@
     RequestLimits,
     VersionedTerms, //
 };
+pub use entries::AddressDispute;
 pub use estimate::RunTimes;
 pub use group::{
     Group,
--- a/src/scheduler/noting.rs
+++ b/src/scheduler/noting.rs
@@ -11,7 +11,8 @@
 //! a job that this owner does not know waits until all jobs that were stored when
 //! it was heard have been read: by then the job is known, and the end is taken in,
 //! or the job is not stored any more and nothing of it can start. Each of these
-//! comes once the store answers, so no end waits for longer than that.
+//! comes once the store answers, so no end waits for longer than that; but one of a
+//! job with a stored value that does not read waits until that reads.
 
 use super::action::Decision;
 use super::state::Scheduler;
@@ -45,6 +46,8 @@
     Change(u64),
     /// All jobs that were stored at this time are read: its own is not known.
     JobsAt(u64),
+    /// Its job reads, or is cancelled.
+    JobToRead,
 }
 
 impl Scheduler {
@@ -52,6 +55,9 @@
     /// before its worker may forget it.
     pub(super) fn note_end(&mut self, key: WorkerKey, row: &EndedRow) -> WaitsFor {
         let id = row.name.task.job;
+        if self.is_unread(id) && !self.jobs.contains_key(&id) {
+            return WaitsFor::JobToRead;
+        }
         self.keep_end_checkpoint(row);
         self.drop_older_claims(row.name);
         if !matches!(row.kind, EndKind::Done | EndKind::Failed) {
@@ -79,14 +85,16 @@
         }
     }
 
-    /// Takes in the ends that were heard before their job was known.
+    /// Takes in the ends that were heard before their job was known, or could be
+    /// read.
     pub(super) fn take_early_ends(&mut self, id: JobId) {
         let waiting: Vec<WorkerKey> = self.with_unnoted.iter().copied().collect();
         for key in waiting {
             for at in 0..self.worker(key).unnoted.len() {
                 let end = &self.worker(key).unnoted[at];
                 let own = end.row.name.task.job == id;
-                if own && matches!(end.waits_for, WaitsFor::JobsAt(_)) {
+                let early = matches!(end.waits_for, WaitsFor::JobsAt(_) | WaitsFor::JobToRead);
+                if own && early {
                     let row = end.row.clone();
                     let waits_for = self.note_end(key, &row);
                     self.worker_mut(key).unnoted[at].waits_for = waits_for;
@@ -136,7 +144,10 @@
                 let job = self.jobs.get(&end.row.name.task.job);
                 job.is_none_or(|job| job.stored >= change)
             }
-            WaitsFor::JobsAt(heard_ms) => self.jobs_read_ms > heard_ms,
+            WaitsFor::JobsAt(heard_ms) => {
+                self.jobs_read_ms > heard_ms && !self.is_unread(end.row.name.task.job)
+            }
+            WaitsFor::JobToRead => !self.is_unread(end.row.name.task.job),
         }
     }
 
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -163,10 +163,15 @@
     }
 }
 
+/// Where a worker answers.
+pub fn address_of(name: &str) -> String {
+    format!("{name}:1")
+}
+
 pub fn worker_info(name: &str, rack: &str) -> WorkerInfo {
     WorkerInfo {
         incarnation: name.to_owned(),
-        address: format!("{name}:1"),
+        address: address_of(name),
         service: "s".to_owned(),
         data_centre: "zg-dubrava".to_owned(),
         labels: vec!["a".to_owned(), rack.to_owned()],
@@ -242,30 +247,55 @@
         known: ClusterConfiguration,
         jobs: &[(JobId, JobRecord)],
         earlier_owner_over: bool,
+    ) -> Self {
+        self.next_owner_with(epoch, earlier_owner_over, |next| {
+            next.tell(Input::Configure(Arc::new(known)));
+            let mut names: Vec<&String> = self.workers.keys().collect();
+            names.sort();
+            for name in names {
+                next.tell(Input::KnownWorker {
+                    incarnation: name.clone(),
+                    address: address_of(name),
+                    closed_with: self.closed.get(name).cloned().flatten(),
+                });
+                next.tell(Input::Worker(worker_info(name, "r1")));
+            }
+            for (id, record) in jobs {
+                next.tell(Input::Job {
+                    id: *id,
+                    record: Arc::new(record.clone()),
+                    progress: self.stored.get(id).map(|(_, progress)| progress.clone()),
+                });
+            }
+        })
+    }
+
+    /// The fleet of `self` under a new owner that knows the configuration, and what
+    /// `tell` tells it.
+    pub fn next_owner_told(
+        &self,
+        epoch: u64,
+        earlier_owner_over: bool,
+        tell: impl FnOnce(&mut Self),
+    ) -> Self {
+        self.next_owner_with(epoch, earlier_owner_over, |next| {
+            next.tell(Input::Configure(Arc::new(configuration(64))));
+            tell(next);
+        })
+    }
+
+    fn next_owner_with(
+        &self,
+        epoch: u64,
+        earlier_owner_over: bool,
+        tell: impl FnOnce(&mut Self),
     ) -> Self {
         let scheduler = Scheduler::new(epoch, Tuning::default(), self.now_ms);
         let mut next = Self::bare(scheduler);
         next.now_ms = self.now_ms;
         next.workers = self.workers.clone();
         next.silent = self.silent.clone();
-        next.tell(Input::Configure(Arc::new(known)));
-        let mut names: Vec<&String> = self.workers.keys().collect();
-        names.sort();
-        for name in names {
-            next.tell(Input::KnownWorker {
-                incarnation: name.clone(),
-                address: format!("{name}:1"),
-                closed_with: self.closed.get(name).cloned().flatten(),
-            });
-            next.tell(Input::Worker(worker_info(name, "r1")));
-        }
-        for (id, record) in jobs {
-            next.tell(Input::Job {
-                id: *id,
-                record: Arc::new(record.clone()),
-                progress: self.stored.get(id).map(|(_, progress)| progress.clone()),
-            });
-        }
+        tell(&mut next);
         next.tell(Input::Recovered { earlier_owner_over });
         next
     }
@@ -432,6 +462,14 @@
                 ..
             } => {
                 let name = callee.incarnation.to_string();
+                if *callee.address != *address_of(&name) {
+                    // Whoever is there is another.
+                    self.tell(Input::HoldFailed {
+                        worker: callee.worker,
+                        outcome: CallOutcome::OtherIncarnation,
+                    });
+                    return;
+                }
                 self.note_acknowledged(&name, last_seen);
                 let seen = self.highest_last_seen.entry(name.clone()).or_default();
                 *seen = last_seen.max(*seen);
@@ -452,7 +490,10 @@
                     fake.lease_end_ms = fake.lease_end_ms.max(lease_end_ms);
                 }
                 self.starts.push((name, worker.clone(), self.now_ms));
-                let outcome = self.start(&worker, name);
+                let outcome = match *callee.address == *address_of(&worker) {
+                    true => self.start(&worker, name),
+                    false => CallOutcome::OtherIncarnation,
+                };
                 self.tell(Input::StartOver {
                     worker: callee.worker,
                     name,
@@ -462,7 +503,8 @@
             Action::Stop { callee, name } => {
                 let worker = callee.incarnation.to_string();
                 self.stops.push((name, worker.clone()));
-                let silent = self.silent.contains(&worker);
+                let there = *callee.address == *address_of(&worker);
+                let silent = self.silent.contains(&worker) || !there;
                 if let Some(fake) = self
                     .workers
                     .get_mut(&worker)
@@ -471,10 +513,10 @@
                     fake.end(name, EndKind::Stopped);
                     fake.refused_runs.insert(name.task, name.run);
                 }
-                let outcome = if silent {
-                    CallOutcome::NoAnswer
-                } else {
-                    CallOutcome::Done
+                let outcome = match (there, silent) {
+                    (false, _) => CallOutcome::OtherIncarnation,
+                    (true, true) => CallOutcome::NoAnswer,
+                    (true, false) => CallOutcome::Done,
                 };
                 self.tell(Input::StopOver {
                     worker: callee.worker,
