Read the operators' orders to empty data centres on every daemon

Cause: nothing read `op/evacuate/`, so the scheduler could not know an order.

Change: every daemon lists all that the operators wrote in one call, watches it from the store's revision at that time, and lists anew when the history is gone; a daemon that takes over lists the orders once more with the rest of the store. News carry revisions, so a list and a watch that overtake each other bring nothing old back. The key names the data centre: a value that nobody can read is an order all the same. After a failed watch the next one does not wait for news. From `bounds.evacuation_ms` follows how old an owner's view of the orders may be when it gives a start (5,000 ms: 3,363 ms); what is left of the bound is for a start that a worker carries out late. Each daemon logs when it knows of an order and how long ago at most it was given.

Before, the watch began at the revision of the configuration's last change, which may be older than the history that the store keeps.

The stand-in's waiting watches fall silent with its store; its workers may be in different data centres; the daemons of process tests are told the bound.

--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -207,7 +207,7 @@
         let node = Node::open(settings, timer, store, workers, machines, control, boot);
         actix_rt::spawn(calls::run(node.clone(), decided));
         actix_rt::spawn(node.clone().probe_store());
-        actix_rt::spawn(follow::configuration(node.clone()));
+        actix_rt::spawn(follow::operators(node.clone()));
         actix_rt::spawn(follow::members(node.clone()));
         actix_rt::spawn(heartbeat::send(node.clone(), beats.clone()));
         actix_rt::spawn(heartbeat::receive(node.clone(), beats));
--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -1,5 +1,6 @@
 //! Following what changes in the store.
 
+use super::emptying;
 use super::node::{
     KnownOwner,
     Node,
@@ -60,18 +61,23 @@
 /// How long those last.
 const FIRST_MS: u64 = 2_000;
 
-/// Follows the operator's configuration.
-pub async fn configuration(node: Rc<Node>) {
+/// Follows what the operators write: the configuration, waves of upkeep, and
+/// orders to empty data centres.
+pub async fn operators(node: Rc<Node>) {
     let mut revision = None;
+    let mut wait_ms = WATCH_WAIT_MS;
     loop {
         let step = match revision {
-            None => read_configuration(&node).await,
+            None => read_operators(&node).await,
             Some(revision) => {
-                let watch = watch_configuration(&node, revision);
+                let watch = watch_operators(&node, revision, wait_ms);
                 node.unless_silenced(watch).await
             }
         };
         node.store_went(step.is_ok());
+        // After a failure the next watch does not wait for news: an owner gives
+        // starts only while it is certain of the orders.
+        wait_ms = if step.is_ok() { WATCH_WAIT_MS } else { 0 };
         match step {
             Ok(next) => revision = next,
             Err(_) => {
@@ -81,42 +87,39 @@
     }
 }
 
-/// Returns the revision to watch from; `None` while there is no configuration.
-async fn read_configuration(node: &Node) -> Result<Option<u64>, StoreError> {
-    let item = node.store.get(CONFIGURATION_KEY).await?;
-    let Some(item) = item else {
+/// Reads everything. Returns the revision to watch from, that of the store: the
+/// configuration's own may be older than the history. `None` while there is no
+/// configuration.
+async fn read_operators(node: &Node) -> Result<Option<u64>, StoreError> {
+    let asked_ms = node.now_ms();
+    let range = node.store.range(OPERATOR_PREFIX, false).await?;
+    emptying::take_list(node, &range, asked_ms);
+    for item in &range.items {
+        take_operators_value(node, &item.key, &item.value);
+    }
+    if !range.items.iter().any(|item| item.key == CONFIGURATION_KEY) {
         node.timer.after(AGAIN_MS).await;
         return Ok(None);
-    };
-    take_configuration(node, &item.value);
+    }
     node.configuration_checked();
-    Ok(Some(item.revision))
+    Ok(Some(range.revision))
 }
 
-async fn watch_configuration(node: &Node, revision: u64) -> Result<Option<u64>, StoreError> {
-    let watched = node
-        .store
-        .watch(OPERATOR_PREFIX, revision, WATCH_WAIT_MS)
-        .await?;
-    match watched {
-        Watched::HistoryGone => {
-            if node.owns() {
-                let waves = node.store.range(WAVES_PREFIX, false).await?;
-                for item in &waves.items {
-                    take_wave(node, &item.key, &item.value);
-                }
-            }
-            Ok(None)
-        }
+async fn watch_operators(
+    node: &Node,
+    revision: u64,
+    wait_ms: u64,
+) -> Result<Option<u64>, StoreError> {
+    let asked_ms = node.now_ms();
+    let watch = node.store.watch(OPERATOR_PREFIX, revision, wait_ms);
+    match watch.await? {
+        Watched::HistoryGone => Ok(None),
         Watched::Changes { events, revision } => {
-            for event in events {
-                let StoreEvent::Put(item) = event else {
-                    continue;
-                };
-                if item.key == CONFIGURATION_KEY {
-                    take_configuration(node, &item.value);
-                } else if item.key.starts_with(WAVES_PREFIX) {
-                    take_wave(node, &item.key, &item.value);
+            // Orders first: what follows may take long.
+            emptying::take_changes(node, &events, revision, asked_ms);
+            for event in &events {
+                if let StoreEvent::Put(item) = event {
+                    take_operators_value(node, &item.key, &item.value);
                 }
             }
             node.configuration_checked();
@@ -125,6 +128,14 @@
     }
 }
 
+fn take_operators_value(node: &Node, key: &str, value: &[u8]) {
+    if key == CONFIGURATION_KEY {
+        take_configuration(node, value);
+    } else if key.starts_with(WAVES_PREFIX) {
+        take_wave(node, key, value);
+    }
+}
+
 /// A wave matters to the owner; another daemon reads all of them if it takes
 /// over.
 fn take_wave(node: &Node, key: &str, value: &[u8]) {
@@ -340,7 +351,7 @@
             }
             known.insert(item.key);
         }
-        StoreEvent::Removed { key } => {
+        StoreEvent::Removed { key, .. } => {
             known.remove(&key);
             unlist(node, epoch, &key);
         }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod daemon;
 mod election;
+mod emptying;
 mod entry;
 mod follow;
 mod heartbeat;
@@ -38,6 +39,7 @@
     OwnerSign,
     takeover_at_ms, //
 };
+pub use emptying::EmptyingOrders;
 pub use inspect::{
     FleetReport,
     StoredJob,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -9,6 +9,7 @@
     ElectionView,
     OwnerSign, //
 };
+use super::emptying::EmptyingOrders;
 use super::ledger::Ledger;
 use super::peers::Peers;
 use super::services::StoreError;
@@ -130,6 +131,7 @@
     pub requests: Cell<usize>,
     configuration: RefCell<Arc<ClusterConfiguration>>,
     configuration_checked_ms: Cell<u64>,
+    emptying: RefCell<EmptyingOrders>,
     others: RefCell<BTreeMap<String, Peer>>,
     owner: RefCell<Option<KnownOwner>>,
     epoch: Cell<u64>,
@@ -179,6 +181,7 @@
             requests: Cell::new(0),
             configuration: RefCell::default(),
             configuration_checked_ms: Cell::new(0),
+            emptying: RefCell::default(),
             others: RefCell::default(),
             owner: RefCell::default(),
             epoch: Cell::new(0),
@@ -244,6 +247,16 @@
         self.configuration_checked_ms.set(self.now_ms());
     }
 
+    /// The operators' orders to empty data centres, as far as known.
+    pub fn emptying(&self) -> EmptyingOrders {
+        self.emptying.borrow().clone()
+    }
+
+    /// Changes what is known of them.
+    pub fn change_emptying(&self, change: impl FnOnce(&mut EmptyingOrders)) {
+        change(&mut self.emptying.borrow_mut());
+    }
+
     /// Whether the balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         let fresh = self.now_ms() < self.configuration_checked_ms.get() + CONFIGURATION_DOUBT_MS;
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -1,5 +1,6 @@
 //! Taking the fleet over and keeping it.
 
+use super::emptying;
 use super::follow;
 use super::ledger::{
     self,
@@ -29,6 +30,7 @@
 };
 use crate::events;
 use crate::platform::{
+    EMPTYING_PREFIX,
     WAVE_STATES_PREFIX,
     WAVES_PREFIX,
     WORKERS_PREFIX,
@@ -131,7 +133,8 @@
 /// any more, and on a slow store one answer after the other costs a second.
 async fn begin(node: &Rc<Node>, taken: &Taken) -> Result<(), StoreError> {
     let (epoch, began_ms) = (taken.epoch, taken.began_ms);
-    let (jobs, progress, roster, closed, workers, waves, states) = tokio::try_join!(
+    let asked_ms = node.now_ms();
+    let (jobs, progress, roster, closed, workers, waves, states, orders) = tokio::try_join!(
         node.store.range(JOBS_PREFIX, false),
         node.store.range(PROGRESS_PREFIX, false),
         node.store.get(ROSTER_KEY),
@@ -139,7 +142,9 @@
         node.store.range(WORKERS_PREFIX, false),
         node.store.range(WAVES_PREFIX, false),
         node.store.range(WAVE_STATES_PREFIX, false),
+        node.store.range(EMPTYING_PREFIX, false),
     )?;
+    emptying::take_list(node, &orders, asked_ms);
     node.ledger.clear();
     node.begin_owning(epoch, taken.root_revision);
     let mut stored = vec![Input::Configure(node.configuration())];
@@ -156,6 +161,7 @@
         node.ledger.note_revision(&item.key, item.revision);
     }
     stored.extend(wave_inputs(&waves, &states));
+    stored.push(emptying::input(node));
     stored.push(Input::Confirmed(began_ms));
     stored.push(Input::Recovered {
         earlier_owner_over: taken.earlier_owner_over,
--- a/src/cluster/services.rs
+++ b/src/cluster/services.rs
@@ -42,6 +42,8 @@
     Removed {
         /// Its key.
         key: String,
+        /// Revision of its removal.
+        revision: u64,
     },
 }
 
--- a/src/events.rs
+++ b/src/events.rs
@@ -102,6 +102,10 @@
     CONFIGURATION_IN_FORCE = 402, Info, "a configuration version is in force on this daemon", "none";
     /// The version cannot be confirmed.
     CONFIGURATION_STALE = 403, Warn, "this daemon cannot confirm that its configuration is current; it starts nothing new", "look at the key-value service and the network";
+    /// An order to empty a data centre is known.
+    EMPTYING_ORDERED = 404, Info, "this daemon knows of the operators' order that a data centre gets no new tasks", "none; E331 of the owner says what it met";
+    /// It was taken back.
+    EMPTYING_TAKEN_BACK = 405, Info, "this daemon knows that such an order was taken back", "none; E332 of the owner follows";
     /// A peer was refused.
     PEER_REFUSED = 500, Warn, "a connection from a peer was refused", "check peer_token in both settings files";
     /// A broken frame.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -37,10 +37,12 @@
 };
 pub use store::{
     CONFIGURATION_KEY,
+    EMPTYING_PREFIX,
     OPERATOR_PREFIX,
     StoreClient,
     WAVE_STATES_PREFIX,
     WAVES_PREFIX,
-    WORKERS_PREFIX, //
+    WORKERS_PREFIX,
+    emptied_data_centre, //
 };
 pub use workers::WorkerClient;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -20,6 +20,24 @@
 /// order of the earlier one may still have been under way.
 const HOLDER_MARGIN_MS: u64 = 1_000;
 
+/// The time within which an order to empty a data centre has to be in force.
+const ORDERS_BOUND: &str = "bounds.evacuation_ms";
+/// Kept of the time within which an order to empty a data centre is in force, for
+/// a start's way to its worker and the age of the worker's clock.
+const ORDERS_MARGIN_MS: u64 = 100;
+/// An owner reads the operators' orders once a second where nothing changes, so
+/// with less than this it would start nothing between two reads.
+const LEAST_ORDERS_VIEW_MS: u64 = 1_500;
+
+/// How old an owner's view of the orders may be when it gives a start, so that no
+/// start is carried out after `bound_ms`: a worker carries a start out until its
+/// window is over, on a clock that may be slow.
+fn orders_view_ms(bound_ms: u64, window_ms: u64) -> u64 {
+    const SLOW_CLOCK_PERMILLE: u64 = 25;
+    let late_ms = window_ms + window_ms * SLOW_CLOCK_PERMILLE / 1_000 + ORDERS_MARGIN_MS;
+    bound_ms.saturating_sub(late_ms).max(LEAST_ORDERS_VIEW_MS)
+}
+
 /// Why a settings file cannot be used.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum SettingsError {
@@ -131,6 +149,11 @@
         restore_ms: fields.bound_ms("bounds.restore_ms", 1.0, default.restore_ms)?,
         checkpoint_ms: fields.bound_ms("bounds.checkpoint_s", 1_000.0, default.checkpoint_ms)?,
         upkeep_ms: fields.bound_ms("bounds.maintenance_s", 1_000.0, default.upkeep_ms)?,
+        orders_view_ms: match fields.bound_ms(ORDERS_BOUND, 1.0, u64::MAX)? {
+            // The installation sets no bound.
+            u64::MAX => default.orders_view_ms,
+            bound_ms => orders_view_ms(bound_ms, default.start_window_ms),
+        },
         holder_gap_ms: fields.bound_ms("bounds.lease_ms", 1.0, 3_000)? + HOLDER_MARGIN_MS,
         ..default
     };
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -32,6 +32,9 @@
 pub const OPERATOR_PREFIX: &str = "op/";
 /// Where the operator asks for upkeep, by the number of the wave.
 pub const WAVES_PREFIX: &str = "op/wave/";
+/// Where the operator asks that a data centre gets no new tasks, by its name;
+/// the wire calls that an evacuation, though what runs there may end.
+pub const EMPTYING_PREFIX: &str = "op/evacuate/";
 /// Under which the operator reads how far waves are.
 pub const WAVE_STATES_PREFIX: &str = "status/wave/";
 /// Under which workers register themselves.
@@ -238,7 +241,10 @@
                 let body: WatchBody = decode(&body)?;
                 let events = body.events.into_iter().map(|event| {
                     if event.deleted {
-                        return Ok(StoreEvent::Removed { key: event.key });
+                        return Ok(StoreEvent::Removed {
+                            key: event.key,
+                            revision: event.revision,
+                        });
                     }
                     event.into_item().map(StoreEvent::Put)
                 });
@@ -344,6 +350,13 @@
     }
 }
 
+/// The data centre that a key under [`EMPTYING_PREFIX`] names; the value says
+/// nothing.
+pub fn emptied_data_centre(key: &str) -> Option<&str> {
+    let name = key.strip_prefix(EMPTYING_PREFIX)?;
+    (!name.is_empty()).then_some(name)
+}
+
 fn answered(
     answer: Result<(StatusCode, Bytes), CallFailure>,
 ) -> Result<(StatusCode, Bytes), StoreError> {
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -1,9 +1,18 @@
 //! Emptying a data centre on the operators' order: what the scheduler does from
-//! the moment at which it knows the order, in virtual time.
+//! the moment at which it knows the order, in virtual time; the module
+//! `whole_path` has real daemons.
 
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "support/fleet.rs"]
 mod fleet;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/operator.rs"]
+mod operator;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/processes.rs"]
+mod processes;
+#[path = "evacuation/whole_path.rs"]
+mod whole_path;
 
 use fleet::{
     Fleet,
--- /dev/null
+++ b/tests/evacuation/whole_path.rs
@@ -0,0 +1,223 @@
+//! Emptying a data centre on the operators' order, on the whole path: how daemons
+//! come to know the order, and real daemons beside a stand-in of the platform.
+
+use super::operator::{
+    Operator,
+    StoreMode, //
+};
+use super::processes::{
+    Answer,
+    Daemon,
+    loopback, //
+};
+use fuchsiaslip::cluster::EmptyingOrders;
+use serde_json::json;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Bound on anything that a test waits for.
+const PATIENCE: Duration = Duration::from_secs(40);
+const PAUSE: Duration = Duration::from_millis(20);
+/// The bound within which an order has to be in force, as the settings of the
+/// daemons name it.
+const ORDER_BOUND: Duration = Duration::from_millis(5_000);
+/// A start this long after an order's acknowledgement is late where the store
+/// answers; a machine that is busy with other tests takes some of it.
+const PROMPT: Duration = Duration::from_millis(500);
+
+/// Four workers: 0 and 1 in the data centre `east`, 2 and 3 in `west`.
+fn two_data_centres(test: u8, daemons: u8) -> (Operator, Vec<Daemon>) {
+    let operator = Operator::spawn(4);
+    for at in 0..4 {
+        let data_centre = if at < 2 { "east" } else { "west" };
+        operator.world().place_worker(at, data_centre);
+    }
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons: Vec<Daemon> = (0..daemons)
+        .map(|at| Daemon::spawn(&format!("d{at}"), loopback(test, at), operator.store))
+        .collect();
+    wait_until("every daemon is ready", || {
+        daemons.iter().all(Daemon::is_ready)
+    });
+    (operator, daemons)
+}
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "waited in vain: {what}");
+        std::thread::sleep(PAUSE);
+    }
+}
+
+fn path(job: u64) -> String {
+    format!("/q/{job:016x}")
+}
+
+fn submit(daemon: &Daemon, job: u64, tasks: u32, run_ms: u64) {
+    let body = json!({ "spec": run_ms.to_string(), "steps": [{ "count": tasks, "cpu": 1000,
+        "mem_mb": 100, "gpu": 1, "estimated_ms": run_ms }] });
+    let answer = daemon.request("POST", &path(job), &body.to_string());
+    assert!(
+        matches!(answer, Answer::Status(200, _)),
+        "{job}: {answer:?}"
+    );
+}
+
+fn completed(daemon: &Daemon, job: u64) -> bool {
+    let answer = daemon.request("GET", &path(job), "");
+    answer == Answer::Status(200, r#"{"state":"completed"}"#.to_owned())
+}
+
+/// How long after `from` the last start in `east` was, if there was any.
+fn last_start_in_east(operator: &Operator, from: Instant) -> Option<Duration> {
+    let world = operator.world();
+    let there = world.records.iter().filter(|run| run.worker < 2);
+    let after = there.filter_map(|run| run.began.checked_duration_since(from));
+    after.max()
+}
+
+fn starts_in_west(operator: &Operator, from: Instant) -> usize {
+    let world = operator.world();
+    let there = world.records.iter().filter(|run| run.worker >= 2);
+    there.filter(|run| run.began >= from).count()
+}
+
+#[test]
+fn an_order_is_kept_whoever_owns_and_the_data_centre_is_used_again_at_once() {
+    // Operators write bytes that nobody can read under a data centre's key. The
+    // key names the data centre. Then the owner is killed, the history is
+    // dropped, and the next owner has to keep the order as well.
+    let (operator, mut daemons) = two_data_centres(210, 2);
+    submit(&daemons[0], 1, 600, 200);
+    wait_until("east is in use", || {
+        operator.world().records.iter().any(|run| run.worker < 2)
+    });
+
+    operator
+        .world()
+        .empty("east", b"\xff\x00 no order that reads");
+    let ordered = Instant::now();
+    std::thread::sleep(Duration::from_millis(1_200));
+    operator.world().drop_history();
+    std::thread::sleep(Duration::from_millis(600));
+    let owner = operator.world().value("owner").expect("an owner");
+    let owner = usize::from(owner["owner"] == "d1");
+    daemons[owner].kill();
+    let killed = Instant::now();
+    wait_until("the next owner starts tasks", || {
+        starts_in_west(&operator, killed + Duration::from_millis(300)) > 0
+    });
+    std::thread::sleep(Duration::from_millis(500));
+
+    let late = last_start_in_east(&operator, ordered);
+    println!("last start in east after the order: {late:?}");
+    assert!(late.is_none_or(|late| late < PROMPT), "{late:?}");
+
+    operator.world().give_back("east");
+    let given_back = Instant::now();
+    wait_until("east is used again", || {
+        last_start_in_east(&operator, given_back).is_some()
+    });
+    println!("used again after {:?}", given_back.elapsed());
+    assert!(given_back.elapsed() < 2 * PROMPT);
+    let other = &daemons[1 - owner];
+    wait_until("the job is completed", || completed(other, 1));
+}
+
+#[test]
+fn an_order_that_comes_while_the_store_is_silent_is_kept_within_its_bound() {
+    // The store falls silent for the daemons and goes on for the operators, who
+    // give an order. The owner cannot know it; it stops starting tasks before
+    // the order has to be in force, and goes on when it has read it.
+    let (operator, daemons) = two_data_centres(211, 1);
+    submit(&daemons[0], 1, 1_200, 300);
+    wait_until("east is in use", || {
+        operator.world().records.iter().any(|run| run.worker < 2)
+    });
+
+    operator.world().mode = StoreMode::Silent;
+    operator.world().empty("east", b"{}");
+    let ordered = Instant::now();
+    std::thread::sleep(ORDER_BOUND + Duration::from_millis(1_500));
+    let late = last_start_in_east(&operator, ordered);
+    println!("last start in east after the order: {late:?}");
+    operator.world().mode = StoreMode::Serving;
+    let back = Instant::now();
+    wait_until("west is used again", || starts_in_west(&operator, back) > 0);
+    println!("first start after the store was back: {:?}", back.elapsed());
+    std::thread::sleep(Duration::from_millis(600));
+
+    assert!(
+        late.is_some(),
+        "an owner starts tasks through a short outage"
+    );
+    let late = last_start_in_east(&operator, ordered);
+    assert!(late.is_some_and(|late| late < ORDER_BOUND), "{late:?}");
+    operator.world().give_back("east");
+    wait_until("the job is completed", || completed(&daemons[0], 1));
+}
+
+#[test]
+fn an_order_for_everything_lets_jobs_be_accepted_and_wait() {
+    let (operator, daemons) = two_data_centres(212, 1);
+    operator.world().empty("east", b"{}");
+    operator.world().empty("west", b"{}");
+    operator.world().empty("nowhere", b"{}");
+    std::thread::sleep(PROMPT);
+
+    submit(&daemons[0], 1, 4, 50);
+    std::thread::sleep(Duration::from_secs(1));
+    let waiting = daemons[0].request("GET", &path(1), "");
+    assert_eq!(
+        waiting,
+        Answer::Status(200, r#"{"state":"queued"}"#.to_owned())
+    );
+    assert!(operator.world().records.is_empty());
+
+    operator.world().give_back("west");
+    wait_until("the job is completed", || completed(&daemons[0], 1));
+    assert!(operator.world().records.iter().all(|run| run.worker >= 2));
+}
+
+fn named(orders: &EmptyingOrders) -> Vec<String> {
+    let orders = orders.in_force().into_iter();
+    orders.map(|order| order.data_centre).collect()
+}
+
+const EAST: &str = "op/evacuate/east";
+const WEST: &str = "op/evacuate/west";
+
+#[test]
+fn a_list_and_changes_that_overtake_each_other_do_not_bring_old_orders_back() {
+    // A daemon takes over: its list is on its way while its watch shows that an
+    // order was taken back and another was given.
+    let mut orders = EmptyingOrders::default();
+    orders.list([(EAST, 5)].into_iter(), 6, 1_000);
+    orders.changes([(WEST, 8, true), (EAST, 7, false)].into_iter(), 8, 1_100);
+    assert_eq!(named(&orders), ["west"]);
+
+    orders.list([(EAST, 5)].into_iter(), 6, 1_200);
+    assert_eq!(named(&orders), ["west"], "the list is older");
+    assert_eq!(orders.checked_ms(), 1_100);
+    orders.changes([(EAST, 5, true)].into_iter(), 6, 1_050);
+    assert_eq!(named(&orders), ["west"], "the changes are older");
+
+    orders.list([(EAST, 9)].into_iter(), 9, 1_300);
+    orders.changes([(WEST, 8, true), (EAST, 9, true)].into_iter(), 9, 1_250);
+    assert_eq!(named(&orders), ["east"], "the list is newer");
+    assert_eq!(orders.checked_ms(), 1_300);
+}
+
+#[test]
+fn an_order_given_and_taken_back_between_two_answers_leaves_nothing() {
+    let mut orders = EmptyingOrders::default();
+    orders.list(std::iter::empty(), 4, 1_000);
+    orders.changes([(EAST, 6, false), (EAST, 5, true)].into_iter(), 6, 1_100);
+    assert!(orders.in_force().is_empty());
+
+    orders.changes([("op/evacuate/", 7, true)].into_iter(), 7, 1_200);
+    assert!(orders.in_force().is_empty(), "a key without a name");
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -45,6 +45,16 @@
         "no longer than workers hold"
     );
     assert_eq!(settings.tuning.retention_ms, 90_000);
+    assert_eq!(
+        settings.tuning.orders_view_ms,
+        u64::MAX,
+        "no bound is set on orders to empty a data centre"
+    );
+    let bounded = read_settings(&with("bounds.evacuation_ms", "5000")).unwrap();
+    assert_eq!(
+        bounded.tuning.orders_view_ms, 3_363,
+        "what is left of the bound for a start that is carried out late"
+    );
 }
 
 #[test]
@@ -63,6 +73,7 @@
         ("bounds.status_s", "soon"),
         ("bounds.max_hold_ms", "-1"),
         ("limits.cpu_share", "NaN"),
+        ("bounds.evacuation_ms", "never"),
     ];
     for (field, value) in wrong {
         let problem = problem(&with(field, value));
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -123,6 +123,7 @@
     pub cut: bool,
     /// It fails whatever it starts.
     failing: bool,
+    data_centre: String,
 }
 
 /// What a worker has.
@@ -181,6 +182,23 @@
         self.put_raw(key, value, 0);
     }
 
+    /// Asks that a data centre gets no new tasks, with any bytes as the value.
+    pub fn empty(&mut self, data_centre: &str, value: &[u8]) {
+        let key = format!("op/evacuate/{data_centre}");
+        self.put_raw(&key, BASE64_STANDARD.encode(value), 0);
+    }
+
+    /// Takes that back.
+    pub fn give_back(&mut self, data_centre: &str) {
+        self.remove(&format!("op/evacuate/{data_centre}"));
+    }
+
+    /// Moves a worker to a data centre and registers it there.
+    pub fn place_worker(&mut self, at: usize, data_centre: &str) {
+        self.workers[at].data_centre = data_centre.to_owned();
+        self.register(at, "ready");
+    }
+
     /// A value that daemons stored.
     pub fn value(&self, key: &str) -> Option<Value> {
         let item = self.items.get(key)?;
@@ -237,6 +255,7 @@
             lives: worker.lives,
             cut: worker.cut,
             failing: worker.failing,
+            data_centre: worker.data_centre.clone(),
             ..FakeWorker::default()
         };
         for place in places {
@@ -249,7 +268,7 @@
     /// Writes a worker's entry.
     pub fn register(&mut self, at: usize, state: &str) {
         let worker = &self.workers[at];
-        let value = json!({ "service": "s", "address": worker.address, "zone": "z",
+        let value = json!({ "service": "s", "address": worker.address, "zone": worker.data_centre,
             "state": state, "remaining_ms": 2_000, "labels": ["a", "r1"], "sequence": 1,
             "capacity": { "cpu": 32000, "mem_mb": 131072, "gpu": ACCELERATORS } });
         let key = format!("servers/{}", worker.id);
@@ -606,6 +625,7 @@
             workers: (0..worker_count)
                 .map(|at| FakeWorker {
                     id: format!("w{at}"),
+                    data_centre: "z".to_owned(),
                     ..FakeWorker::default()
                 })
                 .collect(),
@@ -759,6 +779,10 @@
     let number = |field: &str| query[field].parse::<u64>().unwrap_or(0);
     let until = Instant::now() + Duration::from_millis(number("wait_ms"));
     loop {
+        // A store that falls silent leaves waiting watches without an answer too.
+        if lock(world).mode == StoreMode::Silent {
+            return never().await;
+        }
         {
             let mut world = lock(world);
             world.end_leases();
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -55,7 +55,8 @@
              listen_addresses.frontend={ip}:{CLIENT_PORT}\n\
              listen_addresses.readiness={ip}:{READINESS_PORT}\n\
              internal_port_range={FIRST_INTERNAL_PORT},{}\n\
-             platform.address={store}\nbounds.grace_period_s=6\n",
+             platform.address={store}\nbounds.grace_period_s=6\n\
+             bounds.evacuation_ms=5000\n",
             FIRST_INTERNAL_PORT + 15
         );
         let settings =
