Show which data centres are being emptied, and for how long that is known

Cause: an operator who gave an order had to read logs to see whether it is known.

Change: the owner stores since when it knows of each order (`emptied/NAME`), for people to read only; the next owner leaves that as it is, and removes what is not true any more. `fuchsiaslip fleet` shows order, revision and age, and with a job's name the data centres that it cannot use.

Ruled out: the age from the store (it keeps no times) or from a daemon (the command needs none that answers).

Test: `a_person_sees_the_order_its_age_and_what_a_job_waits_for`, with the owner killed in between.

--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -119,6 +119,16 @@
             text += &format!("  {task} run {run}\n");
         }
     }
+    for (data_centre, order) in &report.emptied_data_centres {
+        let known = match order.known_ms {
+            Some(known_ms) => format!("known to owners for {known_ms} ms"),
+            None => "not known to an owner yet".to_owned(),
+        };
+        text += &format!(
+            "emptied {data_centre}: no new tasks, order of revision {}, {known}\n",
+            order.revision
+        );
+    }
     for (daemon, address) in &report.daemons {
         text += &format!("daemon {daemon} at {address}\n");
     }
--- a/src/cluster/calls.rs
+++ b/src/cluster/calls.rs
@@ -4,6 +4,7 @@
 use super::ledger::Changes;
 use super::log_lines;
 use super::node::Node;
+use super::records::EmptiedRecord;
 use crate::core::JobId;
 use crate::scheduler::{
     Action,
@@ -31,6 +32,7 @@
     let epoch = output.epoch;
     let mut forgotten: Vec<JobId> = Vec::new();
     let mut waves = Vec::new();
+    let mut emptied = Vec::new();
     for action in output.actions {
         match action {
             Action::Hold {
@@ -86,6 +88,16 @@
                 actix_rt::spawn(begin_upkeep(node.clone(), epoch, wave, machine));
             }
             Action::StoreWave { wave, completed } => waves.push((wave, completed)),
+            Action::StoreEmptied {
+                data_centre,
+                revision,
+            } => {
+                let record = revision.map(|revision| EmptiedRecord {
+                    revision,
+                    known_since_ms: node.now_ms(),
+                });
+                emptied.push((data_centre.to_string(), record));
+            }
             Action::Forget { job } => forgotten.push(job),
             Action::Deposed => {
                 node.stop_owning();
@@ -101,6 +113,7 @@
         closed: output.closed,
         forgotten,
         waves,
+        emptied,
     });
 }
 
--- a/src/cluster/inspect.rs
+++ b/src/cluster/inspect.rs
@@ -3,6 +3,8 @@
 use super::records::{
     CLOSED_PREFIX,
     ClosedRecord,
+    EMPTIED_PREFIX,
+    EmptiedRecord,
     JOBS_PREFIX,
     JobKeyKind,
     MEMBERS_PREFIX,
@@ -14,6 +16,7 @@
     RosterRow,
     cancelled_key,
     decode,
+    emptied_key,
     job_key,
     progress_key,
     read_job_key, //
@@ -21,8 +24,10 @@
 use super::services::StoreError;
 use crate::core::JobId;
 use crate::platform::{
+    EMPTYING_PREFIX,
     HttpClient,
-    StoreClient, //
+    StoreClient,
+    emptied_data_centre, //
 };
 use crate::scheduler::{
     FinalState,
@@ -48,6 +53,8 @@
     pub workers: usize,
     /// Closed workers with the runs that may be there.
     pub closed_workers: BTreeMap<String, Vec<(String, u64)>>,
+    /// Data centres that get no new tasks, on the operators' order.
+    pub emptied_data_centres: BTreeMap<String, EmptiedDataCentre>,
     /// Jobs that are open.
     pub open_jobs: usize,
     /// Jobs that are completed and remembered.
@@ -58,6 +65,15 @@
     pub cancelled_jobs: usize,
 }
 
+/// An operators' order that a data centre gets no new tasks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct EmptiedDataCentre {
+    /// The store's revision of the order.
+    pub revision: u64,
+    /// For how long an owner knows of it; `None` if none does yet.
+    pub known_ms: Option<u64>,
+}
+
 /// A job as the store shows it.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct StoredJob {
@@ -67,6 +83,8 @@
     pub cancelled: bool,
     /// What the owner noted of it.
     pub progress: Option<ProgressRecord>,
+    /// Data centres that get no new tasks: it waits where it needs room there.
+    pub emptied_data_centres: Vec<String>,
 }
 
 /// Reads what is stored of the fleet whose store is at `address`.
@@ -75,7 +93,7 @@
 ///
 /// The store refused or did not answer.
 pub async fn inspect_fleet(address: &str, timer: Timer) -> Result<FleetReport, StoreError> {
-    let store = StoreClient::open(HttpClient::open(timer), address);
+    let store = StoreClient::open(HttpClient::open(timer.clone()), address);
     let mut report = FleetReport::default();
     if let Some(item) = store.get(ROOT_KEY).await? {
         let root: RootRecord = decode(ROOT_KEY, &item.value).unwrap_or_default();
@@ -100,10 +118,39 @@
             report.closed_workers.insert(name, record.runs);
         }
     }
+    report.emptied_data_centres = emptied(&store, timer.now_ms()).await?;
     count_jobs(&store, &mut report).await?;
     Ok(report)
 }
 
+/// The orders in force, each with its age.
+async fn emptied(
+    store: &StoreClient,
+    now_ms: u64,
+) -> Result<BTreeMap<String, EmptiedDataCentre>, StoreError> {
+    let known = store.range(EMPTIED_PREFIX, false).await?;
+    let known_ms = |name: &str, revision: u64| {
+        let item = known
+            .items
+            .iter()
+            .find(|item| item.key == emptied_key(name))?;
+        let record: EmptiedRecord = decode(&item.key, &item.value)?;
+        // A record of an earlier order says nothing of this one.
+        (record.revision == revision).then(|| now_ms.saturating_sub(record.known_since_ms))
+    };
+    let mut emptied = BTreeMap::new();
+    for item in store.range(EMPTYING_PREFIX, false).await?.items {
+        if let Some(name) = emptied_data_centre(&item.key) {
+            let order = EmptiedDataCentre {
+                revision: item.revision,
+                known_ms: known_ms(name, item.revision),
+            };
+            emptied.insert(name.to_owned(), order);
+        }
+    }
+    Ok(emptied)
+}
+
 fn name_of(key: &str, prefix: &str) -> String {
     key.strip_prefix(prefix).unwrap_or(key).to_owned()
 }
@@ -145,7 +192,8 @@
     timer: Timer,
     job: JobId,
 ) -> Result<Option<StoredJob>, StoreError> {
-    let store = StoreClient::open(HttpClient::open(timer), address);
+    let store = StoreClient::open(HttpClient::open(timer.clone()), address);
+    let emptied = emptied(&store, timer.now_ms()).await?;
     let key = progress_key(job);
     let progress = store.get(&key).await?;
     let progress = progress.and_then(|item| decode(&key, &item.value));
@@ -157,5 +205,6 @@
         record,
         cancelled,
         progress,
+        emptied_data_centres: emptied.into_keys().collect(),
     }))
 }
--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -9,11 +9,15 @@
 use super::node::Node;
 use super::records::{
     ClosedRecord,
+    EMPTIED_PREFIX,
+    EmptiedRecord,
     ROOT_KEY,
     ROSTER_KEY,
     RosterRow,
     cancelled_key,
     closed_key,
+    decode,
+    emptied_key,
     encode,
     job_key,
     progress_key, //
@@ -21,6 +25,7 @@
 use super::services::{
     Committed,
     MAX_TRANSACTION_ENTRIES,
+    Range,
     StoreError,
     StoredItem,
     Transaction, //
@@ -31,6 +36,7 @@
     wave_state_key, //
 };
 use crate::scheduler::{
+    EmptyingOrder,
     Input,
     ProgressRecord, //
 };
@@ -64,6 +70,8 @@
     pub closed: Vec<(String, Option<ClosedRecord>)>,
     /// Waves of upkeep, with whether they are completed.
     pub waves: Vec<(u64, bool)>,
+    /// Data centres that get no new tasks; `None` for those that get them again.
+    pub emptied: Vec<(String, Option<EmptiedRecord>)>,
     /// Jobs of which nothing is to be kept.
     pub forgotten: Vec<JobId>,
 }
@@ -82,6 +90,9 @@
     roster: Option<Vec<RosterRow>>,
     closed: BTreeMap<String, Option<ClosedRecord>>,
     waves: BTreeMap<u64, bool>,
+    emptied: BTreeMap<String, Option<EmptiedRecord>>,
+    /// What an earlier owner stored of data centres.
+    found_emptied: HashMap<String, EmptiedRecord>,
     forgotten: Vec<JobId>,
     revisions: HashMap<String, u64>,
 }
@@ -100,6 +111,7 @@
     roster: Option<Vec<String>>,
     closed: Vec<(String, Option<ClosedRecord>)>,
     waves: Vec<(u64, bool)>,
+    emptied: Vec<(String, Option<EmptiedRecord>)>,
     forgotten: Vec<JobId>,
 }
 
@@ -114,6 +126,7 @@
             roster: None,
             closed: Vec::new(),
             waves: Vec::new(),
+            emptied: Vec::new(),
             forgotten: Vec::new(),
         }
     }
@@ -146,12 +159,28 @@
         pending.revisions.insert(key.to_owned(), revision);
     }
 
+    /// Notes what an earlier owner stored of data centres. What is not true any
+    /// more is removed; what still is stays as it was first stored.
+    pub fn note_emptied(&self, found: &Range, in_force: &[EmptyingOrder]) {
+        let mut pending = self.pending.borrow_mut();
+        for item in &found.items {
+            let name = item.key.strip_prefix(EMPTIED_PREFIX).unwrap_or_default();
+            pending.revisions.insert(item.key.clone(), item.revision);
+            if !in_force.iter().any(|order| order.data_centre == name) {
+                pending.emptied.insert(name.to_owned(), None);
+            } else if let Some(record) = decode(&item.key, &item.value) {
+                pending.found_emptied.insert(name.to_owned(), record);
+            }
+        }
+    }
+
     /// Adds what a decision asks to have stored.
     pub fn add(&self, changes: Changes) {
         let empty = changes.progress.is_empty()
             && changes.roster.is_none()
             && changes.closed.is_empty()
             && changes.waves.is_empty()
+            && changes.emptied.is_empty()
             && changes.forgotten.is_empty();
         if empty {
             return;
@@ -163,6 +192,16 @@
         pending.roster = changes.roster.or(pending.roster.take());
         pending.closed.extend(changes.closed);
         pending.waves.extend(changes.waves);
+        for (data_centre, record) in changes.emptied {
+            let found = pending.found_emptied.remove(&data_centre);
+            let stored = found.is_some_and(|found| {
+                let record = record.as_ref();
+                record.is_some_and(|record| record.revision == found.revision)
+            });
+            if !stored {
+                pending.emptied.insert(data_centre, record);
+            }
+        }
         pending.forgotten.extend(changes.forgotten);
         self.added.notify_one();
     }
@@ -193,6 +232,14 @@
             }
             batch.closed.push((incarnation.clone(), record.clone()));
         }
+        for (data_centre, record) in pending.emptied.iter().take(batch.room(VALUE_ENTRIES)) {
+            let key = emptied_key(data_centre);
+            match record {
+                Some(record) => batch.put(&pending, key, encode(record)),
+                None => batch.transaction.removed.push(key),
+            }
+            batch.emptied.push((data_centre.clone(), record.clone()));
+        }
         // Nobody waits for what is forgotten: it takes the room that is left.
         for &job in pending.forgotten.iter().take(batch.room(REMOVED_KEYS)) {
             batch.forgotten.push(job);
@@ -233,6 +280,14 @@
                 pending.closed.remove(incarnation);
             }
         }
+        for (data_centre, record) in &batch.emptied {
+            if record.is_none() {
+                pending.revisions.remove(&emptied_key(data_centre));
+            }
+            if pending.emptied.get(data_centre) == Some(record) {
+                pending.emptied.remove(data_centre);
+            }
+        }
         for (wave, completed) in &batch.waves {
             if pending.waves.get(wave) == Some(completed) {
                 pending.waves.remove(wave);
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -41,6 +41,7 @@
 };
 pub use emptying::EmptyingOrders;
 pub use inspect::{
+    EmptiedDataCentre,
     FleetReport,
     StoredJob,
     inspect_fleet,
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -10,6 +10,7 @@
 use super::records::{
     CLOSED_PREFIX,
     ClosedRecord,
+    EMPTIED_PREFIX,
     JOBS_PREFIX,
     JobKeyKind,
     PROGRESS_PREFIX,
@@ -134,7 +135,7 @@
 async fn begin(node: &Rc<Node>, taken: &Taken) -> Result<(), StoreError> {
     let (epoch, began_ms) = (taken.epoch, taken.began_ms);
     let asked_ms = node.now_ms();
-    let (jobs, progress, roster, closed, workers, waves, states, orders) = tokio::try_join!(
+    let (jobs, progress, roster, closed, workers, waves, states, orders, emptied) = tokio::try_join!(
         node.store.range(JOBS_PREFIX, false),
         node.store.range(PROGRESS_PREFIX, false),
         node.store.get(ROSTER_KEY),
@@ -143,6 +144,7 @@
         node.store.range(WAVES_PREFIX, false),
         node.store.range(WAVE_STATES_PREFIX, false),
         node.store.range(EMPTYING_PREFIX, false),
+        node.store.range(EMPTIED_PREFIX, false),
     )?;
     emptying::take_list(node, &orders, asked_ms);
     node.ledger.clear();
@@ -162,6 +164,8 @@
     }
     stored.extend(wave_inputs(&waves, &states));
     stored.push(emptying::input(node));
+    node.ledger
+        .note_emptied(&emptied, &node.emptying().in_force());
     stored.push(Input::Confirmed(began_ms));
     stored.push(Input::Recovered {
         earlier_owner_over: taken.earlier_owner_over,
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -21,6 +21,9 @@
 pub const MEMBERS_PREFIX: &str = "members/";
 /// Workers that owners closed, written by the owner.
 pub const CLOSED_PREFIX: &str = "closed/";
+/// Data centres that get no new tasks, as an owner came to know of it; written by
+/// the owner for people to read.
+pub const EMPTIED_PREFIX: &str = "emptied/";
 const CANCELLED_SUFFIX: &str = "/cancelled";
 
 /// The value of the root.
@@ -123,6 +126,20 @@
     format!("{CLOSED_PREFIX}{incarnation}")
 }
 
+/// Since when an owner knows that a data centre gets no new tasks.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EmptiedRecord {
+    /// The store's revision of the operators' order.
+    pub revision: u64,
+    /// When the first owner came to know of it, since the Unix epoch.
+    pub known_since_ms: u64,
+}
+
+/// The key of a data centre that gets no new tasks.
+pub fn emptied_key(data_centre: &str) -> String {
+    format!("{EMPTIED_PREFIX}{data_centre}")
+}
+
 /// Reads a key under [`JOBS_PREFIX`].
 pub fn read_job_key(key: &str) -> Option<JobKeyKind> {
     let name = key.strip_prefix(JOBS_PREFIX)?;
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -104,6 +104,14 @@
         /// All its machines that stay had their upkeep.
         completed: bool,
     },
+    /// Store since when a data centre gets no new tasks, for people to read; or
+    /// that it gets them again.
+    StoreEmptied {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// The store's revision of the order; `None` when it was taken back.
+        revision: Option<u64>,
+    },
     /// Forget what is stored of a job.
     Forget {
         /// The job.
--- a/src/scheduler/emptying.rs
+++ b/src/scheduler/emptying.rs
@@ -8,7 +8,10 @@
 //! not ask for. Limits: an order that is not known yet is not kept, so an owner
 //! that did not read the orders for too long starts nothing anywhere.
 
-use super::action::Decision;
+use super::action::{
+    Action,
+    Decision, //
+};
 use super::state::Scheduler;
 use super::worker::Contact;
 use super::{
@@ -68,11 +71,15 @@
         self.emptying.checked_ms = self.emptying.checked_ms.max(checked_ms);
         let now_ms = self.now_ms;
         let mut before = std::mem::take(&mut self.emptying.in_force);
-        let mut new = Vec::new();
+        let (mut new, mut given_anew) = (Vec::new(), Vec::new());
         for order in orders {
             let known = before.remove(&order.data_centre);
-            if known.is_none() {
-                new.push(order.data_centre.clone());
+            match known {
+                None => new.push(order.data_centre.clone()),
+                Some(known) if known.revision != order.revision => {
+                    given_anew.push(order.data_centre.clone());
+                }
+                Some(_) => {}
             }
             let in_force = InForce {
                 revision: order.revision,
@@ -80,6 +87,9 @@
             };
             self.emptying.in_force.insert(order.data_centre, in_force);
         }
+        for data_centre in given_anew {
+            self.store_emptied(&data_centre);
+        }
         if new.is_empty() && before.is_empty() {
             return;
         }
@@ -119,6 +129,7 @@
     }
 
     fn note_emptied(&mut self, data_centre: &str) {
+        self.store_emptied(data_centre);
         let there = || self.workers_in(data_centre);
         let last_start_ms = there().map(|worker| worker.started_ms).max();
         let guaranteed = self.configuration.accounts.iter();
@@ -138,7 +149,16 @@
         self.decided(decision);
     }
 
+    fn store_emptied(&mut self, data_centre: &str) {
+        let order = self.emptying.in_force.get(data_centre);
+        self.actions.push(Action::StoreEmptied {
+            data_centre: data_centre.into(),
+            revision: order.map(|order| order.revision),
+        });
+    }
+
     fn note_given_back(&mut self, data_centre: String, order: InForce) {
+        self.store_emptied(&data_centre);
         let decision = Decision::DataCentreBack {
             data_centre: data_centre.as_str().into(),
             revision: order.revision,
--- a/tests/evacuation/whole_path.rs
+++ b/tests/evacuation/whole_path.rs
@@ -12,6 +12,7 @@
 };
 use fuchsiaslip::cluster::EmptyingOrders;
 use serde_json::json;
+use std::process::Command;
 use std::time::{
     Duration,
     Instant, //
@@ -182,6 +183,58 @@
     assert!(operator.world().records.iter().all(|run| run.worker >= 2));
 }
 
+/// What `fuchsiaslip fleet` prints, of a job if one is named.
+fn show(operator: &Operator, job: Option<u64>) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_fuchsiaslip"))
+        .args(["fleet", "--store", &operator.store.to_string()])
+        .args(job.map(|job| format!("{job:016x}")))
+        .output()
+        .expect("the command runs");
+    String::from_utf8(output.stdout).expect("text")
+}
+
+/// For how long owners know that `east` is emptied, as people are shown.
+fn shown_age_ms(operator: &Operator) -> Option<u64> {
+    let shown = show(operator, None);
+    let line = shown
+        .lines()
+        .find(|line| line.starts_with("emptied east"))?;
+    let (_, age) = line.split_once("known to owners for ")?;
+    age.trim_end_matches(" ms").parse().ok()
+}
+
+#[test]
+fn a_person_sees_the_order_its_age_and_what_a_job_waits_for() {
+    let (operator, mut daemons) = two_data_centres(213, 2);
+    operator.world().empty("east", b"{}");
+    let ordered = Instant::now();
+    submit(&daemons[0], 1, 1, 60_000);
+    wait_until("an owner knows the order", || {
+        shown_age_ms(&operator).is_some()
+    });
+    let job = show(&operator, Some(1));
+    assert!(job.contains("\"east\""), "{job}");
+
+    let owner = operator.world().value("owner").expect("an owner");
+    daemons[usize::from(owner["owner"] == "d1")].kill();
+    wait_until("the next daemon owns", || {
+        operator.world().value("owner").expect("an owner")["epoch"] != owner["epoch"]
+    });
+    std::thread::sleep(PROMPT);
+    let age_ms = shown_age_ms(&operator).map(Duration::from_millis);
+    let longest = ordered.elapsed();
+    assert!(
+        age_ms.is_some_and(|age| age + 3 * PROMPT > longest && age <= longest),
+        "its age outlives the owner: {age_ms:?} of {longest:?}"
+    );
+
+    operator.world().give_back("east");
+    wait_until("nothing is stored of it", || {
+        operator.world().keys("emptied/").is_empty()
+    });
+    assert!(!show(&operator, None).contains("emptied"));
+}
+
 fn named(orders: &EmptyingOrders) -> Vec<String> {
     let orders = orders.in_force().into_iter();
     orders.map(|order| order.data_centre).collect()
