--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -320,6 +320,12 @@
             "taken_back",
             json!({ "data_centre": &**data_centre, "after_ms": after_ms }),
         ),
+        Decision::OrdersUnread { known_ago_ms } => (
+            events::ORDERS_UNREAD,
+            "orders_unread",
+            "store_silent",
+            json!({ "known_ago_ms": known_ago_ms }),
+        ),
         Decision::WorkerLost {
             worker,
             runs,
--- a/src/events.rs
+++ b/src/events.rs
@@ -94,6 +94,8 @@
     DATA_CENTRE_BACK = 332, Info, "the operators took the order back: the data centre gets tasks again", "none";
     /// Its first start since.
     DATA_CENTRE_USED = 333, Info, "a data centre that was given back got its first task", "none";
+    /// The operators' orders are not known.
+    ORDERS_UNREAD = 334, Warn, "the operators' orders could not be read for too long; nothing new starts until they are", "look at the key-value service and the owner's way to it";
     /// A patch accepted.
     PATCH_ACCEPTED = 400, Info, "a configuration patch was accepted", "none";
     /// A patch refused.
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -256,6 +256,11 @@
         /// How long after it was given back.
         after_ms: u64,
     },
+    /// The operators' orders were not read for too long: nothing new starts.
+    OrdersUnread {
+        /// When they were last known, as time ago.
+        known_ago_ms: u64,
+    },
     /// A worker was lost with all that ran there.
     WorkerLost {
         /// The worker's incarnation.
--- a/src/scheduler/emptying.rs
+++ b/src/scheduler/emptying.rs
@@ -45,6 +45,8 @@
     in_force: BTreeMap<String, InForce>,
     /// All orders that were acknowledged until then are known.
     checked_ms: u64,
+    /// It was told that they were not read for too long.
+    told_unread: bool,
     /// Data centres that were given back and got no start since, with when.
     unused: BTreeMap<String, u64>,
 }
@@ -69,6 +71,7 @@
         // Waiting work is offered room again as soon as that may be done.
         self.changed |= !self.knows_orders();
         self.emptying.checked_ms = self.emptying.checked_ms.max(checked_ms);
+        self.emptying.told_unread &= !self.knows_orders();
         let now_ms = self.now_ms;
         let mut before = std::mem::take(&mut self.emptying.in_force);
         let (mut new, mut given_anew) = (Vec::new(), Vec::new());
@@ -196,6 +199,14 @@
         known_ms < self.tuning.orders_view_ms
     }
 
+    /// Tells once that nothing starts since the orders were not read for too long.
+    pub(super) fn note_orders_unread(&mut self) {
+        if !std::mem::replace(&mut self.emptying.told_unread, true) {
+            let known_ago_ms = self.now_ms.saturating_sub(self.emptying.checked_ms);
+            self.decided(Decision::OrdersUnread { known_ago_ms });
+        }
+    }
+
     /// Whether a rack has workers, and none of them gets new tasks.
     pub(super) fn is_rack_emptied(&self, rack: &str) -> bool {
         if rack.is_empty() || self.emptying.in_force.is_empty() {
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -57,8 +57,11 @@
 impl Scheduler {
     /// Offers room to waiting work, in order.
     pub(super) fn pass(&mut self) {
-        let may_start = self.has_authority() && self.knows_orders();
-        if !may_start || self.configuration.version == 0 {
+        if !self.has_authority() || self.configuration.version == 0 {
+            return;
+        }
+        if !self.knows_orders() {
+            self.note_orders_unread();
             return;
         }
         let mut seats = self.seats();
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -535,6 +535,7 @@
     };
     let mut fleet = Fleet::with_tuning(1, tuning);
     order(&mut fleet, &[]);
+    fleet.actions.clear();
     fleet.advance(2_900);
     fleet.submit(1, record("plain", vec![step(1, 1)]));
     fleet.advance(50);
@@ -544,6 +545,9 @@
     fleet.submit(2, record("plain", vec![step(1, 1)]));
     fleet.advance(2_000);
     assert_eq!(fleet.running().len(), 1);
+    let told = decisions(&fleet);
+    let unread = |decision: &&Decision| matches!(decision, Decision::OrdersUnread { .. });
+    assert_eq!(told.iter().filter(unread).count(), 1, "it is told once");
 
     order(&mut fleet, &[]);
     fleet.settle();
