--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -68,7 +68,7 @@
     let mut wait_ms = WATCH_WAIT_MS;
     loop {
         let step = match revision {
-            None => read_operators(&node).await,
+            None => node.unless_silenced(read_operators(&node)).await,
             Some(revision) => {
                 let watch = watch_operators(&node, revision, wait_ms);
                 node.unless_silenced(watch).await
