The soak draws orders to empty data centres

Beside drawn faults no start is later than 5 s after an order; in a calm part at the end each data centre is emptied in turn, no start is later than 2 s after the order, and jobs that come meanwhile are done elsewhere.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -59,6 +59,36 @@
 const EARLY_MS: u64 = 250;
 const MAX_ATTEMPTS: usize = 8;
 
+/// An order to empty a data centre has to be in force within this, whatever is
+/// harmed; the daemons' settings say the same.
+const ORDER_BOUND: Duration = Duration::from_millis(5_000);
+/// The same while nothing is harmed: the bound that operators are told.
+const CALM_ORDER_BOUND: Duration = Duration::from_millis(2_000);
+/// Orders are drawn on their own, so that seeds draw the faults that they drew
+/// before there were orders.
+const ORDERS_STREAM: u64 = 0x0d0e_0a0c;
+/// An order is given or taken back in one of so many rounds.
+const ROUNDS_PER_ORDER: u32 = 3;
+
+/// An operators' order to empty a data centre.
+#[derive(Clone, Copy, Debug)]
+struct Order {
+    data_centre: usize,
+    given: Instant,
+    taken_back: Option<Instant>,
+}
+
+const DATA_CENTRES: usize = 2;
+
+/// The data centre of a worker.
+fn data_centre_of(worker: usize) -> usize {
+    worker % DATA_CENTRES
+}
+
+fn data_centre_name(data_centre: usize) -> String {
+    format!("z{data_centre}")
+}
+
 /// What a caller knows of a job that it sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Fate {
@@ -90,6 +120,8 @@
     clients: Vec<KeptClient>,
     paused: Vec<usize>,
     ending: Vec<usize>,
+    order_random: StdRng,
+    orders: Vec<Order>,
     sent: BTreeMap<u64, Sent>,
 }
 
@@ -113,6 +145,10 @@
             worker_links.push(link);
             address
         });
+        for worker in 0..worker_count {
+            let data_centre = data_centre_name(data_centre_of(worker));
+            operator.world().place_worker(worker, &data_centre);
+        }
         let queues = [("u", 0), ("q", 1)];
         operator.world().configure(1, &queues, MAX_ATTEMPTS);
         let store_links: Vec<Proxy> = (0..daemon_count)
@@ -136,6 +172,8 @@
             clients,
             paused: Vec::new(),
             ending: Vec::new(),
+            order_random: StdRng::seed_from_u64(seed ^ ORDERS_STREAM),
+            orders: Vec::new(),
             sent: BTreeMap::new(),
         };
         soak.wait_until("every daemon is ready", || {
@@ -185,6 +223,81 @@
         }
     }
 
+    /// Gives an order to empty a data centre, or takes it back.
+    fn draw_order(&mut self) {
+        if self.order_random.random_range(0..ROUNDS_PER_ORDER) > 0 {
+            return;
+        }
+        let open = self.orders.iter().any(|order| order.taken_back.is_none());
+        match open {
+            true => self.take_orders_back(),
+            false => {
+                let data_centre = self.order_random.random_range(0..DATA_CENTRES);
+                self.give_order(data_centre);
+            }
+        }
+    }
+
+    fn give_order(&mut self, data_centre: usize) {
+        let name = data_centre_name(data_centre);
+        self.operator.world().empty(&name, b"not for reading");
+        self.orders.push(Order {
+            data_centre,
+            given: Instant::now(),
+            taken_back: None,
+        });
+    }
+
+    fn take_orders_back(&mut self) {
+        let open = self.orders.iter_mut();
+        for order in open.filter(|order| order.taken_back.is_none()) {
+            // Starts from here on are none of its business.
+            order.taken_back = Some(Instant::now());
+            let name = data_centre_name(order.data_centre);
+            self.operator.world().give_back(&name);
+        }
+    }
+
+    /// Empties each data centre in turn while nothing is harmed; jobs that come
+    /// meanwhile are done elsewhere.
+    fn empty_calmly(&mut self) {
+        for data_centre in 0..DATA_CENTRES {
+            self.give_order(data_centre);
+            let given = Instant::now();
+            std::thread::sleep(CALM_ORDER_BOUND);
+            for number in 0..JOBS_A_ROUND {
+                let round = u64::from(ROUNDS) + data_centre as u64;
+                self.submit(self.seed * 1_000 + round * JOBS_A_ROUND + number + 1);
+            }
+            self.settle();
+            self.take_orders_back();
+            let late = self.starts_after(data_centre, given + CALM_ORDER_BOUND, Instant::now());
+            assert!(
+                late.is_empty(),
+                "seed {}: started late: {late:#?}",
+                self.seed
+            );
+        }
+    }
+
+    /// Runs that began in a data centre within a time.
+    fn starts_after(&self, data_centre: usize, from: Instant, until: Instant) -> Vec<RunRecord> {
+        let world = self.operator.world();
+        let there = world.records.iter().filter(|run| {
+            data_centre_of(run.worker) == data_centre && run.began > from && run.began < until
+        });
+        there.cloned().collect()
+    }
+
+    /// No order is broken after its bound.
+    fn check_orders(&self) {
+        for order in &self.orders {
+            let until = order.taken_back.unwrap_or_else(Instant::now);
+            let late = self.starts_after(order.data_centre, order.given + ORDER_BOUND, until);
+            assert!(late.is_empty(), "seed {}: {order:?}: {late:#?}", self.seed);
+        }
+    }
+
     fn harm_process_or_link(&mut self, daemon: usize, worker: usize) {
         let links = [&self.store_links[daemon], &self.worker_links[worker]];
         let link = links[self.random.random_range(0..links.len())];
@@ -313,6 +426,7 @@
             for _ in 0..self.random.random_range(1..3u32) {
                 self.harm();
             }
+            self.draw_order();
             for number in 0..JOBS_A_ROUND {
                 let job = self.seed * 1_000 + u64::from(round) * JOBS_A_ROUND + number + 1;
                 self.submit(job);
@@ -326,6 +440,7 @@
             }
         }
         self.mend();
+        self.take_orders_back();
     }
 
     /// Waits until every accepted job has come to the end that it has to have.
@@ -393,12 +508,13 @@
         }
         check_order(&by_task, &self.sent, self.seed);
         println!(
-            "seed {}: {} jobs, {} refused, {} unknown, {} runs, epoch {}",
+            "seed {}: {} jobs, {} refused, {} unknown, {} runs, {} orders, epoch {}",
             self.seed,
             self.sent.len(),
             self.count(Fate::Refused),
             self.count(Fate::Unknown),
             world.records.len(),
+            self.orders.len(),
             world
                 .value("owner")
                 .map_or(Value::Null, |root| root["epoch"].clone()),
@@ -521,5 +637,7 @@
     let mut soak = Soak::begin(seed);
     soak.run();
     soak.settle();
+    soak.empty_calmly();
     soak.check();
+    soak.check_orders();
 }
