A daemon that does not say that it owns is not taken for the owner for ever

An attempt to take over that got no answer was carried out after its daemon had given it up. The owner saw the new root, stepped down and took that daemon for the owner, while the others still took the earlier one for it; each heard the other's heartbeats, which do not say under which epoch their sender owns unless it does.

Change: a daemon that is heard counts as the owner only for 5 s after it last said that it owns, or was learnt of. That is longer than the longest takeover's reading.

Ruled out: the orders to empty data centres, under which it was found; the code before them has the same ways.

Test: `daemons_that_take_each_other_for_the_owner_find_one` writes such a root: waits in vain for 40 s before, passes after.

--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -37,6 +37,18 @@
 /// store took over an owner that had it again 20 ms later.
 const STORELESS_MS: u64 = 500;
 
+/// A daemon that is heard, but does not say that it owns, is taken for the owner
+/// for this long: one that takes over reads what is stored first, up to four times
+/// with a second for each. An attempt that was carried out late made two daemons
+/// take each other for the owner for ever.
+const UNCLAIMED_MS: u64 = 5_000;
+
+/// When an owner counts as heard that was last heard at `heard_ms`, and that last
+/// said at `said_ms` that it owns, or of which it was last learnt then.
+pub fn owner_heard_ms(heard_ms: u64, said_ms: u64) -> u64 {
+    heard_ms.min(said_ms + UNCLAIMED_MS)
+}
+
 /// A daemon that may own, as the others see it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -102,6 +102,7 @@
             boot: beat.boot,
             since_ms: now_ms,
         });
+        node.owner_said(beat.epoch);
     }
     if node.lags_behind(beat.configuration_version) {
         actix_rt::spawn(fetch_configuration(node.clone(), address));
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -7,7 +7,8 @@
 use super::election::{
     Candidate,
     ElectionView,
-    OwnerSign, //
+    OwnerSign,
+    owner_heard_ms, //
 };
 use super::emptying::EmptyingOrders;
 use super::ledger::Ledger;
@@ -134,6 +135,7 @@
     emptying: RefCell<EmptyingOrders>,
     others: RefCell<BTreeMap<String, Peer>>,
     owner: RefCell<Option<KnownOwner>>,
+    owner_said_ms: Cell<u64>,
     epoch: Cell<u64>,
     root_revision: Cell<u64>,
     store_health: RefCell<StoreHealth>,
@@ -184,6 +186,7 @@
             emptying: RefCell::default(),
             others: RefCell::default(),
             owner: RefCell::default(),
+            owner_said_ms: Cell::new(0),
             epoch: Cell::new(0),
             root_revision: Cell::new(0),
             store_health: RefCell::default(),
@@ -426,6 +429,14 @@
         *self.owner.borrow_mut() = Some(owner);
     }
 
+    /// A daemon said that it owns under an epoch.
+    pub fn owner_said(&self, epoch: u64) {
+        let known = self.owner.borrow().as_ref().map(|owner| owner.epoch);
+        if known == Some(epoch) {
+            self.owner_said_ms.set(self.now_ms());
+        }
+    }
+
     /// The owner, if another daemon is it.
     pub fn owner(&self) -> Option<KnownOwner> {
         self.owner.borrow().clone()
@@ -510,9 +521,11 @@
         let owner = self.owner().map(|owner| {
             let peer = others.get(&owner.name);
             let peer = peer.filter(|peer| peer.boot == owner.boot);
+            let heard_ms = peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms);
+            let said_ms = self.owner_said_ms.get().max(owner.since_ms);
             OwnerSign {
                 name: owner.name.clone(),
-                heard_ms: peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms),
+                heard_ms: owner_heard_ms(heard_ms, said_ms),
                 since_ms: owner.since_ms,
                 storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
                 draining: peer.is_some_and(|peer| peer.draining),
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -178,3 +178,36 @@
         "the refused job never ran"
     );
 }
+
+#[test]
+fn daemons_that_take_each_other_for_the_owner_find_one() {
+    // A daemon's attempt to take over gets no answer and is carried out seconds
+    // later, when that daemon has given it up. The owner steps down for it and
+    // takes it for the owner, while it still takes the other for the owner: both
+    // hear each other's heartbeats, and nobody owned any more.
+    let operator = Operator::spawn(1);
+    configure(&operator, 1);
+    let daemons = fleet(5, 2, &operator);
+    let owner = |operator: &Operator| operator.world().value("owner");
+    wait_until("a daemon owns", || owner(&operator).is_some());
+    let mut first = owner(&operator).expect("an owner");
+    let at = usize::from(first["owner"] == "d1");
+    daemons[at].signal(Signal::STOP);
+    wait_until("the other owns", || {
+        owner(&operator).is_some_and(|root| root["owner"] != first["owner"])
+    });
+    daemons[at].signal(Signal::CONT);
+    std::thread::sleep(Duration::from_millis(1_500));
+
+    let epoch = owner(&operator).expect("an owner")["epoch"].as_u64();
+    first["epoch"] = json!(epoch.expect("a number") + 1);
+    operator.world().put("owner", &first);
+
+    wait_until("the job is accepted", || {
+        let answer = daemons[1 - at].request("POST", &path(1), &job(1, 50));
+        matches!(answer, Answer::Status(200, _))
+    });
+    wait_until("the job is completed", || {
+        state(&daemons[1 - at], 1) == r#"{"state":"completed"}"#
+    });
+}
