Orders to empty a data centre are told also in a burst of lines

A worker whose entry does not say where it is was in no data centre, so in none that is emptied.

Change: the five lines on orders are warnings, which are always written. A worker without a data centre gets nothing while there is an order (test: `a_worker_that_does_not_say_where_it_is_gets_nothing_while_there_is_an_order`, written with the change).

--- a/src/events.rs
+++ b/src/events.rs
@@ -89,11 +89,11 @@
     /// A machine's upkeep was ordered.
     UPKEEP_ORDERED = 330, Info, "the upkeep of a machine was ordered, and answered as told", "none, unless it repeats: then look at the platform's interface for machines";
     /// A data centre gets no new tasks.
-    DATA_CENTRE_EMPTIED = 331, Info, "the operators ask that a data centre gets no new tasks; what runs there ends by itself", "take the order back when the work there is over; if its reason is guarantees_short or nothing_left, sooner";
+    DATA_CENTRE_EMPTIED = 331, Warn, "the operators ask that a data centre gets no new tasks; what runs there ends by itself", "take the order back when the work there is over; if its reason is guarantees_short or nothing_left, sooner";
     /// A data centre was given back.
-    DATA_CENTRE_BACK = 332, Info, "the operators took the order back: the data centre gets tasks again", "none";
+    DATA_CENTRE_BACK = 332, Warn, "the operators took the order back: the data centre gets tasks again", "none";
     /// Its first start since.
-    DATA_CENTRE_USED = 333, Info, "a data centre that was given back got its first task", "none";
+    DATA_CENTRE_USED = 333, Warn, "a data centre that was given back got its first task", "none";
     /// The operators' orders are not known.
     ORDERS_UNREAD = 334, Warn, "the operators' orders could not be read for too long; nothing new starts until they are", "look at the key-value service and the owner's way to it";
     /// A patch accepted.
@@ -105,9 +105,9 @@
     /// The version cannot be confirmed.
     CONFIGURATION_STALE = 403, Warn, "this daemon cannot confirm that its configuration is current; it starts nothing new", "look at the key-value service and the network";
     /// An order to empty a data centre is known.
-    EMPTYING_ORDERED = 404, Info, "this daemon knows of the operators' order that a data centre gets no new tasks", "none; E331 of the owner says what it met";
+    EMPTYING_ORDERED = 404, Warn, "this daemon knows of the operators' order that a data centre gets no new tasks", "none; E331 of the owner says what it met";
     /// It was taken back.
-    EMPTYING_TAKEN_BACK = 405, Info, "this daemon knows that such an order was taken back", "none; E332 of the owner follows";
+    EMPTYING_TAKEN_BACK = 405, Warn, "this daemon knows that such an order was taken back", "none; E332 of the owner follows";
     /// A peer was refused.
     PEER_REFUSED = 500, Warn, "a connection from a peer was refused", "check peer_token in both settings files";
     /// A broken frame.
--- a/src/scheduler/emptying.rs
+++ b/src/scheduler/emptying.rs
@@ -52,9 +52,11 @@
 }
 
 impl Emptying {
-    /// Whether a data centre gets no new tasks.
+    /// Whether a data centre gets no new tasks. A worker that does not say where it
+    /// is may be in any: it gets none while there is an order.
     pub(super) fn names(&self, data_centre: &str) -> bool {
-        self.in_force.contains_key(data_centre)
+        let unknown = data_centre.is_empty() && !self.in_force.is_empty();
+        unknown || self.in_force.contains_key(data_centre)
     }
 }
 
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -444,6 +444,21 @@
     );
 }
 
+#[test]
+fn a_worker_that_does_not_say_where_it_is_gets_nothing_while_there_is_an_order() {
+    let mut fleet = two_data_centres(0);
+    fleet.add_worker_in("w0", "r0", "");
+    fleet.advance(500);
+    order(&mut fleet, &["a"]);
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(1_000);
+    assert!(fleet.running().is_empty());
+
+    order(&mut fleet, &[]);
+    fleet.settle();
+    assert_eq!(fleet.running().len(), 1);
+}
+
 #[test]
 fn the_decision_tells_what_the_order_meets() {
     let mut fleet = two_data_centres(1);
