Merge the emptying of data centres on the operators' order

Joined with the rest: one list and watch of what the operators write serves orders, waves and configuration, also the read beside a takeover; an order's key without a name, and a record of an order that does not read, are values that are not used like any other, and stand in the table of keys; the room that counts is that of workers whose entry is usable and whose data centre is not emptied.

Ruled out: an order whose value has to read; the key alone is the order.

--- a/src/cluster/inspect.rs
+++ b/src/cluster/inspect.rs
@@ -4,6 +4,8 @@
 use super::records::{
     CLOSED_PREFIX,
     ClosedRecord,
+    EMPTIED_PREFIX,
+    EmptiedRecord,
     JOBS_PREFIX,
     JobKeyKind,
     MEMBERS_PREFIX,
@@ -33,6 +35,7 @@
 use crate::core::JobId;
 use crate::platform::{
     CONFIGURATION_KEY,
+    EMPTYING_PREFIX,
     HttpClient,
     OPERATOR_PREFIX,
     StoreClient,
@@ -41,7 +44,8 @@
     WORKERS_PREFIX,
     decode_configuration,
     decode_worker,
-    is_wave_completed, //
+    emptied_data_centre, //
+    is_wave_completed,   //
 };
 use crate::scheduler::{
     FinalState,
@@ -67,6 +71,8 @@
     pub workers: usize,
     /// Closed workers with the runs that may be there.
     pub closed_workers: BTreeMap<String, Vec<(String, u64)>>,
+    /// Data centres that get no new tasks, on the operators' order.
+    pub emptied_data_centres: BTreeMap<String, EmptiedDataCentre>,
     /// Jobs that are open.
     pub open_jobs: usize,
     /// Jobs that are completed and remembered.
@@ -122,6 +128,15 @@
     }
 }
 
+/// An operators' order that a data centre gets no new tasks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct EmptiedDataCentre {
+    /// The store's revision of the order.
+    pub revision: u64,
+    /// For how long an owner knows of it; `None` if none does yet.
+    pub known_ms: Option<u64>,
+}
+
 /// A job as the store shows it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoredJob {
@@ -131,6 +146,8 @@
     pub cancelled: bool,
     /// What the owner noted of it, or why that does not read.
     pub progress: Option<Result<ProgressRecord, Unused>>,
+    /// Data centres that get no new tasks: it waits where it needs room there.
+    pub emptied_data_centres: Vec<String>,
 }
 
 /// Reads what is stored of the fleet whose store is at `address`.
@@ -139,7 +156,7 @@
 ///
 /// The store refused or did not answer.
 pub async fn inspect_fleet(address: &str, timer: Timer) -> Result<FleetReport, StoreError> {
-    let store = StoreClient::open(HttpClient::open(timer), address);
+    let store = StoreClient::open(HttpClient::open(timer.clone()), address);
     let mut report = FleetReport::default();
     if let Some(item) = store.get(ROOT_KEY).await? {
         let root = report.used(StoredKind::Root, &item, decode_root(&item.value));
@@ -168,12 +185,44 @@
             report.closed_workers.insert(name, record.runs);
         }
     }
+    emptied(&store, timer.now_ms(), &mut report).await?;
     count_jobs(&store, &mut report).await?;
     read_others(&store, &mut report).await?;
     report.unused.sort_by(|a, b| a.key.cmp(&b.key));
     Ok(report)
 }
 
+/// The orders in force, each with its age.
+async fn emptied(
+    store: &StoreClient,
+    now_ms: u64,
+    report: &mut FleetReport,
+) -> Result<(), StoreError> {
+    let mut known: BTreeMap<String, EmptiedRecord> = BTreeMap::new();
+    for item in store.range(EMPTIED_PREFIX, false).await?.items {
+        let read = decode::<EmptiedRecord>(&item.value);
+        if let Some(record) = report.used(StoredKind::Emptied, &item, read) {
+            known.insert(name_of(&item.key, EMPTIED_PREFIX), record);
+        }
+    }
+    for item in store.range(EMPTYING_PREFIX, false).await?.items {
+        let Some(name) = emptied_data_centre(&item.key) else {
+            report.add_unused(StoredKind::Emptying, &item, Unused::because("bad_name"));
+            continue;
+        };
+        // A record of an earlier order says nothing of this one.
+        let record = known
+            .get(name)
+            .filter(|record| record.revision == item.revision);
+        let order = EmptiedDataCentre {
+            revision: item.revision,
+            known_ms: record.map(|record| now_ms.saturating_sub(record.known_since_ms)),
+        };
+        report.emptied_data_centres.insert(name.to_owned(), order);
+    }
+    Ok(())
+}
+
 fn name_of(key: &str, prefix: &str) -> String {
     key.strip_prefix(prefix).unwrap_or(key).to_owned()
 }
@@ -244,7 +293,9 @@
     timer: Timer,
     job: JobId,
 ) -> Result<Option<StoredJob>, StoreError> {
-    let store = StoreClient::open(HttpClient::open(timer), address);
+    let store = StoreClient::open(HttpClient::open(timer.clone()), address);
+    let mut report = FleetReport::default();
+    emptied(&store, timer.now_ms(), &mut report).await?;
     let key = progress_key(job);
     let progress = store.get(&key).await?;
     let progress = progress.map(|item| decode_progress(&item.value));
@@ -256,5 +307,6 @@
         record,
         cancelled,
         progress,
+        emptied_data_centres: report.emptied_data_centres.into_keys().collect(),
     }))
 }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod daemon;
 mod election;
+mod emptying;
 mod entry;
 mod follow;
 mod heartbeat;
@@ -40,7 +41,9 @@
     OwnerSign,
     takeover_at_ms, //
 };
+pub use emptying::EmptyingOrders;
 pub use inspect::{
+    EmptiedDataCentre,
     FleetReport,
     StoredJob,
     inspect_fleet,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -7,8 +7,10 @@
 use super::election::{
     Candidate,
     ElectionView,
-    OwnerSign, //
+    OwnerSign,
+    owner_heard_ms, //
 };
+use super::emptying::EmptyingOrders;
 use super::ledger::Ledger;
 use super::peers::Peers;
 use super::services::{
@@ -142,8 +144,10 @@
     pub requests: Cell<usize>,
     configuration: RefCell<Arc<ClusterConfiguration>>,
     configuration_checked_ms: Cell<u64>,
+    emptying: RefCell<EmptyingOrders>,
     others: RefCell<BTreeMap<String, Peer>>,
     owner: RefCell<Option<KnownOwner>>,
+    owner_said_ms: Cell<u64>,
     epoch: Cell<u64>,
     root_revision: Cell<u64>,
     store_health: RefCell<StoreHealth>,
@@ -193,8 +197,10 @@
             requests: Cell::new(0),
             configuration: RefCell::default(),
             configuration_checked_ms: Cell::new(0),
+            emptying: RefCell::default(),
             others: RefCell::default(),
             owner: RefCell::default(),
+            owner_said_ms: Cell::new(0),
             epoch: Cell::new(0),
             root_revision: Cell::new(0),
             store_health: RefCell::default(),
@@ -265,6 +271,16 @@
         self.now_ms() >= self.configuration_checked_ms.get() + CONFIGURATION_DOUBT_MS
     }
 
+    /// The operators' orders to empty data centres, as far as known.
+    pub fn emptying(&self) -> EmptyingOrders {
+        self.emptying.borrow().clone()
+    }
+
+    /// Changes what is known of them.
+    pub fn change_emptying(&self, change: impl FnOnce(&mut EmptyingOrders)) {
+        change(&mut self.emptying.borrow_mut());
+    }
+
     /// Whether the balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         let confirmed = !self.doubts_configuration() || self.fit_peer().is_some();
@@ -474,6 +490,14 @@
         *self.owner.borrow_mut() = Some(owner);
     }
 
+    /// A daemon said that it owns under an epoch.
+    pub fn owner_said(&self, epoch: u64) {
+        let known = self.owner.borrow().as_ref().map(|owner| owner.epoch);
+        if known == Some(epoch) {
+            self.owner_said_ms.set(self.now_ms());
+        }
+    }
+
     /// The owner, if another daemon is it.
     pub fn owner(&self) -> Option<KnownOwner> {
         self.owner.borrow().clone()
@@ -558,9 +582,11 @@
         let owner = self.owner().map(|owner| {
             let peer = others.get(&owner.name);
             let peer = peer.filter(|peer| peer.boot == owner.boot);
+            let heard_ms = peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms);
+            let said_ms = self.owner_said_ms.get().max(owner.since_ms);
             OwnerSign {
                 name: owner.name.clone(),
-                heard_ms: peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms),
+                heard_ms: owner_heard_ms(heard_ms, said_ms),
                 since_ms: owner.since_ms,
                 storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
                 draining: peer.is_some_and(|peer| peer.draining),
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -1,9 +1,11 @@
 //! Taking the fleet over and keeping it.
 
+use super::emptying;
 use super::follow;
 use super::ledger::{
     self,
-    Changes, //
+    Changes,
+    FoundEmptied, //
 };
 use super::node::{
     KnownOwner,
@@ -12,6 +14,7 @@
 use super::records::{
     CLOSED_PREFIX,
     ClosedRecord,
+    EMPTIED_PREFIX,
     JOBS_PREFIX,
     JobKeyKind,
     PROGRESS_PREFIX,
@@ -42,6 +45,7 @@
 use crate::core::JobId;
 use crate::events;
 use crate::platform::{
+    EMPTYING_PREFIX,
     WAVE_STATES_PREFIX,
     WAVES_PREFIX,
     WORKERS_PREFIX,
@@ -171,7 +175,8 @@
     if node.doubts_configuration() {
         actix_rt::spawn(follow::refresh_configuration(node.clone()));
     }
-    let (jobs, progress, roster, closed, workers, waves, states) = tokio::try_join!(
+    let asked_ms = node.now_ms();
+    let (jobs, progress, roster, closed, workers, waves, states, orders, emptied) = tokio::try_join!(
         node.store.range(JOBS_PREFIX, false),
         node.store.range(PROGRESS_PREFIX, false),
         node.store.get(ROSTER_KEY),
@@ -179,7 +184,10 @@
         node.store.range(WORKERS_PREFIX, false),
         node.store.range(WAVES_PREFIX, false),
         node.store.range(WAVE_STATES_PREFIX, false),
+        node.store.range(EMPTYING_PREFIX, false),
+        node.store.range(EMPTIED_PREFIX, false),
     )?;
+    emptying::take_list(node, &orders, asked_ms);
     node.ledger.clear();
     node.begin_owning(epoch, taken.root_revision);
     let mut stored = vec![Input::Configure(node.configuration())];
@@ -206,6 +214,9 @@
         node.ledger.note_revision(&item.key, item.revision);
     }
     stored.extend(wave_inputs(node, &waves, &states));
+    stored.push(emptying::input(node));
+    let found = emptied_records(node, &emptied);
+    node.ledger.note_emptied(found, &node.emptying().in_force());
     stored.push(Input::Confirmed(began_ms));
     stored.push(Input::Recovered {
         earlier_owner_over: taken.earlier_owner_over,
@@ -285,6 +296,15 @@
     closed.collect()
 }
 
+fn emptied_records(node: &Node, emptied: &Range) -> Vec<FoundEmptied> {
+    let items = emptied.items.iter();
+    let records = items.map(|item| {
+        let record = node.used(StoredKind::Emptied, item, decode(&item.value));
+        (item.key.clone(), item.revision, record)
+    });
+    records.collect()
+}
+
 /// The waves of upkeep that are not completed.
 fn wave_inputs(node: &Node, waves: &Range, states: &Range) -> Vec<Input> {
     let is_completed = |item: &&StoredItem| {
--- a/src/cluster/unused.rs
+++ b/src/cluster/unused.rs
@@ -42,6 +42,10 @@
     Wave,
     /// How far a wave is.
     WaveState,
+    /// An operators' order to empty a data centre.
+    Emptying,
+    /// Since when an owner knows of such an order.
+    Emptied,
     /// The owner's epoch.
     Root,
     /// Workers that owners use or used.
@@ -58,11 +62,13 @@
 
 impl StoredKind {
     /// All kinds.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::Worker,
         Self::Configuration,
         Self::Wave,
         Self::WaveState,
+        Self::Emptying,
+        Self::Emptied,
         Self::Root,
         Self::Roster,
         Self::Job,
@@ -78,6 +84,8 @@
             Self::Configuration => "configuration",
             Self::Wave => "wave",
             Self::WaveState => "wave_state",
+            Self::Emptying => "emptying",
+            Self::Emptied => "emptied",
             Self::Root => "owner",
             Self::Roster => "roster",
             Self::Job => "job",
@@ -96,6 +104,8 @@
             Self::WaveState => {
                 "the wave is taken for open; orders that were carried out change nothing"
             }
+            Self::Emptying => "its key names no data centre, so none is emptied",
+            Self::Emptied => "the order holds, its age is shown from the next owner on",
             Self::Root => "no daemon takes over",
             Self::Roster => "stored work waits for the longest lease, then it is written anew",
             Self::Job => "nothing of the job starts, what runs of it goes on, it is read again",
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -104,6 +104,14 @@
         /// All its machines that stay had their upkeep.
         completed: bool,
     },
+    /// Store since when a data centre gets no new tasks, for people to read; or
+    /// that it gets them again.
+    StoreEmptied {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// The store's revision of the order; `None` when it was taken back.
+        revision: Option<u64>,
+    },
     /// Forget what is stored of a job.
     Forget {
         /// The job.
@@ -251,6 +259,48 @@
         /// Runs that went on there.
         runs: usize,
     },
+    /// The operators ask that a data centre gets no new tasks.
+    DataCentreEmptied {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// The store's revision of the order.
+        revision: u64,
+        /// Workers there.
+        workers: usize,
+        /// Runs there, which end by themselves.
+        runs: usize,
+        /// How long ago the last start was given there.
+        last_start_ago_ms: Option<u64>,
+        /// Accelerators outside of all such data centres.
+        accelerators_left: u32,
+        /// Accelerators that accounts are guaranteed together.
+        guaranteed_accelerators: u32,
+    },
+    /// The operators took such an order back.
+    DataCentreBack {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// The store's revision of the order.
+        revision: u64,
+        /// How long it was in force for this owner.
+        emptied_ms: u64,
+        /// Workers there.
+        workers: usize,
+        /// Runs that are still there.
+        runs: usize,
+    },
+    /// A data centre that was given back got its first start.
+    DataCentreUsed {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// How long after it was given back.
+        after_ms: u64,
+    },
+    /// The operators' orders were not read for too long: nothing new starts.
+    OrdersUnread {
+        /// When they were last known, as time ago.
+        known_ago_ms: u64,
+    },
     /// A worker was lost with all that ran there.
     WorkerLost {
         /// The worker's incarnation.
@@ -294,6 +344,8 @@
     WorkerLeaving,
     /// Its machine has its upkeep next.
     Upkeep,
+    /// Its data centre gets no new tasks, and it had not begun.
+    DataCentreEmptied,
 }
 
 impl StopReason {
@@ -308,6 +360,7 @@
             Self::Stray => "stray",
             Self::WorkerLeaving => "worker_leaving",
             Self::Upkeep => "upkeep",
+            Self::DataCentreEmptied => "data_centre_emptied",
         }
     }
 }
--- a/src/scheduler/evidence.rs
+++ b/src/scheduler/evidence.rs
@@ -107,8 +107,8 @@
         }
         let others = self.workers.iter().filter(|worker| {
             worker.contact == Contact::Answering
-                && worker.listed
-                && worker.entry_problem.is_none()
+                && worker.is_usable()
+                && !worker.emptied
                 && !worker.info.draining
                 && worker.info.service == service
                 && caution.allows(worker, now_ms)
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -41,8 +41,10 @@
     pub(super) fn take_worker(&mut self, info: WorkerInfo) {
         let known = self.worker_index.get(&info.incarnation).copied();
         let key = known.unwrap_or_else(|| self.add_worker(info.clone()));
+        let emptied = self.emptying.names(&info.data_centre);
         self.take_entry(key, info);
         let worker = self.worker_mut(key);
+        worker.emptied = emptied;
         if worker.contact == Contact::Gone {
             // It was silent and not listed for a whole lease, and is back.
             worker.contact = Contact::Unfenced;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod blind;
 mod closing;
 mod configuration;
+mod emptying;
 mod ends;
 mod entries;
 mod estimate;
@@ -55,6 +56,7 @@
     RequestLimits,
     VersionedTerms, //
 };
+pub use emptying::EmptyingOrder;
 pub use entries::AddressDispute;
 pub use estimate::RunTimes;
 pub use group::{
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -60,6 +60,10 @@
         if !self.has_authority() || self.configuration.version == 0 {
             return;
         }
+        if !self.knows_orders() {
+            self.note_orders_unread();
+            return;
+        }
         let mut seats = self.seats();
         let mut misses = Misses::default();
         let mut kept_gangs = 0;
@@ -243,6 +247,9 @@
         let now_ms = self.now_ms;
         let waited_ms = now_ms.saturating_sub(group.released_ms);
         let promised = self.guaranteed.contains(&group.key.job);
+        if self.is_rack_emptied(&group.step.data_rack) {
+            return true;
+        }
         if waited_ms >= LEAVE_RACK_ANYWAY_MS || (promised && waited_ms >= LEAVE_RACK_PROMISED_MS) {
             return true;
         }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -208,6 +208,10 @@
     pub full_until_ms: u64,
     /// Its machine has its upkeep next: it gets nothing.
     pub upkeep_next: bool,
+    /// Its data centre gets no new tasks.
+    pub emptied: bool,
+    /// When it was last given a run.
+    pub started_ms: u64,
     /// Gets nothing until then.
     pub quarantined_until_ms: u64,
     /// Length of the last quarantine.
@@ -258,6 +262,8 @@
             look_at_ms: 0,
             full_until_ms: 0,
             upkeep_next: false,
+            emptied: false,
+            started_ms: 0,
             quarantined_until_ms: 0,
             quarantine_ms: 0,
             failures: Vec::new(),
@@ -313,15 +319,20 @@
         self.info.capacity.minus(&self.used)
     }
 
+    /// Whether its entry is there and names a worker to use.
+    pub fn is_usable(&self) -> bool {
+        self.listed && self.entry_problem.is_none()
+    }
+
     /// Whether new work may go there.
     pub fn takes_work(&self, now_ms: u64) -> bool {
         self.contact == Contact::Answering
-            && self.listed
-            && self.entry_problem.is_none()
+            && self.is_usable()
             && self.unnoted.len() < MAX_UNNOTED
             && self.on_roster
             && self.intake == Intake::Open
             && !self.upkeep_next
+            && !self.emptied
             && !self.info.draining
             && self.failed_looks == 0
             && self.clock.is_some()
