The occurrences of a job have a module of their own

Behaviour is the same: the same steps in the same order, no constant or bound changed, no test touched.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -23,6 +23,7 @@
 mod looks;
 mod membership;
 mod noting;
+mod occurrence;
 mod order;
 mod orders;
 mod pass;
