What tests with real daemons share is in tests/support/daemons.rs

Cause: cluster.rs, foreign/path.rs, evacuation/whole_path.rs and owner_cut_off.rs each had their own wait_until, PATIENCE, PAUSE, path, job, state and way to spawn a fleet that is ready. A newcomer had to compare them to see that they are the same.

Change: the module daemons has them once. foreign/path.rs keeps its numbers of addresses and its configuration, owner_cut_off.rs its shorter pause, by one function each. No name, story or assertion of a test changed; the bound on waiting is the same 40 s, and the bodies of jobs are the same. The one difference: the daemons of owner_cut_off.rs are looked at each 20 ms instead of 5 ms until they are ready.

--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -1,6 +1,9 @@
 //! The whole path on an operator's platform: real daemons as processes, beside
 //! a stand-in of the platform. tests/soak.rs puts it under drawn faults.
 
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/daemons.rs"]
+mod daemons;
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "support/operator.rs"]
 mod operator;
@@ -8,70 +11,31 @@
 #[path = "support/processes.rs"]
 mod processes;
 
+use daemons::{
+    epoch,
+    fleet,
+    job,
+    path,
+    state,
+    state_at,
+    wait_until, //
+};
 use operator::{
     Operator,
     StoreMode, //
 };
 use processes::{
     Answer,
-    Daemon,
-    loopback, //
+    Daemon, //
 };
 use rustix::process::Signal;
 use serde_json::json;
-use std::time::{
-    Duration,
-    Instant, //
-};
-
-/// Bound on anything that a test waits for.
-const PATIENCE: Duration = Duration::from_secs(40);
-const PAUSE: Duration = Duration::from_millis(20);
+use std::time::Duration;
 
 fn configure(operator: &Operator, version: u64) {
     operator.world().configure(version, &[("q", 1)], 5);
 }
 
-fn fleet(test: u8, count: u8, operator: &Operator) -> Vec<Daemon> {
-    let daemons: Vec<Daemon> = (0..count)
-        .map(|at| Daemon::spawn(&format!("d{at}"), loopback(test, at), operator.store))
-        .collect();
-    wait_until("every daemon is ready", || {
-        daemons.iter().all(Daemon::is_ready)
-    });
-    daemons
-}
-
-fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !holds() {
-        assert!(Instant::now() < until, "waited in vain: {what}");
-        std::thread::sleep(PAUSE);
-    }
-}
-
-fn path(job: u64) -> String {
-    format!("/q/{job:016x}")
-}
-
-fn job(tasks: u32, run_ms: u64) -> String {
-    json!({ "spec": run_ms.to_string(),
-        "steps": [{ "count": tasks, "cpu": 1000, "mem_mb": 100, "gpu": 1, "estimated_ms": run_ms }] })
-    .to_string()
-}
-
-fn epoch(operator: &Operator) -> u64 {
-    let root = operator.world().value("owner");
-    root.and_then(|root| root["epoch"].as_u64()).unwrap_or(0)
-}
-
-fn state(daemon: &Daemon, job: u64) -> String {
-    match daemon.request("GET", &path(job), "") {
-        Answer::Status(200, body) => body,
-        other => format!("{other:?}"),
-    }
-}
-
 #[test]
 fn a_job_is_accepted_run_once_and_shown_completed_by_every_daemon() {
     let operator = Operator::spawn(2);
@@ -235,10 +199,7 @@
 
     daemons.iter_mut().for_each(Daemon::start);
 
-    let shown_elsewhere = || match daemons[0].request("GET", &format!("/other/{:016x}", 1), "") {
-        Answer::Status(200, body) => body,
-        other => format!("{other:?}"),
-    };
+    let shown_elsewhere = || state_at(&daemons[0], &format!("/other/{:016x}", 1));
     wait_until("completed", || {
         let shown = shown_elsewhere();
         assert_ne!(shown, r#"{"state":"failed"}"#);
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -2,6 +2,9 @@
 //! the moment at which it knows the order, in virtual time; the module
 //! `whole_path` has real daemons.
 
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/daemons.rs"]
+mod daemons;
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "support/fleet.rs"]
 mod fleet;
--- a/tests/evacuation/whole_path.rs
+++ b/tests/evacuation/whole_path.rs
@@ -1,26 +1,28 @@
 //! Emptying a data centre on the operators' order, on the whole path: how daemons
 //! come to know the order, and real daemons beside a stand-in of the platform.
 
+use super::daemons::{
+    self,
+    fleet,
+    is_completed as completed,
+    path,
+    wait_until, //
+};
 use super::operator::{
     Operator,
     StoreMode, //
 };
 use super::processes::{
     Answer,
-    Daemon,
-    loopback, //
+    Daemon, //
 };
 use fuchsiaslip::cluster::EmptyingOrders;
-use serde_json::json;
 use std::process::Command;
 use std::time::{
     Duration,
     Instant, //
 };
 
-/// Bound on anything that a test waits for.
-const PATIENCE: Duration = Duration::from_secs(40);
-const PAUSE: Duration = Duration::from_millis(20);
 /// The bound within which an order has to be in force, as the settings of the
 /// daemons name it.
 const ORDER_BOUND: Duration = Duration::from_millis(5_000);
@@ -36,42 +38,19 @@
         operator.world().place_worker(at, data_centre);
     }
     operator.world().configure(1, &[("q", 1)], 5);
-    let daemons: Vec<Daemon> = (0..daemons)
-        .map(|at| Daemon::spawn(&format!("d{at}"), loopback(test, at), operator.store))
-        .collect();
-    wait_until("every daemon is ready", || {
-        daemons.iter().all(Daemon::is_ready)
-    });
+    let daemons = fleet(test, daemons, &operator);
     (operator, daemons)
 }
 
-fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !holds() {
-        assert!(Instant::now() < until, "waited in vain: {what}");
-        std::thread::sleep(PAUSE);
-    }
-}
-
-fn path(job: u64) -> String {
-    format!("/q/{job:016x}")
-}
-
 fn submit(daemon: &Daemon, job: u64, tasks: u32, run_ms: u64) {
-    let body = json!({ "spec": run_ms.to_string(), "steps": [{ "count": tasks, "cpu": 1000,
-        "mem_mb": 100, "gpu": 1, "estimated_ms": run_ms }] });
-    let answer = daemon.request("POST", &path(job), &body.to_string());
+    let body = daemons::job(tasks, run_ms);
+    let answer = daemon.request("POST", &path(job), &body);
     assert!(
         matches!(answer, Answer::Status(200, _)),
         "{job}: {answer:?}"
     );
 }
 
-fn completed(daemon: &Daemon, job: u64) -> bool {
-    let answer = daemon.request("GET", &path(job), "");
-    answer == Answer::Status(200, r#"{"state":"completed"}"#.to_owned())
-}
-
 /// How long after `from` the last start in `east` was, if there was any.
 fn last_start_in_east(operator: &Operator, from: Instant) -> Option<Duration> {
     let world = operator.world();
--- a/tests/foreign/path.rs
+++ b/tests/foreign/path.rs
@@ -1,14 +1,21 @@
 //! The whole path: real daemons beside a stand-in of the platform whose store has
 //! another writer.
 
+use super::daemons::{
+    self,
+    is_completed,
+    job_of_steps as job,
+    path,
+    state,
+    wait_until, //
+};
 use super::operator::{
     Operator,
     World, //
 };
 use super::processes::{
     Answer,
-    Daemon,
-    loopback, //
+    Daemon, //
 };
 use fuchsiaslip::cluster::{
     StoreError,
@@ -31,8 +38,6 @@
     Instant, //
 };
 
-const PATIENCE: Duration = Duration::from_secs(40);
-const PAUSE: Duration = Duration::from_millis(20);
 /// Longer than an owner needs to see an entry.
 const SEEN: Duration = Duration::from_millis(1_000);
 
@@ -41,42 +46,7 @@
 
 fn fleet(test: u8, count: u8, operator: &Operator) -> Vec<Daemon> {
     operator.world().configure(1, &[("q", 1)], 5);
-    let daemons: Vec<Daemon> = (0..count)
-        .map(|at| {
-            let ip = loopback(FOREIGN + test, at);
-            Daemon::spawn(&format!("d{at}"), ip, operator.store)
-        })
-        .collect();
-    wait_until("every daemon is ready", || {
-        daemons.iter().all(Daemon::is_ready)
-    });
-    daemons
-}
-
-fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !holds() {
-        assert!(Instant::now() < until, "waited in vain: {what}");
-        std::thread::sleep(PAUSE);
-    }
-}
-
-fn path(job: u64) -> String {
-    format!("/q/{job:016x}")
-}
-
-/// A job of so many tasks in each of its steps, one after the other.
-fn job(steps: &[u32], run_ms: u64) -> String {
-    let step = |(at, &count): (usize, &u32)| {
-        let mut step = json!({ "count": count, "cpu": 1000, "mem_mb": 100, "gpu": 1,
-            "estimated_ms": run_ms });
-        if at > 0 {
-            step["after"] = json!([at - 1]);
-        }
-        step
-    };
-    let steps: Vec<Value> = steps.iter().enumerate().map(step).collect();
-    json!({ "spec": run_ms.to_string(), "steps": steps }).to_string()
+    daemons::fleet(FOREIGN + test, count, operator)
 }
 
 fn submit(daemon: &Daemon, id: u64, body: &str) {
@@ -88,17 +58,6 @@
     });
 }
 
-fn state(daemon: &Daemon, id: u64) -> String {
-    match daemon.request("GET", &path(id), "") {
-        Answer::Status(200, body) => body,
-        other => format!("{other:?}"),
-    }
-}
-
-fn is_completed(daemon: &Daemon, id: u64) -> bool {
-    state(daemon, id) == r#"{"state":"completed"}"#
-}
-
 /// How often each task was started is all that a user wants to know here.
 fn assert_each_ran_once(world: &World, tasks: usize) {
     let mut names: Vec<&str> = world.records.iter().map(|record| &*record.task).collect();
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -5,6 +5,9 @@
 //! `FOREIGN_CASES=100000 cargo test --release --test foreign_entries drawn`
 //! draws more entries and more days of a fleet by hand.
 
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/daemons.rs"]
+mod daemons;
 #[path = "foreign/decoder.rs"]
 mod decoder;
 #[path = "foreign/drawn.rs"]
--- a/tests/owner_cut_off.rs
+++ b/tests/owner_cut_off.rs
@@ -1,6 +1,9 @@
 //! Real daemons beside a stand-in of the platform, whose owner cannot reach the
 //! store while it reaches all workers.
 
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/daemons.rs"]
+mod daemons;
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "support/operator.rs"]
 mod operator;
@@ -11,6 +14,13 @@
 #[path = "support/proxy.rs"]
 mod proxy;
 
+use daemons::{
+    epoch,
+    fleet_behind,
+    is_completed,
+    path,
+    wait_until_looking, //
+};
 use operator::{
     Operator,
     RunRecord,
@@ -18,8 +28,7 @@
 };
 use processes::{
     Answer,
-    Daemon,
-    loopback, //
+    Daemon, //
 };
 use proxy::{
     LinkMode,
@@ -29,13 +38,13 @@
     Value,
     json, //
 };
+use std::net::SocketAddr;
 use std::time::{
     Duration,
     Instant, //
 };
 
-/// Bound on anything that a test waits for.
-const PATIENCE: Duration = Duration::from_secs(40);
+/// A test looks this often: what it waits for is over soon.
 const PAUSE: Duration = Duration::from_millis(5);
 const DAEMONS: u8 = 3;
 /// Long enough that the owner has stored all that a start needs.
@@ -58,20 +67,12 @@
         operator.world().configure(1, &[("q", 1)], 5);
         let links = (0..DAEMONS).map(|_| Proxy::spawn(operator.store));
         let store_links: Vec<Proxy> = links.collect();
-        let daemons = (0..DAEMONS).map(|at| {
-            let ip = loopback(test, at);
-            let store = store_links[usize::from(at)].address;
-            Daemon::spawn(&format!("d{at}"), ip, store)
-        });
-        let fleet = Self {
-            daemons: daemons.collect(),
+        let stores: Vec<SocketAddr> = store_links.iter().map(|link| link.address).collect();
+        Self {
+            daemons: fleet_behind(test, &stores),
             operator,
             store_links,
-        };
-        wait_until("every daemon is ready", || {
-            fleet.daemons.iter().all(Daemon::is_ready)
-        });
-        fleet
+        }
     }
 
     fn owner(&self) -> usize {
@@ -82,8 +83,7 @@
     }
 
     fn epoch(&self) -> u64 {
-        let root = self.operator.world().value("owner");
-        root.map_or(0, |root| root["epoch"].as_u64().unwrap_or(0))
+        epoch(&self.operator)
     }
 
     fn submit(&self, job: u64, body: &Value) {
@@ -93,8 +93,7 @@
     }
 
     fn is_completed(&self, daemon: usize, job: u64) -> bool {
-        let answer = self.daemons[daemon].request("GET", &path(job), "");
-        answer == Answer::Status(200, r#"{"state":"completed"}"#.to_owned())
+        is_completed(&self.daemons[daemon], job)
     }
 
     fn records(&self) -> Vec<RunRecord> {
@@ -105,22 +104,14 @@
 /// A daemon that took the epoch tries so long to read what is stored.
 const READS_TRIED: Duration = Duration::from_millis(1_500);
 
-fn path(job: u64) -> String {
-    format!("/q/{job:016x}")
-}
-
 fn gang(members: u32) -> Value {
     json!({ "spec": RUN.as_millis().to_string(),
         "steps": [{ "count": members, "cpu": 1000, "mem_mb": 100, "gpu": 8, "gang": true,
             "estimated_ms": RUN.as_millis() as u64 }] })
 }
 
-fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !holds() {
-        assert!(Instant::now() < until, "waited in vain: {what}");
-        std::thread::sleep(PAUSE);
-    }
+fn wait_until(what: &str, holds: impl FnMut() -> bool) {
+    wait_until_looking(PAUSE, what, holds);
 }
 
 /// A gang that was done ran again. Its owner could not reach the store when the
