Each test file has numbers of its own for the addresses of its daemons

Cause: settings.rs used the number 6 of cluster.rs, and owner_cut_off.rs two numbers of the range from which the soak draws by seed. The process id is in the address as well, so files that cargo runs one after the other never met; two that are run side by side meet if their process ids are equal modulo 250, and take each other's ports.

Change: settings.rs has 8, owner_cut_off.rs 214 and 215. A table where `loopback` is names who uses which numbers; it was checked against every call in tests/.

--- a/tests/owner_cut_off.rs
+++ b/tests/owner_cut_off.rs
@@ -122,7 +122,7 @@
 #[test]
 fn a_gang_whose_owner_lost_the_store_is_not_run_again() {
     const JOB: u64 = 1;
-    let fleet = Fleet::begin(31, 2);
+    let fleet = Fleet::begin(214, 2);
     fleet.submit(JOB, &gang(2));
     wait_until("both members run", || fleet.records().len() == 2);
     let (owner, epoch) = (fleet.owner(), fleet.epoch());
@@ -160,7 +160,7 @@
 #[test]
 fn a_daemon_that_took_the_epoch_and_could_not_begin_tries_again() {
     const JOB: u64 = 1;
-    let fleet = Fleet::begin(32, 2);
+    let fleet = Fleet::begin(215, 2);
     wait_until("an owner has begun", || {
         fleet.operator.world().value("roster").is_some()
     });
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -112,7 +112,7 @@
 fn a_person_sees_the_fleet_and_a_job_without_a_daemon() {
     let operator = Operator::spawn(1);
     operator.world().configure(1, &[("q", 1)], 5);
-    let mut daemon = Daemon::spawn("d0", loopback(6, 0), operator.store);
+    let mut daemon = Daemon::spawn("d0", loopback(8, 0), operator.store);
     while !daemon.is_ready() || operator.world().value("owner").is_none() {
         std::thread::sleep(std::time::Duration::from_millis(20));
     }
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -41,7 +41,20 @@
     None,
 }
 
-/// An address of the loopback range that no other test uses.
+/// An address of the loopback range that no other test uses: `test` is one of the
+/// numbers that a test file has for itself, since daemons of two files that are
+/// run side by side would take each other's ports.
+///
+/// | numbers | who uses them |
+/// | --- | --- |
+/// | 1 to 7, 9 | `cluster.rs` |
+/// | 8 | `settings.rs` |
+/// | 10 to 209 | `soak.rs`, by seed |
+/// | 210 to 213 | `evacuation/whole_path.rs` |
+/// | 214, 215 | `owner_cut_off.rs` |
+/// | 230 to 238 | `foreign/path.rs` |
+///
+/// Benches are run by themselves and may use any; 254 is the highest.
 pub fn loopback(test: u8, at: u8) -> Ipv4Addr {
     let process = std::process::id();
     Ipv4Addr::new(127, 1 + test, (process % 250) as u8, 1 + at)
