Tests of the scheduler begin with the same few fixtures

Cause: tests/terms.rs, recovery.rs, ends.rs and scheduler.rs each wrote out how a fleet comes to run a job, how one run ends, what a gang is and what a leaving worker says of itself. A newcomer could not tell at a glance what differs between two tests.

Change: tests/support/fleet.rs has Fleet::with_job (workers, told of a job, 20 ms later), Fleet::end_run, gang and leaving_info; the tests that wrote the same lines use them. Those that let another time pass keep their lines. In foreign/scheduler.rs the seven beginnings with one run are with_one_run, with the check that there is one. No name, story or assertion of a test changed, and each test tells its fleet the same inputs at the same times as before.

--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -8,6 +8,7 @@
 
 use fleet::{
     Fleet,
+    gang,
     record,
     step, //
 };
@@ -23,7 +24,6 @@
     JobView,
     RunName,
     Schedule,
-    StepSpec,
     TaskId, //
 };
 use proptest::prelude::*;
@@ -91,10 +91,7 @@
 /// A fleet whose owner hears the done end of a job's only task and was not told
 /// of that job.
 fn heard_before_its_job() -> (Fleet, JobId, JobRecord) {
-    let mut fleet = Fleet::with_workers(1);
-    let job = record("plain", vec![step(1, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (mut fleet, id, job) = Fleet::with_job(1, record("plain", vec![step(1, 1)]));
     fleet.end_all(id, EndKind::Done);
     let mut next = fleet.next_owner(2, &[], false);
     next.follows_jobs = false;
@@ -108,13 +105,7 @@
 /// lost, the next owner knew of no failure, and the gang ran once too often.
 #[test]
 fn a_failure_that_another_member_told_waits_for_the_store_too() {
-    let mut fleet = Fleet::with_workers(2);
-    let gang = StepSpec {
-        gang: true,
-        ..step(2, 8)
-    };
-    let job = fleet.submit(1, record("plain", vec![gang]));
-    fleet.advance(20);
+    let (mut fleet, job, _) = Fleet::with_job(2, record("plain", vec![gang(2, 8)]));
     fleet.store_answers = false;
 
     fleet.end_all(job, EndKind::Failed);
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -20,6 +20,7 @@
 use fleet::{
     Fleet,
     configuration,
+    gang,
     record,
     step,
     worker_info, //
@@ -104,13 +105,6 @@
         .collect()
 }
 
-fn gang(count: u32, accelerators: u32) -> StepSpec {
-    StepSpec {
-        gang: true,
-        ..step(count, accelerators)
-    }
-}
-
 #[test]
 fn nothing_starts_in_an_emptied_data_centre_and_what_runs_there_ends_by_itself() {
     // Operators empty `a` to work on its power while jobs keep coming.
--- a/tests/foreign/scheduler.rs
+++ b/tests/foreign/scheduler.rs
@@ -42,11 +42,15 @@
     }
 }
 
-/// Where the only run is.
-fn only_run(fleet: &Fleet) -> (String, RunName) {
+/// Two workers, a job of one task, and where its run is.
+fn with_one_run() -> (Fleet, JobId, String, RunName) {
+    let mut fleet = Fleet::with_workers(2);
+    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(100);
     let running = fleet.running();
     assert_eq!(running.len(), 1, "{running:?}");
-    running[0].clone()
+    let (worker, run) = running[0].clone();
+    (fleet, job, worker, run)
 }
 
 fn starts_on(fleet: &Fleet, worker: &str) -> usize {
@@ -59,10 +63,7 @@
 /// had been able to read, and the worker had long been given another service.
 #[test]
 fn a_worker_whose_entry_turns_unreadable_gets_no_new_work_and_keeps_what_runs() {
-    let mut fleet = Fleet::with_workers(2);
-    let first = fleet.submit(1, record("plain", vec![step(1, 1)]));
-    fleet.advance(100);
-    let (worker, run) = only_run(&fleet);
+    let (mut fleet, first, worker, run) = with_one_run();
 
     fleet.tell(unusable(&worker));
     fleet.submit(2, record("plain", vec![step(8, 1)]));
@@ -105,11 +106,8 @@
 /// no worker there and did not ask it; its task was started elsewhere a second time.
 #[test]
 fn a_new_owner_hears_a_worker_whose_entry_is_unreadable() {
-    let mut fleet = Fleet::with_workers(2);
+    let (fleet, job, worker, run) = with_one_run();
     let spec = record("plain", vec![step(1, 1)]);
-    let job = fleet.submit(1, spec.clone());
-    fleet.advance(100);
-    let (worker, run) = only_run(&fleet);
 
     let mut next = fleet.next_owner(2, &[(job, spec)], false);
     next.tell(unusable(&worker));
@@ -159,10 +157,7 @@
 /// that the worker is over and started its tasks elsewhere, while they went on.
 #[test]
 fn an_entry_with_the_address_of_another_worker_does_not_end_its_worker() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
-    fleet.advance(100);
-    let (worker, run) = only_run(&fleet);
+    let (mut fleet, job, worker, run) = with_one_run();
     let own = address_of(&worker);
     let other = address_of(if worker == "w0" { "w1" } else { "w0" });
     let overwritten = WorkerInfo {
@@ -212,10 +207,7 @@
 /// while it ran on where it always was.
 #[test]
 fn a_worker_that_answers_does_not_end_one_whose_entry_claims_its_address() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
-    fleet.advance(100);
-    let (worker, _) = only_run(&fleet);
+    let (mut fleet, job, worker, _) = with_one_run();
     let other = if worker == "w0" { "w1" } else { "w0" };
     fleet.tell(Input::Worker(WorkerInfo {
         address: address_of(other),
@@ -240,10 +232,7 @@
 /// The next owner of a fleet with one run of a job, told that the job's progress
 /// does not read.
 fn next_owner_without_progress() -> (Fleet, JobId, String, RunName) {
-    let mut fleet = Fleet::with_workers(2);
-    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
-    fleet.advance(100);
-    let (worker, run) = only_run(&fleet);
+    let (fleet, job, worker, run) = with_one_run();
     let mut next = fleet.next_owner(2, &[], false);
     next.tell(Input::JobUnread(job));
     next.advance(500);
@@ -300,10 +289,7 @@
 
 #[test]
 fn a_job_that_reads_again_waits_for_workers_that_were_not_heard() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
-    fleet.advance(100);
-    let (worker, _) = only_run(&fleet);
+    let (fleet, job, worker, _) = with_one_run();
     let mut next = fleet.next_owner(2, &[], false);
     next.silent.push(worker);
     next.tell(Input::JobUnread(job));
@@ -375,11 +361,8 @@
 /// the tasks of a worker again that it did not know of and that had left the list.
 #[test]
 fn while_the_roster_does_not_read_any_worker_may_run_anything() {
-    let mut fleet = Fleet::with_workers(2);
+    let (fleet, job, worker, _) = with_one_run();
     let spec = record("plain", vec![step(1, 1)]);
-    let job = fleet.submit(1, spec.clone());
-    fleet.advance(100);
-    let (worker, _) = only_run(&fleet);
     let other = if worker == "w0" { "w1" } else { "w0" };
     let mut next = fleet.next_owner_told(2, false, |next| {
         next.tell(Input::RosterUnread);
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -8,6 +8,8 @@
     BEGIN_MS,
     Fleet,
     configuration,
+    gang,
+    leaving_info,
     queue,
     record,
     step,
@@ -75,10 +77,7 @@
 /// finds the end still listed and counts it once.
 #[test]
 fn ends_that_were_not_durable_are_found_by_the_next_owner() {
-    let mut fleet = Fleet::with_workers(1);
-    let job = record("plain", vec![step(1, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (mut fleet, id, job) = Fleet::with_job(1, record("plain", vec![step(1, 1)]));
     fleet.end_all(id, EndKind::Failed);
 
     let mut next = fleet.next_owner(2, &[(id, job)], true);
@@ -101,10 +100,7 @@
 /// lower run, for counted already.
 #[test]
 fn failures_count_in_whatever_order_workers_list_them() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = record("plain", vec![step(1, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (mut fleet, id, job) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
     fleet.store_answers = false;
     fleet.end_all(id, EndKind::Failed);
     fleet.advance(300);
@@ -126,10 +122,7 @@
 /// A new owner finds what runs and lets it run on.
 #[test]
 fn a_new_owner_adopts_what_runs() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = record("plain", vec![step(4, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (fleet, id, job) = Fleet::with_job(2, record("plain", vec![step(4, 1)]));
     let before = fleet.running();
 
     let mut next = fleet.next_owner(2, &[(id, job)], true);
@@ -144,10 +137,7 @@
 /// elsewhere before that, a task would run twice.
 #[test]
 fn tasks_that_may_run_out_of_sight_wait_for_the_longest_lease() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = record("plain", vec![step(1, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (mut fleet, id, job) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
     let worker = fleet.running()[0].0.clone();
     fleet.silent.push(worker);
 
@@ -174,11 +164,7 @@
 #[test]
 fn a_member_found_late_is_waited_for_before_its_gang_starts_again() {
     let mut fleet = Fleet::with_workers(4);
-    let gang = StepSpec {
-        gang: true,
-        ..step(2, 8)
-    };
-    let patient = record("patient", vec![gang]);
+    let patient = record("patient", vec![gang(2, 8)]);
     let id = fleet.submit(1, patient.clone());
     fleet.advance(20);
     let (first, second) = (fleet.running()[0].clone(), fleet.running()[1].clone());
@@ -192,8 +178,7 @@
     next.advance(50);
     next.silent.retain(|name| *name != second.0);
     next.advance(600);
-    let fake = next.workers.get_mut(&first.0).unwrap();
-    fake.end(first.1, EndKind::Stopped);
+    next.end_run(&first.0, first.1, EndKind::Stopped);
     next.silent.clear();
     next.advance(600);
     let old_run_is_there = next.running().contains(&second);
@@ -229,10 +214,7 @@
 /// that this owner could not have given.
 #[test]
 fn work_that_the_earlier_owner_cannot_have_seen_starts_at_once() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = record("plain", vec![step(1, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (mut fleet, id, job) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
     let worker = fleet.running()[0].0.clone();
     fleet.silent.push(worker);
 
@@ -289,10 +271,7 @@
 /// elsewhere before the run was off its worker.
 #[test]
 fn a_run_found_before_its_job_is_known_is_waited_for() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = record("plain", vec![step(1, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (fleet, id, job) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
     let found = fleet.running()[0].clone();
 
     let mut next = fleet.next_owner(2, &[], false);
@@ -388,12 +367,7 @@
     fleet.submit(1, first.1.clone());
     fleet.advance(50);
     let (leaving, run) = fleet.running()[0].clone();
-    let info = WorkerInfo {
-        draining: true,
-        remaining_ms: Some(60_000),
-        ..worker_info(&leaving, "r1")
-    };
-    fleet.tell(Input::Worker(info));
+    fleet.tell(Input::Worker(leaving_info(&leaving, 60_000)));
     fleet.advance(200);
     assert_eq!(fleet.closed[&leaving], Some(vec![run]), "stored in time");
     fleet.silent.push(leaving.clone());
@@ -454,8 +428,7 @@
 #[test]
 fn a_done_end_counts_whatever_is_noted_of_earlier_runs() {
     let (mut fleet, job, other, newer) = started_anew_elsewhere();
-    let fake = fleet.workers.get_mut(&other).unwrap();
-    fake.end(newer, EndKind::Done);
+    fleet.end_run(&other, newer, EndKind::Done);
 
     let mut next = fleet.next_owner(2, &[job], true);
     next.advance(8_000);
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -7,6 +7,8 @@
 use fleet::{
     BEGIN_MS,
     Fleet,
+    gang,
+    leaving_info,
     record,
     step, //
 };
@@ -47,8 +49,7 @@
     assert_eq!(fleet.running().len(), 2, "both tasks of the first step run");
 
     let first = fleet.running()[0].clone();
-    let fake = fleet.workers.get_mut(&first.0).unwrap();
-    fake.end(first.1, EndKind::Done);
+    fleet.end_run(&first.0, first.1, EndKind::Done);
     fleet.advance(50);
     let second_started = fleet.starts.iter().any(|start| start.0.task.step == 1);
     assert!(!second_started, "one task of the first step still runs");
@@ -63,9 +64,7 @@
 
 #[test]
 fn a_job_is_shown_completed_only_once_that_is_stored() {
-    let mut fleet = Fleet::with_workers(1);
-    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
-    fleet.advance(20);
+    let (mut fleet, job, _) = Fleet::with_job(1, record("plain", vec![step(1, 1)]));
     fleet.store_answers = false;
 
     fleet.end_all(job, EndKind::Done);
@@ -82,14 +81,8 @@
 
 #[test]
 fn a_gang_starts_whole_or_not_at_all() {
-    let mut fleet = Fleet::with_workers(2);
-    let small = fleet.submit(1, record("plain", vec![step(1, 1)]));
-    fleet.advance(20);
-    let gang = StepSpec {
-        gang: true,
-        ..step(2, 8)
-    };
-    fleet.submit(2, record("plain", vec![gang]));
+    let (mut fleet, small, _) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
+    fleet.submit(2, record("plain", vec![gang(2, 8)]));
     fleet.advance(100);
     assert_eq!(fleet.running().len(), 1, "one worker is taken in part");
 
@@ -101,17 +94,10 @@
 
 #[test]
 fn one_done_end_stands_for_the_whole_gang() {
-    let mut fleet = Fleet::with_workers(2);
-    let gang = StepSpec {
-        gang: true,
-        ..step(2, 8)
-    };
-    let job = fleet.submit(1, record("plain", vec![gang]));
-    fleet.advance(20);
+    let (mut fleet, job, _) = Fleet::with_job(2, record("plain", vec![gang(2, 8)]));
 
     let first = fleet.running()[0].clone();
-    let fake = fleet.workers.get_mut(&first.0).unwrap();
-    fake.end(first.1, EndKind::Done);
+    fleet.end_run(&first.0, first.1, EndKind::Done);
     fleet.advance(50);
 
     assert_eq!(fleet.scheduler.job_view(job), Some(JobView::Completed));
@@ -119,17 +105,10 @@
 
 #[test]
 fn a_failed_member_ends_its_gang_which_starts_again_under_a_higher_number() {
-    let mut fleet = Fleet::with_workers(2);
-    let gang = StepSpec {
-        gang: true,
-        ..step(2, 8)
-    };
-    let job = fleet.submit(1, record("plain", vec![gang]));
-    fleet.advance(20);
+    let (mut fleet, job, _) = Fleet::with_job(2, record("plain", vec![gang(2, 8)]));
 
     let first = fleet.running()[0].clone();
-    let fake = fleet.workers.get_mut(&first.0).unwrap();
-    fake.end(first.1, EndKind::Failed);
+    fleet.end_run(&first.0, first.1, EndKind::Failed);
     fleet.advance(100);
     assert_eq!(fleet.stops.len(), 1, "the other member is stopped");
     let runs: Vec<u64> = fleet.running().iter().map(|row| row.1.run).collect();
@@ -182,13 +161,11 @@
 
 #[test]
 fn work_that_lasts_is_started_again_however_it_ends() {
-    let mut fleet = Fleet::with_workers(1);
     let lasting = StepSpec {
         long_running: true,
         ..step(1, 1)
     };
-    let job = fleet.submit(1, record("plain", vec![lasting]));
-    fleet.advance(20);
+    let (mut fleet, job, _) = Fleet::with_job(1, record("plain", vec![lasting]));
     for kind in [
         EndKind::Failed,
         EndKind::Failed,
@@ -234,12 +211,8 @@
     fleet.submit(1, record("patient", vec![step(16, 1)]));
     fleet.advance(100);
     fleet.silent.push("w1".to_owned());
-    let gang = StepSpec {
-        gang: true,
-        ..step(2, 8)
-    };
 
-    fleet.submit(2, record("urgent", vec![gang]));
+    fleet.submit(2, record("urgent", vec![gang(2, 8)]));
     fleet.settle();
     fleet.advance(40);
 
@@ -274,14 +247,12 @@
 /// the start, until all are there, and at the end, until the slowest is done.
 #[test]
 fn a_gang_that_waits_for_its_members_does_not_hang() {
-    let mut fleet = Fleet::with_workers(2);
     let gang = StepSpec {
         gang: true,
         estimated_ms: 20_000,
         ..step(2, 8)
     };
-    fleet.submit(1, record("plain", vec![gang]));
-    fleet.advance(20);
+    let (mut fleet, ..) = Fleet::with_job(2, record("plain", vec![gang]));
     fleet.advance(4_000);
     assert!(fleet.stops.is_empty(), "no member has begun");
 
@@ -313,9 +284,7 @@
 
 #[test]
 fn a_run_that_stands_still_is_stopped_and_started_elsewhere() {
-    let mut fleet = Fleet::with_workers(2);
-    fleet.submit(1, record("plain", vec![step(1, 1)]));
-    fleet.advance(20);
+    let (mut fleet, ..) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
     let before = fleet.running()[0].0.clone();
 
     fleet.advance(4_000);
@@ -328,21 +297,14 @@
 /// its lease was over.
 #[test]
 fn work_that_cannot_end_in_time_moves_off_a_worker_that_leaves() {
-    let mut fleet = Fleet::with_workers(2);
     let long = StepSpec {
         estimated_ms: 20_000,
         ..step(1, 1)
     };
-    fleet.submit(1, record("plain", vec![long]));
-    fleet.advance(20);
+    let (mut fleet, ..) = Fleet::with_job(2, record("plain", vec![long]));
     let before = fleet.running()[0].0.clone();
 
-    let leaving = fuchsiaslip::scheduler::WorkerInfo {
-        draining: true,
-        remaining_ms: Some(2_000),
-        ..fleet::worker_info(&before, "r1")
-    };
-    fleet.tell(Input::Worker(leaving));
+    fleet.tell(Input::Worker(leaving_info(&before, 2_000)));
     fleet.advance(400);
 
     let after = fleet.running();
@@ -354,9 +316,7 @@
 /// next tasks, each of which loses an attempt.
 #[test]
 fn a_worker_that_fails_two_jobs_in_a_row_gets_nothing_for_a_while() {
-    let mut fleet = Fleet::with_workers(2);
-    let first = fleet.submit(1, record("plain", vec![step(1, 8)]));
-    fleet.advance(20);
+    let (mut fleet, first, _) = Fleet::with_job(2, record("plain", vec![step(1, 8)]));
     let bad = fleet.running()[0].0.clone();
     fleet.end_all(first, EndKind::Failed);
     fleet.advance(20);
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -165,6 +165,15 @@
     }
 }
 
+/// What a worker says of itself that leaves within a time.
+pub fn leaving_info(name: &str, remaining_ms: u64) -> WorkerInfo {
+    WorkerInfo {
+        draining: true,
+        remaining_ms: Some(remaining_ms),
+        ..worker_info(name, "r1")
+    }
+}
+
 /// Where a worker answers.
 pub fn address_of(name: &str) -> String {
     format!("{name}:1")
@@ -200,6 +209,14 @@
     }
 }
 
+/// A step whose tasks start together or not at all.
+pub fn gang(count: u32, accelerators: u32) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, accelerators)
+    }
+}
+
 pub fn record(queue: &str, steps: Vec<StepSpec>) -> JobRecord {
     JobRecord {
         queue: queue.to_owned(),
@@ -236,6 +253,16 @@
         fleet
     }
 
+    /// So many workers whose owner has just been told of a job, and started what
+    /// has room.
+    pub fn with_job(count: usize, record: JobRecord) -> (Self, JobId, JobRecord) {
+        const BEGUN_MS: u64 = 20;
+        let mut fleet = Self::with_workers(count);
+        let id = fleet.submit(1, record.clone());
+        fleet.advance(BEGUN_MS);
+        (fleet, id, record)
+    }
+
     /// The fleet of `self` under a new owner that knows what was stored.
     pub fn next_owner(
         &self,
@@ -470,6 +497,12 @@
         running
     }
 
+    /// Ends a run on a worker.
+    pub fn end_run(&mut self, worker: &str, name: RunName, kind: EndKind) {
+        let fake = self.workers.get_mut(worker).expect("a known worker");
+        fake.end(name, kind);
+    }
+
     /// Ends whatever runs of a job.
     pub fn end_all(&mut self, job: JobId, kind: EndKind) {
         for fake in self.workers.values_mut() {
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -7,10 +7,11 @@
 use fleet::{
     Fleet,
     configuration,
+    gang,
+    leaving_info,
     queue,
     record,
-    step,
-    worker_info, //
+    step, //
 };
 use fuchsiaslip::core::JobId;
 use fuchsiaslip::scheduler::{
@@ -79,10 +80,7 @@
 /// A job of one task whose first run has failed, unheard by its owner, which is
 /// gone.
 fn one_failed_run() -> (Fleet, (JobId, JobRecord)) {
-    let mut fleet = Fleet::with_workers(2);
-    let job = record("plain", vec![step(1, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (mut fleet, id, job) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
     fleet.end_all(id, EndKind::Failed);
     (fleet, (id, job))
 }
@@ -114,10 +112,7 @@
 /// attempt where two are allowed would be one too many.
 #[test]
 fn failures_heard_before_the_configuration_count_after_it() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = record("plain", vec![step(1, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (mut fleet, id, job) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
     fleet.end_all(id, EndKind::Failed);
     fleet.advance(2_000);
     fleet.store_answers = false;
@@ -195,10 +190,7 @@
 /// its queue no more: what was stored with the job names the service.
 #[test]
 fn a_queue_that_is_gone_is_known_by_what_was_stored_with_its_job() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = accepted_under(1, 2);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (mut fleet, id, job) = Fleet::with_job(2, accepted_under(1, 2));
     fleet.end_all(id, EndKind::Failed);
 
     let mut next = fleet.next_owner_under(2, without_plain(2), &[(id, job)], true);
@@ -214,15 +206,9 @@
 /// a version that allows one attempt came while another task was still at work.
 #[test]
 fn a_version_with_fewer_attempts_ends_nothing_by_itself() {
-    let mut fleet = Fleet::with_workers(2);
-    let id = fleet.submit(1, record("plain", vec![step(2, 1)]));
-    fleet.advance(20);
+    let (mut fleet, id, _) = Fleet::with_job(2, record("plain", vec![step(2, 1)]));
     let (worker, failed) = fleet.running()[0].clone();
-    fleet
-        .workers
-        .get_mut(&worker)
-        .unwrap()
-        .end(failed, EndKind::Failed);
+    fleet.end_run(&worker, failed, EndKind::Failed);
     fleet.advance(2_000);
 
     fleet.tell(Input::Configure(Arc::new(allowing(2, 1))));
@@ -239,27 +225,16 @@
 /// become known.
 #[test]
 fn what_is_done_is_not_judged_when_terms_become_known() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = record("plain", vec![step(2, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (mut fleet, id, job) = Fleet::with_job(2, record("plain", vec![step(2, 1)]));
     let (worker, first) = fleet.running()[0].clone();
-    fleet
-        .workers
-        .get_mut(&worker)
-        .unwrap()
-        .end(first, EndKind::Failed);
+    fleet.end_run(&worker, first, EndKind::Failed);
     fleet.advance(2_000);
     let mut again = fleet
         .running()
         .into_iter()
         .filter(|(_, run)| run.task == first.task);
     let (worker, second) = again.next().unwrap();
-    fleet
-        .workers
-        .get_mut(&worker)
-        .unwrap()
-        .end(second, EndKind::Done);
+    fleet.end_run(&worker, second, EndKind::Done);
     fleet.advance(100);
 
     let unknown = ClusterConfiguration::default();
@@ -275,10 +250,7 @@
 /// nothing: both had been set before the terms of the queue were known.
 #[test]
 fn objectives_and_runs_follow_the_terms() {
-    let mut fleet = Fleet::with_workers(2);
-    let job = record("urgent", vec![step(1, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (fleet, id, job) = Fleet::with_job(2, record("urgent", vec![step(1, 1)]));
     let objective = |fleet: &Fleet| {
         let group = fleet.scheduler.groups().next().unwrap();
         group.objective_length_ms
@@ -302,10 +274,7 @@
 /// itself.
 #[test]
 fn runs_of_a_job_whose_terms_nobody_knows_are_not_preempted() {
-    let mut fleet = Fleet::with_workers(1);
-    let job = record("plain", vec![step(8, 1)]);
-    let id = fleet.submit(1, job.clone());
-    fleet.advance(20);
+    let (fleet, id, job) = Fleet::with_job(1, record("plain", vec![step(8, 1)]));
 
     let mut next = fleet.next_owner_under(2, without_plain(2), &[(id, job)], true);
     next.advance(200);
@@ -327,22 +296,13 @@
 /// it run elsewhere.
 #[test]
 fn an_owner_without_a_configuration_moves_nothing() {
-    let (fleet, job) = {
-        let mut fleet = Fleet::with_workers(2);
-        let job = record("plain", vec![step(1, 1)]);
-        let id = fleet.submit(1, job.clone());
-        fleet.advance(20);
-        (fleet, (id, job))
-    };
+    let (fleet, id, job) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
     let (there, _) = fleet.running()[0].clone();
     let unknown = ClusterConfiguration::default();
-    let mut next = fleet.next_owner_under(2, unknown, &[job], true);
+    let mut next = fleet.next_owner_under(2, unknown, &[(id, job)], true);
     next.advance(50);
 
-    let mut leaving = worker_info(&there, "r1");
-    leaving.draining = true;
-    leaving.remaining_ms = Some(100);
-    next.tell(Input::Worker(leaving));
+    next.tell(Input::Worker(leaving_info(&there, 100)));
     next.advance(300);
 
     assert_eq!(next.running().len(), 1, "stops {:?}", next.stops);
@@ -352,19 +312,13 @@
 #[test]
 fn the_failure_of_a_gang_names_its_member() {
     let mut fleet = Fleet::with_workers(3);
-    let mut gang = step(4, 1);
-    gang.gang = true;
     fleet.tell(Input::Configure(Arc::new(allowing(2, 1))));
-    let id = fleet.submit(1, record("plain", vec![gang]));
+    let id = fleet.submit(1, record("plain", vec![gang(4, 1)]));
     fleet.advance(200);
     let member = |(_, name): &(String, RunName)| name.task.index == 2;
     let (worker, name) = fleet.running().into_iter().find(member).unwrap();
 
-    fleet
-        .workers
-        .get_mut(&worker)
-        .unwrap()
-        .end(name, EndKind::Failed);
+    fleet.end_run(&worker, name, EndKind::Failed);
     fleet.advance(100);
 
     assert_eq!(fleet.scheduler.job_view(id), Some(JobView::Failed));
