Turn stored values into news in a file of its own

Cause: cluster/follow.rs took its translations of waves and registrations from cluster/ownership.rs, which starts the loops of follow.rs: a circle, in which a newcomer has to read the takeover to learn what a single changed entry becomes. fuchsiaslip fleet, which needs no daemon, read waves through the takeover as well.

Change: all that turns stored values into the scheduler's news is moved, unchanged, to cluster/stored_news.rs, which the takeover, the watches and inspect.rs use. What is left in ownership.rs takes the epoch, begins and confirms.

Ruled out: moving learn_root too. It learns of an owner and makes no news; follow.rs keeps it, and ownership.rs using follow.rs is no circle any more.

No test changed.

--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -6,11 +6,6 @@
     Node,
     Peer, //
 };
-use super::ownership::{
-    wave_order,
-    worker_input,
-    worker_inputs, //
-};
 use super::records::{
     JOBS_PREFIX,
     JobKeyKind,
@@ -33,6 +28,11 @@
     Transaction,
     Watched, //
 };
+use super::stored_news::{
+    wave_order,
+    worker_input,
+    worker_inputs, //
+};
 use super::unused::{
     StoredKind,
     Unused, //
--- a/src/cluster/inspect.rs
+++ b/src/cluster/inspect.rs
@@ -1,6 +1,5 @@
 //! What is stored of a fleet, read by people: it needs no daemon that answers.
 
-use super::ownership::read_wave;
 use super::records::{
     CLOSED_PREFIX,
     ClosedRecord,
@@ -28,6 +27,7 @@
     StoreError,
     StoredItem, //
 };
+use super::stored_news::read_wave;
 use super::unused::{
     StoredKind,
     Unused, //
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -20,6 +20,7 @@
 mod services;
 mod settings;
 mod store_health;
+mod stored_news;
 mod submit;
 mod unread_jobs;
 mod unused;
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -2,67 +2,49 @@
 
 use super::emptying;
 use super::follow;
-use super::ledger::{
-    self,
-    Changes,
-    FoundEmptied, //
-};
+use super::ledger;
 use super::node::{
     KnownOwner,
     Node, //
 };
 use super::records::{
     CLOSED_PREFIX,
-    ClosedRecord,
     EMPTIED_PREFIX,
     JOBS_PREFIX,
-    JobKeyKind,
     PROGRESS_PREFIX,
     ROOT_KEY,
     ROSTER_KEY,
     RootRecord,
     RosterRow,
     decode,
-    decode_job_record,
-    decode_progress,
     decode_root,
-    encode,
-    job_id,
-    read_job_key, //
+    encode, //
 };
 use super::services::{
     Committed,
-    Range,
     StoreError,
-    StoredItem,
     Transaction, //
 };
-use super::unread_jobs;
-use super::unused::{
-    StoredKind,
-    Unused, //
+use super::stored_news::{
+    closed_records,
+    closed_workers,
+    emptied_records,
+    job_inputs,
+    known_workers,
+    wave_inputs,
+    worker_inputs, //
 };
-use crate::core::JobId;
+use super::unread_jobs;
+use super::unused::StoredKind;
 use crate::events;
 use crate::platform::{
     EMPTYING_PREFIX,
     WAVE_STATES_PREFIX,
     WAVES_PREFIX,
-    WORKERS_PREFIX,
-    decode_wave,
-    decode_worker,
-    is_wave_completed,
-    wave_state_key, //
+    WORKERS_PREFIX, //
 };
-use crate::scheduler::{
-    Input,
-    JobRecord,
-    ProgressRecord,
-    WaveOrder, //
-};
-use std::collections::HashMap;
+use crate::scheduler::Input;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// How often an owner that commits nothing confirms its epoch.
 const CONFIRM_MS: u64 = 600;
@@ -244,170 +226,6 @@
     Ok(())
 }
 
-/// What is stored of closed workers, by incarnation; `None` for what does not read.
-type ClosedRecords = HashMap<String, Option<ClosedRecord>>;
-
-fn closed_records(node: &Node, closed: &Range) -> ClosedRecords {
-    let records = closed.items.iter().map(|item| {
-        node.ledger.note_revision(&item.key, item.revision);
-        let incarnation = item.key.strip_prefix(CLOSED_PREFIX).unwrap_or_default();
-        let record = node.used(StoredKind::Closed, item, decode(&item.value));
-        (incarnation.to_owned(), record)
-    });
-    records.collect()
-}
-
-/// The workers that earlier owners used, with what is stored of closed ones. A
-/// record that does not read names no runs, so its worker may run anything, and
-/// is told to the store anew as open.
-fn known_workers(node: &Node, rows: Vec<RosterRow>, mut records: ClosedRecords) -> Vec<Input> {
-    let mut inputs = Vec::with_capacity(rows.len());
-    let mut changed = Vec::new();
-    for row in rows {
-        let record = records.remove(&row.incarnation);
-        if record == Some(None) {
-            let open = ClosedRecord::of(false, &[]);
-            changed.push((row.incarnation.clone(), Some(open)));
-        }
-        let record = record.flatten();
-        inputs.push(Input::KnownWorker {
-            closed_with: record.and_then(|record| record.closed_with()),
-            incarnation: row.incarnation,
-            address: row.address,
-        });
-    }
-    // What is left names workers that are gone.
-    let left = records.into_iter().filter(|(_, record)| record.is_some());
-    changed.extend(left.map(|(incarnation, _)| (incarnation, None)));
-    node.ledger.add(Changes {
-        closed: changed,
-        ..Changes::default()
-    });
-    inputs
-}
-
-/// The closed workers beside a roster that does not read: it may name them.
-fn closed_workers(records: ClosedRecords) -> Vec<Input> {
-    let records = records.into_iter();
-    let closed = records.filter_map(|(incarnation, record)| {
-        let runs = record?.closed_with()?;
-        Some(Input::ClosedWorker { incarnation, runs })
-    });
-    closed.collect()
-}
-
-fn emptied_records(node: &Node, emptied: &Range) -> Vec<FoundEmptied> {
-    let items = emptied.items.iter();
-    let records = items.map(|item| {
-        let record = node.used(StoredKind::Emptied, item, decode(&item.value));
-        (item.key.clone(), item.revision, record)
-    });
-    records.collect()
-}
-
-/// The waves of upkeep that are not completed.
-fn wave_inputs(node: &Node, waves: &Range, states: &Range) -> Vec<Input> {
-    let is_completed = |item: &&StoredItem| {
-        let read = is_wave_completed(&item.value);
-        node.used(StoredKind::WaveState, item, read) == Some(true)
-    };
-    let completed = states.items.iter().filter(is_completed);
-    let completed: Vec<&str> = completed.map(|item| item.key.as_str()).collect();
-    let open = waves.items.iter().filter_map(|item| {
-        let order = wave_order(node, item)?;
-        let done = completed.contains(&wave_state_key(order.number).as_str());
-        (!done).then_some(Input::Wave(order))
-    });
-    open.collect()
-}
-
-/// A wave; one that cannot be used is told and passed over.
-pub fn wave_order(node: &Node, item: &StoredItem) -> Option<WaveOrder> {
-    node.used(StoredKind::Wave, item, read_wave(item))
-}
-
-/// Reads a wave.
-///
-/// # Errors
-///
-/// It is none, or its key names another.
-pub fn read_wave(item: &StoredItem) -> Result<WaveOrder, Unused> {
-    let order = decode_wave(&item.value)?;
-    match item.key.strip_prefix(WAVES_PREFIX) == Some(&order.number.to_string()) {
-        true => Ok(order),
-        false => Err(Unused::because("bad_name")),
-    }
-}
-
-/// The registrations of workers as news.
-pub fn worker_inputs(node: &Node, workers: &Range) -> Vec<Input> {
-    let rows = workers.items.iter();
-    rows.filter_map(|item| worker_input(node, item)).collect()
-}
-
-/// One registration as news: also one that names no worker to use, since the
-/// worker may be known.
-pub fn worker_input(node: &Node, item: &StoredItem) -> Option<Input> {
-    let incarnation = item.key.strip_prefix(WORKERS_PREFIX)?;
-    Some(match decode_worker(incarnation, &item.value) {
-        Ok(info) => Input::Worker(info),
-        Err(error) => {
-            let reason = error.reason();
-            node.note_unused(StoredKind::Worker, item, &error.into());
-            Input::WorkerUnusable {
-                incarnation: incarnation.to_owned(),
-                reason,
-            }
-        }
-    })
-}
-
-/// Stored jobs with their progress and cancellations as news. A job of which a
-/// value does not read is news too: taken for one without progress, what is done
-/// of it would run again.
-fn job_inputs(node: &Node, jobs: &Range, progress: &Range) -> Vec<Input> {
-    let mut noted: HashMap<JobId, Option<ProgressRecord>> = HashMap::new();
-    for item in &progress.items {
-        node.ledger.note_revision(&item.key, item.revision);
-        let Some(job) = item.key.strip_prefix(PROGRESS_PREFIX).and_then(job_id) else {
-            node.note_unused(StoredKind::Progress, item, &Unused::because("bad_name"));
-            continue;
-        };
-        let read = decode_progress(&item.value);
-        noted.insert(job, node.used(StoredKind::Progress, item, read));
-    }
-    let mut inputs = Vec::with_capacity(jobs.items.len());
-    for item in &jobs.items {
-        match read_job_key(&item.key) {
-            Some(JobKeyKind::Job(id)) => {
-                let read = decode_job_record(&item.value);
-                let record = node.used(StoredKind::Job, item, read);
-                match (record, noted.remove(&id)) {
-                    (Some(record), None) => inputs.push(job_input(id, record, None)),
-                    (Some(record), Some(Some(progress))) => {
-                        inputs.push(job_input(id, record, Some(progress)));
-                    }
-                    _ => {
-                        node.note_unread(id);
-                        inputs.push(Input::JobUnread(id));
-                    }
-                }
-            }
-            Some(JobKeyKind::Cancelled(id)) => inputs.push(Input::Cancelled(id)),
-            None => node.note_unused(StoredKind::Job, item, &Unused::because("bad_name")),
-        }
-    }
-    inputs
-}
-
-fn job_input(id: JobId, record: JobRecord, progress: Option<ProgressRecord>) -> Input {
-    Input::Job {
-        id,
-        record: Arc::new(record),
-        progress,
-    }
-}
-
 /// Confirms the epoch while this daemon owns.
 async fn confirm(node: Rc<Node>, epoch: u64) {
     while node.epoch() == epoch {
