The ledger does not know the daemon: committing goes to a file of its own

Cause: cluster/node.rs holds the ledger, and cluster/ledger.rs held the loop that needs the node: a circle, so that what waits to be stored could not be read, or moved, without the store's calls, the clock and the control thread.

Change: ledger.rs keeps what waits and the batches, without I/O and without Node. The loop is in cluster/commits.rs, with its two waits unchanged; what it tells the scheduler after a commit, in the same order as before, and the count of a retry are functions now. Batch, its fields that the loop reads, and three methods of the ledger became visible to it; Ledger::changed takes the place of reaching for the Notify.

Ruled out: handing the loop the store and the control thread as closures. It also asks the node for epoch and root revision between its steps, and gives the ownership up.

No test changed.

--- /dev/null
+++ b/src/cluster/commits.rs
@@ -0,0 +1,84 @@
+//! Committing what the ledger holds, and telling the scheduler what is stored.
+
+use super::ledger::Batch;
+use super::node::Node;
+use super::services::{
+    Committed,
+    StoreError, //
+};
+use crate::scheduler::Input;
+use std::rc::Rc;
+
+/// Time for changes to gather: 40 commits a second at most, a tenth of what
+/// the store takes; ends wait this long beside run times of seconds.
+const GATHER_MS: u64 = 20;
+/// Wait after a refused or unanswered commit.
+const RETRY_MS: u64 = 120;
+
+/// Commits what waits, for as long as this daemon owns under `epoch`.
+pub async fn run(node: Rc<Node>, epoch: u64) {
+    while node.epoch() == epoch {
+        let Some(batch) = node.ledger.batch(node.root_revision()) else {
+            node.ledger.changed().await;
+            node.timer.after(GATHER_MS).await;
+            continue;
+        };
+        let sent_ms = node.now_ms();
+        let commit = node.store.commit(&batch.transaction);
+        let outcome = node.asking_store(commit).await;
+        if node.epoch() != epoch {
+            return;
+        }
+        let took_ms = (node.now_ms() - sent_ms) as f64;
+        metrics::histogram!("fuchsiaslip_commit_ms").record(took_ms);
+        match outcome {
+            Ok(Committed::Done { revision }) => {
+                node.ledger.committed(&batch, revision);
+                node.control.take(epoch, Input::Confirmed(sent_ms));
+                tell_stored(&node, epoch, batch);
+                node.timer.after(GATHER_MS).await;
+            }
+            Ok(Committed::Conflict(items)) => {
+                if !node.ledger.conflicted(&batch, &items, node.root_revision()) {
+                    node.stop_owning();
+                    return;
+                }
+                count_retry("commit_conflict");
+            }
+            Ok(Committed::LeaseOver) => {}
+            Err(error) => {
+                count_retry(match error {
+                    StoreError::Refused => "store_refused",
+                    StoreError::NoAnswer => "store_silent",
+                });
+                node.timer.after(RETRY_MS).await;
+            }
+        }
+    }
+}
+
+/// Tells the scheduler what it may rely on from now on.
+fn tell_stored(node: &Node, epoch: u64, batch: Batch) {
+    for (job, change) in batch.progress {
+        node.control.take(epoch, Input::Stored { job, change });
+    }
+    for (incarnation, record) in batch.closed {
+        if let Some(closed) = record.map(|record| record.closed) {
+            let input = Input::ClosedStored {
+                incarnation,
+                closed,
+            };
+            node.control.take(epoch, input);
+        }
+    }
+    for job in batch.forgotten {
+        node.control.take(epoch, Input::Forgotten(job));
+    }
+    if let Some(workers) = batch.roster {
+        node.control.take(epoch, Input::RosterStored(workers));
+    }
+}
+
+fn count_retry(reason: &'static str) {
+    metrics::counter!("fuchsiaslip_retries_total", "reason" => reason).increment(1);
+}
--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -1,4 +1,5 @@
-//! Storing what the scheduler notes.
+//! What waits to be stored of what the scheduler notes, and the transactions that
+//! carry it; [`super::commits`] sends them.
 //!
 //! Every value has one writer, the owner, and each write is conditional on the
 //! root's revision and on the value's own last revision. A transaction whose
@@ -6,7 +7,6 @@
 //! the root has moved to another owner, or the value to a newer revision. Many
 //! changes share one transaction, so calls grow with time, not with tasks.
 
-use super::node::Node;
 use super::records::{
     ClosedRecord,
     EMPTIED_PREFIX,
@@ -22,9 +22,7 @@
     progress_key, //
 };
 use super::services::{
-    Committed,
     MAX_TRANSACTION_ENTRIES,
-    StoreError,
     StoredItem,
     Transaction, //
 };
@@ -35,7 +33,6 @@
 };
 use crate::scheduler::{
     EmptyingOrder,
-    Input,
     ProgressRecord, //
 };
 use bytes::Bytes;
@@ -44,14 +41,8 @@
     BTreeMap,
     HashMap, //
 };
-use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Time for changes to gather: 40 commits a second at most, a tenth of what
-/// the store takes; ends wait this long beside run times of seconds.
-const GATHER_MS: u64 = 20;
-/// Wait after a refused or unanswered commit.
-const RETRY_MS: u64 = 120;
 /// Entries that one value takes in a transaction: an expectation, and a put or
 /// a removal.
 const VALUE_ENTRIES: usize = 2;
@@ -107,14 +98,19 @@
 }
 
 /// What one transaction carries.
-struct Batch {
-    transaction: Transaction,
-    progress: Vec<(JobId, u64)>,
-    roster: Option<Vec<String>>,
-    closed: Vec<(String, Option<ClosedRecord>)>,
+pub struct Batch {
+    /// The transaction itself.
+    pub transaction: Transaction,
+    /// Jobs whose progress it writes, with the numbers of their last changes.
+    pub progress: Vec<(JobId, u64)>,
+    /// Incarnations on the roster that it writes.
+    pub roster: Option<Vec<String>>,
+    /// Workers by incarnation; `None` for records that it removes.
+    pub closed: Vec<(String, Option<ClosedRecord>)>,
     waves: Vec<(u64, bool)>,
     emptied: Vec<(String, Option<EmptiedRecord>)>,
-    forgotten: Vec<JobId>,
+    /// Jobs whose values it removes.
+    pub forgotten: Vec<JobId>,
 }
 
 impl Batch {
@@ -209,9 +205,14 @@
         self.added.notify_one();
     }
 
+    /// Waits until something is added, or everything is forgotten.
+    pub async fn changed(&self) {
+        self.added.notified().await;
+    }
+
     /// What the next transaction carries: first what a worker or a caller waits
     /// for. A thousand workers that are closed at once do not hold progress up.
-    fn batch(&self, root_revision: u64) -> Option<Batch> {
+    pub fn batch(&self, root_revision: u64) -> Option<Batch> {
         let pending = self.pending.borrow();
         let mut batch = Batch::begin(root_revision);
         if let Some(roster) = &pending.roster {
@@ -254,7 +255,7 @@
     }
 
     /// What the batch carried is stored.
-    fn committed(&self, batch: &Batch, revision: u64) {
+    pub fn committed(&self, batch: &Batch, revision: u64) {
         let mut pending = self.pending.borrow_mut();
         for (key, _) in &batch.transaction.puts {
             pending.revisions.insert(key.clone(), revision);
@@ -306,7 +307,7 @@
 
     /// Takes the revisions over that a refused commit showed. Returns whether
     /// the root is still as expected.
-    fn conflicted(&self, batch: &Batch, items: &[StoredItem], root_revision: u64) -> bool {
+    pub fn conflicted(&self, batch: &Batch, items: &[StoredItem], root_revision: u64) -> bool {
         let mut pending = self.pending.borrow_mut();
         let now = |key: &str| {
             let item = items.iter().find(|item| item.key == key);
@@ -318,65 +319,3 @@
         now(ROOT_KEY) == root_revision
     }
 }
-
-/// Commits what waits, for as long as this daemon owns under `epoch`.
-pub async fn run(node: Rc<Node>, epoch: u64) {
-    while node.epoch() == epoch {
-        let Some(batch) = node.ledger.batch(node.root_revision()) else {
-            node.ledger.added.notified().await;
-            node.timer.after(GATHER_MS).await;
-            continue;
-        };
-        let sent_ms = node.now_ms();
-        let outcome = node
-            .asking_store(node.store.commit(&batch.transaction))
-            .await;
-        if node.epoch() != epoch {
-            return;
-        }
-        let took_ms = (node.now_ms() - sent_ms) as f64;
-        metrics::histogram!("fuchsiaslip_commit_ms").record(took_ms);
-        match outcome {
-            Ok(Committed::Done { revision }) => {
-                node.ledger.committed(&batch, revision);
-                node.control.take(epoch, Input::Confirmed(sent_ms));
-                for (job, change) in batch.progress {
-                    node.control.take(epoch, Input::Stored { job, change });
-                }
-                for (incarnation, record) in batch.closed {
-                    if let Some(closed) = record.map(|record| record.closed) {
-                        let input = Input::ClosedStored {
-                            incarnation,
-                            closed,
-                        };
-                        node.control.take(epoch, input);
-                    }
-                }
-                for job in batch.forgotten {
-                    node.control.take(epoch, Input::Forgotten(job));
-                }
-                if let Some(workers) = batch.roster {
-                    node.control.take(epoch, Input::RosterStored(workers));
-                }
-                node.timer.after(GATHER_MS).await;
-            }
-            Ok(Committed::Conflict(items)) => {
-                if !node.ledger.conflicted(&batch, &items, node.root_revision()) {
-                    node.stop_owning();
-                    return;
-                }
-                metrics::counter!("fuchsiaslip_retries_total", "reason" => "commit_conflict")
-                    .increment(1);
-            }
-            Ok(Committed::LeaseOver) => {}
-            Err(error) => {
-                let reason = match error {
-                    StoreError::Refused => "store_refused",
-                    StoreError::NoAnswer => "store_silent",
-                };
-                metrics::counter!("fuchsiaslip_retries_total", "reason" => reason).increment(1);
-                node.timer.after(RETRY_MS).await;
-            }
-        }
-    }
-}
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 //! and one of them owns the fleet's scheduling by an epoch in the store.
 
 mod calls;
+mod commits;
 mod control;
 mod daemon;
 mod election;
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -1,8 +1,8 @@
 //! Taking the fleet over and keeping it.
 
+use super::commits;
 use super::emptying;
 use super::follow;
-use super::ledger;
 use super::node::{
     KnownOwner,
     Node, //
@@ -218,7 +218,7 @@
         ),
     );
     metrics::counter!("fuchsiaslip_takeovers_total").increment(1);
-    actix_rt::spawn(ledger::run(node.clone(), epoch));
+    actix_rt::spawn(commits::run(node.clone(), epoch));
     actix_rt::spawn(follow::jobs(node.clone(), epoch, jobs.revision));
     actix_rt::spawn(follow::workers(node.clone(), epoch, workers));
     actix_rt::spawn(unread_jobs::read_again(node.clone(), epoch));
