The table of the other daemons is a part of its own

What becomes of a heartbeat beside a listing, who counts as heard and which peer is fit stood between the store's calls and the ownership, reached into shared cells, and could only be read with all of them.

Node keeps methods that borrow the table and add the clock, its own name and its own life. The sign of the owner's life, built inside the election's view, is a method of its own, and "reaches the store and does not drain" is said once. Names that other files call are as before.

Ruled out: a part for the owner that is known and when it last said so. Learning of an owner ends the own ownership, clears the ledger and tells the control thread, so it would be two fields whose rules stay in Node.

No test changed.

--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -3,9 +3,9 @@
 use super::emptying;
 use super::node::{
     KnownOwner,
-    Node,
-    Peer, //
+    Node, //
 };
+use super::peer_table::Peer;
 use super::records::{
     JOBS_PREFIX,
     JobKeyKind,
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -3,14 +3,14 @@
 use super::election::takeover_at_ms;
 use super::node::{
     KnownOwner,
-    Node,
-    Peer, //
+    Node, //
 };
 use super::ownership;
 use super::peer_frame::{
     Beat,
     PeerBody, //
 };
+use super::peer_table::Peer;
 use crate::scheduler::ClusterConfiguration;
 use prost::Message;
 use std::net::SocketAddr;
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -16,6 +16,7 @@
 mod node;
 mod ownership;
 mod peer_frame;
+mod peer_table;
 mod peers;
 mod records;
 mod services;
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -12,6 +12,10 @@
 };
 use super::emptying::EmptyingOrders;
 use super::ledger::Ledger;
+use super::peer_table::{
+    Peer,
+    PeerTable, //
+};
 use super::peers::Peers;
 use super::services::{
     StoreError,
@@ -44,20 +48,12 @@
     Cell,
     RefCell, //
 };
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::Notify;
 
-/// A peer that was heard this lately is there: four heartbeats of a small fleet.
-const HEARD_MS: u64 = 1_200;
-/// The same in heartbeats of the peer. In a fleet of a hundred they are as far
-/// apart as the bound above, and daemons held each other for gone.
-const HEARD_BEATS: u64 = 3;
 /// How often a store that owes answers is asked for a sign of life: its return is
 /// noticed within this time.
 const PROBE_MS: u64 = 150;
@@ -72,37 +68,6 @@
 /// less than half of the time in which it has to be in force.
 const BEHIND_MS: u64 = 700;
 
-/// Another daemon, as its heartbeats show it.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// Where it is called.
-    pub address: SocketAddr,
-    /// The life of its process.
-    pub boot: u64,
-    /// When it was last heard; 0 if only listed.
-    pub heard_ms: u64,
-    /// It reaches the store.
-    pub has_store: bool,
-    /// Since when it says that it does not.
-    pub storeless_since_ms: Option<u64>,
-    /// It is ending.
-    pub draining: bool,
-    /// Milli-cores of its VM.
-    pub strength: u64,
-    /// Time between its heartbeats.
-    pub gap_ms: u64,
-    /// The store lists it.
-    pub listed: bool,
-}
-
-impl Peer {
-    /// Whether it was heard lately.
-    fn is_heard(&self, now_ms: u64) -> bool {
-        let window_ms = HEARD_MS.max(self.gap_ms * HEARD_BEATS);
-        self.heard_ms > 0 && now_ms < self.heard_ms + window_ms
-    }
-}
-
 /// The owner, as far as known.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KnownOwner {
@@ -145,7 +110,7 @@
     configuration: RefCell<Arc<ClusterConfiguration>>,
     configuration_checked_ms: Cell<u64>,
     emptying: RefCell<EmptyingOrders>,
-    others: RefCell<BTreeMap<String, Peer>>,
+    others: RefCell<PeerTable>,
     owner: RefCell<Option<KnownOwner>>,
     owner_said_ms: Cell<u64>,
     epoch: Cell<u64>,
@@ -355,7 +320,7 @@
     /// Asks a store that owes answers for a sign of life, for ever.
     pub async fn probe_store(self: Rc<Self>) {
         loop {
-            let daemons = self.others.borrow().len() as u64;
+            let daemons = self.others.borrow().count() as u64;
             self.timer
                 .after(PROBE_MS.max(daemons * PROBE_PER_DAEMON_MS))
                 .await;
@@ -505,94 +470,37 @@
 
     /// Notes a heartbeat, or a listing with `heard_ms` 0.
     pub fn note_peer(&self, name: &str, peer: Peer) {
-        let mut others = self.others.borrow_mut();
-        let known = others.get(name).cloned();
-        let merged = match known {
-            Some(known) if peer.heard_ms == 0 => Peer {
-                listed: true,
-                address: if known.heard_ms > 0 {
-                    known.address
-                } else {
-                    peer.address
-                },
-                ..known
-            },
-            Some(known) => Peer {
-                listed: known.listed,
-                storeless_since_ms: match peer.has_store {
-                    true => None,
-                    false => known.storeless_since_ms.or(Some(peer.heard_ms)),
-                },
-                ..peer
-            },
-            None => peer,
-        };
-        others.insert(name.to_owned(), merged);
+        self.others.borrow_mut().note(name, peer);
     }
 
     /// Keeps only the peers that are listed now, or that were heard lately.
     pub fn keep_listed(&self, listed: &[String]) {
         let now_ms = self.now_ms();
-        self.others.borrow_mut().retain(|name, peer| {
-            peer.listed = listed.contains(name);
-            peer.listed || peer.is_heard(now_ms)
-        });
+        self.others.borrow_mut().keep_listed(listed, now_ms);
     }
 
     /// The other daemons, heard or listed.
     pub fn others(&self) -> Vec<(String, Peer)> {
-        let others = self.others.borrow();
-        let all = others.iter();
-        all.map(|(name, peer)| (name.clone(), peer.clone()))
-            .collect()
+        self.others.borrow().all()
     }
 
     /// Whether a daemon's life is certainly over: it has another one now.
     pub fn is_over(&self, daemon: &str, boot: u64) -> bool {
-        self.is_over_among(&self.others.borrow(), daemon, boot)
-    }
-
-    fn is_over_among(&self, others: &BTreeMap<String, Peer>, daemon: &str, boot: u64) -> bool {
         if daemon == self.settings.daemon {
             return boot != self.boot;
         }
-        let peer = others.get(daemon);
-        peer.is_some_and(|peer| peer.heard_ms > 0 && peer.boot != boot)
+        self.others.borrow().is_over(daemon, boot)
     }
 
     /// A peer that is there and reaches the store: the owner first.
     pub fn fit_peer(&self) -> Option<SocketAddr> {
-        let now_ms = self.now_ms();
-        let owner = self.owner();
-        let others = self.others.borrow();
-        let fit = others
-            .values()
-            .filter(|peer| peer.is_heard(now_ms) && peer.has_store && !peer.draining);
-        let addresses: Vec<SocketAddr> = fit.map(|peer| peer.address).collect();
-        let owner = owner.map(|owner| owner.address);
-        let own = addresses.iter().find(|address| Some(**address) == owner);
-        own.or(addresses.first()).copied()
+        let owner = self.owner().map(|owner| owner.address);
+        self.others.borrow().fit(owner, self.now_ms())
     }
 
     /// What this daemon knows for the question whether to take over.
     pub fn election_view(&self) -> ElectionView {
-        let now_ms = self.now_ms();
         let others = self.others.borrow();
-        let heard = others.iter().filter(|(_, peer)| peer.is_heard(now_ms));
-        let owner = self.owner().map(|owner| {
-            let peer = others.get(&owner.name);
-            let peer = peer.filter(|peer| peer.boot == owner.boot);
-            let heard_ms = peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms);
-            let said_ms = self.owner_said_ms.get().max(owner.since_ms);
-            OwnerSign {
-                name: owner.name.clone(),
-                heard_ms: owner_heard_ms(heard_ms, said_ms),
-                since_ms: owner.since_ms,
-                storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
-                draining: peer.is_some_and(|peer| peer.draining),
-                over: !self.owns() && self.is_over_among(&others, &owner.name, owner.boot),
-            }
-        });
         ElectionView {
             own: Candidate {
                 name: self.settings.daemon.clone(),
@@ -601,15 +509,25 @@
             },
             started_ms: self.started_ms,
             store_back_ms: self.store_health.borrow().back_ms(),
-            heard: heard
-                .map(|(name, peer)| Candidate {
-                    name: name.clone(),
-                    strength: peer.strength,
-                    fit: peer.has_store && !peer.draining,
-                })
-                .collect(),
-            listed: others.values().filter(|peer| peer.listed).count(),
-            owner,
+            heard: others.candidates(self.now_ms()),
+            listed: others.listed_count(),
+            owner: self.owner().map(|owner| self.sign_of(&owner)),
+        }
+    }
+
+    /// What is known of the owner's life.
+    fn sign_of(&self, owner: &KnownOwner) -> OwnerSign {
+        let others = self.others.borrow();
+        let peer = others.life(&owner.name, owner.boot);
+        let heard_ms = peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms);
+        let said_ms = self.owner_said_ms.get().max(owner.since_ms);
+        OwnerSign {
+            name: owner.name.clone(),
+            heard_ms: owner_heard_ms(heard_ms, said_ms),
+            since_ms: owner.since_ms,
+            storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
+            draining: peer.is_some_and(|peer| peer.draining),
+            over: !self.owns() && self.is_over(&owner.name, owner.boot),
         }
     }
 }
