Calls to the store and the probe are parts of their own

Cause: cluster/node.rs still held how every call to the store goes: the guard of a call under way, the wait that ends with a silence, the events of a store that fails and is back, and a loop that asks for signs of life. A newcomer met that machinery between the configuration and the ownership.

Change: StoreCalls in cluster/store_calls.rs holds the store's health, the signal that it answered and the clock, with the moved code; the loop, its waits and its limit are in cluster/store_probe.rs.

Ruled out: letting callers reach StoreCalls through Node's field, which would rename calls in seven files and save only these lines.

No test changed.

--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -9,6 +9,7 @@
 use super::node::Node;
 use super::peers::Peers;
 use super::settings::ClusterSettings;
+use super::store_probe;
 use super::submit;
 use crate::events;
 use crate::platform::{
@@ -206,7 +207,7 @@
         })?);
         let node = Node::open(settings, timer, store, workers, machines, control, boot);
         actix_rt::spawn(calls::run(node.clone(), decided));
-        actix_rt::spawn(node.clone().probe_store());
+        actix_rt::spawn(store_probe::run(node.clone()));
         actix_rt::spawn(follow::operators(node.clone()));
         actix_rt::spawn(follow::members(node.clone()));
         actix_rt::spawn(heartbeat::send(node.clone(), beats.clone()));
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -22,11 +22,7 @@
     StoredItem, //
 };
 use super::settings::ClusterSettings;
-use super::store_health::{
-    CallKey,
-    HealthChange,
-    StoreHealth, //
-};
+use super::store_calls::StoreCalls;
 use super::unused::{
     StoredKind,
     Unused,
@@ -52,15 +48,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::sync::Notify;
-
-/// How often a store that owes answers is asked for a sign of life: its return is
-/// noticed within this time.
-const PROBE_MS: u64 = 150;
-/// In large fleets each daemon asks less often: together 250 times a second.
-const PROBE_PER_DAEMON_MS: u64 = 4;
-/// A sign of life that takes longer is no use; the next is under way.
-const PROBE_LIMIT_MS: u64 = 500;
+
 /// A configuration that nobody confirmed for this long may be out of date.
 const CONFIGURATION_DOUBT_MS: u64 = 2_500;
 
@@ -115,8 +103,7 @@
     owner_said_ms: Cell<u64>,
     epoch: Cell<u64>,
     root_revision: Cell<u64>,
-    store_health: RefCell<StoreHealth>,
-    store_answered: Notify,
+    store_calls: StoreCalls,
     draining: Cell<bool>,
     behind_since_ms: Cell<Option<u64>>,
     fetching: Cell<bool>,
@@ -124,19 +111,6 @@
     unread_jobs: RefCell<BTreeSet<JobId>>,
 }
 
-/// A call to the store that ends when this does: a client that leaves takes its
-/// calls along.
-struct CallUnderWay<'a> {
-    health: &'a RefCell<StoreHealth>,
-    key: CallKey,
-}
-
-impl Drop for CallUnderWay<'_> {
-    fn drop(&mut self) {
-        self.health.borrow_mut().ended(self.key);
-    }
-}
-
 impl Node {
     /// Puts the parts together.
     pub fn open(
@@ -168,8 +142,7 @@
             owner_said_ms: Cell::new(0),
             epoch: Cell::new(0),
             root_revision: Cell::new(0),
-            store_health: RefCell::default(),
-            store_answered: Notify::new(),
+            store_calls: StoreCalls::open(timer.clone()),
             draining: Cell::new(false),
             behind_since_ms: Cell::new(None),
             fetching: Cell::new(false),
@@ -254,19 +227,7 @@
 
     /// Notes how a call to the store went.
     pub fn store_went(&self, well: bool) {
-        let change = self.store_health.borrow_mut().went(well, self.now_ms());
-        if well {
-            self.store_answered.notify_waiters();
-        }
-        match change {
-            Some(HealthChange::Back { for_ms }) => {
-                events::log(events::STORE_BACK, format_args!("after {for_ms} ms"));
-            }
-            Some(HealthChange::Failing) => {
-                events::log(events::STORE_SILENT, format_args!("calls fail"));
-            }
-            None => {}
-        }
+        self.store_calls.went(well);
     }
 
     /// Makes a call of a client's request to the store, and notes how it went.
@@ -274,19 +235,7 @@
         &self,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        let began_ms = self.now_ms();
-        let under_way = CallUnderWay {
-            health: &self.store_health,
-            key: self.store_health.borrow_mut().began(began_ms),
-        };
-        let outcome = self.unless_silenced(call).await;
-        drop(under_way);
-        if outcome.is_ok() {
-            let took_ms = self.now_ms() - began_ms;
-            self.store_health.borrow_mut().took(took_ms);
-        }
-        self.store_went(outcome.is_ok());
-        outcome
+        self.store_calls.asking(call).await
     }
 
     /// Waits for a call, or until it turns out that the store was silent since: it
@@ -295,62 +244,27 @@
         &self,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        let began_ms = self.now_ms();
-        tokio::select! {
-            outcome = call => outcome,
-            () = self.silence_over(began_ms) => {
-                metrics::counter!("fuchsiaslip_retries_total", "reason" => "store_was_silent")
-                    .increment(1);
-                Err(StoreError::NoAnswer)
-            }
-        }
+        self.store_calls.unless_silenced(call).await
     }
 
-    /// Waits until a call made at `began_ms` turns out to have fallen into a
-    /// silence of the store that is over: it is never answered.
-    async fn silence_over(&self, began_ms: u64) {
-        loop {
-            self.store_answered.notified().await;
-            if self.store_health.borrow().fell_silent(began_ms) {
-                return;
-            }
-        }
-    }
-
-    /// Asks a store that owes answers for a sign of life, for ever.
-    pub async fn probe_store(self: Rc<Self>) {
-        loop {
-            let daemons = self.others.borrow().count() as u64;
-            self.timer
-                .after(PROBE_MS.max(daemons * PROBE_PER_DAEMON_MS))
-                .await;
-            if !self.store_health.borrow().is_overdue(self.now_ms()) {
-                continue;
-            }
-            let node = self.clone();
-            actix_rt::spawn(async move {
-                metrics::counter!("fuchsiaslip_store_probes_total").increment(1);
-                // Without an answer nothing is learnt that is not known.
-                if node.store.probe(PROBE_LIMIT_MS).await.is_ok() {
-                    node.store_went(true);
-                }
-            });
-        }
+    /// Whether a sign of life of the store is missing.
+    pub fn is_store_overdue(&self) -> bool {
+        self.store_calls.is_overdue()
     }
 
     /// How long to wait for the store before a call is made again.
     pub fn store_patience_ms(&self) -> u64 {
-        self.store_health.borrow().patience_ms()
+        self.store_calls.patience_ms()
     }
 
     /// Whether the store answers this daemon.
     pub fn has_store(&self) -> bool {
-        !self.store_health.borrow().is_lost(self.now_ms())
+        self.store_calls.has_store()
     }
 
     /// Whether what a client sends can be stored now.
     pub fn takes_jobs(&self) -> bool {
-        !self.store_health.borrow().is_away(self.now_ms())
+        self.store_calls.takes_jobs()
     }
 
     /// What was read of a stored value; `None`, told once, for one that cannot be
@@ -484,6 +398,11 @@
         self.others.borrow().all()
     }
 
+    /// How many they are.
+    pub fn other_count(&self) -> usize {
+        self.others.borrow().count()
+    }
+
     /// Whether a daemon's life is certainly over: it has another one now.
     pub fn is_over(&self, daemon: &str, boot: u64) -> bool {
         if daemon == self.settings.daemon {
@@ -508,7 +427,7 @@
                 fit: self.has_store() && !self.draining.get(),
             },
             started_ms: self.started_ms,
-            store_back_ms: self.store_health.borrow().back_ms(),
+            store_back_ms: self.store_calls.back_ms(),
             heard: others.candidates(self.now_ms()),
             listed: others.listed_count(),
             owner: self.owner().map(|owner| self.sign_of(&owner)),
