--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -3,14 +3,9 @@
 use super::emptying;
 use super::node::{
     KnownOwner,
-    Node,
-    Peer, //
-};
-use super::ownership::{
-    wave_order,
-    worker_input,
-    worker_inputs, //
+    Node, //
 };
+use super::peer_table::Peer;
 use super::records::{
     JOBS_PREFIX,
     JobKeyKind,
@@ -33,6 +28,11 @@
     Transaction,
     Watched, //
 };
+use super::stored_news::{
+    wave_order,
+    worker_input,
+    worker_inputs, //
+};
 use super::unused::{
     StoredKind,
     Unused, //
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 //! and one of them owns the fleet's scheduling by an epoch in the store.
 
 mod calls;
+mod commits;
 mod control;
 mod daemon;
 mod election;
@@ -15,11 +16,15 @@
 mod node;
 mod ownership;
 mod peer_frame;
+mod peer_table;
 mod peers;
 mod records;
 mod services;
 mod settings;
+mod store_calls;
 mod store_health;
+mod store_probe;
+mod stored_news;
 mod submit;
 mod unread_jobs;
 mod unused;
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -12,17 +12,17 @@
 };
 use super::emptying::EmptyingOrders;
 use super::ledger::Ledger;
+use super::peer_table::{
+    Peer,
+    PeerTable, //
+};
 use super::peers::Peers;
 use super::services::{
     StoreError,
     StoredItem, //
 };
 use super::settings::ClusterSettings;
-use super::store_health::{
-    CallKey,
-    HealthChange,
-    StoreHealth, //
-};
+use super::store_calls::StoreCalls;
 use super::unused::{
     StoredKind,
     Unused,
@@ -44,27 +44,11 @@
     Cell,
     RefCell, //
 };
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::sync::Notify;
-
-/// A peer that was heard this lately is there: four heartbeats of a small fleet.
-const HEARD_MS: u64 = 1_200;
-/// The same in heartbeats of the peer. In a fleet of a hundred they are as far
-/// apart as the bound above, and daemons held each other for gone.
-const HEARD_BEATS: u64 = 3;
-/// How often a store that owes answers is asked for a sign of life: its return is
-/// noticed within this time.
-const PROBE_MS: u64 = 150;
-/// In large fleets each daemon asks less often: together 250 times a second.
-const PROBE_PER_DAEMON_MS: u64 = 4;
-/// A sign of life that takes longer is no use; the next is under way.
-const PROBE_LIMIT_MS: u64 = 500;
+
 /// A configuration that nobody confirmed for this long may be out of date.
 const CONFIGURATION_DOUBT_MS: u64 = 2_500;
 
@@ -72,37 +56,6 @@
 /// less than half of the time in which it has to be in force.
 const BEHIND_MS: u64 = 700;
 
-/// Another daemon, as its heartbeats show it.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// Where it is called.
-    pub address: SocketAddr,
-    /// The life of its process.
-    pub boot: u64,
-    /// When it was last heard; 0 if only listed.
-    pub heard_ms: u64,
-    /// It reaches the store.
-    pub has_store: bool,
-    /// Since when it says that it does not.
-    pub storeless_since_ms: Option<u64>,
-    /// It is ending.
-    pub draining: bool,
-    /// Milli-cores of its VM.
-    pub strength: u64,
-    /// Time between its heartbeats.
-    pub gap_ms: u64,
-    /// The store lists it.
-    pub listed: bool,
-}
-
-impl Peer {
-    /// Whether it was heard lately.
-    fn is_heard(&self, now_ms: u64) -> bool {
-        let window_ms = HEARD_MS.max(self.gap_ms * HEARD_BEATS);
-        self.heard_ms > 0 && now_ms < self.heard_ms + window_ms
-    }
-}
-
 /// The owner, as far as known.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KnownOwner {
@@ -145,13 +98,12 @@
     configuration: RefCell<Arc<ClusterConfiguration>>,
     configuration_checked_ms: Cell<u64>,
     emptying: RefCell<EmptyingOrders>,
-    others: RefCell<BTreeMap<String, Peer>>,
+    others: RefCell<PeerTable>,
     owner: RefCell<Option<KnownOwner>>,
     owner_said_ms: Cell<u64>,
     epoch: Cell<u64>,
     root_revision: Cell<u64>,
-    store_health: RefCell<StoreHealth>,
-    store_answered: Notify,
+    store_calls: StoreCalls,
     draining: Cell<bool>,
     behind_since_ms: Cell<Option<u64>>,
     fetching: Cell<bool>,
@@ -159,19 +111,6 @@
     unread_jobs: RefCell<BTreeSet<JobId>>,
 }
 
-/// A call to the store that ends when this does: a client that leaves takes its
-/// calls along.
-struct CallUnderWay<'a> {
-    health: &'a RefCell<StoreHealth>,
-    key: CallKey,
-}
-
-impl Drop for CallUnderWay<'_> {
-    fn drop(&mut self) {
-        self.health.borrow_mut().ended(self.key);
-    }
-}
-
 impl Node {
     /// Puts the parts together.
     pub fn open(
@@ -203,8 +142,7 @@
             owner_said_ms: Cell::new(0),
             epoch: Cell::new(0),
             root_revision: Cell::new(0),
-            store_health: RefCell::default(),
-            store_answered: Notify::new(),
+            store_calls: StoreCalls::open(timer.clone()),
             draining: Cell::new(false),
             behind_since_ms: Cell::new(None),
             fetching: Cell::new(false),
@@ -289,19 +227,7 @@
 
     /// Notes how a call to the store went.
     pub fn store_went(&self, well: bool) {
-        let change = self.store_health.borrow_mut().went(well, self.now_ms());
-        if well {
-            self.store_answered.notify_waiters();
-        }
-        match change {
-            Some(HealthChange::Back { for_ms }) => {
-                events::log(events::STORE_BACK, format_args!("after {for_ms} ms"));
-            }
-            Some(HealthChange::Failing) => {
-                events::log(events::STORE_SILENT, format_args!("calls fail"));
-            }
-            None => {}
-        }
+        self.store_calls.went(well);
     }
 
     /// Makes a call of a client's request to the store, and notes how it went.
@@ -309,19 +235,7 @@
         &self,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        let began_ms = self.now_ms();
-        let under_way = CallUnderWay {
-            health: &self.store_health,
-            key: self.store_health.borrow_mut().began(began_ms),
-        };
-        let outcome = self.unless_silenced(call).await;
-        drop(under_way);
-        if outcome.is_ok() {
-            let took_ms = self.now_ms() - began_ms;
-            self.store_health.borrow_mut().took(took_ms);
-        }
-        self.store_went(outcome.is_ok());
-        outcome
+        self.store_calls.asking(call).await
     }
 
     /// Waits for a call, or until it turns out that the store was silent since: it
@@ -330,62 +244,27 @@
         &self,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        let began_ms = self.now_ms();
-        tokio::select! {
-            outcome = call => outcome,
-            () = self.silence_over(began_ms) => {
-                metrics::counter!("fuchsiaslip_retries_total", "reason" => "store_was_silent")
-                    .increment(1);
-                Err(StoreError::NoAnswer)
-            }
-        }
-    }
-
-    /// Waits until a call made at `began_ms` turns out to have fallen into a
-    /// silence of the store that is over: it is never answered.
-    async fn silence_over(&self, began_ms: u64) {
-        loop {
-            self.store_answered.notified().await;
-            if self.store_health.borrow().fell_silent(began_ms) {
-                return;
-            }
-        }
+        self.store_calls.unless_silenced(call).await
     }
 
-    /// Asks a store that owes answers for a sign of life, for ever.
-    pub async fn probe_store(self: Rc<Self>) {
-        loop {
-            let daemons = self.others.borrow().len() as u64;
-            self.timer
-                .after(PROBE_MS.max(daemons * PROBE_PER_DAEMON_MS))
-                .await;
-            if !self.store_health.borrow().is_overdue(self.now_ms()) {
-                continue;
-            }
-            let node = self.clone();
-            actix_rt::spawn(async move {
-                metrics::counter!("fuchsiaslip_store_probes_total").increment(1);
-                // Without an answer nothing is learnt that is not known.
-                if node.store.probe(PROBE_LIMIT_MS).await.is_ok() {
-                    node.store_went(true);
-                }
-            });
-        }
+    /// Whether a sign of life of the store is missing.
+    pub fn is_store_overdue(&self) -> bool {
+        self.store_calls.is_overdue()
     }
 
     /// How long to wait for the store before a call is made again.
     pub fn store_patience_ms(&self) -> u64 {
-        self.store_health.borrow().patience_ms()
+        self.store_calls.patience_ms()
     }
 
     /// Whether the store answers this daemon.
     pub fn has_store(&self) -> bool {
-        !self.store_health.borrow().is_lost(self.now_ms())
+        self.store_calls.has_store()
     }
 
     /// Whether what a client sends can be stored now.
     pub fn takes_jobs(&self) -> bool {
-        !self.store_health.borrow().is_away(self.now_ms())
+        self.store_calls.takes_jobs()
     }
 
     /// What was read of a stored value; `None`, told once, for one that cannot be
@@ -505,94 +384,42 @@
 
     /// Notes a heartbeat, or a listing with `heard_ms` 0.
     pub fn note_peer(&self, name: &str, peer: Peer) {
-        let mut others = self.others.borrow_mut();
-        let known = others.get(name).cloned();
-        let merged = match known {
-            Some(known) if peer.heard_ms == 0 => Peer {
-                listed: true,
-                address: if known.heard_ms > 0 {
-                    known.address
-                } else {
-                    peer.address
-                },
-                ..known
-            },
-            Some(known) => Peer {
-                listed: known.listed,
-                storeless_since_ms: match peer.has_store {
-                    true => None,
-                    false => known.storeless_since_ms.or(Some(peer.heard_ms)),
-                },
-                ..peer
-            },
-            None => peer,
-        };
-        others.insert(name.to_owned(), merged);
+        self.others.borrow_mut().note(name, peer);
     }
 
     /// Keeps only the peers that are listed now, or that were heard lately.
     pub fn keep_listed(&self, listed: &[String]) {
         let now_ms = self.now_ms();
-        self.others.borrow_mut().retain(|name, peer| {
-            peer.listed = listed.contains(name);
-            peer.listed || peer.is_heard(now_ms)
-        });
+        self.others.borrow_mut().keep_listed(listed, now_ms);
     }
 
     /// The other daemons, heard or listed.
     pub fn others(&self) -> Vec<(String, Peer)> {
-        let others = self.others.borrow();
-        let all = others.iter();
-        all.map(|(name, peer)| (name.clone(), peer.clone()))
-            .collect()
+        self.others.borrow().all()
     }
 
-    /// Whether a daemon's life is certainly over: it has another one now.
-    pub fn is_over(&self, daemon: &str, boot: u64) -> bool {
-        self.is_over_among(&self.others.borrow(), daemon, boot)
+    /// How many they are.
+    pub fn other_count(&self) -> usize {
+        self.others.borrow().count()
     }
 
-    fn is_over_among(&self, others: &BTreeMap<String, Peer>, daemon: &str, boot: u64) -> bool {
+    /// Whether a daemon's life is certainly over: it has another one now.
+    pub fn is_over(&self, daemon: &str, boot: u64) -> bool {
         if daemon == self.settings.daemon {
             return boot != self.boot;
         }
-        let peer = others.get(daemon);
-        peer.is_some_and(|peer| peer.heard_ms > 0 && peer.boot != boot)
+        self.others.borrow().is_over(daemon, boot)
     }
 
     /// A peer that is there and reaches the store: the owner first.
     pub fn fit_peer(&self) -> Option<SocketAddr> {
-        let now_ms = self.now_ms();
-        let owner = self.owner();
-        let others = self.others.borrow();
-        let fit = others
-            .values()
-            .filter(|peer| peer.is_heard(now_ms) && peer.has_store && !peer.draining);
-        let addresses: Vec<SocketAddr> = fit.map(|peer| peer.address).collect();
-        let owner = owner.map(|owner| owner.address);
-        let own = addresses.iter().find(|address| Some(**address) == owner);
-        own.or(addresses.first()).copied()
+        let owner = self.owner().map(|owner| owner.address);
+        self.others.borrow().fit(owner, self.now_ms())
     }
 
     /// What this daemon knows for the question whether to take over.
     pub fn election_view(&self) -> ElectionView {
-        let now_ms = self.now_ms();
         let others = self.others.borrow();
-        let heard = others.iter().filter(|(_, peer)| peer.is_heard(now_ms));
-        let owner = self.owner().map(|owner| {
-            let peer = others.get(&owner.name);
-            let peer = peer.filter(|peer| peer.boot == owner.boot);
-            let heard_ms = peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms);
-            let said_ms = self.owner_said_ms.get().max(owner.since_ms);
-            OwnerSign {
-                name: owner.name.clone(),
-                heard_ms: owner_heard_ms(heard_ms, said_ms),
-                since_ms: owner.since_ms,
-                storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
-                draining: peer.is_some_and(|peer| peer.draining),
-                over: !self.owns() && self.is_over_among(&others, &owner.name, owner.boot),
-            }
-        });
         ElectionView {
             own: Candidate {
                 name: self.settings.daemon.clone(),
@@ -600,16 +427,26 @@
                 fit: self.has_store() && !self.draining.get(),
             },
             started_ms: self.started_ms,
-            store_back_ms: self.store_health.borrow().back_ms(),
-            heard: heard
-                .map(|(name, peer)| Candidate {
-                    name: name.clone(),
-                    strength: peer.strength,
-                    fit: peer.has_store && !peer.draining,
-                })
-                .collect(),
-            listed: others.values().filter(|peer| peer.listed).count(),
-            owner,
+            store_back_ms: self.store_calls.back_ms(),
+            heard: others.candidates(self.now_ms()),
+            listed: others.listed_count(),
+            owner: self.owner().map(|owner| self.sign_of(&owner)),
+        }
+    }
+
+    /// What is known of the owner's life.
+    fn sign_of(&self, owner: &KnownOwner) -> OwnerSign {
+        let others = self.others.borrow();
+        let peer = others.life(&owner.name, owner.boot);
+        let heard_ms = peer.map_or(0, |peer| peer.heard_ms).max(owner.since_ms);
+        let said_ms = self.owner_said_ms.get().max(owner.since_ms);
+        OwnerSign {
+            name: owner.name.clone(),
+            heard_ms: owner_heard_ms(heard_ms, said_ms),
+            since_ms: owner.since_ms,
+            storeless_since_ms: peer.and_then(|peer| peer.storeless_since_ms),
+            draining: peer.is_some_and(|peer| peer.draining),
+            over: !self.owns() && self.is_over(&owner.name, owner.boot),
         }
     }
 }
