Replay: a data centre is emptied at the worst moment of a burst

Cause: the replayed loads had no order to empty a data centre, so nothing showed what the order costs while gangs wait and lent room is in use, nor whether every reckoning of room passes the data centre over under load.

Change: the workers of the replay lie in three data centres. The load `emptied` (1.2 times the rate, urgent work twice as often for the middle third) has one of them emptied for 8 s: the one in which most of what may be taken back runs, from the moment in the burst's first half at which gangs wait for most accelerators while lent room is in use. That moment is found by a replay without the order and is the same for all rules of order. The scheduler is told of the order at once: notice by the store is not part of this replay.

Conclusion: no reckoning was found that counts room that may not be used; nothing in the scheduler is changed.

--- a/benches/replay.rs
+++ b/benches/replay.rs
@@ -9,11 +9,54 @@
 use replay::{
     Figures,
     LOADS,
+    OrderFigures,
     replay, //
 };
 
 const SEEDS: [u64; 4] = [11, 22, 33, 44];
 
+/// What the replays say of the operators' order, if they had one.
+fn print_order(name: &str, runs: &[Figures]) {
+    let orders: Vec<&OrderFigures> = runs.iter().filter_map(|run| run.order.as_ref()).collect();
+    if orders.is_empty() {
+        return;
+    }
+    let moments = || orders.iter().map(|order| order.moment);
+    let gangs = moments().map(|moment| moment.waiting_gang_accelerators);
+    let lent = moments().map(|moment| moment.lent_accelerators);
+    let starts: usize = orders.iter().map(|order| order.starts).sum();
+    let latest_start_ms = orders
+        .iter()
+        .filter_map(|order| order.latest_start_ms)
+        .max();
+    let used_again: Option<Vec<u64>> = orders.iter().map(|order| order.used_again_ms).collect();
+    let used_again_ms = used_again.and_then(|times_ms| times_ms.into_iter().max());
+    let wait_ms = runs.iter().map(|run| run.guaranteed_wait_ms).max();
+    let figure = |what: &str, value: &str| println!("figure {name}_{what} {value}");
+    let number = |value: Option<u64>, without: &str| {
+        value.map_or_else(|| without.to_owned(), |value| value.to_string())
+    };
+    figure("orders", &orders.len().to_string());
+    figure(
+        "least_waiting_gang_accelerators",
+        &number(gangs.min().map(u64::from), "none"),
+    );
+    figure(
+        "least_lent_accelerators",
+        &number(lent.min().map(u64::from), "none"),
+    );
+    figure("starts_after_order", &starts.to_string());
+    figure(
+        "latest_start_after_order_ms",
+        &number(latest_start_ms, "none"),
+    );
+    figure(
+        "longest_until_used_again_ms",
+        &number(used_again_ms, "never"),
+    );
+    figure("longest_guaranteed_wait_ms", &number(wait_ms, "none"));
+}
+
 fn main() {
     let only = std::env::args().skip(1).find(|word| !word.starts_with('-'));
     let chosen = LOADS
@@ -45,6 +88,7 @@
             figure("thrown_away_core_s", mean(|run| run.thrown_away_core_s));
             figure("reclaim_p99_ms", mean(|run| run.reclaim_p99_ms as f64));
             figure("twice", mean(|run| run.twice as f64));
+            print_order(&format!("{}_{name}", load.name), &runs);
         }
     }
 }
--- a/tests/support/replay.rs
+++ b/tests/support/replay.rs
@@ -2,6 +2,14 @@
 //! describe them, on simulated workers, decided by the scheduler under one
 //! rule of order or another.
 
+#[path = "replay/emptying.rs"]
+mod emptying;
+
+pub use emptying::OrderFigures;
+use emptying::{
+    Order,
+    worst_moment, //
+};
 use fuchsiaslip::core::{
     JobId,
     WorkerKey, //
@@ -49,6 +57,8 @@
 const AFTER_MS: u64 = 30_000;
 const WORKERS: usize = 48;
 const RACK: usize = 8;
+/// Each has as many workers, two whole racks.
+const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
 const ACCELERATORS: u32 = 8;
 /// Time of a stop on a worker.
 const STOP_MS: u64 = 100;
@@ -167,6 +177,8 @@
     pub hanging: f64,
     /// Share of jobs that are cancelled at half of the stream.
     pub cancelled: f64,
+    /// How long a data centre is emptied, from the worst moment on; 0 for never.
+    pub emptied_ms: u64,
 }
 
 const CALM: Load = Load {
@@ -178,10 +190,11 @@
     failing: 0.0,
     hanging: 0.0,
     cancelled: 0.0,
+    emptied_ms: 0,
 };
 
 /// The loads that are replayed.
-pub const LOADS: [Load; 7] = [
+pub const LOADS: [Load; 8] = [
     CALM,
     Load {
         name: "full",
@@ -220,6 +233,13 @@
         cancelled: 0.3,
         ..CALM
     },
+    Load {
+        name: "emptied",
+        scale: 1.2,
+        burst: 2.0,
+        emptied_ms: 8_000,
+        ..CALM
+    },
 ];
 
 /// What a replay measured.
@@ -238,6 +258,11 @@
     pub largest_tenth: f64,
     pub thrown_away_core_s: f64,
     pub reclaim_p99_ms: u64,
+    /// Longest time for which an urgent job within its account's guarantee had
+    /// not begun.
+    pub guaranteed_wait_ms: u64,
+    /// Of the operators' order, where the load has one.
+    pub order: Option<OrderFigures>,
     /// Tasks that ran twice at a time; has to be 0.
     pub twice: usize,
 }
@@ -253,6 +278,23 @@
     work: f64,
     first_begun: BTreeMap<u32, u64>,
     ended_ms: Option<u64>,
+    /// Since when it waits within its account's guarantee.
+    promised_since_ms: Option<u64>,
+}
+
+impl SimJob {
+    fn is_gang(&self) -> bool {
+        self.record.spec.steps[0].gang
+    }
+
+    fn first_step_accelerators(&self) -> u32 {
+        let step = &self.record.spec.steps[0];
+        step.count * step.needs.accelerators
+    }
+
+    fn has_begun(&self) -> bool {
+        self.first_begun.len() == self.record.spec.steps[0].count as usize
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -290,40 +332,48 @@
     stores: Vec<(u64, JobId, u64)>,
     thrown_away_core_s: f64,
     twice: usize,
+    guaranteed_wait_ms: u64,
+    order: Option<Order>,
 }
 
 /// Replays a load with the given rule of order.
 pub fn replay(load: &Load, order: OrderRule, seed: u64) -> Figures {
     let mut replay = Replay::begin(load, order, seed);
-    let (from_ms, to_ms) = (STREAM_MS / 3, 2 * STREAM_MS / 3);
-    let arrivals: Vec<(u64, JobId)> = replay
-        .jobs
-        .iter()
-        .map(|(&id, job)| (job.arrives_ms, id))
-        .collect();
-    let mut arrivals = arrivals;
-    arrivals.sort();
-    let mut next = 0;
-    let stream_ms = BEGIN_MS + WARM_UP_MS;
-    let mut cancelled = false;
-    while replay.now_ms < stream_ms + STREAM_MS + AFTER_MS {
-        replay.now_ms += TICK_MS;
-        let since_ms = replay.now_ms.saturating_sub(stream_ms);
-        replay.set_bad_workers(load, (from_ms..to_ms).contains(&since_ms));
-        while next < arrivals.len() && arrivals[next].0 <= replay.now_ms {
-            replay.arrive(arrivals[next].1);
-            next += 1;
-        }
-        if !cancelled && since_ms >= STREAM_MS / 2 {
-            cancelled = true;
-            replay.cancel(load.cancelled);
-        }
-        replay.tick();
+    if load.emptied_ms > 0 {
+        replay.order = worst_moment(load, seed).map(Order::at);
     }
-    replay.figures(stream_ms)
+    replay.play(load, |_, _| {});
+    replay.figures(BEGIN_MS + WARM_UP_MS)
 }
 
 impl Replay {
+    /// Plays the whole stream; `each` sees the time since it began after each tick.
+    fn play(&mut self, load: &Load, mut each: impl FnMut(&Self, u64)) {
+        let (from_ms, to_ms) = (STREAM_MS / 3, 2 * STREAM_MS / 3);
+        let jobs = self.jobs.iter();
+        let mut arrivals: Vec<(u64, JobId)> = jobs.map(|(&id, job)| (job.arrives_ms, id)).collect();
+        arrivals.sort();
+        let mut next = 0;
+        let stream_ms = BEGIN_MS + WARM_UP_MS;
+        let mut cancelled = false;
+        while self.now_ms < stream_ms + STREAM_MS + AFTER_MS {
+            self.now_ms += TICK_MS;
+            let since_ms = self.now_ms.saturating_sub(stream_ms);
+            self.set_bad_workers(load, (from_ms..to_ms).contains(&since_ms));
+            while next < arrivals.len() && arrivals[next].0 <= self.now_ms {
+                self.arrive(arrivals[next].1);
+                next += 1;
+            }
+            if !cancelled && since_ms >= STREAM_MS / 2 {
+                cancelled = true;
+                self.cancel(load.cancelled);
+            }
+            self.give_order(load, since_ms);
+            self.tick();
+            each(self, since_ms);
+        }
+    }
+
     fn begin(load: &Load, order: OrderRule, seed: u64) -> Self {
         let tuning = Tuning {
             order,
@@ -339,6 +389,8 @@
             stores: Vec::new(),
             thrown_away_core_s: 0.0,
             twice: 0,
+            guaranteed_wait_ms: 0,
+            order: None,
         };
         replay.tell(Input::Configure(Arc::new(configuration())));
         for at in 0..WORKERS {
@@ -442,6 +494,7 @@
             work: weight,
             first_begun: BTreeMap::new(),
             ended_ms: None,
+            promised_since_ms: None,
         }
     }
 
@@ -516,6 +569,34 @@
                 job.ended_ms = Some(if done { now_ms } else { u64::MAX });
             }
         }
+        self.note_promised();
+    }
+
+    fn is_open(&self, job: &SimJob) -> bool {
+        job.arrives_ms <= self.now_ms && job.ended_ms.is_none()
+    }
+
+    /// Notes how long urgent work waits though its account's urgent work needs no
+    /// more than the account's guarantee.
+    fn note_promised(&mut self) {
+        let mut needs = [0; ACCOUNT_SHARES.len()];
+        for job in self.jobs.values().filter(|job| self.is_open(job)) {
+            if CLASSES[job.class].priority == 0 {
+                needs[job.account] += job.first_step_accelerators();
+            }
+        }
+        let now_ms = self.now_ms;
+        let urgent = self.jobs.values_mut();
+        for job in urgent.filter(|job| CLASSES[job.class].priority == 0) {
+            let open = job.arrives_ms <= now_ms && job.ended_ms.is_none();
+            let within = needs[job.account] <= GUARANTEED_ACCELERATORS;
+            if !open || !within || job.has_begun() {
+                job.promised_since_ms = None;
+                continue;
+            }
+            let waited_ms = now_ms - *job.promised_since_ms.get_or_insert(now_ms);
+            self.guaranteed_wait_ms = self.guaranteed_wait_ms.max(waited_ms);
+        }
     }
 
     fn end_runs(&mut self, at: usize) {
@@ -681,6 +762,9 @@
     }
 
     fn start(&mut self, at: usize, name: RunName, saved_ms: u64) -> CallOutcome {
+        if let Some(order) = &mut self.order {
+            order.note_start(at, self.now_ms);
+        }
         let Some(step) = self.step_of(name).cloned() else {
             return CallOutcome::Refused(StartRefusal::OldRun);
         };
@@ -835,6 +919,8 @@
             largest_tenth: share(&|job| job.work >= large),
             thrown_away_core_s: self.thrown_away_core_s,
             reclaim_p99_ms: self.reclaim_p99_ms(),
+            guaranteed_wait_ms: self.guaranteed_wait_ms,
+            order: self.order.as_ref().map(Order::figures),
             twice: self.twice,
         }
     }
@@ -847,8 +933,7 @@
             .filter(|job| CLASSES[job.class].priority == 0);
         let mut waits: Vec<u64> = urgent
             .map(|job| {
-                let whole = job.first_begun.len() == job.record.spec.steps[0].count as usize;
-                let last_ms = job.first_begun.values().max().filter(|_| whole);
+                let last_ms = job.first_begun.values().max().filter(|_| job.has_begun());
                 let last_ms = last_ms.copied().unwrap_or(self.now_ms);
                 last_ms.saturating_sub(job.arrives_ms)
             })
@@ -862,6 +947,16 @@
     format!("r{}", at / RACK)
 }
 
+fn data_centre_of(at: usize) -> &'static str {
+    DATA_CENTRES[at * DATA_CENTRES.len() / WORKERS]
+}
+
+/// Accelerators that no account is guaranteed.
+fn surplus_accelerators() -> u32 {
+    let guaranteed = GUARANTEED_ACCELERATORS * ACCOUNT_SHARES.len() as u32;
+    ACCELERATORS * WORKERS as u32 - guaranteed
+}
+
 fn capacity() -> Resources {
     Resources {
         cpu_millis: 32_000,
@@ -875,7 +970,7 @@
         incarnation: format!("w{at}"),
         address: format!("w{at}:1"),
         service: "s".to_owned(),
-        data_centre: "z".to_owned(),
+        data_centre: data_centre_of(at).to_owned(),
         labels: vec!["a".to_owned(), rack_of(at)],
         capacity: capacity(),
         draining: false,
