Test that room for a gang is not kept in an emptied data centre

Cause: a trial in which kept room counted the emptied workers was caught by no test of kept room; the test of gangs on one rack passes with it, since the gang there comes first in any case once the rack is free.

Change: a gang waits for two whole workers beside a small task that lasts long. In that trial the small task takes the room and the gang stays queued; as the code is, the gang runs 100 ms after the other worker is free. No fault in the scheduler.

--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -290,6 +290,31 @@
     assert_eq!(starts_in(&fleet, "a", 0), 0);
 }
 
+#[test]
+fn room_for_a_gang_is_kept_where_it_may_be_used() {
+    // A gang waits for two whole workers: those of `a` are free and emptied, one
+    // of `b` is free and the other soon. Kept in `a`, the room of `b` would go to
+    // a small task that lasts long, and the gang would wait for that as well.
+    let mut fleet = two_data_centres(2);
+    order(&mut fleet, &["a"]);
+    let blocker = fleet.submit(1, record("plain", vec![step(1, 8)]));
+    fleet.advance(50);
+    let gang = fleet.submit(2, record("plain", vec![gang(2, 8)]));
+    fleet.advance(50);
+    let long = StepSpec {
+        estimated_ms: 60_000,
+        ..step(1, 1)
+    };
+    fleet.submit(3, record("patient", vec![long]));
+
+    fleet.advance(500);
+    fleet.end_all(blocker, EndKind::Done);
+    fleet.advance(100);
+
+    assert_eq!(fleet.scheduler.job_view(gang), Some(JobView::Running));
+    assert_eq!(starts_in(&fleet, "a", 0), 0);
+}
+
 #[test]
 fn work_does_not_wait_for_its_data_in_an_emptied_data_centre() {
     let mut fleet = two_data_centres(1);
