--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -26,6 +26,7 @@
     JobRecord,
     JobView,
     RunName,
+    Schedule,
     Scheduler,
     Sizes,
     StepSpec,
@@ -251,6 +252,32 @@
     assert_eq!(started, [JobId(2)], "stored after the jobs had been read");
 }
 
+/// A task ran twice at a time. Its occurrence came due two seconds after a takeover:
+/// the earlier owner, cut off from the store and its successor, started it on a worker
+/// that the successor could not reach, and the successor on another.
+#[test]
+fn an_occurrence_that_comes_due_while_a_worker_is_unheard_may_have_been_started() {
+    const DUE_MS: u64 = 2_000;
+    /// The longest lease of an earlier owner that is not known to have ended.
+    const LEASES_OVER_MS: u64 = 13_400;
+    let fleet = Fleet::with_workers(2);
+    let mut timed = record("plain", vec![step(1, 1)]);
+    timed.spec.schedule = Some(Schedule {
+        repetitions: 1,
+        start_at_ms: fleet.now_ms + DUE_MS,
+        interval_ms: 1_000,
+    });
+    let mut next = fleet.next_owner(2, &[(JobId(1), timed)], false);
+    next.silent.push("w0".to_owned());
+
+    next.advance(DUE_MS + 1_000);
+    let while_unheard = next.starts.len();
+    next.advance(LEASES_OVER_MS - DUE_MS - 1_000);
+
+    assert_eq!(while_unheard, 0, "it may run on w0");
+    assert_eq!(next.starts.len(), 1);
+}
+
 #[test]
 fn an_owner_that_cannot_confirm_its_epoch_gives_no_orders() {
     let mut fleet = Fleet::with_workers(1);
