An occurrence waits where an earlier owner may have started it

Change: a job remembers whether an earlier owner may know it; an occurrence of such a job that opens while some worker of the roster is unheard waits as stored work does, until all have answered or the longest lease is over.

--- a/src/scheduler/blind.rs
+++ b/src/scheduler/blind.rs
@@ -27,6 +27,7 @@
     Intake, //
 };
 use super::{
+    GraphJob,
     GroupKey,
     TaskState,
     Worker, //
@@ -74,6 +75,14 @@
         }
     }
 
+    /// Whether an earlier owner may have started an occurrence of a job that opens
+    /// now, where this owner cannot look yet. Also one that came due after the
+    /// takeover: an owner that is cut off goes on by the clock, and the task would
+    /// run twice.
+    pub(super) fn may_run_unseen(&self, job: &GraphJob) -> bool {
+        self.is_blind() || (job.known_earlier && self.blind_until_ms.is_some())
+    }
+
     /// Ends the blindness once every worker of the roster answered, or the
     /// longest lease of an earlier owner is over.
     pub(super) fn review_blindness(&mut self) {
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -42,6 +42,8 @@
     pub priority: u32,
     /// When the scheduler learned of it.
     pub known_ms: u64,
+    /// An earlier owner may know it as well.
+    pub known_earlier: bool,
     /// Its caller cancelled it.
     pub cancelled: bool,
     /// How it ended by itself.
@@ -141,6 +143,7 @@
             priority: priority_under(terms.as_ref()),
             terms,
             known_ms: self.now_ms,
+            known_earlier: self.is_blind() || self.is_unread(id),
             cancelled: false,
             ended: progress.ended,
             ended_ms: self.now_ms,
--- a/src/scheduler/occurrence.rs
+++ b/src/scheduler/occurrence.rs
@@ -145,15 +145,13 @@
         let run_times: Vec<Belief> = steps
             .map(|step| self.run_time_of(&job.record.queue, step.estimated_ms))
             .collect();
-        // A job that did not read may run where this owner cannot look yet.
-        let late = self.is_unread(job.id) && self.blind_until_ms.is_some();
         Opening {
             job: job.id,
             occurrence,
             due_ms,
             objective_length_ms: self.objective_length_ms(job, &run_times),
             run_times,
-            blind: self.is_blind() || late,
+            blind: self.may_run_unseen(job),
         }
     }
 
