Waves of upkeep are read anew without those that are completed

Cause: an owner that read the operators' values anew, since their history was gone or its configuration was in doubt, told the scheduler of every wave there. One that an earlier owner had completed was unknown to it, counted as open, was shown as running, and had its machines emptied a second time.

Ruled out: the takeover itself; it reads how far the waves are.

Change: waves that are listed are told without the completed ones. They are read once more when a daemon has begun to own: one that was written between the reads of the takeover and its end was passed over.

Before and after: a_completed_wave_stays_completed_when_the_history_is_gone failed (running instead of completed) and passes. The moment of the second fault could not be brought about by a test.

--- a/src/cluster/follow.rs
+++ b/src/cluster/follow.rs
@@ -29,6 +29,7 @@
     Watched, //
 };
 use super::stored_news::{
+    wave_inputs,
     wave_order,
     worker_input,
     worker_inputs, //
@@ -40,6 +41,7 @@
 use crate::platform::{
     CONFIGURATION_KEY,
     OPERATOR_PREFIX,
+    WAVE_STATES_PREFIX,
     WAVES_PREFIX,
     WORKERS_PREFIX,
     decode_configuration, //
@@ -108,17 +110,52 @@
     let asked_ms = node.now_ms();
     let range = node.store.range(OPERATOR_PREFIX, false).await?;
     emptying::take_list(node, &range, asked_ms);
-    for item in &range.items {
-        take_operators_value(node, item);
-    }
-    if !range.items.iter().any(|item| item.key == CONFIGURATION_KEY) {
+    let mut items = range.items.iter();
+    let Some(item) = items.find(|item| item.key == CONFIGURATION_KEY) else {
         node.timer.after(AGAIN_MS).await;
         return Ok(None);
-    }
+    };
+    take_configuration(node, item);
     node.configuration_checked();
+    take_listed_waves(node, &range).await?;
     Ok(Some(range.revision))
 }
 
+/// Tells the owner of listed waves that are not completed: taken for open again, one
+/// would have its machines emptied a second time.
+async fn take_listed_waves(node: &Node, listed: &Range) -> Result<(), StoreError> {
+    let waves = listed.items.iter();
+    let waves = waves.filter(|item| item.key.starts_with(WAVES_PREFIX));
+    let waves = Range {
+        items: waves.cloned().collect(),
+        revision: listed.revision,
+    };
+    if waves.items.is_empty() || !node.owns() {
+        return Ok(());
+    }
+    let epoch = node.epoch();
+    let states = node.store.range(WAVE_STATES_PREFIX, false).await?;
+    for input in wave_inputs(node, &waves, &states) {
+        node.control.take(epoch, input);
+    }
+    Ok(())
+}
+
+/// Reads the waves of upkeep once this daemon owns: one that was written between the
+/// reads of its takeover and its beginning to own was passed over by its watch.
+pub async fn waves(node: Rc<Node>, epoch: u64) {
+    while node.epoch() == epoch {
+        let read = async {
+            let listed = node.store.range(WAVES_PREFIX, false).await?;
+            take_listed_waves(&node, &listed).await
+        };
+        if node.unless_silenced(read).await.is_ok() {
+            return;
+        }
+        node.timer.after(AGAIN_MS).await;
+    }
+}
+
 /// Reads the configuration once, beside what follows it. An owner that knows none
 /// starts nothing, and one that knows an old one may judge by what was changed; a
 /// takeover does not wait for it, since leases run out meanwhile.
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -219,6 +219,7 @@
     );
     metrics::counter!("fuchsiaslip_takeovers_total").increment(1);
     actix_rt::spawn(commits::run(node.clone(), epoch));
+    actix_rt::spawn(follow::waves(node.clone(), epoch));
     actix_rt::spawn(follow::jobs(node.clone(), epoch, jobs.revision));
     actix_rt::spawn(follow::workers(node.clone(), epoch, workers));
     actix_rt::spawn(unread_jobs::read_again(node.clone(), epoch));
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -261,3 +261,30 @@
         state(&daemons[1 - at], 1) == r#"{"state":"completed"}"#
     });
 }
+
+/// Machines were emptied a second time for an upkeep that was over. An earlier owner had
+/// completed the wave; the store forgot its history, and the owner that read the
+/// operators' values anew took every wave there for an open one.
+#[test]
+fn a_completed_wave_stays_completed_when_the_history_is_gone() {
+    let operator = Operator::spawn(1);
+    configure(&operator, 1);
+    let wave = json!({ "wave": 3, "machines": ["m1"], "duration_s": 30, "cap": 1 });
+    operator.world().put("op/wave/3", &wave);
+    let completed = json!({ "state": "completed" });
+    operator.world().put("status/wave/3", &completed);
+    let daemons = fleet(216, 1, &operator);
+    wait_until("a daemon owns", || epoch(&operator) > 0);
+    wait_until("it serves", || {
+        matches!(
+            daemons[0].request("POST", &path(1), &job(1, 50)),
+            Answer::Status(200, _)
+        )
+    });
+
+    operator.world().drop_history();
+    configure(&operator, 2);
+    std::thread::sleep(Duration::from_millis(2_500));
+
+    assert_eq!(operator.world().value("status/wave/3"), Some(completed));
+}
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -47,7 +47,7 @@
 ///
 /// | numbers | who uses them |
 /// | --- | --- |
-/// | 1 to 7, 9 | `cluster.rs` |
+/// | 1 to 7, 9, 216 | `cluster.rs` |
 /// | 8 | `settings.rs` |
 /// | 10 to 209 | `soak.rs`, by seed |
 /// | 210 to 213 | `evacuation/whole_path.rs` |
