Owners that were followed lately are named by the root; old failures are judged

Whether the owner before may still give leases went by the last root alone; an owner that is cut off goes on, also if the one that followed it crashes at once and is back. Failures were judged when they were heard or when terms became known, so those that were stored unjudged were judged by nobody.

Ruled out: always waiting for the longest time; after a restart of all daemons stored work would wait 6 s longer beside one silent worker.

Change: the root names the owners that were followed in the last minute and are not known to be over, and a new owner takes them for over only if all are; a job is judged when its occurrences open; a daemon that hears of a higher epoch during the reads of its takeover does not begin.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -84,11 +84,16 @@
         // Somebody took over just now: wait for its heartbeats.
         return Ok(());
     }
+    // A daemon that was restarted ended its earlier life; a peer is heard with the
+    // life that it has now.
+    let earlier = known.not_over(began_ms, |owner, boot| node.is_over(owner, boot));
+    let earlier_owner_over = earlier.is_empty();
     let next = RootRecord {
         epoch: known.epoch + 1,
         owner: node.settings.daemon.clone(),
         address: node.settings.peer_address.to_string(),
         boot: node.boot,
+        earlier,
     };
     let transaction = Transaction {
         expected: vec![(ROOT_KEY.to_owned(), revision)],
@@ -120,9 +125,6 @@
         boot: next.boot,
         since_ms: node.now_ms(),
     });
-    // A daemon that was restarted ended its earlier life; a peer is heard with
-    // the life that it has now.
-    let earlier_owner_over = known.epoch == 0 || node.is_over(&known.owner, known.boot);
     let taken = Taken {
         epoch: next.epoch,
         root_revision,
@@ -131,8 +133,7 @@
     };
     let mut begun = begin(node, &taken).await;
     for _ in 1..BEGIN_TRIES {
-        let deposed = node.owner().is_some_and(|owner| owner.epoch > taken.epoch);
-        if begun.is_ok() || deposed {
+        if begun.is_ok() || is_followed(node, taken.epoch) {
             break;
         }
         node.timer.after(BEGIN_AGAIN_MS).await;
@@ -141,6 +142,11 @@
     begun
 }
 
+/// Whether an owner of a higher epoch is known.
+fn is_followed(node: &Node, epoch: u64) -> bool {
+    node.owner().is_some_and(|owner| owner.epoch > epoch)
+}
+
 /// An epoch that was taken.
 struct Taken {
     epoch: u64,
@@ -170,6 +176,11 @@
         node.store.range(EMPTIED_PREFIX, false),
     )?;
     emptying::take_list(node, &orders, asked_ms);
+    if is_followed(node, epoch) {
+        // Heard of during the reads: what is learnt again of a known owner does not
+        // depose, so this daemon would go on owning beside it.
+        return Err(StoreError::Refused);
+    }
     node.ledger.clear();
     node.begin_owning(epoch, taken.root_revision);
     let mut stored = vec![Input::Configure(node.configuration())];
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -36,6 +36,10 @@
 /// Highest number of a run that is believed, far above those of that epoch.
 const MAX_RUN: u64 = 1 << 52;
 
+/// An owner that was followed this long ago gives no more leases, and none that it
+/// gave lasts: four times the 13.3 s of both, since daemons' clocks differ.
+const EARLIER_MS: u64 = 60_000;
+
 /// The value of the root.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct RootRecord {
@@ -47,6 +51,42 @@
     pub address: String,
     /// The life of the owner's process.
     pub boot: u64,
+    /// Owners before it that may still give leases; none in values that an older
+    /// version stored.
+    #[serde(default)]
+    pub earlier: Vec<EarlierOwner>,
+}
+
+/// An owner that was followed by another and was not known to be over.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EarlierOwner {
+    /// Its name.
+    pub owner: String,
+    /// The life of its process.
+    pub boot: u64,
+    /// When it was followed, by the clock of the daemon that did.
+    pub followed_ms: u64,
+}
+
+impl RootRecord {
+    /// The owners, the one of this root among them, that may still give leases when
+    /// a daemon takes over at `now_ms`. The last root alone does not tell: an owner
+    /// that is cut off goes on, also if the one that followed it crashes at once.
+    pub fn not_over(&self, now_ms: u64, is_over: impl Fn(&str, u64) -> bool) -> Vec<EarlierOwner> {
+        if self.epoch == 0 {
+            return Vec::new();
+        }
+        let last = EarlierOwner {
+            owner: self.owner.clone(),
+            boot: self.boot,
+            followed_ms: now_ms,
+        };
+        let known = self.earlier.iter().cloned().chain([last]);
+        known
+            .filter(|earlier| now_ms < earlier.followed_ms + EARLIER_MS)
+            .filter(|earlier| !is_over(&earlier.owner, earlier.boot))
+            .collect()
+    }
 }
 
 /// A row of the roster.
--- a/src/scheduler/occurrence.rs
+++ b/src/scheduler/occurrence.rs
@@ -137,6 +137,8 @@
             self.release_after(key);
         }
         self.end_occurrence_if_done(id, occurrence);
+        // An owner that knew no terms counted failures and judged none.
+        self.end_job_if_spent(id);
         self.changed = true;
     }
 
--- a/src/scheduler/terms.rs
+++ b/src/scheduler/terms.rs
@@ -144,9 +144,13 @@
         self.end_job(name.task.job, FinalState::Failed, Some(failure));
     }
 
-    /// Ends a job of which a task failed too often before its terms were known.
-    fn end_job_if_spent(&mut self, id: JobId) {
+    /// Ends a job of which a task failed too often before its terms were known, or
+    /// under an owner that did not know them.
+    pub(super) fn end_job_if_spent(&mut self, id: JobId) {
         let job = &self.jobs[&id];
+        if job.is_over() {
+            return;
+        }
         let spent = self.groups_of(id).find_map(|key| {
             let group = &self.groups[&key];
             // Lasting tasks fail as often as they like, and what is done is done.
