--- a/justfile
+++ b/justfile
@@ -38,6 +38,10 @@
 soak seeds="1-8":
     SOAK_SEEDS={{seeds}} cargo test --release --test soak -- --nocapture
 
+# A day of deploy/days over seeds, on a site of the bench that FLEETBENCH names.
+day file site first="1" last="8":
+    for seed in $(seq {{first}} {{last}}); do "$FLEETBENCH" run {{site}} {{file}} --vary --seed "$seed" --why "a day of our own"; done
+
 # The plots in docs/, from the printed figures.
 plots:
     cargo bench --bench decisions | cargo run --release --example plots
