Test what begins or goes on after a job was cancelled

Cause: the platform holds an owner to it that work of a cancelled job stops also where a worker carried a start out late, and where the owner that started it was removed; nothing tested either. Ruled out: a fault; the five tests pass on the code as it is (a look finds the run, which fits no waiting task, and it is stopped as a stray). Change: tests/cancelled.rs, single tasks and gangs, forgotten jobs, a next owner.

--- /dev/null
+++ b/tests/cancelled.rs
@@ -0,0 +1,133 @@
+//! Work of cancelled jobs that begins or goes on after the cancellation: a start
+//! that a worker carries out late, and runs whose owner is gone.
+
+#[path = "support/fleet.rs"]
+#[expect(dead_code, reason = "each test program uses a part of the fixture")]
+mod fleet;
+
+use fleet::{
+    Fleet,
+    gang,
+    record,
+    step, //
+};
+use fuchsiaslip::core::JobId;
+use fuchsiaslip::scheduler::{
+    Input,
+    JobRecord,
+    JobView,
+    RunName, //
+};
+
+/// From when a worker lists a run of a cancelled job until it is off the worker:
+/// one look and one stop. The platform allows seconds.
+const STOPPED_MS: u64 = 500;
+
+/// A fleet of one worker that does not answer while its owner starts a job there and
+/// the job is cancelled.
+fn cancelled_beside_a_silent_worker(record: JobRecord) -> (Fleet, JobId, Vec<RunName>) {
+    const GIVEN_UP_MS: u64 = 4_000;
+    let mut fleet = Fleet::with_workers(1);
+    fleet.silent = vec!["w0".to_owned()];
+    let job = fleet.submit(1, record);
+    fleet.advance(50);
+    let sent: Vec<RunName> = fleet.starts.iter().map(|start| start.0).collect();
+    fleet.tell(Input::Cancelled(job));
+    fleet.advance(GIVEN_UP_MS);
+    (fleet, job, sent)
+}
+
+/// The worker answers again, and carries out the starts that it was sent before.
+fn carry_out_late(fleet: &mut Fleet, sent: &[RunName]) {
+    fleet.silent.clear();
+    let worker = fleet.workers.get_mut("w0").expect("the worker");
+    for &name in sent {
+        worker.running.insert(name, 0);
+    }
+}
+
+#[test]
+fn a_start_carried_out_after_its_job_was_cancelled_is_stopped() {
+    // A job is sent to a worker that does not answer, and its user cancels it. The
+    // worker carries the start out seconds later: the stop that followed was lost as
+    // well, so without a look it would run on for as long as its lease is renewed.
+    let (mut fleet, job, sent) =
+        cancelled_beside_a_silent_worker(record("plain", vec![step(1, 1)]));
+    assert!(!sent.is_empty(), "the worker was sent a start");
+
+    carry_out_late(&mut fleet, &sent);
+    fleet.advance(STOPPED_MS);
+
+    assert_eq!(fleet.running(), []);
+    assert_eq!(fleet.scheduler.job_view(job), Some(JobView::Cancelled));
+}
+
+#[test]
+fn a_gang_carried_out_after_its_job_was_cancelled_is_stopped_whole() {
+    // The same with a gang: each member that begins late waits for the others, and
+    // holds its room until it is stopped.
+    let (mut fleet, _, sent) = cancelled_beside_a_silent_worker(record("plain", vec![gang(3, 2)]));
+    let mut members: Vec<RunName> = sent.clone();
+    members.sort();
+    members.dedup();
+    assert_eq!(members.len(), 3, "all members were sent");
+
+    carry_out_late(&mut fleet, &members);
+    fleet.advance(STOPPED_MS);
+
+    assert_eq!(fleet.running(), []);
+}
+
+#[test]
+fn a_start_carried_out_after_its_job_was_forgotten_is_stopped() {
+    // The worker is out of reach for so long that the cancelled job is removed from
+    // the store before the start is carried out: nobody knows the job any more.
+    const REMEMBERED_MS: u64 = 400_000;
+    let (mut fleet, job, sent) =
+        cancelled_beside_a_silent_worker(record("plain", vec![step(1, 1)]));
+    fleet.advance(REMEMBERED_MS);
+    assert!(fleet.forgotten.contains(&job), "the job is forgotten");
+
+    carry_out_late(&mut fleet, &sent);
+    fleet.advance(STOPPED_MS);
+
+    assert_eq!(fleet.running(), []);
+}
+
+#[test]
+fn work_of_a_cancelled_job_is_stopped_when_its_owner_was_removed() {
+    // The VM of the owner that started a job is removed for good, and the job is
+    // cancelled while nobody owns. The next owner is told of both at once.
+    let (fleet, job, record) = Fleet::with_job(2, record("plain", vec![gang(2, 8)]));
+    assert_eq!(fleet.running().len(), 2);
+
+    let mut next = fleet.next_owner(2, &[(job, record)], true);
+    next.tell(Input::Cancelled(job));
+    next.advance(STOPPED_MS);
+
+    assert_eq!(next.running(), []);
+    assert_eq!(next.scheduler.job_view(job), Some(JobView::Cancelled));
+}
+
+#[test]
+fn a_late_start_of_a_removed_owner_is_stopped() {
+    // The owner that sent a start is removed, the job is cancelled under the next
+    // one, and only then does the worker carry the start out.
+    let (fleet, job, sent) = {
+        let mut fleet = Fleet::with_workers(1);
+        fleet.silent = vec!["w0".to_owned()];
+        let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
+        fleet.advance(50);
+        let sent: Vec<RunName> = fleet.starts.iter().map(|start| start.0).collect();
+        (fleet, job, sent)
+    };
+    let known = [(job, record("plain", vec![step(1, 1)]))];
+    let mut next = fleet.next_owner(2, &known, true);
+    next.tell(Input::Cancelled(job));
+    next.advance(2_000);
+
+    carry_out_late(&mut next, &sent);
+    next.advance(STOPPED_MS);
+
+    assert_eq!(next.running(), []);
+}
