Waits follow the installation's bounds

Cause: two waits of the scheduler were figures of the first installations. Room that is being freed counted as free after 200 ms, and guaranteed gangs left their rack after 1,300 ms; elsewhere stops take up to 900 ms, and promises may be shorter. Ruled out: other constants of the scheduler that stand for a bound (searched for). Change: room is expected after the bound of a stop, and guaranteed work waits for its rack for half of what its promise leaves beside a stop: 1,175 ms with the bounds seen so far. The bound of reclaiming is read from the settings.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -139,6 +139,7 @@
     let default = Tuning::default();
     let tuning = Tuning {
         stop_ms: fields.bound_ms("bounds.stop_timeout_ms", 1.0, default.stop_ms)?,
+        reclaim_ms: fields.bound_ms("bounds.reclaim_ms", 1.0, default.reclaim_ms)?,
         lease_ms: default.lease_ms.min(fields.bound_ms(
             "bounds.max_hold_ms",
             1.0,
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -33,9 +33,6 @@
 /// It leaves whatever it costs after this long: below the 3 s for which work
 /// may wait beside idle workers.
 const LEAVE_RACK_ANYWAY_MS: u64 = 2_600;
-/// Guaranteed work leaves after this long: it has to begin within 2.7 s, stops
-/// of others included.
-const LEAVE_RACK_PROMISED_MS: u64 = 1_300;
 /// A ticket is not used in the last moments of its life.
 const TICKET_MARGIN_MS: u64 = 300;
 /// Workers named in one question to a policy outside.
@@ -250,7 +247,7 @@
         if self.is_rack_emptied(&group.step.data_rack) {
             return true;
         }
-        if waited_ms >= LEAVE_RACK_ANYWAY_MS || (promised && waited_ms >= LEAVE_RACK_PROMISED_MS) {
+        if waited_ms >= LEAVE_RACK_ANYWAY_MS || (promised && waited_ms >= self.tuning.promised_wait_ms()) {
             return true;
         }
         let near_ms = group.run_ms();
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -37,10 +37,6 @@
     HashSet, //
 };
 
-/// Time beyond the bound of a stop until its end is listed and room is offered
-/// again: two answers of a worker and a pass.
-const LISTED_MS: u64 = 150;
-
 /// Time that stopped work waits for room again.
 const REQUEUED_MS: u64 = 2_000;
 
@@ -159,7 +155,7 @@
             return false;
         };
         let room = self.groups[&ranked.key].room;
-        let settle_ms = self.now_ms + self.tuning.stop_ms + LISTED_MS;
+        let settle_ms = self.now_ms + self.tuning.settle_ms();
         let mut stops = Vec::new();
         let mut claims: BTreeMap<WorkerKey, u32> = BTreeMap::new();
         for Choice { seat, worker, slot } in chosen {
@@ -327,7 +323,7 @@
         // once only: a run that takes longer than it should seems to end at once
         // in each pass, and guaranteed work would wait for it beyond its promise.
         let released_ms = self.groups[&ranked.key].released_ms;
-        let waited = self.now_ms > released_ms + self.tuning.stop_ms + LISTED_MS;
+        let waited = self.now_ms > released_ms + self.tuning.settle_ms();
         let ends_soon = |run: &Run| {
             let ending = matches!(run.phase, RunPhase::Stopping | RunPhase::Ending);
             let end_ms = self.expected_end_ms(seat.worker, run);
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -24,8 +24,6 @@
 pub(super) const KEPT_GANGS: u32 = 5;
 /// Room that is free later than this is not kept: about two run times.
 const HORIZON_MS: u64 = 15_000;
-/// A stop takes about this long.
-const STOPPING_MS: u64 = 200;
 
 /// When a seat has room for one more task.
 #[derive(Clone, Copy, Debug)]
@@ -116,7 +114,7 @@
             return None;
         }
         if matches!(run.phase, RunPhase::Stopping | RunPhase::Ending) {
-            return Some(self.now_ms + STOPPING_MS);
+            return Some(self.now_ms + self.tuning.stop_ms);
         }
         let group = self.groups.get(&run.group);
         let gang = group.filter(|group| group.step.gang && group.tasks.len() > 1);
--- a/src/scheduler/tuning.rs
+++ b/src/scheduler/tuning.rs
@@ -41,6 +41,23 @@
     pub holder_gap_ms: u64,
 }
 
+/// Time beyond the bound of a stop until its end is listed and room is offered
+/// again: two answers of a worker and a pass.
+const LISTED_MS: u64 = 150;
+
+impl Tuning {
+    /// How long guaranteed work waits for its rack: half of what its promise leaves
+    /// beside a stop, so that it may still take room back elsewhere.
+    pub(super) fn promised_wait_ms(&self) -> u64 {
+        self.reclaim_ms.saturating_sub(self.settle_ms()) / 2
+    }
+
+    /// From a stop's order until the room is offered again, at most.
+    pub(super) fn settle_ms(&self) -> u64 {
+        self.stop_ms + LISTED_MS
+    }
+}
+
 impl Default for Tuning {
     fn default() -> Self {
         Self {
