Replay: loads of the third site, a file a job

Cause: the replays knew one fleet, light tasks on like workers; what was kept for heavy tasks on workers of three speeds, with stops of most of a second, was replayed by none. Ruled out: a second replay beside the first (it would be written twice). Change: a load names its site (workers, speeds, bounds, classes); four loads of the third site's sheet: full, a burst of urgent work, bad workers, a silent store.

--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -247,7 +247,9 @@
         if self.is_rack_emptied(&group.step.data_rack) {
             return true;
         }
-        if waited_ms >= LEAVE_RACK_ANYWAY_MS || (promised && waited_ms >= self.tuning.promised_wait_ms()) {
+        if waited_ms >= LEAVE_RACK_ANYWAY_MS
+            || (promised && waited_ms >= self.tuning.promised_wait_ms())
+        {
             return true;
         }
         let near_ms = group.run_ms();
--- a/tests/support/replay/emptying.rs
+++ b/tests/support/replay/emptying.rs
@@ -1,16 +1,14 @@
 //! A data centre that is emptied in a replay: the worst moment for the order, and
 //! what is measured of it.
 
-use super::{
-    CLASSES,
+use super::loads::{
     DATA_CENTRES,
-    Load,
+    Load, //
+};
+use super::{
     Replay,
     STREAM_MS,
-    SimJob,
-    WORKERS,
-    data_centre_of,
-    surplus_accelerators, //
+    SimJob, //
 };
 use fuchsiaslip::scheduler::{
     EmptyingOrder,
@@ -72,9 +70,9 @@
         }
     }
 
-    /// Notes a start that a worker was sent.
-    pub fn note_start(&mut self, worker_at: usize, now_ms: u64) {
-        if data_centre_of(worker_at) != DATA_CENTRES[self.moment.data_centre] {
+    /// Notes a start that a worker of a data centre was sent.
+    pub fn note_start(&mut self, data_centre: usize, now_ms: u64) {
+        if data_centre != self.moment.data_centre {
             return;
         }
         let Some(given_ms) = self.given_ms else {
@@ -134,9 +132,9 @@
         let open = self.jobs.values().filter(|job| self.is_open(job));
         let waiting = open.filter(|job| job.is_gang() && job.first_begun.is_empty());
         let (mut in_each, mut taken) = ([0; DATA_CENTRES.len()], 0);
-        for at in 0..WORKERS {
+        for at in 0..self.site.workers {
             let used = self.lent_on(at);
-            in_each[at * DATA_CENTRES.len() / WORKERS] += used;
+            in_each[self.site.data_centre(at)] += used;
             taken += used;
         }
         let data_centre = (0..DATA_CENTRES.len()).max_by_key(|&at| in_each[at]);
@@ -144,7 +142,7 @@
             since_ms,
             data_centre: data_centre.unwrap_or(0),
             waiting_gang_accelerators: waiting.map(SimJob::first_step_accelerators).sum(),
-            lent_accelerators: taken.saturating_sub(surplus_accelerators()),
+            lent_accelerators: taken.saturating_sub(self.site.surplus_accelerators()),
         }
     }
 
@@ -153,7 +151,7 @@
         let running = self.workers[at].running.iter();
         let lent = running.filter(|(name, _)| {
             let job = self.jobs.get(&name.task.job);
-            job.is_some_and(|job| CLASSES[job.class].priority > 0)
+            job.is_some_and(|job| self.site.classes[job.class].priority > 0)
         });
         lent.map(|(_, run)| run.room.accelerators).sum()
     }
--- /dev/null
+++ b/tests/support/replay/loads.rs
@@ -0,0 +1,318 @@
+//! The loads that are replayed: fleets, classes of work by the users' sheets, and
+//! what goes wrong.
+
+use fuchsiaslip::scheduler::Resources;
+
+/// Data centres of every fleet.
+pub const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
+/// Accounts, the first of them large.
+pub const ACCOUNT_SHARES: [f64; 4] = [0.55, 0.2, 0.15, 0.1];
+
+/// A class of work, by the sheets.
+#[derive(Clone, Copy, Debug)]
+pub struct Class {
+    pub name: &'static str,
+    pub priority: u32,
+    pub worth: f64,
+    pub late_worth: f64,
+    pub per_s: f64,
+    pub width: f64,
+    pub max_width: f64,
+    pub run_ms: f64,
+    pub cpu_millis: u32,
+    pub accelerators: &'static [u32],
+    pub gang: bool,
+    pub tight: f64,
+    pub near_data: f64,
+    pub checkpoints: f64,
+    pub estimate_error: f64,
+    pub stretch: f64,
+    pub target_ms: u64,
+    pub hopeless: f64,
+}
+
+/// The classes of the second site's sheet; the first one's differ little.
+const LIGHT_CLASSES: [Class; 3] = [
+    Class {
+        name: "urgent",
+        priority: 0,
+        worth: 4.0,
+        late_worth: 0.8,
+        per_s: 1.9,
+        width: 3.0,
+        max_width: 18.0,
+        run_ms: 2_500.0,
+        cpu_millis: 3_700,
+        accelerators: &[1, 2, 4, 8, 8],
+        gang: true,
+        tight: 0.8,
+        near_data: 0.0,
+        checkpoints: 0.0,
+        estimate_error: 0.2,
+        stretch: 1.5,
+        target_ms: 250,
+        hopeless: 0.0,
+    },
+    Class {
+        name: "large",
+        priority: 1,
+        worth: 3.0,
+        late_worth: 0.9,
+        per_s: 0.69,
+        width: 4.0,
+        max_width: 24.0,
+        run_ms: 11_000.0,
+        cpu_millis: 13_000,
+        accelerators: &[1, 2, 4, 8, 8],
+        gang: true,
+        tight: 0.6,
+        near_data: 0.0,
+        checkpoints: 0.45,
+        estimate_error: 0.2,
+        stretch: 3.0,
+        target_ms: 1_000,
+        hopeless: 0.03,
+    },
+    Class {
+        name: "patient",
+        priority: 2,
+        worth: 1.0,
+        late_worth: 0.3,
+        per_s: 1.06,
+        width: 12.0,
+        max_width: 72.0,
+        run_ms: 6_100.0,
+        cpu_millis: 2_800,
+        accelerators: &[1],
+        gang: false,
+        tight: 0.0,
+        near_data: 0.3,
+        checkpoints: 0.45,
+        estimate_error: 0.5,
+        stretch: 3.0,
+        target_ms: 3_000,
+        hopeless: 0.03,
+    },
+];
+
+/// The classes of the third site's sheet.
+const HEAVY_CLASSES: [Class; 3] = [
+    Class {
+        name: "urgent",
+        per_s: 2.38,
+        width: 3.4,
+        max_width: 21.0,
+        cpu_millis: 15_000,
+        ..LIGHT_CLASSES[0]
+    },
+    Class {
+        name: "large",
+        per_s: 0.784,
+        width: 5.0,
+        max_width: 30.0,
+        run_ms: 6_800.0,
+        cpu_millis: 52_000,
+        estimate_error: 0.5,
+        ..LIGHT_CLASSES[1]
+    },
+    Class {
+        name: "patient",
+        per_s: 0.589,
+        width: 16.0,
+        max_width: 94.0,
+        run_ms: 7_600.0,
+        cpu_millis: 11_000,
+        ..LIGHT_CLASSES[2]
+    },
+];
+
+/// A fleet on which loads are replayed, and what is asked of it.
+#[derive(Debug)]
+pub struct Site {
+    pub workers: usize,
+    /// Workers on a rack.
+    pub rack: usize,
+    pub capacity: Resources,
+    /// Run times against the usual one, for one worker after another.
+    pub slowness: &'static [f64],
+    /// Bounds as the settings tell them.
+    pub stop_ms: u64,
+    pub reclaim_ms: u64,
+    /// Time that a stop takes.
+    pub stop_takes_ms: u64,
+    pub checkpoint_ms: u64,
+    pub restore_ms: u64,
+    /// Accelerators that each account is guaranteed.
+    pub guaranteed_accelerators: u32,
+    pub classes: [Class; 3],
+}
+
+impl Site {
+    /// The data centre of the worker at a place; each has as many workers.
+    pub fn data_centre(&self, at: usize) -> usize {
+        at * DATA_CENTRES.len() / self.workers
+    }
+
+    /// The rack of the worker at a place.
+    pub fn rack_of(&self, at: usize) -> String {
+        format!("r{}", at / self.rack)
+    }
+
+    /// Accelerators that no account is guaranteed.
+    pub fn surplus_accelerators(&self) -> u32 {
+        let guaranteed = self.guaranteed_accelerators * ACCOUNT_SHARES.len() as u32;
+        self.capacity.accelerators * self.workers as u32 - guaranteed
+    }
+}
+
+/// Workers of 32 cores, like tasks of few, stops of a tenth of a second.
+static LIGHT: Site = Site {
+    workers: 48,
+    rack: 8,
+    capacity: Resources {
+        cpu_millis: 32_000,
+        memory_mb: 131_072,
+        accelerators: 8,
+    },
+    slowness: &[1.0],
+    stop_ms: 200,
+    reclaim_ms: 2_700,
+    stop_takes_ms: 100,
+    checkpoint_ms: 2_000,
+    restore_ms: 600,
+    guaranteed_accelerators: 48,
+    classes: LIGHT_CLASSES,
+};
+
+/// The third site's sheet: workers of 128 cores at three speeds, tasks of up to 52
+/// cores, and stops that take most of the time that urgent work has to spare.
+static HEAVY: Site = Site {
+    workers: 48,
+    rack: 6,
+    capacity: Resources {
+        cpu_millis: 128_000,
+        memory_mb: 262_144,
+        accelerators: 8,
+    },
+    slowness: &[0.8, 1.0, 1.25],
+    stop_ms: 900,
+    reclaim_ms: 3_400,
+    stop_takes_ms: 700,
+    checkpoint_ms: 2_000,
+    restore_ms: 250,
+    guaranteed_accelerators: 59,
+    classes: HEAVY_CLASSES,
+};
+
+/// A load, and what goes wrong with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    pub name: &'static str,
+    pub site: &'static Site,
+    /// All rates are multiplied by it.
+    pub scale: f64,
+    /// For the middle third, rates of one class are multiplied by `burst`.
+    pub burst_class: usize,
+    pub burst: f64,
+    /// Share of workers that are slow, fail or hang in the middle third.
+    pub slow: f64,
+    pub failing: f64,
+    pub hanging: f64,
+    /// Share of jobs that are cancelled at half of the stream.
+    pub cancelled: f64,
+    /// How long a data centre is emptied, from the worst moment on; 0 for never.
+    pub emptied_ms: u64,
+    /// How long the store is silent from the first third on; 0 for never.
+    pub silent_ms: u64,
+}
+
+const CALM: Load = Load {
+    name: "calm",
+    site: &LIGHT,
+    scale: 0.5,
+    burst_class: 0,
+    burst: 1.0,
+    slow: 0.0,
+    failing: 0.0,
+    hanging: 0.0,
+    cancelled: 0.0,
+    emptied_ms: 0,
+    silent_ms: 0,
+};
+
+/// The loads that are replayed.
+pub const LOADS: [Load; 12] = [
+    CALM,
+    Load {
+        name: "full",
+        scale: 1.0,
+        ..CALM
+    },
+    Load {
+        name: "burst_urgent",
+        scale: 0.9,
+        burst: 2.6,
+        ..CALM
+    },
+    Load {
+        name: "burst_large",
+        scale: 0.9,
+        burst_class: 1,
+        burst: 2.0,
+        ..CALM
+    },
+    Load {
+        name: "slow_workers",
+        scale: 0.9,
+        slow: 0.17,
+        ..CALM
+    },
+    Load {
+        name: "bad_workers",
+        scale: 0.9,
+        failing: 0.09,
+        hanging: 0.06,
+        ..CALM
+    },
+    Load {
+        name: "cancelled",
+        scale: 1.2,
+        cancelled: 0.3,
+        ..CALM
+    },
+    Load {
+        name: "emptied",
+        scale: 1.2,
+        burst: 2.0,
+        emptied_ms: 8_000,
+        ..CALM
+    },
+    Load {
+        name: "heavy_full",
+        site: &HEAVY,
+        scale: 1.0,
+        ..CALM
+    },
+    Load {
+        name: "heavy_burst_urgent",
+        site: &HEAVY,
+        scale: 0.9,
+        burst: 2.6,
+        ..CALM
+    },
+    Load {
+        name: "heavy_bad_workers",
+        site: &HEAVY,
+        scale: 0.9,
+        failing: 0.09,
+        hanging: 0.06,
+        ..CALM
+    },
+    Load {
+        name: "heavy_store_silent",
+        site: &HEAVY,
+        scale: 0.9,
+        silent_ms: 4_200,
+        ..CALM
+    },
+];
--- /dev/null
+++ b/tests/support/replay/worker.rs
@@ -0,0 +1,304 @@
+//! The workers of a replay: they run what they are told, end it when its time is
+//! over, and list both.
+
+use super::Replay;
+use fuchsiaslip::scheduler::{
+    Action,
+    CallOutcome,
+    EndKind,
+    EndedRow,
+    HoldReport,
+    Input,
+    Resources,
+    RunName,
+    RunningRow,
+    StartRefusal,
+    StepSpec, //
+};
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    HashMap, //
+};
+
+/// Time of a commit.
+const COMMIT_MS: u64 = 20;
+const LOOK_WAIT_MS: u64 = 1_000;
+pub const REMOTE_FACTOR: f64 = 3.0;
+
+#[derive(Clone, Debug)]
+pub struct SimRun {
+    pub began_ms: u64,
+    /// Progress that it was started with.
+    pub saved_ms: u64,
+    pub ends_ms: u64,
+    pub how: EndKind,
+    pub stops_ms: Option<u64>,
+    pub room: Resources,
+    pub checkpoints: bool,
+    pub slowness: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct SimWorker {
+    pub running: BTreeMap<RunName, SimRun>,
+    pub ended: Vec<EndedRow>,
+    pub next_end: u64,
+    pub refused: HashMap<fuchsiaslip::scheduler::TaskId, u64>,
+    pub slowness: f64,
+    pub failing: bool,
+    pub hanging: bool,
+}
+
+impl Replay {
+    pub(super) fn end_runs(&mut self, at: usize) {
+        let now_ms = self.now_ms;
+        let over: Vec<(RunName, EndKind)> = self.workers[at]
+            .running
+            .iter()
+            .filter_map(|(&name, run)| {
+                if run.ends_ms <= now_ms {
+                    return Some((name, run.how));
+                }
+                let stopped = run.stops_ms.is_some_and(|at_ms| at_ms <= now_ms);
+                stopped.then_some((name, EndKind::Stopped))
+            })
+            .collect();
+        for (name, kind) in over {
+            self.end_run(at, name, kind);
+            let gang = self.step_of(name).is_some_and(|step| step.gang);
+            if gang {
+                let others = match kind {
+                    EndKind::Done => EndKind::Done,
+                    _ => EndKind::Broken,
+                };
+                for (at, member) in self.members(name) {
+                    self.end_run(at, member, others);
+                }
+            }
+        }
+    }
+
+    fn step_of(&self, name: RunName) -> Option<&StepSpec> {
+        let job = self.jobs.get(&name.task.job)?;
+        job.record.spec.steps.get(name.task.step as usize)
+    }
+
+    fn members(&self, name: RunName) -> Vec<(usize, RunName)> {
+        let same = |other: &RunName| other.task.job == name.task.job && other.run == name.run;
+        let workers = self.workers.iter().enumerate();
+        workers
+            .flat_map(|(at, worker)| worker.running.keys().map(move |other| (at, *other)))
+            .filter(|(_, other)| same(other))
+            .collect()
+    }
+
+    fn end_run(&mut self, at: usize, name: RunName, kind: EndKind) {
+        let now_ms = self.now_ms;
+        let checkpoint_ms = self.site.checkpoint_ms;
+        let worker = &mut self.workers[at];
+        let Some(run) = worker.running.remove(&name) else {
+            return;
+        };
+        worker.refused.insert(name.task, name.run);
+        let worked_ms = now_ms - run.began_ms;
+        let kept_ms = match run.checkpoints {
+            true => {
+                let done_ms = run.saved_ms + (worked_ms as f64 / run.slowness) as u64;
+                // A stop makes a checkpoint of its own.
+                let exact = kind == EndKind::Stopped;
+                if exact {
+                    done_ms
+                } else {
+                    done_ms / checkpoint_ms * checkpoint_ms
+                }
+            }
+            false => 0,
+        };
+        if kind != EndKind::Done && !run.checkpoints {
+            let cores = run.room.weight() as f64 / 1_000.0;
+            self.thrown_away_core_s += cores * worked_ms as f64 / 1_000.0;
+        }
+        let worker = &mut self.workers[at];
+        worker.next_end += 1;
+        worker.ended.push(EndedRow {
+            number: worker.next_end,
+            name,
+            kind,
+            checkpoint: if kept_ms > 0 {
+                kept_ms.to_string().into()
+            } else {
+                "".into()
+            },
+        });
+    }
+
+    pub(super) fn answer_looks(&mut self) -> bool {
+        let now_ms = self.now_ms;
+        let looks = std::mem::take(&mut self.looks);
+        let mut answered = false;
+        for (key, sent_ms, last_seen) in looks {
+            let worker = &mut self.workers[key.index()];
+            worker.ended.retain(|row| row.number > last_seen);
+            if worker.ended.is_empty() && now_ms < sent_ms + LOOK_WAIT_MS {
+                self.looks.push((key, sent_ms, last_seen));
+                continue;
+            }
+            let running = worker.running.iter().map(|(&name, run)| {
+                let whole_ms = run.ends_ms.saturating_sub(run.began_ms).max(1);
+                let percent = (now_ms - run.began_ms) * 100 / whole_ms;
+                RunningRow {
+                    name,
+                    checkpoint: "".into(),
+                    percent: percent.min(99) as u32,
+                    usage: None,
+                }
+            });
+            let report = HoldReport {
+                clock_ms: now_ms,
+                running: running.collect(),
+                ended: worker.ended.clone(),
+            };
+            answered = true;
+            self.tell(Input::Held {
+                worker: key,
+                sent_ms,
+                report,
+            });
+        }
+        answered
+    }
+
+    pub(super) fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Hold {
+                callee, last_seen, ..
+            } => self.looks.push((callee.worker, self.now_ms, last_seen)),
+            Action::Start {
+                callee,
+                name,
+                checkpoint,
+                ..
+            } => {
+                let saved_ms = checkpoint.and_then(|text| text.parse().ok()).unwrap_or(0);
+                let outcome = self.start(callee.worker.index(), name, saved_ms);
+                self.tell(Input::StartOver {
+                    worker: callee.worker,
+                    name,
+                    outcome,
+                });
+            }
+            Action::Stop { callee, name } => {
+                let at_ms = self.now_ms + self.site.stop_takes_ms;
+                let worker = &mut self.workers[callee.worker.index()];
+                worker.refused.insert(name.task, name.run);
+                if let Some(run) = worker.running.get_mut(&name) {
+                    run.stops_ms = Some(at_ms);
+                }
+                self.tell(Input::StopOver {
+                    worker: callee.worker,
+                    name,
+                    outcome: CallOutcome::Done,
+                });
+            }
+            Action::Store { job } => {
+                if let Some((change, _)) = self.scheduler.progress(job) {
+                    self.stores
+                        .push((self.store_answers_ms() + COMMIT_MS, job, change));
+                }
+            }
+            Action::StoreRoster => {
+                let names = self.scheduler.roster().into_iter().map(|(name, _)| name);
+                self.tell(Input::RosterStored(names.collect()));
+            }
+            _ => {}
+        }
+    }
+
+    fn start(&mut self, at: usize, name: RunName, saved_ms: u64) -> CallOutcome {
+        if let Some(order) = &mut self.order {
+            order.note_start(self.site.data_centre(at), self.now_ms);
+        }
+        let Some(step) = self.step_of(name).cloned() else {
+            return CallOutcome::Refused(StartRefusal::OldRun);
+        };
+        let elsewhere = self.workers.iter().any(|worker| {
+            let mut names = worker.running.keys();
+            names.any(|other| other.task == name.task)
+        });
+        self.twice += usize::from(elsewhere);
+        let job = &self.jobs[&name.task.job];
+        let run_ms: u64 = job.record.spec.payload.parse().unwrap_or(0);
+        let hopeless = job.hopeless;
+        let far = !step.data_rack.is_empty() && step.data_rack != self.site.rack_of(at);
+        let worker = &self.workers[at];
+        let used = worker.running.values();
+        let used = used.fold(Resources::default(), |sum, run| sum.plus(&run.room));
+        if !self.site.capacity.minus(&used).holds(&step.needs) {
+            return CallOutcome::Refused(StartRefusal::NoRoom);
+        }
+        let slowness = worker.slowness * if far { REMOTE_FACTOR } else { 1.0 };
+        let left_ms = run_ms.saturating_sub(saved_ms);
+        let restore_ms = if saved_ms > 0 {
+            self.site.restore_ms
+        } else {
+            0
+        };
+        let lasts_ms = (left_ms as f64 * slowness) as u64 + restore_ms;
+        let (ends_ms, how) = match (worker.hanging, worker.failing || hopeless) {
+            (true, _) => (u64::MAX / 2, EndKind::Failed),
+            (false, true) => (self.now_ms + 200, EndKind::Failed),
+            (false, false) => (self.now_ms + lasts_ms, EndKind::Done),
+        };
+        let run = SimRun {
+            began_ms: self.now_ms,
+            saved_ms,
+            ends_ms,
+            how,
+            stops_ms: None,
+            room: step.needs,
+            checkpoints: step.checkpoints,
+            slowness,
+        };
+        self.workers[at].running.insert(name, run);
+        let now_ms = self.now_ms;
+        if let Some(job) = self.jobs.get_mut(&name.task.job) {
+            job.first_begun.entry(name.task.index).or_insert(now_ms);
+        }
+        if step.gang {
+            self.pace_gang(name, &step);
+        }
+        CallOutcome::Done
+    }
+
+    /// A gang is as slow as its slowest member, and slow on several racks.
+    fn pace_gang(&mut self, name: RunName, step: &StepSpec) {
+        let members = self.members(name);
+        let racks: BTreeSet<String> = members
+            .iter()
+            .map(|(at, _)| self.site.rack_of(*at))
+            .collect();
+        let spread = step.same_rack && racks.len() > 1;
+        let ends_ms = members
+            .iter()
+            .map(|(at, member)| {
+                let run = &self.workers[*at].running[member];
+                let lasts_ms = run.ends_ms.saturating_sub(run.began_ms);
+                match spread && run.slowness < REMOTE_FACTOR {
+                    true => run.began_ms + (lasts_ms as f64 * REMOTE_FACTOR) as u64,
+                    false => run.ends_ms,
+                }
+            })
+            .max()
+            .unwrap_or(0);
+        let whole = members.len() == step.count as usize;
+        for (at, member) in members {
+            if let Some(run) = self.workers[at].running.get_mut(&member)
+                && whole
+                && run.how == EndKind::Done
+            {
+                run.ends_ms = ends_ms;
+            }
+        }
+    }
+}
