Failing test: a new owner of a large fleet is not heard

Daemons that own nothing send a heartbeat in 12 ms for each other daemon, 3.55 s there, and nothing wakes that wait when a daemon takes over. Ruled out: an owner without processor time (lines in each tenth of a second), a lost store (no E211).

--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -52,6 +52,7 @@
 /// | 10 to 209 | `soak.rs`, by seed |
 /// | 210 to 213 | `evacuation/whole_path.rs` |
 /// | 214, 215, 217 | `owner_cut_off.rs` |
+/// | 218 | `large_fleet.rs` |
 /// | 230 to 238 | `foreign/path.rs` |
 ///
 /// Benches are run by themselves and may use any; 254 is the highest.
