A new owner of a large fleet is heard at once

A daemon that takes over waits for the end of its heartbeat's gap, 12 ms for each other daemon, and the others follow an owner that is silent for 0.7 s and 3 to 6 ms for each daemon: with 97 VMs 1.16 s against 1.09 s, with 297 3.55 against 2.29. Ruled out: more time for new owners: a dead one would be followed later. Change: beginning to own wakes the heartbeats.

--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -94,6 +94,15 @@
     pub owner: Option<OwnerSign>,
 }
 
+/// When to take over, and why.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Takeover {
+    /// From then on, if nothing changes.
+    pub due_ms: u64,
+    /// For the log: what the owner is missing.
+    pub reason: &'static str,
+}
+
 /// How long an owner may be silent.
 fn silence_ms(sign: &OwnerSign, listed: usize) -> u64 {
     let young = sign.heard_ms < sign.since_ms + YOUNG_MS;
@@ -102,7 +111,7 @@
 }
 
 /// When to take over, if nothing changes; `None` for not at all.
-pub fn takeover_at_ms(view: &ElectionView) -> Option<u64> {
+pub fn takeover(view: &ElectionView) -> Option<Takeover> {
     if !view.own.fit {
         return None;
     }
@@ -115,22 +124,25 @@
             && (other.strength, &view.own.name) > (view.own.strength, &other.name)
     };
     let rank = view.heard.iter().filter(better).count() as u64;
-    let from_ms = match &view.owner {
-        None => view.started_ms + FIRST_START_MS,
+    let (from_ms, reason) = match &view.owner {
+        None => (view.started_ms + FIRST_START_MS, "no_owner"),
+        Some(sign) if sign.over => (view.started_ms + START_MS, "owner_restarted"),
+        Some(sign) if sign.draining => (sign.heard_ms, "owner_draining"),
         Some(sign) => {
             let silent_ms = sign.heard_ms + silence_ms(sign, view.listed);
-            if sign.over {
-                view.started_ms + START_MS
-            } else if sign.draining {
-                sign.heard_ms
-            } else if let Some(since_ms) = sign.storeless_since_ms {
-                silent_ms.min(since_ms.max(view.store_back_ms) + STORELESS_MS)
-            } else {
-                silent_ms
+            let storeless_ms = sign
+                .storeless_since_ms
+                .map(|since_ms| since_ms.max(view.store_back_ms) + STORELESS_MS);
+            match storeless_ms.filter(|&storeless_ms| storeless_ms < silent_ms) {
+                Some(storeless_ms) => (storeless_ms, "owner_without_store"),
+                None => (silent_ms, "owner_silent"),
             }
         }
     };
     let isolated = view.heard.len() * 2 < view.listed;
     let isolated_ms = if isolated { ISOLATED_MS } else { 0 };
-    Some(from_ms + rank * RANK_STEP_MS + isolated_ms)
+    Some(Takeover {
+        due_ms: from_ms + rank * RANK_STEP_MS + isolated_ms,
+        reason,
+    })
 }
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Heartbeats between daemons, and the decision to take over.
 
-use super::election::takeover_at_ms;
+use super::election::takeover;
 use super::node::{
     KnownOwner,
     Node, //
@@ -58,7 +58,13 @@
                 log::debug!("a heartbeat was not sent: {error}");
             }
         }
-        node.timer.after(gap_ms).await;
+        // Among hundreds of daemons the gap is seconds. A daemon that took over and
+        // slept to its end was taken for dead before its first heartbeat, and the
+        // next one after it: 8.5 s without an owner.
+        tokio::select! {
+            _ = node.timer.after(gap_ms) => {}
+            () = node.until_owning() => {}
+        }
     }
 }
 
@@ -131,9 +137,9 @@
         if node.owns() || node.is_draining() {
             continue;
         }
-        let due_ms = takeover_at_ms(&node.election_view());
-        if due_ms.is_some_and(|due_ms| node.now_ms() >= due_ms)
-            && let Err(error) = ownership::take_over(&node).await
+        let due = takeover(&node.election_view()).filter(|due| node.now_ms() >= due.due_ms);
+        if let Some(due) = due
+            && let Err(error) = ownership::take_over(&node, due.reason).await
         {
             metrics::counter!("fuchsiaslip_takeovers_failed_total").increment(1);
             log::debug!("the takeover failed: {error}");
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -44,7 +44,8 @@
     Candidate,
     ElectionView,
     OwnerSign,
-    takeover_at_ms, //
+    Takeover,
+    takeover, //
 };
 pub use emptying::EmptyingOrders;
 pub use inspect::{
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -48,6 +48,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use tokio::sync::Notify;
 
 /// A configuration that nobody confirmed for this long may be out of date.
 const CONFIGURATION_DOUBT_MS: u64 = 2_500;
@@ -102,6 +103,7 @@
     owner: RefCell<Option<KnownOwner>>,
     owner_said_ms: Cell<u64>,
     epoch: Cell<u64>,
+    owning_began: Notify,
     root_revision: Cell<u64>,
     store_calls: StoreCalls,
     draining: Cell<bool>,
@@ -141,6 +143,7 @@
             owner: RefCell::default(),
             owner_said_ms: Cell::new(0),
             epoch: Cell::new(0),
+            owning_began: Notify::new(),
             root_revision: Cell::new(0),
             store_calls: StoreCalls::open(timer.clone()),
             draining: Cell::new(false),
@@ -336,6 +339,7 @@
     pub fn begin_owning(&self, epoch: u64, root_revision: u64) {
         self.epoch.set(epoch);
         self.root_revision.set(root_revision);
+        self.owning_began.notify_one();
         self.unread_jobs.borrow_mut().clear();
         self.learn_owner(KnownOwner {
             epoch,
@@ -346,6 +350,11 @@
         });
     }
 
+    /// Waits until this daemon begins to own.
+    pub async fn until_owning(&self) {
+        self.owning_began.notified().await;
+    }
+
     /// Owns no longer: another daemon has the epoch.
     pub fn stop_owning(&self) {
         if self.owns() {
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -58,12 +58,12 @@
 /// Wait of a daemon that found a root that does not read: people have to mend it.
 const UNREAD_ROOT_MS: u64 = 2_000;
 
-/// Takes the next epoch, reads what is stored and begins to own.
+/// Takes the next epoch for the reason told, reads what is stored and begins to own.
 ///
 /// # Errors
 ///
 /// The store refused or did not answer; another attempt may follow.
-pub async fn take_over(node: &Rc<Node>) -> Result<(), StoreError> {
+pub async fn take_over(node: &Rc<Node>, reason: &'static str) -> Result<(), StoreError> {
     let began_ms = node.now_ms();
     let root = node.store.get(ROOT_KEY).await?;
     let revision = root.as_ref().map_or(0, |item| item.revision);
@@ -130,6 +130,7 @@
         root_revision,
         began_ms,
         earlier_owner_over,
+        reason,
     };
     let mut begun = begin(node, &taken).await;
     for _ in 1..BEGIN_TRIES {
@@ -154,6 +155,8 @@
     /// When the attempt began, which is when the epoch is known to be ours.
     began_ms: u64,
     earlier_owner_over: bool,
+    /// Why it was taken.
+    reason: &'static str,
 }
 
 /// Reads what is stored, all at a time: nobody else writes progress and roster
@@ -223,12 +226,13 @@
     events::log(
         events::OWNER_STARTED,
         format_args!(
-            "epoch {epoch}, configuration version {}, {job_count} values of jobs, {worker_count} workers, {roster_count} on the roster, after {} ms",
+            "epoch {epoch}, configuration version {}, {job_count} values of jobs, {worker_count} workers, {roster_count} on the roster, after {} ms, since {}",
             node.configuration().version,
-            node.now_ms() - began_ms
+            node.now_ms() - began_ms,
+            taken.reason
         ),
     );
-    metrics::counter!("fuchsiaslip_takeovers_total").increment(1);
+    metrics::counter!("fuchsiaslip_takeovers_total", "reason" => taken.reason).increment(1);
     actix_rt::spawn(commits::run(node.clone(), epoch));
     actix_rt::spawn(follow::waves(node.clone(), epoch));
     actix_rt::spawn(follow::jobs(node.clone(), epoch, jobs.revision));
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -4,11 +4,15 @@
     Candidate,
     ElectionView,
     OwnerSign,
-    takeover_at_ms, //
+    takeover, //
 };
 
 const NOW_MS: u64 = 100_000;
 
+fn takeover_at_ms(view: &ElectionView) -> Option<u64> {
+    takeover(view).map(|due| due.due_ms)
+}
+
 fn candidate(name: &str, strength: u64) -> Candidate {
     Candidate {
         name: name.to_owned(),
@@ -143,3 +147,26 @@
     assert_eq!(takeover_at_ms(&after_outage), Some(NOW_MS + 500));
     assert_eq!(takeover_at_ms(&view(Some(storeless))), Some(NOW_MS - 3_500));
 }
+
+#[test]
+fn what_the_owner_is_missing_is_told_by_name() {
+    let reason = |owner: Option<OwnerSign>| takeover(&view(owner)).map(|due| due.reason);
+    let over = OwnerSign {
+        over: true,
+        ..sign()
+    };
+    let draining = OwnerSign {
+        draining: true,
+        ..sign()
+    };
+    let storeless = OwnerSign {
+        storeless_since_ms: Some(NOW_MS - 400),
+        ..sign()
+    };
+
+    assert_eq!(reason(None), Some("no_owner"));
+    assert_eq!(reason(Some(sign())), Some("owner_silent"));
+    assert_eq!(reason(Some(over)), Some("owner_restarted"));
+    assert_eq!(reason(Some(draining)), Some("owner_draining"));
+    assert_eq!(reason(Some(storeless)), Some("owner_without_store"));
+}
