--- a/src/events.rs
+++ b/src/events.rs
@@ -45,7 +45,7 @@
     /// A client's request was answered.
     REQUEST_ANSWERED = 110, Info, "a request was answered", "docs/OPERATIONS.md follows a refused one to its cause";
     /// This daemon became owner.
-    OWNER_STARTED = 200, Info, "this daemon owns the data centre's ledger", "none";
+    OWNER_STARTED = 200, Info, "this daemon owns the data centre's ledger", "none, unless it repeats: the line ends with why it took over";
     /// This daemon is no longer owner.
     OWNER_FENCED = 201, Warn, "another owner has written the ledger; this one stepped down", "none, unless it repeats: then look for paused VMs";
     /// This daemon gave the ownership up.
