--- a/benches/replay.rs
+++ b/benches/replay.rs
@@ -2,6 +2,11 @@
 //! on each run. `cargo bench --bench replay -- burst` replays loads whose names
 //! hold that word.
 
+#[expect(
+    dead_code,
+    unused_imports,
+    reason = "the bench of passes uses the rest"
+)]
 #[path = "../tests/support/replay.rs"]
 mod replay;
 
