--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -105,7 +105,6 @@
 };
 pub use speed::{
     Belief,
-    Drag,
     Progress, //
 };
 pub use state::{
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -187,8 +187,8 @@
         true
     }
 
-    /// The slots to take, if that earns more than is lost: on fast workers only,
-    /// or on slower ones as well. Guaranteed work takes what it needs in any case.
+    /// The slots to take, if that earns more than is lost. Guaranteed work takes what
+    /// it needs in any case.
     fn worth_taking(
         &self,
         ranked: Ranked,
@@ -197,37 +197,16 @@
     ) -> Option<Vec<Choice>> {
         let group = &self.groups[&ranked.key];
         let count = group.waiting as usize;
-        let worth = self.worth_of_job(ranked.key.job);
-        let terms = group.terms();
-        self.with_ask(group, queue, &[], |ask| {
-            let mut best: Option<(f64, Vec<Choice>)> = None;
-            for limit in speed_limits(seats) {
-                let among: Vec<usize> = (0..seats.len())
-                    .filter(|&at| seats[at].slowness <= limit)
-                    .collect();
-                let Some(chosen) = self.cheapest(ranked, ask, seats, &among, count) else {
-                    continue;
-                };
-                let slots = chosen.iter().map(|choice| choice.seat);
-                let slowest = slots.map(|at| seats[at].slowness).fold(0.0, f64::max);
-                let run_ms = (group.run_time.value() * slowest) as u64;
-                let end_ms = self.now_ms + self.tuning.stop_ms + run_ms;
-                let gain = worth * (terms.part_at(end_ms) - LATE_PART);
-                let net = gain - loss_of(&chosen);
-                if best.as_ref().is_none_or(|(most, _)| net > *most) {
-                    best = Some((net, chosen));
-                }
-            }
-            let (net, chosen) = best?;
-            if net > 0.0 {
-                return Some(chosen);
-            }
-            if ranked.tier != Tier::Guaranteed {
-                return None;
-            }
-            let all: Vec<usize> = (0..seats.len()).collect();
-            self.cheapest(ranked, ask, seats, &all, count)
-        })
+        let chosen = self.with_ask(group, queue, &[], |ask| {
+            self.cheapest(ranked, ask, seats, count)
+        })?;
+        let slots = chosen.iter().map(|choice| choice.seat);
+        let slowest = slots.map(|at| seats[at].slowness).fold(0.0, f64::max);
+        let run_ms = (group.run_time.value() * slowest) as u64;
+        let end_ms = self.now_ms + self.tuning.stop_ms + run_ms;
+        let part = group.terms().part_at(end_ms) - LATE_PART;
+        let net = self.worth_of_job(ranked.key.job) * part - loss_of(&chosen);
+        (net > 0.0 || ranked.tier == Tier::Guaranteed).then_some(chosen)
     }
 
     /// Keeps what is being freed for a group from the groups after it: its
@@ -243,16 +222,16 @@
         }
     }
 
-    /// The cheapest slots for `count` tasks among some seats; on one rack where
-    /// that is asked for and possible.
+    /// The cheapest slots for `count` tasks; on one rack where that is asked for and
+    /// possible.
     fn cheapest(
         &self,
         ranked: Ranked,
         ask: &Ask<'_>,
         seats: &[Seat],
-        among: &[usize],
         count: usize,
     ) -> Option<Vec<Choice>> {
+        let all: Vec<usize> = (0..seats.len()).collect();
         let mut regions: Vec<Vec<usize>> = Vec::new();
         if ask.one_rack || !ask.data_rack.is_empty() {
             let mut racks: Vec<&str> = seats.iter().map(|seat| &*seat.rack).collect();
@@ -261,7 +240,7 @@
             racks.retain(|rack| ask.data_rack.is_empty() || *rack == ask.data_rack);
             for rack in racks {
                 let there = |at: &usize| &*seats[*at].rack == rack;
-                regions.push(among.iter().copied().filter(there).collect());
+                regions.push(all.iter().copied().filter(there).collect());
             }
         }
         let on_racks = regions
@@ -270,7 +249,7 @@
             .min_by(|a, b| loss_of(a).total_cmp(&loss_of(b)));
         // Room elsewhere is of use only to work that may leave its rack.
         let anywhere = regions.is_empty() || ask.may_leave_rack;
-        on_racks.or_else(|| anywhere.then(|| self.slots(ranked, ask, seats, among, count))?)
+        on_racks.or_else(|| anywhere.then(|| self.slots(ranked, ask, seats, &all, count))?)
     }
 
     fn slots(
@@ -443,14 +422,3 @@
 fn loss_of(slots: &[Choice]) -> f64 {
     slots.iter().map(|choice| choice.slot.loss).sum()
 }
-
-/// Slowness up to which workers are looked at: a third of them, two, and all.
-fn speed_limits(seats: &[Seat]) -> Vec<f64> {
-    let mut slowness: Vec<f64> = seats.iter().map(|seat| seat.slowness).collect();
-    slowness.sort_by(f64::total_cmp);
-    let thirds = [1, 2, 3].map(|third| slowness.len() * third / 3);
-    let limits = thirds
-        .iter()
-        .filter_map(|&at| slowness.get(at.checked_sub(1)?));
-    limits.copied().collect()
-}
--- a/src/scheduler/speed.rs
+++ b/src/scheduler/speed.rs
@@ -6,8 +6,8 @@
 //! is kept in vain. The members of a gang do the same amount of work, so their
 //! progress compares their workers within a second or two; like tasks of a step
 //! do so more roughly. Limits: progress is told in whole hundredths, so a run
-//! tells only after [`TELLING_PERCENT`], and once; a sudden slowness is kept
-//! apart from the lasting speed and soon forgotten, since it passes.
+//! tells only after [`TELLING_PERCENT`], and once; a worker that is slow for a while
+//! is a surprise, which does not count.
 
 use super::state::Scheduler;
 use super::{
@@ -32,18 +32,11 @@
 /// What is this many deviations from what is believed has another cause: a worker
 /// that is slow for a while, or a wrong estimate.
 const SURPRISE_DEVIATIONS: f64 = 3.0;
-/// A run whose progress is so many times slower than it should be shows that its
-/// worker is slow for a while: lasting speeds differ less.
-const DRAG_FACTOR: f64 = 2.0;
 /// A group's run time counts as known from this variance on: within a seventh.
 const KNOWN_VARIANCE: f64 = 0.02;
-/// Most that a sudden slowness is taken for.
-const MAX_DRAG: f64 = 8.0;
-/// Without news a sudden slowness is taken to last this long: two looks.
-const DRAG_MEMORY_MS: u64 = 2_500;
-/// Progress over a shorter time says nothing of a sudden slowness.
-const DRAG_WINDOW_MS: u64 = 400;
-
+/// Members of a gang that differ by this factor do not tell lasting speeds, which
+/// differ less: one of them is slow for a while.
+const PASSING_FACTOR: f64 = 2.0;
 /// What is believed of the logarithm of a factor or of a time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Belief {
@@ -94,7 +87,6 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Progress {
     first: Option<Mark>,
-    before: Option<Mark>,
     last: Option<Mark>,
     told: bool,
 }
@@ -112,7 +104,6 @@
             heard_ms,
         };
         self.first.get_or_insert(mark);
-        self.before = self.last;
         self.last = Some(mark);
     }
 
@@ -123,30 +114,6 @@
         let took_ms = last.clock_ms.saturating_sub(first.clock_ms);
         (percent >= TELLING_PERCENT).then(|| 100.0 * took_ms as f64 / f64::from(percent))
     }
-
-    /// Time that the whole task would take at the pace of the last two looks.
-    fn recent_whole_ms(&self) -> Option<f64> {
-        let (before, last) = (self.before?, self.last?);
-        let took_ms = last.clock_ms.saturating_sub(before.clock_ms);
-        let percent = last.percent.saturating_sub(before.percent);
-        // Half a hundredth more, or a pause of one look would be endless.
-        (took_ms >= DRAG_WINDOW_MS).then(|| 100.0 * took_ms as f64 / (f64::from(percent) + 0.5))
-    }
-}
-
-/// A slowness that came suddenly.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Drag {
-    factor: f64,
-    seen_ms: u64,
-}
-
-impl Drag {
-    /// What it multiplies run times by now.
-    pub(super) fn at(drag: Option<Self>, now_ms: u64) -> f64 {
-        let lasting = drag.filter(|drag| now_ms < drag.seen_ms + DRAG_MEMORY_MS);
-        lasting.map_or(1.0, |drag| drag.factor)
-    }
 }
 
 impl Scheduler {
@@ -162,7 +129,6 @@
             return;
         };
         if run.progress.told {
-            self.note_drag(key, name);
             return;
         }
         match self.groups.get(&run.group) {
@@ -238,7 +204,7 @@
         weighed.sort_by(|a, b| a.2.total_cmp(&b.2));
         // The lower one in the middle: those that are slow for a while are few.
         let middle = weighed[(weighed.len() - 1) / 2].2;
-        weighed.retain(|row| (row.2 - middle).abs() < DRAG_FACTOR.ln());
+        weighed.retain(|row| (row.2 - middle).abs() < PASSING_FACTOR.ln());
         let prior = group.run_time;
         let precision = 1.0 / prior.variance + weighed.iter().map(|row| row.3).sum::<f64>();
         let sum =
@@ -265,26 +231,6 @@
         self.run_time_learned(key);
     }
 
-    /// Whether the worker of a run that told its pace became slow since.
-    fn note_drag(&mut self, key: WorkerKey, name: RunName) {
-        let now_ms = self.now_ms;
-        let worker = self.worker(key);
-        let Some(run) = worker.runs.get(&name) else {
-            return;
-        };
-        let (Some(recent_ms), Some(group)) =
-            (run.progress.recent_whole_ms(), self.groups.get(&run.group))
-        else {
-            return;
-        };
-        let usual_ms = group.run_time.value() * worker.slowness.value();
-        let factor = recent_ms / usual_ms;
-        self.worker_mut(key).drag = (factor >= DRAG_FACTOR).then_some(Drag {
-            factor: factor.min(MAX_DRAG),
-            seen_ms: now_ms,
-        });
-    }
-
     /// A group's run time became better known: its job's objective follows, and
     /// so does what is believed of its queue's estimates.
     fn run_time_learned(&mut self, key: GroupKey) {
@@ -324,10 +270,9 @@
     /// Time that a run still takes, by its own progress or that of its like.
     pub(super) fn left_ms(&self, key: WorkerKey, run: &Run) -> u64 {
         let worker = self.worker(key);
-        let drag = Drag::at(worker.drag, self.now_ms);
         let group = self.groups.get(&run.group);
         let usual_ms = group.map_or(0.0, |group| group.run_time.value()) * worker.slowness.value();
-        let whole_ms = run.progress.whole_ms().unwrap_or(usual_ms) * drag;
+        let whole_ms = run.progress.whole_ms().unwrap_or(usual_ms);
         if run.percent >= 100 {
             return 0;
         }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -4,7 +4,6 @@
 use super::{
     AddressDispute,
     Belief,
-    Drag,
     GroupKey,
     HeardEnd,
     Progress,
@@ -220,8 +219,6 @@
     pub failures: Vec<(u64, JobId)>,
     /// Run times there against those on a usual worker, as a logarithm.
     pub slowness: Belief,
-    /// It became slow suddenly.
-    pub drag: Option<Drag>,
     address: Arc<str>,
     incarnation: Arc<str>,
     rack: Arc<str>,
@@ -268,7 +265,6 @@
             quarantine_ms: 0,
             failures: Vec::new(),
             slowness: Belief::of_slowness(),
-            drag: None,
         }
     }
 
@@ -345,11 +341,6 @@
         label.is_empty() || self.info.labels.iter().any(|own| own == label)
     }
 
-    /// What run times there are multiplied by at `now_ms`.
-    pub fn slowness_at(&self, now_ms: u64) -> f64 {
-        self.slowness.value() * Drag::at(self.drag, now_ms)
-    }
-
     /// Its rack.
     pub fn rack(&self) -> &Arc<str> {
         &self.rack
