Tests: process restarts and run ends in the stand-in when due

A copy of a start that had received no answer was carried out by the next incarnation of its worker, in the millisecond in which that incarnation began.

The fault was in the stand-in:

- is_down, a query, began the next incarnation of a worker whose downtime was over.
The handler of a late start compared the incarnation first and called is_out_of_reach afterwards, so the start reached an incarnation that had not accepted it.
- A check and the call that it allowed took the lock separately, so a worker could crash in between and still accept a start.
- A worker's state was updated only when the worker was called.
It therefore stayed down while polls to it hung, and a run that had ended before a crash was recorded as crashed with its worker.

The daemon's resend of a start in review_runs was ruled out as the cause. It sends the second copy to the same incarnation, where it is the same run; the first copy was the one carried over.

The stand-in's thread now processes due events every 5 ms, checking whether a worker is reachable changes no state, and one lock covers a check and its call.

--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -157,6 +157,8 @@
 const DOWN: Duration = Duration::from_millis(1_500);
 /// A worker that crashes by itself is away for so long.
 const RESTART: Duration = Duration::from_millis(300);
+/// Interval at which due worker events are processed, independently of incoming calls.
+const DUE_EVENT_INTERVAL: Duration = Duration::from_millis(5);
 /// What fails, fails this soon.
 const FAILS_AFTER: Duration = Duration::from_millis(30);
 
@@ -342,6 +344,7 @@
 
     /// Everything that runs on a worker fails now.
     pub fn fail_runs(&mut self, at: usize) {
+        self.process_due_events(at);
         let tasks: Vec<String> = self.workers[at].running.keys().cloned().collect();
         for task in tasks {
             self.end_run(at, &task, "failed");
@@ -350,14 +353,11 @@
 
     /// A worker crashes and is back as soon as a process can be.
     pub fn crash_worker(&mut self, at: usize) {
+        self.process_due_events(at);
         self.crash_for(at, RESTART);
     }
 
     fn begin_next_life(&mut self, at: usize) {
-        let tasks: Vec<String> = self.workers[at].running.keys().cloned().collect();
-        for task in tasks {
-            self.end_run(at, &task, "crashed");
-        }
         let worker = &mut self.workers[at];
         let places: Vec<usize> = worker.unnoted.values().copied().collect();
         let old = format!("servers/{}", worker.id);
@@ -398,24 +398,30 @@
         self.workers[at].back = Some(before.map_or(back, |before| before.max(back)));
     }
 
-    /// Whether a worker answers nothing now.
-    fn is_out_of_reach(&mut self, at: usize) -> bool {
-        self.workers[at].cut || self.is_down(at)
+    /// Whether a worker is down or cut off and so answers no calls.
+    fn is_out_of_reach(&self, at: usize) -> bool {
+        let worker = &self.workers[at];
+        worker.cut || worker.back.is_some()
     }
 
-    /// Whether a worker is away; one whose time is over is back as another.
-    fn is_down(&mut self, at: usize) -> bool {
-        match self.workers[at].back {
-            Some(back) if Instant::now() < back => true,
-            Some(_) => {
-                self.workers[at].back = None;
-                self.begin_next_life(at);
-                false
-            }
-            None => false,
+    /// Processes the due events of every worker.
+    fn process_all_due_events(&mut self) {
+        for at in 0..self.workers.len() {
+            self.process_due_events(at);
         }
     }
 
+    /// Processes the due events of a worker: its restart, ends of runs and lease expiry.
+    fn process_due_events(&mut self, at: usize) {
+        if self.workers[at]
+            .back
+            .is_some_and(|back| back <= Instant::now())
+        {
+            self.begin_next_life(at);
+        }
+        self.settle_worker(at);
+    }
+
     /// Writes a worker's entry.
     pub fn register(&mut self, at: usize, state: &str) {
         let worker = &self.workers[at];
@@ -434,9 +440,7 @@
 
     /// Whether anything of a job is on a worker.
     pub fn runs_of(&mut self, job: u64) -> usize {
-        for at in 0..self.workers.len() {
-            self.settle_worker(at);
-        }
+        self.process_all_due_events();
         let prefix = format!("{job:016x}.");
         let running = self.workers.iter().flat_map(|worker| worker.running.keys());
         running.filter(|task| task.starts_with(&prefix)).count()
@@ -561,22 +565,24 @@
         let clock_ms = worker.clock_ms();
         let lapsed = clock_ms > worker.lease_end_ms;
         let end_of = |run: &RunThere| match run.until {
-            Some(until) if until <= now => Some(run.how),
-            _ if lapsed => Some("lapsed"),
-            None if run.arrived + GANG_TIMEOUT <= now => Some("alone"),
+            Some(until) if until <= now => Some((until, run.how)),
+            _ if lapsed => Some((now, "lapsed")),
+            None if run.arrived + GANG_TIMEOUT <= now => Some((now, "alone")),
             _ => None,
         };
         let running = worker.running.iter();
-        let over: Vec<(String, &'static str)> = running
+        let mut over: Vec<(String, (Instant, &'static str))> = running
             .filter_map(|(task, run)| Some((task.clone(), end_of(run)?)))
             .collect();
+        // Sorted by end time so that a run that ended before a crash is not recorded as crashed.
+        over.sort_by_key(|(_, (due, _))| *due);
         if lapsed {
             let places: Vec<usize> = worker.unnoted.values().copied().collect();
             for place in places {
                 self.records[place].void = true;
             }
         }
-        for (task, how) in over {
+        for (task, (_, how)) in over {
             match how {
                 "crashed" => self.crash_for(at, DOWN),
                 _ => self.end_run(at, &task, how),
@@ -711,6 +717,21 @@
         fenced
     }
 
+    /// Handles a call to one incarnation of a worker. Returns `None` if the call gets no
+    /// answer because that incarnation has exited or is out of reach.
+    fn call_incarnation(
+        &mut self,
+        (at, incarnation): (usize, u32),
+        call: &str,
+        body: &Value,
+        arrived: Instant,
+    ) -> Option<(StatusCode, Value)> {
+        self.process_due_events(at);
+        let is_current = self.workers[at].lives == incarnation;
+        let can_answer = is_current && !self.is_out_of_reach(at);
+        can_answer.then(|| self.call_worker(at, call, body, arrived))
+    }
+
     /// Carries out a call that arrived at `arrived`.
     fn call_worker(
         &mut self,
@@ -719,7 +740,6 @@
         body: &Value,
         arrived: Instant,
     ) -> (StatusCode, Value) {
-        self.settle_worker(at);
         let clock_ms = self.workers[at].clock_ms();
         let refuse = |reason: &str| {
             let answer = json!({ "clock_ms": clock_ms, "reason": reason });
@@ -859,6 +879,12 @@
                     bound.send((at, address)).expect("the test waits");
                 }
                 drop(bound);
+                actix_rt::spawn(async move {
+                    loop {
+                        lock(&shared).process_all_due_events();
+                        actix_rt::time::sleep(DUE_EVENT_INTERVAL).await;
+                    }
+                });
                 addresses.send(store).expect("the test waits");
                 serving.await;
             });
@@ -1051,26 +1077,24 @@
         .map(str::to_owned);
     let body = body_of(&mut request).await;
     let call = request.path().trim_start_matches("/-/").to_owned();
-    if lock(&world).is_out_of_reach(at) {
-        return never().await;
-    }
-    let life = {
-        let world = lock(&world);
+    let receiver = {
+        let mut world = lock(&world);
+        world.process_due_events(at);
         let worker = &world.workers[at];
-        if expected.as_deref() != Some(&*worker.id) {
-            return respond((StatusCode::MISDIRECTED_REQUEST, json!({})));
-        }
-        worker.lives
+        let is_expected = expected.as_deref() == Some(&*worker.id);
+        let receiver = is_expected.then_some((at, worker.lives));
+        (!world.is_out_of_reach(at)).then_some(receiver)
+    };
+    let receiver = match receiver {
+        None => return never().await,
+        Some(None) => return respond((StatusCode::MISDIRECTED_REQUEST, json!({}))),
+        Some(Some(receiver)) => receiver,
     };
     let arrived = Instant::now();
     if call == "run-start" && lock(&world).is_late_start() {
         actix_rt::spawn(async move {
             actix_rt::time::sleep(LATE_START).await;
-            let mut world = lock(&world);
-            // The connection ended with the life that had accepted it.
-            if world.workers[at].lives == life && !world.is_out_of_reach(at) {
-                world.call_worker(at, &call, &body, arrived);
-            }
+            lock(&world).call_incarnation(receiver, &call, &body, arrived);
         });
         return never().await;
     }
@@ -1078,14 +1102,11 @@
     let until = Instant::now() + Duration::from_millis(wait_ms);
     loop {
         // A call that waits does not outlive its worker: carried over to the
-        // next life, it would acknowledge ends that it never listed.
-        if lock(&world).workers[at].lives != life {
+        // next incarnation, it would acknowledge ends that it never listed.
+        let answer = lock(&world).call_incarnation(receiver, &call, &body, arrived);
+        let Some(answer) = answer else {
             return never().await;
-        }
-        let answer = lock(&world).call_worker(at, &call, &body, arrived);
-        if lock(&world).is_down(at) {
-            return never().await;
-        }
+        };
         let waits = call == "hold"
             && answer.0 == StatusCode::OK
             && answer.1["finished"].as_array().is_some_and(Vec::is_empty)
