Tests: the stand-in records every run on a crashed worker as crashed, also within a gang

The fault was in the stand-in. crash_for ended the first member on a worker as crashed, which ended all other members as broken, including those on the same worker and on workers that crashed at the same moment. Only one member of each such gang therefore had a crash on record.

All runs on all workers that crash at the same moment now end as crashed before members on other workers end as broken. The failure message of the soak now lists the runs of the job.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -319,11 +319,9 @@
             return;
         }
         let share = [0.3, 1.0][random.random_range(0..2)];
-        for at in 0..self.worker_links.len() {
-            if random.random_bool(share) {
-                world.crash_worker(at);
-            }
-        }
+        let workers = 0..self.worker_links.len();
+        let crashing_workers: Vec<usize> = workers.filter(|_| random.random_bool(share)).collect();
+        world.crash_workers(&crashing_workers);
     }
 
     /// Gives an order to empty a data centre, or takes it back.
@@ -594,8 +592,9 @@
                 }
                 assert!(
                     Instant::now() < until,
-                    "seed {}: job {job:016x} ({sent:?}) is {last:?}, not one of {allowed:?}",
-                    self.seed
+                    "seed {}: job {job:016x} ({sent:?}) is {last:?}, not one of {allowed:?}; its runs: {:#?}",
+                    self.seed,
+                    self.run_records(job)
                 );
                 std::thread::sleep(PAUSE);
             }
@@ -608,17 +607,26 @@
         }
     }
 
-    /// Whether two workers crashed under one task of a job.
-    fn lost_two_workers(&self, job: u64) -> bool {
+    /// Returns the records of all runs of a job.
+    fn run_records(&self, job: u64) -> Vec<RunRecord> {
         let prefix = format!("{job:016x}.");
         let world = self.operator.world();
+        let records = world.records.iter();
+        records
+            .filter(|run| run.task.starts_with(&prefix))
+            .cloned()
+            .collect()
+    }
+
+    /// Whether two workers crashed under one task of a job.
+    fn lost_two_workers(&self, job: u64) -> bool {
+        let runs = self.run_records(job);
         let crashed = |run: &&RunRecord| matches!(run.ended, Some((_, "crashed")));
         let mut crashes: BTreeMap<&str, usize> = BTreeMap::new();
-        for run in world.records.iter().filter(crashed) {
+        for run in runs.iter().filter(crashed) {
             *crashes.entry(&run.task).or_default() += 1;
         }
-        let mut own = crashes.iter().filter(|(task, _)| task.starts_with(&prefix));
-        own.any(|(_, &count)| count >= LEAST_CRASHES)
+        crashes.values().any(|&count| count >= LEAST_CRASHES)
     }
 
     fn check(&self) {
@@ -739,7 +747,7 @@
 
 /// Seeds that failed once, with what they showed; `SOAK_SEEDS=known` runs them.
 /// A seed draws the same faults and jobs, but processes race each time anew.
-const KNOWN_SEEDS: [(u64, &str); 19] = [
+const KNOWN_SEEDS: [(u64, &str); 20] = [
     (
         109,
         "a refused job ran: a closed connection was taken for an unsent call",
@@ -779,7 +787,7 @@
     (1435, "the same"),
     (
         1611,
-        "six starts of such a task under three owners; open: a sound gang is given up",
+        "six starts of such a task under three owners; the stand-in carried out a late start in the next incarnation",
     ),
     (
         2001,
@@ -794,6 +802,10 @@
         "a ninth attempt: a poll 300 ms after an answer acknowledged an end of the next incarnation",
     ),
     (3016, "the same"),
+    (
+        3245,
+        "a gang failed after two crashes under one member: the stand-in recorded at most one per member",
+    ),
     (
         1040,
         "run numbers fell: starts that a worker called late were repeated at once, until those of the epoch ran out",
--- a/tests/stand_in.rs
+++ b/tests/stand_in.rs
@@ -140,6 +140,38 @@
     assert_eq!(run_outcomes(&operator, 0), [Some("done")]);
 }
 
+/// Guards against a gang member being recorded as broken when its worker crashes under
+/// several members.
+#[test]
+fn all_gang_members_on_a_crashed_worker_are_recorded_as_crashed() {
+    let operator = operator_with_step(2, &json!({ "count": 3, "gang": true }));
+    for (worker, index) in [(0, 0), (0, 1), (1, 2)] {
+        start(&operator, worker, index, 5_000);
+    }
+
+    operator.world().crash_worker(0);
+
+    let outcomes: Vec<_> = (0..3).map(|index| run_outcomes(&operator, index)).collect();
+    let [crashed, broken] = ["crashed", "broken"].map(|how| vec![Some(how)]);
+    assert_eq!(outcomes, [crashed.clone(), crashed, broken]);
+}
+
+/// Guards against a gang member being recorded as broken when its worker crashes at the
+/// same moment as the worker of another member.
+#[test]
+fn gang_members_on_workers_that_crash_together_are_recorded_as_crashed() {
+    let operator = operator_with_step(2, &json!({ "count": 2, "gang": true }));
+    for index in 0..2 {
+        start(&operator, index, index, 5_000);
+    }
+
+    operator.world().crash_workers(&[0, 1]);
+
+    for index in 0..2 {
+        assert_eq!(run_outcomes(&operator, index), [Some("crashed")]);
+    }
+}
+
 /// Guards against a worker answering a waiting poll after it has been cut off.
 #[test]
 fn a_worker_that_is_cut_off_does_not_answer_a_waiting_poll() {
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -353,8 +353,13 @@
 
     /// A worker crashes and is back as soon as a process can be.
     pub fn crash_worker(&mut self, at: usize) {
-        self.process_due_events(at);
-        self.crash_for(at, RESTART);
+        self.crash_workers(&[at]);
+    }
+
+    /// Crashes several workers at the same moment; each is down for at least `RESTART`.
+    pub fn crash_workers(&mut self, workers: &[usize]) {
+        self.process_all_due_events();
+        self.crash_for(workers, RESTART);
     }
 
     fn begin_next_life(&mut self, at: usize) {
@@ -387,15 +392,23 @@
         self.register(at, "ready");
     }
 
-    /// A worker that crashed answers nothing until it is back.
-    fn crash_for(&mut self, at: usize, down: Duration) {
-        let tasks: Vec<String> = self.workers[at].running.keys().cloned().collect();
-        for task in tasks {
-            self.end_run(at, &task, "crashed");
+    /// Crashes workers at the same moment; they answer no calls for at least `down`.
+    /// All their runs end as crashed before gang members on other workers end as broken.
+    fn crash_for(&mut self, workers: &[usize], down: Duration) {
+        let mut crashed_runs = Vec::new();
+        for &at in workers {
+            let tasks: Vec<String> = self.workers[at].running.keys().cloned().collect();
+            for task in tasks {
+                let run = self.note_end(at, &task, "crashed");
+                crashed_runs.extend(run.map(|run| (task, run)));
+            }
+            let back = Instant::now() + down;
+            let before = self.workers[at].back;
+            self.workers[at].back = Some(before.map_or(back, |before| before.max(back)));
+        }
+        for (task, run) in crashed_runs {
+            self.end_members(&task, run, "broken");
         }
-        let back = Instant::now() + down;
-        let before = self.workers[at].back;
-        self.workers[at].back = Some(before.map_or(back, |before| before.max(back)));
     }
 
     /// Whether a worker is down or cut off and so answers no calls.
@@ -584,7 +597,7 @@
         }
         for (task, (_, how)) in over {
             match how {
-                "crashed" => self.crash_for(at, DOWN),
+                "crashed" => self.crash_for(&[at], DOWN),
                 _ => self.end_run(at, &task, how),
             }
         }
@@ -595,12 +608,17 @@
         let Some(run) = self.note_end(at, task, how) else {
             return;
         };
+        let others = if how == "done" { "done" } else { "broken" };
+        self.end_members(task, run, others);
+    }
+
+    /// Ends the members of a task's gang that are still running.
+    fn end_members(&mut self, task: &str, run: u64, how: &'static str) {
         if !self.step_of(task).gang {
             return;
         }
-        let others = if how == "done" { "done" } else { "broken" };
         for (at, member) in self.members(task, run) {
-            self.note_end(at, &member, others);
+            self.note_end(at, &member, how);
         }
     }
 
