Don't count worker crashes after the end of a gang against its members

A caller saw a gang shown as failed that had not crashed any worker. Its members on a worker that did not respond were counted as crashed with that worker, although the gang had ended before.

Members of a gang end together. When one of them listed an end of its own (done, failed, stopped, lapsed), the owner sent stops to the others, but a member on a worker that did not respond remained a confirmed run there. If that worker then restarted, E313 counted a crash at the member's start, and the second such crash gave the gang up (E324).

In the new test, one member of a gang lapses and the worker of the other crashes afterwards, repeatedly. Before, the gang was given up after the second crash; now it waits for its next run.

These are not used as evidence that a gang has ended: an end as broken or alone, since the crash itself may have caused it; and any end of a gang that was never listed at work (no member reported progress), since its members were not together yet.

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -16,6 +16,8 @@
 //!   those that were lost together is to blame, and the others are cleared.
 //! - Workers that go down and up by turns are empty when they are back. What was lost
 //!   once starts elsewhere, if there is room.
+//! - Members of a gang end together once it has made progress. After one of them has
+//!   listed an end of its own, later crashes of workers are not counted for the others.
 //! - A worker that was leaving, or that only lost its lease, has not crashed. Whether
 //!   one that is silent has is known when another incarnation answers at its address.
 //!
@@ -148,15 +150,20 @@
 impl Run {
     /// Whether its start may be what its worker did not outlive.
     pub(super) fn is_unproven(&self) -> bool {
-        self.confirmed && !self.outlived
+        self.may_be_running() && !self.outlived
+    }
+
+    /// Whether it may be running: its worker confirmed it, and its gang has not ended.
+    pub(super) fn may_be_running(&self) -> bool {
+        self.confirmed && !self.gang_ended
     }
 }
 
 impl Worker {
-    /// The runs there that it confirmed. A start without an answer may have met a
-    /// worker that was gone already.
+    /// The runs there that it confirmed, except those whose gang has ended. A start
+    /// without an answer may have met a worker that was gone already.
     pub(super) fn confirmed_runs(&self) -> impl Iterator<Item = ConfirmedRun> + '_ {
-        let runs = self.runs.iter().filter(|(_, run)| run.confirmed);
+        let runs = self.runs.iter().filter(|(_, run)| run.may_be_running());
         runs.map(|(&name, run)| ConfirmedRun {
             name,
             at_start: run.is_unproven(),
--- a/src/scheduler/ends.rs
+++ b/src/scheduler/ends.rs
@@ -28,6 +28,11 @@
             number: row.number,
         });
         let waits_for = self.note_end(key, &row);
+        // `Broken` and `Alone` can themselves result from the crash of another member's
+        // worker.
+        if !matches!(row.kind, EndKind::Broken | EndKind::Alone) {
+            self.note_gang_ended(row.name);
+        }
         self.run_gone(key, row.name);
         let end = HeardEnd { row, waits_for };
         self.worker_mut(key).unnoted.push_back(end);
@@ -89,6 +94,30 @@
         }
     }
 
+    /// Marks all runs of a gang as ended, including those on workers that do not respond.
+    /// Does nothing unless a member has reported progress: until then, the members may
+    /// not have been running together.
+    fn note_gang_ended(&mut self, name: RunName) {
+        let key = GroupKey::of(name.task);
+        let Some(group) = self.groups.get(&key).filter(|group| group.step.gang) else {
+            return;
+        };
+        let members = self
+            .members(group)
+            .filter(|(_, member, _)| member.run == name.run);
+        let members: Vec<_> = members
+            .map(|(worker, member, run)| (worker, member, run.percent))
+            .collect();
+        if members.iter().all(|(_, _, percent)| *percent == 0) {
+            return;
+        }
+        for (worker, member, _) in members {
+            if let Some(run) = self.worker_mut(worker).runs.get_mut(&member) {
+                run.gang_ended = true;
+            }
+        }
+    }
+
     /// One end of a gang stands for all: the other members have ended too, but
     /// their room is free only when their own ends are listed.
     fn gang_done(&mut self, key: GroupKey, run: u64) {
--- a/src/scheduler/orders.rs
+++ b/src/scheduler/orders.rs
@@ -56,6 +56,7 @@
             ordered_ms: now_ms,
             confirmed: false,
             outlived: false,
+            gang_ended: false,
             on_trial,
             sends: 0,
             in_flight: false,
--- a/src/scheduler/restart.rs
+++ b/src/scheduler/restart.rs
@@ -149,7 +149,7 @@
             // Answered after the poll was sent, it may be the next incarnation's.
             let just_answered = run.phase == RunPhase::Running
                 && run.conclusive_ms.is_some_and(|at_ms| sent_ms < at_ms);
-            let lost = run.confirmed && !just_answered && !listed.contains(name);
+            let lost = run.may_be_running() && !just_answered && !listed.contains(name);
             lost.then_some(ConfirmedRun {
                 name: *name,
                 at_start: run.is_unproven(),
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -71,6 +71,8 @@
     pub confirmed: bool,
     /// The worker responded, with it, some time after its start.
     pub outlived: bool,
+    /// A member of its gang listed an end of its own, so the whole gang has ended.
+    pub gang_ended: bool,
     /// Its task was suspected of crashing workers when it started.
     pub on_trial: bool,
     /// Orders sent for the present phase.
@@ -149,6 +151,7 @@
             ordered_ms: now_ms,
             confirmed: true,
             outlived: true,
+            gang_ended: false,
             on_trial: false,
             sends: 1,
             in_flight: false,
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -193,6 +193,39 @@
     assert_eq!(next.scheduler.job_view(id), Some(JobView::Failed));
 }
 
+/// Guards against giving up a gang for crashes after its end: one member listed its end,
+/// and the worker of the other crashed before it was polled again.
+#[test]
+fn a_crash_after_the_end_of_a_gang_is_not_counted() {
+    let mut fleet = Fleet::with_workers(4);
+    let id = fleet.submit(1, record("plain", vec![gang(2, 8)]));
+
+    for _ in 0..4 {
+        for _ in 0..LONG_MS / STEP_MS {
+            if fleet.running().len() == 2 {
+                break;
+            }
+            fleet.advance(STEP_MS);
+        }
+        for fake in fleet.workers.values_mut() {
+            fake.running.values_mut().for_each(|percent| *percent = 10);
+        }
+        fleet.advance(200);
+        let running = fleet.running();
+        let [(first_worker, first_member), (second_worker, second_member)] = &running[..] else {
+            panic!("expected two running members: {running:?}");
+        };
+        fleet.silent.push(second_worker.clone());
+        fleet.end_run(first_worker, *first_member, EndKind::Lapsed);
+        fleet.end_run(second_worker, *second_member, EndKind::Broken);
+        fleet.advance(200);
+        fleet.crash(second_worker);
+        fleet.silent.clear();
+    }
+
+    assert_eq!(fleet.scheduler.job_view(id), Some(JobView::Running));
+}
+
 /// Ends what has run for its time, but for what crashes its worker; long work shows
 /// that it goes on.
 fn work(fleet: &mut Fleet, run_ms: u64) {
