Don't count a worker crash at a run's start if the run may have ended before it

A caller saw a sound job shown as failed. Its runs had ended, but the polls of their workers hung from before the end until after a restart. The ends were therefore lost, and each run was counted as a crash at the start of its task.

The cause: whether a worker crashed at a task's start was decided only by the time of its last response. If a worker does not respond from before the expected end of a run until after a restart, a crash during the run cannot be told from one after it.

When a worker is lost, its runs are now recorded with their expected ends, estimated from their reported progress. The next incarnation reports its start time, by which the previous one had exited. If a run was expected to end before that time, its loss is not counted as a crash at the start but as a later one: it still counts toward the limit of five crashes at any time. A run without reported progress, or one expected to end after the restart, counts as before, so a task that crashes its workers at once is given up as early as before.

Clocks may differ, so the reported start time is clamped to the interval from the last response to the poll that reported it. The expected end is not stored, so an owner that finds a closed worker still decides by the last response.

E309 now also has the run's progress (percent) and the time within which the worker had exited (exited_within_ms).

Rejected alternatives: a longer limit on the time without a response, and more crashes before a task is given up. Both let a crashing task start a sixth time.

Before: one of the two new tests fails; the other fails if the start time of the next incarnation is not used.

--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -426,13 +426,16 @@
             worker,
             ordered_ago_ms,
             heard_after_ms,
+            exited_within_ms,
+            percent,
             reason,
         } => (
             events::RUN_LOST,
             "run_lost",
             *reason,
             json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker,
-                "ordered_ago_ms": ordered_ago_ms, "heard_after_ms": heard_after_ms }),
+                "ordered_ago_ms": ordered_ago_ms, "heard_after_ms": heard_after_ms,
+                "exited_within_ms": exited_within_ms, "percent": percent }),
         ),
         Decision::CrashCounted {
             name,
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -145,6 +145,7 @@
             Some(ConfirmedRun {
                 name: read_run(task, *run)?,
                 at_start: *at_start,
+                expected_end_ms: None,
             })
         });
         let closed = ClosedRuns {
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -313,6 +313,10 @@
         ordered_ago_ms: u64,
         /// How long after the order the worker last responded.
         heard_after_ms: u64,
+        /// Upper bound on the time from the order to the worker's exit or the end of its lease.
+        exited_within_ms: u64,
+        /// The run's progress when its worker last listed it.
+        percent: u32,
         /// How it is known that the worker is lost.
         reason: &'static str,
     },
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -11,6 +11,10 @@
 //! - Only a run that its worker confirmed counts.
 //! - A run whose worker still responded some time after the start did not crash it by
 //!   starting. Only the others make their tasks suspects.
+//! - Nor does a run make its task a suspect if, by its reported progress, it was expected
+//!   to end before the latest time at which the worker may have exited. Polls can hang from
+//!   before the end of a run until after a restart, so the end may not have been seen. The
+//!   next incarnation reports its start time, by which the previous one had exited.
 //! - A suspect starts where the least is lost with it, apart from suspects of other
 //!   jobs, and for a while nothing else starts there. So the next crashes tell which of
 //!   those that were lost together is to blame, and the others are cleared.
@@ -88,6 +92,18 @@
     pub name: RunName,
     /// The worker did not respond after the start.
     pub at_start: bool,
+    /// When the run was expected to end, estimated from its reported progress; `None` if
+    /// there is no estimate. Not stored.
+    pub expected_end_ms: Option<u64>,
+}
+
+impl ConfirmedRun {
+    /// Whether the crash of a worker that exited no later than `exit_ms` counts as one at
+    /// this run's start. It does not if the run may have ended before the crash.
+    fn is_crash_at_start(&self, exit_ms: u64) -> bool {
+        let may_have_ended = self.expected_end_ms.is_some_and(|end_ms| end_ms <= exit_ms);
+        self.at_start && !may_have_ended
+    }
 }
 
 /// What may be on a worker that gets no more starts.
@@ -167,6 +183,7 @@
         runs.map(|(&name, run)| ConfirmedRun {
             name,
             at_start: run.is_unproven(),
+            expected_end_ms: None,
         })
     }
 }
@@ -211,9 +228,42 @@
 }
 
 impl Scheduler {
+    /// The latest time at which a worker's incarnation may have exited: the start of the
+    /// next one if known, otherwise now. Clocks may differ, so the start time is clamped to
+    /// the interval from the last response to now.
+    pub(super) fn latest_exit_ms(&self, key: WorkerKey, next_start_ms: Option<u64>) -> u64 {
+        let heard_ms = self.worker(key).heard_ms.min(self.now_ms);
+        next_start_ms.map_or(self.now_ms, |start_ms| {
+            start_ms.clamp(heard_ms, self.now_ms)
+        })
+    }
+
+    /// The confirmed runs of a worker with their expected ends.
+    pub(super) fn confirmed_runs_with_expected_end(&self, key: WorkerKey) -> Vec<ConfirmedRun> {
+        let worker = self.worker(key);
+        let mut confirmed: Vec<ConfirmedRun> = worker.confirmed_runs().collect();
+        for run in &mut confirmed {
+            run.expected_end_ms = self.expected_end_by_progress_ms(key, &worker.runs[&run.name]);
+        }
+        confirmed
+    }
+
+    /// When a run is expected to end; `None` if it is long-running or has no reported
+    /// progress.
+    pub(super) fn expected_end_by_progress_ms(&self, key: WorkerKey, run: &Run) -> Option<u64> {
+        let has_estimate = run.progress.is_reported() && !run.long_running;
+        has_estimate.then(|| self.expected_run_end_ms(key, run))
+    }
+
     /// Runs were lost with a worker: they are counted once its incarnation is known
-    /// to have exited, and not where that was planned.
-    pub(super) fn note_lost(&mut self, key: WorkerKey, lost: Vec<ConfirmedRun>, loss: Loss) {
+    /// to have exited, no later than `exit_ms`, and not where that was planned.
+    pub(super) fn note_lost(
+        &mut self,
+        key: WorkerKey,
+        lost: Vec<ConfirmedRun>,
+        loss: Loss,
+        exit_ms: u64,
+    ) {
         let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
         worker.lost.extend(lost);
@@ -224,29 +274,28 @@
         let lost = std::mem::take(&mut worker.lost);
         if !planned {
             worker.crashed_ms = Some(now_ms);
-            self.count_crashes(key, &lost);
+            self.count_crashes(key, &lost, exit_ms);
         }
     }
 
     /// Another incarnation answers at the address of a worker that had only left.
-    pub(super) fn note_replaced(&mut self, key: WorkerKey) {
+    pub(super) fn note_replaced(&mut self, key: WorkerKey, exit_ms: u64) {
         let worker = self.worker(key);
         if worker.contact == Contact::Gone && !worker.lost.is_empty() {
-            self.note_lost(key, Vec::new(), Loss::Replaced);
+            self.note_lost(key, Vec::new(), Loss::Replaced, exit_ms);
         }
     }
 
-    fn count_crashes(&mut self, key: WorkerKey, lost: &[ConfirmedRun]) {
-        let suspects = lost.iter().filter(|lost| lost.at_start);
+    fn count_crashes(&mut self, key: WorkerKey, lost: &[ConfirmedRun], exit_ms: u64) {
+        let suspects = lost.iter().filter(|lost| lost.is_crash_at_start(exit_ms));
         let jobs: HashSet<JobId> = suspects.map(|lost| lost.name.task.job).collect();
         let alone = jobs.len() == 1;
         for lost in lost {
-            self.count_crash(key, *lost, alone);
+            self.count_crash(key, lost.name, lost.is_crash_at_start(exit_ms), alone);
         }
     }
 
-    fn count_crash(&mut self, key: WorkerKey, lost: ConfirmedRun, alone: bool) {
-        let ConfirmedRun { name, at_start } = lost;
+    fn count_crash(&mut self, key: WorkerKey, name: RunName, at_start: bool, alone: bool) {
         let group_key = GroupKey::of(name.task);
         let Some(group) = self.groups.get_mut(&group_key) else {
             return;
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -87,9 +87,11 @@
             .copied()
             .filter(|&other| other != key && self.worker(other).dispute.is_none())
             .collect();
+        let next_start_ms = self.worker(key).incarnation_start_ms;
         for other in others {
-            self.note_replaced(other);
-            self.worker_gone(other, Loss::Replaced);
+            let exit_ms = self.latest_exit_ms(other, next_start_ms);
+            self.note_replaced(other, exit_ms);
+            self.worker_exited(other, Loss::Replaced, exit_ms);
         }
     }
 
@@ -198,17 +200,18 @@
         }
         let listed = worker.listed;
         if !worker.runs.is_empty() {
-            self.lose_runs(key, Loss::LeaseOver);
+            self.lose_runs(key, Loss::LeaseOver, now_ms);
         }
         if !listed {
             self.worker_gone(key, Loss::Left);
         }
     }
 
-    /// Whatever ran on a worker is lost.
-    fn lose_runs(&mut self, key: WorkerKey, loss: Loss) {
+    /// Whatever ran on a worker is lost: by `exit_ms` the worker had exited or its lease
+    /// had ended.
+    fn lose_runs(&mut self, key: WorkerKey, loss: Loss, exit_ms: u64) {
         let names: Vec<RunName> = self.worker(key).runs.keys().copied().collect();
-        let confirmed = self.worker(key).confirmed_runs().collect();
+        let confirmed = self.confirmed_runs_with_expected_end(key);
         if self.worker(key).intake != Intake::Open {
             // The store named these runs.
             self.actions.push(Action::StoreClosed { worker: key });
@@ -220,15 +223,15 @@
             reason: loss.name(),
         });
         for name in names {
-            self.tell_run_lost(key, name, loss);
+            self.tell_run_lost(key, name, loss, exit_ms);
             self.run_gone(key, name);
         }
-        self.note_lost(key, confirmed, loss);
+        self.note_lost(key, confirmed, loss, exit_ms);
     }
 
     /// Logs a lost run: whether its worker responded after its start tells a task
     /// that crashes its workers from one that was beside it.
-    fn tell_run_lost(&mut self, key: WorkerKey, name: RunName, loss: Loss) {
+    fn tell_run_lost(&mut self, key: WorkerKey, name: RunName, loss: Loss, exit_ms: u64) {
         let worker = self.worker(key);
         let Some(run) = worker.runs.get(&name) else {
             return;
@@ -238,6 +241,8 @@
             worker: worker.name(),
             ordered_ago_ms: self.now_ms.saturating_sub(run.ordered_ms),
             heard_after_ms: worker.heard_ms.saturating_sub(run.ordered_ms),
+            exited_within_ms: exit_ms.saturating_sub(run.ordered_ms),
+            percent: run.percent,
             reason: loss.name(),
         };
         self.decided(decision);
@@ -245,6 +250,11 @@
 
     /// The worker's incarnation is over.
     pub(super) fn worker_gone(&mut self, key: WorkerKey, loss: Loss) {
+        self.worker_exited(key, loss, self.now_ms);
+    }
+
+    /// The worker's incarnation is over, and ended no later than `exit_ms`.
+    pub(super) fn worker_exited(&mut self, key: WorkerKey, loss: Loss, exit_ms: u64) {
         if self.worker(key).contact == Contact::Gone {
             return;
         }
@@ -256,6 +266,6 @@
             worker.on_roster = false;
             self.ask_to_store_roster();
         }
-        self.lose_runs(key, loss);
+        self.lose_runs(key, loss, exit_ms);
     }
 }
--- a/src/scheduler/restart.rs
+++ b/src/scheduler/restart.rs
@@ -150,9 +150,10 @@
             let just_answered = run.phase == RunPhase::Running
                 && run.conclusive_ms.is_some_and(|at_ms| sent_ms < at_ms);
             let lost = run.may_be_running() && !just_answered && !listed.contains(name);
-            lost.then_some(ConfirmedRun {
+            lost.then(|| ConfirmedRun {
                 name: *name,
                 at_start: run.is_unproven(),
+                expected_end_ms: self.expected_end_by_progress_ms(old, run),
             })
         };
         let lost: Vec<ConfirmedRun> = moved.iter().filter_map(lost_there).collect();
@@ -161,7 +162,8 @@
             self.move_run(old, key, name, run, listed.contains(&name));
         }
         self.fence_late_starts(key);
-        self.worker_gone(old, Loss::Restarted);
+        let exit_ms = self.latest_exit_ms(old, Some(incarnation_start_ms));
+        self.worker_exited(old, Loss::Restarted, exit_ms);
         key
     }
 
--- a/src/scheduler/speed.rs
+++ b/src/scheduler/speed.rs
@@ -107,6 +107,11 @@
         self.last = Some(mark);
     }
 
+    /// Whether the worker has reported progress other than 0 or 100 percent.
+    pub(super) fn is_reported(&self) -> bool {
+        self.last.is_some()
+    }
+
     /// Time that the whole task takes there, once enough of it was seen.
     fn whole_ms(&self) -> Option<f64> {
         let (first, last) = (self.first?, self.last?);
@@ -269,18 +274,23 @@
 
     /// Time that a run still takes, by its own progress or that of its like.
     pub(super) fn left_ms(&self, key: WorkerKey, run: &Run) -> u64 {
+        self.expected_run_end_ms(key, run)
+            .saturating_sub(self.now_ms)
+    }
+
+    /// When a run is expected to end, by its own progress or that of like tasks.
+    pub(super) fn expected_run_end_ms(&self, key: WorkerKey, run: &Run) -> u64 {
         let worker = self.worker(key);
         let group = self.groups.get(&run.group);
         let usual_ms = group.map_or(0.0, |group| group.run_time.value()) * worker.slowness.value();
         let whole_ms = run.progress.whole_ms().unwrap_or(usual_ms);
         if run.percent >= 100 {
-            return 0;
+            return run.advanced_ms;
         }
         let (done, since_ms) = match run.progress.last {
             Some(mark) => (f64::from(mark.percent) / 100.0, mark.heard_ms),
             None => (0.0, run.ordered_ms),
         };
-        let left_ms = whole_ms * (1.0 - done);
-        (left_ms as u64).saturating_sub(self.now_ms.saturating_sub(since_ms))
+        since_ms + (whole_ms * (1.0 - done)) as u64
     }
 }
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -226,6 +226,71 @@
     assert_eq!(fleet.scheduler.job_view(id), Some(JobView::Running));
 }
 
+/// Waits until exactly one run is running; returns its worker and name.
+fn wait_for_start(fleet: &mut Fleet) -> (String, RunName) {
+    for _ in 0..LONG_MS / STEP_MS {
+        if let [running] = &fleet.running()[..] {
+            return running.clone();
+        }
+        fleet.advance(STEP_MS);
+    }
+    panic!("no single run was started");
+}
+
+/// Crashes the worker of a job with one task of 2 s up to three times, or until the job has
+/// failed. Each time the worker reports `percent`, stops responding, crashes 600 ms later
+/// and responds again `silent_after_restart_ms` after its restart. With `ends_before_crash`,
+/// the run is done 100 ms before the crash.
+fn crash_while_silent(
+    percent: u32,
+    ends_before_crash: bool,
+    silent_after_restart_ms: u64,
+) -> Fleet {
+    let mut fleet = Fleet::with_workers(4);
+    fleet.keeps_names = true;
+    fleet.down_ms = 300;
+    let id = fleet.submit(1, record("plain", vec![step(1, 1)]));
+    for _ in 0..3 {
+        let (worker, name) = wait_for_start(&mut fleet);
+        if let Some(fake) = fleet.workers.get_mut(&worker) {
+            fake.running.insert(name, percent);
+        }
+        fleet.advance(200);
+        fleet.silent.push(worker.clone());
+        fleet.advance(500);
+        if ends_before_crash {
+            fleet.end_run(&worker, name, EndKind::Done);
+        }
+        fleet.advance(100);
+        fleet.crash(&worker);
+        fleet.advance(fleet.down_ms + silent_after_restart_ms);
+        fleet.silent.clear();
+        fleet.advance(500);
+        if fleet.scheduler.job_view(id) == Some(JobView::Failed) {
+            break;
+        }
+    }
+    fleet
+}
+
+/// Guards against giving up a job because its workers crashed after its runs had ended, while
+/// polls hung from before the end of a run until after the restart.
+#[test]
+fn a_run_that_may_have_ended_before_its_worker_crashed_does_not_count_at_its_start() {
+    let fleet = crash_while_silent(80, true, 600);
+
+    assert_eq!(fleet.scheduler.job_view(JobId(1)), Some(JobView::Running));
+}
+
+/// Guards against not giving up a task that crashes its workers because they respond again
+/// only after its expected end: the next incarnation started before that.
+#[test]
+fn a_run_that_cannot_have_ended_before_the_restart_counts_at_its_start() {
+    let fleet = crash_while_silent(20, false, 1_500);
+
+    assert_eq!(fleet.scheduler.job_view(JobId(1)), Some(JobView::Failed));
+}
+
 /// Ends what has run for its time, but for what crashes its worker; long work shows
 /// that it goes on.
 fn work(fleet: &mut Fleet, run_ms: u64) {
