Do not assume a missed crash for tasks under the first owner

A caller saw a healthy gang reported as failed after two crashes that occurred alongside other suspects. The limit in that case is three.

Cause: for a task that an earlier owner knew, the scheduler assumes one crash that left no trace. It decided whether an earlier owner knew the task by whether the job had been read in a takeover. That is also the case for jobs stored before the first owner started, which no earlier owner can have started.

An owner in the first epoch now assumes no such crash. An owner that finds no root also starts in the first epoch. As before, jobs stored by an owner before the root was lost cannot be distinguished.

The loop of the test in_company_it_is_given_up_one_crash_earlier_if_an_earlier_owner_knew_it is now a function. The assertions for a second owner are unchanged, and a new test asserts three crashes for the first owner. The new test failed before this change: the task was given up after two crashes.

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -67,6 +67,9 @@
 /// turns.
 const CRASH_MEMORY_MS: u64 = 20_000;
 
+/// Epoch of the first owner, and of an owner that finds no root in the store.
+const FIRST_EPOCH: u64 = 1;
+
 /// Crashes at its start of a task that was the only suspect there.
 const MOST_ALONE: usize = 2;
 /// Crashes at its start of a task in whatever company.
@@ -303,7 +306,9 @@
         let lasts = group.step.long_running;
         let job = self.jobs.get(&name.task.job);
         // A worker that crashed as its owner was followed leaves the next one no trace.
-        let unseen = usize::from(job.is_some_and(|job| job.known_earlier));
+        // `known_earlier` is also set for jobs stored before the first owner started.
+        let had_earlier_owner = self.epoch > FIRST_EPOCH;
+        let unseen = usize::from(had_earlier_owner && job.is_some_and(|job| job.known_earlier));
         let Some(task) = group.tasks.get_mut(name.task.index as usize) else {
             return;
         };
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -164,15 +164,15 @@
     assert_eq!(next.scheduler.job_view(id), Some(JobView::Failed));
 }
 
-/// Guards against a sixth start where a task that crashes its workers is never the only
-/// suspect: each time something else was started on its worker just before.
-#[test]
-fn in_company_it_is_given_up_one_crash_earlier_if_an_earlier_owner_knew_it() {
+/// Counts the crashes of a task that is never the only suspect, because another task starts
+/// on its worker just before each crash. Returns the count and the final state of its job,
+/// which an owner with the given epoch reads from the store.
+fn crashes_in_company(owner_epoch: u64) -> (usize, Option<JobView>) {
     let mut fleet = Fleet::with_workers(1);
     let job = record("plain", vec![step(1, 4)]);
     let id = JobId(1);
     fleet.crashing.insert(task_of(id, 0));
-    let mut next = fleet.next_owner(2, &[(id, job)], false);
+    let mut next = fleet.next_owner(owner_epoch, &[(id, job)], false);
     let mut crashes = 0;
 
     for other in 2..6 {
@@ -188,9 +188,21 @@
             }
         }
     }
+    (crashes, next.scheduler.job_view(id))
+}
 
-    assert_eq!(crashes, 2);
-    assert_eq!(next.scheduler.job_view(id), Some(JobView::Failed));
+/// Guards against a sixth start of a task that crashes its workers and is never the only
+/// suspect.
+#[test]
+fn in_company_it_is_given_up_one_crash_earlier_if_an_earlier_owner_knew_it() {
+    assert_eq!(crashes_in_company(2), (2, Some(JobView::Failed)));
+}
+
+/// Guards against failing a job one crash too early under the first owner, which has no
+/// earlier owner whose crashes it could have missed.
+#[test]
+fn in_company_the_first_owner_gives_it_up_after_three_crashes() {
+    assert_eq!(crashes_in_company(1), (3, Some(JobView::Failed)));
 }
 
 /// Guards against giving up a gang for crashes after its end: one member listed its end,
