--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -247,6 +247,8 @@
     Held {
         /// The worker.
         worker: WorkerKey,
+        /// Sequence number of the look, from its action.
+        look_number: u64,
         /// When the look was sent.
         sent_ms: u64,
         /// The answer.
@@ -256,6 +258,8 @@
     HoldFailed {
         /// The worker.
         worker: WorkerKey,
+        /// Sequence number of the look, from its action.
+        look_number: u64,
         /// Why: never `Done`.
         outcome: CallOutcome,
     },
