Log why an owner stepped down (E201) and takeovers that did not complete (E207)

The owner of the odd epochs logged E201, which did not say how it had detected that it was superseded, and nobody logged the even epochs. A daemon that took the epoch but could not read the stored state logged nothing above debug level either. The hypotheses (such a daemon, two owners that do not hear each other, or orders from another source) could therefore not be told apart.

E201 now ends with the reason and the latest known owner, and fuchsiaslip_deposed_total has the reason as a label:

- commit_conflict: a commit found a different root
- root_changed: the root was missing or not the one that this owner wrote
- owner_heard: a heartbeat with a higher epoch arrived
- worker_fenced: a worker had seen a higher fence

A takeover that took the epoch but could not start as owner now logs E207 with the error.

--- a/src/cluster/calls.rs
+++ b/src/cluster/calls.rs
@@ -101,7 +101,7 @@
             }
             Action::Forget { job } => forgotten.push(job),
             Action::Deposed => {
-                node.stop_owning();
+                node.stop_owning("worker_fenced");
                 return;
             }
             Action::Decided(decision) => log_lines::decision(epoch, &decision),
--- a/src/cluster/commits.rs
+++ b/src/cluster/commits.rs
@@ -40,7 +40,7 @@
             }
             Ok(Committed::Conflict(items)) => {
                 if !node.ledger.conflicted(&batch, &items, node.root_revision()) {
-                    node.stop_owning();
+                    node.stop_owning("commit_conflict");
                     return;
                 }
                 count_retry("commit_conflict");
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -355,11 +355,22 @@
         self.owning_began.notified().await;
     }
 
-    /// Owns no longer: another daemon has the epoch.
-    pub fn stop_owning(&self) {
+    /// Stops owning because this daemon's epoch is no longer valid. `reason` tells how this
+    /// was detected and is a label value of `fuchsiaslip_deposed_total`.
+    pub fn stop_owning(&self, reason: &'static str) {
         if self.owns() {
-            events::log(events::OWNER_FENCED, format_args!("epoch {}", self.epoch()));
-            metrics::counter!("fuchsiaslip_deposed_total").increment(1);
+            let known = self.owner();
+            let (owner_name, owner_epoch) = known
+                .as_ref()
+                .map_or(("", 0), |owner| (owner.name.as_str(), owner.epoch));
+            events::log(
+                events::OWNER_FENCED,
+                format_args!(
+                    "epoch {}, reason {reason}, latest known owner {owner_name} with epoch {owner_epoch}",
+                    self.epoch()
+                ),
+            );
+            metrics::counter!("fuchsiaslip_deposed_total", "reason" => reason).increment(1);
             self.epoch.set(0);
             self.ledger.clear();
             self.control.send(Command::End);
@@ -372,10 +383,12 @@
         if owner.epoch <= known {
             return;
         }
-        if self.owns() && owner.epoch > self.epoch() {
-            self.stop_owning();
-        }
+        let superseded = self.owns() && owner.epoch > self.epoch();
+        // Set first: `stop_owning` logs the latest known owner.
         *self.owner.borrow_mut() = Some(owner);
+        if superseded {
+            self.stop_owning("owner_heard");
+        }
     }
 
     /// A daemon said that it owns under an epoch.
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -140,6 +140,12 @@
         node.timer.after(BEGIN_AGAIN_MS).await;
         begun = begin(node, &taken).await;
     }
+    if let Err(error) = &begun {
+        events::log(
+            events::TAKEOVER_INCOMPLETE,
+            format_args!("epoch {}, takeover reason {reason}: {error}", taken.epoch),
+        );
+    }
     begun
 }
 
@@ -256,7 +262,7 @@
                 node.control.take(epoch, Input::Confirmed(sent_ms));
                 node.timer.after(CONFIRM_MS).await;
             }
-            Ok(_) => return node.stop_owning(),
+            Ok(_) => return node.stop_owning("root_changed"),
             Err(_) => {
                 node.timer.after(CONFIRM_AGAIN_MS).await;
             }
--- a/src/events.rs
+++ b/src/events.rs
@@ -58,6 +58,8 @@
     RECORD_UNREADABLE = 205, Warn, "a value in the store cannot be used, and the line says what was done; the others hold", "look at the key named: another writer or another version wrote it; docs/OPERATIONS.md says what each kind needs";
     /// A new owner knows what runs.
     RECOVERY_OVER = 206, Info, "this owner knows what earlier owners' orders left running; stored work starts", "if it waited for seconds, look at the workers that did not answer";
+    /// A daemon took the next epoch but could not start as owner.
+    TAKEOVER_INCOMPLETE = 207, Warn, "this daemon took the next epoch but could not start as owner; unless another daemon takes over first, it retries after the owner silence timeout", "check the key-value service and the network between it and this daemon's VM";
     /// The store answers again.
     STORE_BACK = 210, Info, "the key-value service answers again", "none";
     /// The store does not answer.
