Stand-in: listen on a loopback address specific to each process

Cause: killing a soak leaves its daemons running. All stand-ins listened on 127.0.0.1 with a port assigned by the system, so the store of a later soak could be given the port that these daemons were still calling. 12 such daemons were running (their parent processes had been killed manually). The log of one of them contains the epochs missing from the soak's own logs: E200 with epoch 144, 34 job values and 9 workers, the same values that the soak's daemons read. E201 of the soak's daemon reported worker_fenced.

Ruled out: load. The failure did not recur under the same load once the 12 daemons had been terminated.

The stand-in and its proxies now listen on a loopback address derived from the process ID, so leftover daemons call an address on which nothing listens, unless process IDs differ by a multiple of 62,500.

--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -33,7 +33,10 @@
 };
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
+};
 use std::rc::Rc;
 use std::sync::{
     Arc,
@@ -928,12 +931,25 @@
         .unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+/// Returns a loopback address derived from the process ID, so that daemons left running
+/// by a killed test do not reach the store of a later test that is given the same port.
+fn process_loopback() -> Ipv4Addr {
+    const OCTET_VALUES: u32 = 250;
+    let pid = std::process::id();
+    Ipv4Addr::new(
+        127,
+        251,
+        (pid / OCTET_VALUES % OCTET_VALUES) as u8,
+        1 + (pid % OCTET_VALUES) as u8,
+    )
+}
+
 async fn bind<F, A>(answer: F) -> (SocketAddr, impl Future<Output = ()>)
 where
     F: Fn(Request) -> A + Clone + 'static,
     A: Future<Output = Response<BoxBody>> + 'static,
 {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+    let listener = tokio::net::TcpListener::bind((process_loopback(), 0))
         .await
         .expect("a free port");
     let address = listener.local_addr().expect("an address");
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -70,7 +70,7 @@
                 .build()
                 .expect("a runtime");
             runtime.block_on(async move {
-                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+                let listener = TcpListener::bind((target.ip(), 0)).await.expect("a port");
                 let own = listener.local_addr().expect("an address");
                 bound.send(own).expect("the test waits");
                 while let Ok((client, _)) = listener.accept().await {
