Soak: add the seeds that failed in this series to KNOWN_SEEDS

Seeds 3226, 3249, 8315, 8411 and 8418 each failed at least once. `SOAK_SEEDS=known` now runs them along with the others.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -747,7 +747,7 @@
 
 /// Seeds that failed once, with what they showed; `SOAK_SEEDS=known` runs them.
 /// A seed draws the same faults and jobs, but processes race each time anew.
-const KNOWN_SEEDS: [(u64, &str); 20] = [
+const KNOWN_SEEDS: [(u64, &str); 25] = [
     (
         109,
         "a refused job ran: a closed connection was taken for an unsent call",
@@ -806,6 +806,26 @@
         3245,
         "a gang failed after two crashes under one member: the stand-in recorded at most one per member",
     ),
+    (
+        3226,
+        "a gang failed after two crashes alongside other suspects: the first owner assumed a third",
+    ),
+    (
+        3249,
+        "the stand-in ended a run on a worker that was cut off only at the next crash",
+    ),
+    (
+        8315,
+        "a job stayed queued: daemons left over from a killed soak took over ownership",
+    ),
+    (
+        8418,
+        "a task that crashes its workers was started 13 times: same cause as 8315",
+    ),
+    (
+        8411,
+        "a job failed after one crash: a run that ended before its worker crashed was counted as another",
+    ),
     (
         1040,
         "run numbers fell: starts that a worker called late were repeated at once, until those of the epoch ran out",
