--- a/src/cluster/calls.rs
+++ b/src/cluster/calls.rs
@@ -37,7 +37,6 @@
         match action {
             Action::Hold {
                 callee,
-                look_number,
                 last_seen,
                 lease_end_ms,
                 wait_ms,
@@ -45,7 +44,7 @@
                 let looking = look(
                     node.clone(),
                     epoch,
-                    (callee, look_number),
+                    callee,
                     last_seen,
                     lease_end_ms,
                     wait_ms,
@@ -129,7 +128,7 @@
 async fn look(
     node: Rc<Node>,
     epoch: u64,
-    (callee, look_number): (Callee, u64),
+    callee: Callee,
     last_seen: u64,
     lease_end_ms: Option<u64>,
     wait_ms: u64,
@@ -150,15 +149,10 @@
     let input = match held {
         Ok(report) => Input::Held {
             worker,
-            look_number,
             sent_ms,
             report,
         },
-        Err(outcome) => Input::HoldFailed {
-            worker,
-            look_number,
-            outcome,
-        },
+        Err(outcome) => Input::HoldFailed { worker, outcome },
     };
     node.control.take(epoch, input);
 }
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -30,8 +30,6 @@
     Hold {
         /// Whom to call.
         callee: Callee,
-        /// Sequence number of the look, counted per worker.
-        look_number: u64,
         /// Ends up to here are durable.
         last_seen: u64,
         /// End of the lease on the worker's clock; `None` leaves it.
--- a/src/scheduler/entries.rs
+++ b/src/scheduler/entries.rs
@@ -96,15 +96,8 @@
             dispute.entry = known;
         }
         let now_ms = self.now_ms;
-        let worker = self.worker_mut(key);
-        let previous_start_ms = worker.info.incarnation_start_ms;
-        worker.update(info, now_ms);
-        let start_changed = worker.info.incarnation_start_ms != previous_start_ms;
-        let may_have_restarted = start_changed && worker.is_entry_of_another();
+        self.worker_mut(key).update(info, now_ms);
         self.review_entry(key);
-        if may_have_restarted {
-            self.suspect_restart(key);
-        }
     }
 
     /// A worker with two addresses answered at one of them.
--- a/src/scheduler/held.rs
+++ b/src/scheduler/held.rs
@@ -53,7 +53,6 @@
         let worker = self.worker_mut(key);
         worker.contact = Contact::Answering;
         worker.lost.clear();
-        worker.restart_suspected = false;
         worker.failed_looks = 0;
         worker.heard_ms = now_ms;
         worker.clock = Some((report.clock_ms, now_ms));
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -247,8 +247,6 @@
     Held {
         /// The worker.
         worker: WorkerKey,
-        /// Sequence number of the look, from its action.
-        look_number: u64,
         /// When the look was sent.
         sent_ms: u64,
         /// The answer.
@@ -258,8 +256,6 @@
     HoldFailed {
         /// The worker.
         worker: WorkerKey,
-        /// Sequence number of the look, from its action.
-        look_number: u64,
         /// Why: never `Done`.
         outcome: CallOutcome,
     },
--- a/src/scheduler/looks.rs
+++ b/src/scheduler/looks.rs
@@ -27,13 +27,10 @@
             return;
         }
         worker.look_in_flight = true;
-        worker.look_number += 1;
         worker.first_look = first;
-        let restart_suspected = worker.restart_suspected;
         // A worker that does not answer is asked for a quick sign of life, and
         // ends that are not durable yet would answer a waiting look at once.
-        let quick =
-            worker.contact != Contact::Answering || !worker.unnoted.is_empty() || restart_suspected;
+        let quick = worker.contact != Contact::Answering || !worker.unnoted.is_empty();
         let shares =
             worker.runs.values().any(|run| run.serves) && worker.runs.values().any(|run| run.fills);
         let wait_ms = match (quick, shares) {
@@ -41,44 +38,26 @@
             (false, true) => super::sharing::SHARED_LOOK_WAIT_MS,
             (false, false) => wait_ms,
         };
-        let lease_end_ms =
-            if authority && worker.contact == Contact::Answering && !restart_suspected {
-                worker.grant(now_ms, lease_ms)
-            } else {
-                None
-            };
+        let lease_end_ms = if authority && worker.contact == Contact::Answering {
+            worker.grant(now_ms, lease_ms)
+        } else {
+            None
+        };
         // Another incarnation would forget ends that it has not listed: it may be there
         // after a poll without an answer, or some time after one with an answer.
-        let is_same = worker.contact == Contact::Answering
-            && now_ms < worker.heard_ms + LEAST_RESTART_MS
-            && !restart_suspected;
+        let is_same =
+            worker.contact == Contact::Answering && now_ms < worker.heard_ms + LEAST_RESTART_MS;
         let last_seen = if is_same { worker.last_seen } else { 0 };
-        let (callee, look_number) = (worker.callee(), worker.look_number);
+        let callee = worker.callee();
         self.first_looks += usize::from(first);
         self.actions.push(Action::Hold {
             callee,
-            look_number,
             last_seen,
             lease_end_ms,
             wait_ms,
         });
     }
 
-    /// Sends a new look immediately after the entry of a worker was written by an
-    /// incarnation other than the one that last answered. The look in flight may hang until
-    /// it times out. Only an answer confirms that the worker has restarted.
-    pub(super) fn suspect_restart(&mut self, key: WorkerKey) {
-        let now_ms = self.now_ms;
-        let worker = self.worker_mut(key);
-        if !matches!(worker.contact, Contact::Answering | Contact::Silent) {
-            return;
-        }
-        worker.restart_suspected = true;
-        worker.look_in_flight = false;
-        worker.look_at_ms = now_ms;
-        self.look_if_due(key);
-    }
-
     /// A look came back: others that waited for it go out.
     pub(super) fn look_over(&mut self, key: WorkerKey) {
         let worker = self.worker_mut(key);
--- a/src/scheduler/restart.rs
+++ b/src/scheduler/restart.rs
@@ -5,10 +5,8 @@
 //! before: it counts its ends and its clock anew, and has seen no fence. Taken for the one
 //! before, it would forget ends that nobody has read.
 //!
-//! - Only an answer tells that a worker restarted. Answers to any but the latest poll are
-//!   ignored, so an answer is never older than the one before.
-//! - When the entry shows another incarnation, the worker is polled again immediately, since
-//!   a poll sent to the previous incarnation may hang until it times out.
+//! - Only an answer tells that a worker restarted. One poll is under way at a time, so the
+//!   answer to it is never older than the one before.
 //! - The new incarnation takes the worker's place under another key, so answers to calls
 //!   that were meant for the one before are known as such.
 //! - What had run there is lost, except where an order may reach the new incarnation: a
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -242,27 +242,12 @@
             }
             Input::Recovered { earlier_owner_over } => self.begin_recovery(earlier_owner_over),
             Input::RosterStored(workers) => self.roster_stored(&workers),
-            // Results of superseded looks are ignored: they may be older than an answer
-            // already taken in.
-            Input::Held {
-                worker,
-                look_number,
-                ..
-            }
-            | Input::HoldFailed {
-                worker,
-                look_number,
-                ..
-            } if self.worker(worker).look_number != look_number => {}
             Input::Held {
                 worker,
                 sent_ms,
                 report,
-                ..
             } => self.held(worker, sent_ms, report),
-            Input::HoldFailed {
-                worker, outcome, ..
-            } => self.hold_failed(worker, outcome),
+            Input::HoldFailed { worker, outcome } => self.hold_failed(worker, outcome),
             Input::StartOver {
                 worker,
                 name,
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -219,10 +219,6 @@
     pub unnoted: VecDeque<HeardEnd>,
     /// A look is on its way.
     pub look_in_flight: bool,
-    /// Sequence number of the latest look; results of earlier ones are ignored.
-    pub look_number: u64,
-    /// The entry was written by another incarnation since the last answer.
-    pub restart_suspected: bool,
     /// That look is one of the first, which are bounded.
     pub first_look: bool,
     /// When to look next.
@@ -290,8 +286,6 @@
             taken_in: 0,
             unnoted: VecDeque::new(),
             look_in_flight: false,
-            look_number: 0,
-            restart_suspected: false,
             first_look: false,
             look_at_ms: 0,
             full_until_ms: 0,
