Count a possible crash at a run's start, but never as certainly its own

A run whose expected end lay before its worker was back counted only among the five crashes at any time, and a crash that is not one at the start is not stored before the task starts again.

Such a crash counts at the start again, but the task is not the only suspect of it, so it is given up for three of them, or two if an earlier owner knew it, instead of two.

Ruled out: storing every crash before a new start; sound tasks would wait for the store.

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -11,10 +11,10 @@
 //! - Only a run that its worker confirmed counts.
 //! - A run whose worker still responded some time after the start did not crash it by
 //!   starting. Only the others make their tasks suspects.
-//! - Nor does a run make its task a suspect if, by its reported progress, it was expected
-//!   to end before the latest time at which the worker may have exited. Polls can hang from
-//!   before the end of a run until after a restart, so the end may not have been seen. The
-//!   next incarnation reports its start time, by which the previous one had exited.
+//! - A run that, by its reported progress, was expected to end before the latest time at
+//!   which the worker may have exited is never the only suspect: polls can hang from before
+//!   the end of a run until after a restart, so the end may not have been seen. The next
+//!   incarnation reports its start time, by which the previous one had exited.
 //! - A suspect starts where the least is lost with it, apart from suspects of other
 //!   jobs, and for a while nothing else starts there. So the next crashes tell which of
 //!   those that were lost together is to blame, and the others are cleared.
@@ -101,11 +101,10 @@
 }
 
 impl ConfirmedRun {
-    /// Whether the crash of a worker that exited no later than `exit_ms` counts as one at
-    /// this run's start. It does not if the run may have ended before the crash.
-    fn is_crash_at_start(&self, exit_ms: u64) -> bool {
-        let may_have_ended = self.expected_end_ms.is_some_and(|end_ms| end_ms <= exit_ms);
-        self.at_start && !may_have_ended
+    /// Whether the run may have ended before the crash of a worker that exited no later
+    /// than `exit_ms`.
+    fn may_have_ended(&self, exit_ms: u64) -> bool {
+        self.expected_end_ms.is_some_and(|end_ms| end_ms <= exit_ms)
     }
 }
 
@@ -290,15 +289,16 @@
     }
 
     fn count_crashes(&mut self, key: WorkerKey, lost: &[ConfirmedRun], exit_ms: u64) {
-        let suspects = lost.iter().filter(|lost| lost.is_crash_at_start(exit_ms));
+        let suspects = lost.iter().filter(|lost| lost.at_start);
         let jobs: HashSet<JobId> = suspects.map(|lost| lost.name.task.job).collect();
         let alone = jobs.len() == 1;
         for lost in lost {
-            self.count_crash(key, lost.name, lost.is_crash_at_start(exit_ms), alone);
+            self.count_crash(key, *lost, alone && !lost.may_have_ended(exit_ms));
         }
     }
 
-    fn count_crash(&mut self, key: WorkerKey, name: RunName, at_start: bool, alone: bool) {
+    fn count_crash(&mut self, key: WorkerKey, lost: ConfirmedRun, alone: bool) {
+        let ConfirmedRun { name, at_start, .. } = lost;
         let group_key = GroupKey::of(name.task);
         let Some(group) = self.groups.get_mut(&group_key) else {
             return;
