Reject a port range that leaves no port for the metrics

Cause: internal_port_range=65535,65535 passed the check, since the first port plus one was saturated, and then overflowed where the address of the metrics was computed. Change: the port of the metrics is computed once, checked. Test: a_range_that_ends_at_the_last_port_needs_two_ports failed before.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -140,9 +140,10 @@
     let first_port: u16 = first_port.parse().map_err(|_| bad_ports("two ports"))?;
     let last_port = range.split(',').nth(1).unwrap_or_default().trim();
     let last_port: u16 = last_port.parse().map_err(|_| bad_ports("two ports"))?;
-    if last_port < first_port.saturating_add(METRICS_PORT_OFFSET) {
-        return Err(bad_ports("at least two ports, for peers and for metrics"));
-    }
+    let metrics_port = first_port.checked_add(METRICS_PORT_OFFSET);
+    let metrics_port = metrics_port
+        .filter(|&port| port <= last_port)
+        .ok_or_else(|| bad_ports("at least two ports, for peers and for metrics"))?;
     let default = Tuning::default();
     let max_lease_ms = fields.bound_ms("bounds.max_hold_ms", 1.0, default.max_lease_ms)?;
     let shrink_effective_ms = fields.bound_ms(CONTACT_BOUND, 1.0, 3_000)?
@@ -177,7 +178,7 @@
         client_address: fields.parsed("listen_addresses.frontend", "IP:PORT")?,
         readiness_address: fields.parsed("listen_addresses.readiness", "IP:PORT")?,
         peer_address: SocketAddr::new(ip, first_port),
-        metrics_address: SocketAddr::new(ip, first_port + METRICS_PORT_OFFSET),
+        metrics_address: SocketAddr::new(ip, metrics_port),
         store_address: fields.text("platform.address")?.to_owned(),
         advice_address: fields.text("recommendation").ok().map(str::to_owned),
         machines_address: fields.text("cloud_api.address").ok().map(str::to_owned),
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -39,6 +39,22 @@
     text
 }
 
+/// Guards against a panic for the last port, which leaves none for the metrics.
+#[test]
+fn a_range_that_ends_at_the_last_port_needs_two_ports() {
+    let one_port = read_settings(&with_field("internal_port_range", "65535,65535"));
+    let two_ports = read_settings(&with_field("internal_port_range", "65534,65535"));
+
+    assert!(matches!(
+        one_port,
+        Err(SettingsError::Malformed {
+            field: "internal_port_range",
+            ..
+        })
+    ));
+    assert_eq!(two_ports.unwrap().metrics_address.port(), 65_535);
+}
+
 #[test]
 fn settings_give_addresses_and_bounds_and_ignore_unknown_fields() {
     let settings = read_settings(VALID_SETTINGS).unwrap();
