Never open an occurrence whose time cannot be represented

Cause: Schedule::due_ms multiplied and added unchecked, so a schedule with a long interval overflowed: a panic in a debug build, and in a release build an occurrence that is due at once. Change: both saturate; u64::MAX is never reached. Test: an_occurrence_beyond_all_times_is_never_due failed before.

--- a/src/scheduler/configuration.rs
+++ b/src/scheduler/configuration.rs
@@ -164,8 +164,10 @@
 }
 
 impl Schedule {
-    /// Returns when an occurrence is due, since the Unix epoch.
+    /// Returns when an occurrence is due, since the Unix epoch; `u64::MAX`, which is never,
+    /// if that time cannot be represented.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
-        self.start_at_ms + u64::from(occurrence) * self.interval_ms
+        let offset_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
+        self.start_at_ms.saturating_add(offset_ms)
     }
 }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -431,6 +431,20 @@
     assert_eq!(fleet.scheduler.job_status(job), Some(JobStatus::Completed));
 }
 
+/// Guards against an overflow for a schedule whose last occurrences are beyond any time that
+/// can be represented.
+#[test]
+fn an_occurrence_beyond_all_times_is_never_due() {
+    let schedule = Schedule {
+        repetitions: 3,
+        start_at_ms: BEGIN_MS,
+        interval_ms: u64::MAX - 1,
+    };
+
+    assert_eq!(schedule.due_ms(0), BEGIN_MS);
+    assert_eq!(schedule.due_ms(2), u64::MAX);
+}
+
 /// Guards against a start order that is repeated without end. After a pause of 14 s an
 /// owner read the answer to a poll from before the pause, so it believed the worker's clock
 /// to be 14 s behind its true value, and each start was void on arrival (E307 `late`). The
