Count failures beyond the remembered runs

Cause: the numbers of 64 failed runs are remembered, and their count was the number of failures, so a queue with max_attempts above 64 never failed a job: its task was started for ever. Change: failures whose runs are forgotten are counted, in memory and in the stored progress. Test: a_queue_may_allow_more_attempts_than_failures_are_remembered failed before.

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -341,7 +341,7 @@
         let crashes_at_start = task.crashes_at_start() as u32;
         let give_up_reason =
             task.give_up_reason(only_suspect && at_start, uncounted, is_long_running);
-        let failures = task.failed_runs.len() as u32;
+        let failures = task.failures();
         let worker = self.worker(key).name();
         self.decided(Decision::CrashCounted {
             name,
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -74,6 +74,8 @@
     /// Numbers of the runs that failed; at most the last `MAX_FAILED_RUNS`. Their ends
     /// may be listed again after a change of owner, in any order.
     pub failed_runs: Vec<u64>,
+    /// Number of earlier failures, whose runs are not remembered any more.
+    pub earlier_failures: u32,
     /// Runs whose worker crashed.
     pub crashes: Vec<CrashedRun>,
     /// The highest number of any of its runs.
@@ -86,22 +88,31 @@
     pub avoided_ms: u64,
 }
 
-/// Number of failed runs that are remembered of a long-running task, which may fail any
-/// number of times.
+/// Number of failed runs that are remembered of a task. A queue may allow more attempts,
+/// and a long-running task may fail any number of times.
 const MAX_FAILED_RUNS: usize = 64;
 
 impl Task {
     /// Records the failure of a run; returns false if it was recorded before.
     pub fn count_failure(&mut self, run: u64) -> bool {
-        if self.failed_runs.contains(&run) {
+        let is_forgotten = self.earlier_failures > 0
+            && self.failed_runs.iter().all(|&remembered| run < remembered);
+        if is_forgotten || self.failed_runs.contains(&run) {
             return false;
         }
         if self.failed_runs.len() == MAX_FAILED_RUNS {
             self.failed_runs.remove(0);
+            self.earlier_failures = self.earlier_failures.saturating_add(1);
         }
         self.failed_runs.push(run);
         true
     }
+
+    /// Returns how many of its runs have failed.
+    pub fn failures(&self) -> u32 {
+        self.earlier_failures
+            .saturating_add(self.failed_runs.len() as u32)
+    }
 }
 
 impl Default for Task {
@@ -109,6 +120,7 @@
         Self {
             state: TaskState::Waiting,
             failed_runs: Vec::new(),
+            earlier_failures: 0,
             crashes: Vec::new(),
             last_run: 0,
             checkpoint: None,
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -31,6 +31,15 @@
     /// Numbers of the runs that failed, so that an end that is listed again after a
     /// change of owner is not counted again.
     pub runs: Vec<u64>,
+    /// Number of failed runs before those; absent in values that an older version of the
+    /// program stored.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub earlier: u32,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_zero(value: &u32) -> bool {
+    *value == 0
 }
 
 /// Crashes of workers under one task.
@@ -113,6 +122,7 @@
                 progress.failures.push(TaskFailures {
                     index,
                     runs: task.failed_runs.clone(),
+                    earlier: task.earlier_failures,
                 });
             }
             if !task.crashes.is_empty() && task.state != TaskState::Done {
@@ -138,6 +148,7 @@
             if let Some(task) = group.tasks.get_mut(row.index as usize) {
                 let highest = row.runs.iter().copied().max().unwrap_or(0);
                 task.failed_runs.clone_from(&row.runs);
+                task.earlier_failures = row.earlier;
                 task.last_run = task.last_run.max(highest);
             }
         }
--- a/src/scheduler/queue_terms.rs
+++ b/src/scheduler/queue_terms.rs
@@ -48,9 +48,9 @@
 
     /// Returns whether a task with this number of failures has exhausted its attempts;
     /// false while the terms of the queue are unknown.
-    fn has_exhausted_attempts(&self, failures: usize) -> bool {
+    fn has_exhausted_attempts(&self, failures: u32) -> bool {
         let terms = self.terms();
-        terms.is_some_and(|terms| failures as u32 >= terms.max_attempts)
+        terms.is_some_and(|terms| failures >= terms.max_attempts)
     }
 }
 
@@ -130,7 +130,7 @@
     }
 
     /// Fails the job if the failure of this run exhausted the attempts of its task.
-    pub(super) fn end_job_if_exhausted_by(&mut self, name: RunName, failures: usize) {
+    pub(super) fn end_job_if_exhausted_by(&mut self, name: RunName, failures: u32) {
         let job = &self.jobs[&name.task.job];
         if !job.has_exhausted_attempts(failures) {
             return;
@@ -140,7 +140,7 @@
         };
         let failure = JobFailure {
             name,
-            failures: failures as u32,
+            failures,
             max_attempts: known.terms.max_attempts,
             terms_version: known.configuration_version,
             crashes: 0,
@@ -162,12 +162,12 @@
             let tasks = (0u32..).zip(&group.tasks).filter(|(_, task)| {
                 !group.step.long_running
                     && task.state != TaskState::Done
-                    && job.has_exhausted_attempts(task.failed_runs.len())
+                    && job.has_exhausted_attempts(task.failures())
             });
-            let mut tasks = tasks.map(|(index, task)| (key.task(index), &task.failed_runs));
-            tasks.next().map(|(task, runs)| {
-                let run = runs.last().copied().unwrap_or(0);
-                (RunName { task, run }, runs.len())
+            let mut tasks = tasks.map(|(index, task)| (key.task(index), task));
+            tasks.next().map(|(name, task)| {
+                let run = task.failed_runs.last().copied().unwrap_or(0);
+                (RunName { task: name, run }, task.failures())
             })
         });
         if let Some((name, failures)) = exhausted {
--- a/src/scheduler/run_ends.rs
+++ b/src/scheduler/run_ends.rs
@@ -169,7 +169,7 @@
         if task.state == TaskState::Done || !task.count_failure(name.run) {
             return;
         }
-        let failures = task.failed_runs.len();
+        let failures = task.failures();
         if let Some(task) = group.tasks.get_mut(name.task.index as usize) {
             task.avoid = Some(key);
             task.avoided_ms = now_ms;
--- a/src/scheduler/worker_health.rs
+++ b/src/scheduler/worker_health.rs
@@ -70,7 +70,7 @@
         };
         let avoided = waiting().filter(|task| now_ms < task.avoided_ms + AVOID_AFTER_FAILURE_MS);
         let is_last_attempt = |task: &Task| {
-            let failures = task.failed_runs.len() as u32;
+            let failures = task.failures();
             failures > 0
                 && failures + 1 >= max_attempts
                 && now_ms < task.avoided_ms + LAST_ATTEMPT_MS
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -7,6 +7,7 @@
 use fleet::{
     BEGIN_MS,
     Fleet,
+    configuration,
     gang,
     leaving_info,
     record,
@@ -26,6 +27,7 @@
     StepSpec,
     TaskId, //
 };
+use std::sync::Arc;
 
 fn run_of(job: JobId, step: u32, index: u32, run: u64) -> RunName {
     RunName {
@@ -431,6 +433,32 @@
     assert_eq!(fleet.scheduler.job_status(job), Some(JobStatus::Completed));
 }
 
+/// Guards against a task that is started for ever: only the last 64 failed runs counted, so a
+/// queue that allows more attempts never failed a job.
+#[test]
+fn a_queue_may_allow_more_attempts_than_failures_are_remembered() {
+    const MAX_ATTEMPTS: u32 = 70;
+    let mut fleet = Fleet::with_workers(4);
+    let mut generous = configuration(64);
+    generous.version = 2;
+    for queue in &mut generous.queues {
+        queue.max_attempts = MAX_ATTEMPTS;
+    }
+    fleet.send_input(Input::Configure(Arc::new(generous)));
+    let id = fleet.submit(1, record("plain", vec![step(1, 1)]));
+
+    for _ in 0..10 * MAX_ATTEMPTS {
+        if fleet.scheduler.job_status(id) == Some(JobStatus::Failed) {
+            break;
+        }
+        fleet.advance(200);
+        fleet.end_all(id, EndKind::Failed);
+    }
+
+    assert_eq!(fleet.scheduler.job_status(id), Some(JobStatus::Failed));
+    assert_eq!(fleet.starts.len(), MAX_ATTEMPTS as usize);
+}
+
 /// Guards against an overflow for a schedule whose last occurrences are beyond any time that
 /// can be represented.
 #[test]
