Wait before a task returns to a failing worker that it cannot do without

Cause: a task avoided the worker where it had failed only if the other workers could hold its group when empty. Ruled out: quarantine, which needs failures of two jobs, so that one faulty job does not quarantine a worker. Change: the wait of 1.2 s after a failure holds in any case. Only the last attempt's doubt of workers where other tasks failed still depends on what the others could hold. Tests: a_gang_that_needs_a_failing_worker_waits_before_its_next_attempt failed before.

--- a/src/scheduler/worker_health.rs
+++ b/src/scheduler/worker_health.rs
@@ -48,9 +48,9 @@
 const BEHIND_PERCENT: u32 = 10;
 
 /// Time for which a task does not return to the worker where it failed, even if no other
-/// worker is free. Without it, a worker that failed runs at once used up eight attempts of
-/// a task in a quarter of a second. Less than half of the 3 s for which work may wait
-/// beside idle workers.
+/// worker is free or could hold it. Without it, a worker that failed runs at once used up
+/// eight attempts of a task in a quarter of a second. Less than half of the 3 s for which
+/// work may wait beside idle workers.
 const AVOID_AFTER_FAILURE_MS: u64 = 1_200;
 /// Time for which the last attempt of a task goes only to workers without recent failures.
 const LAST_ATTEMPT_MS: u64 = 2_400;
@@ -98,9 +98,9 @@
 }
 
 impl Scheduler {
-    /// Returns the workers that the waiting tasks of a group avoid for a while. `None` if
-    /// there are none, or if the other workers could not hold the tasks even when empty, so
-    /// that waiting would not help.
+    /// Returns the workers that the waiting tasks of a group avoid for a while; `None` if
+    /// there are none. The last attempt avoids workers with failures of other tasks only if
+    /// the others could hold the tasks when empty.
     pub(super) fn failure_avoidance(
         &self,
         group: &Group,
@@ -109,10 +109,22 @@
         let now_ms = self.now_ms;
         let terms = self.jobs[&group.key.job].terms();
         let max_attempts = terms.map_or(u32::MAX, |terms| terms.max_attempts);
-        let avoidance = FailureAvoidance::of(group, max_attempts, now_ms);
-        if avoidance.avoids_nothing() {
-            return None;
+        let mut avoidance = FailureAvoidance::of(group, max_attempts, now_ms);
+        if avoidance.last_attempt && !self.could_hold_elsewhere(group, service, &avoidance) {
+            avoidance.last_attempt = false;
         }
+        (!avoidance.avoids_nothing()).then_some(avoidance)
+    }
+
+    /// Whether the workers that are not avoided could hold the waiting tasks of a group if
+    /// they were empty.
+    fn could_hold_elsewhere(
+        &self,
+        group: &Group,
+        service: &str,
+        avoidance: &FailureAvoidance,
+    ) -> bool {
+        let now_ms = self.now_ms;
         let others = self.workers.iter().filter(|worker| {
             worker.contact == Contact::Answering
                 && worker.is_usable()
@@ -123,8 +135,7 @@
         });
         let capacity_elsewhere =
             others.map(|worker| worker.info.capacity.count_fitting(&group.resources));
-        let capacity_elsewhere = capacity_elsewhere.fold(0u32, u32::saturating_add);
-        (capacity_elsewhere >= group.waiting).then_some(avoidance)
+        capacity_elsewhere.fold(0u32, u32::saturating_add) >= group.waiting
     }
 
     /// Records that a run failed on a worker, and quarantines the worker if needed.
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -29,6 +29,9 @@
 };
 use std::sync::Arc;
 
+/// Enough time for a task to start again on the only worker, on which it has just failed.
+const RETRY_DELAY_MS: u64 = 1_300;
+
 fn run_of(job: JobId, step: u32, index: u32, run: u64) -> RunName {
     RunName {
         task: TaskId {
@@ -118,6 +121,11 @@
     fleet.end_run(&first.0, first.1, EndKind::Failed);
     fleet.advance(100);
     assert_eq!(fleet.stops.len(), 1, "the other member is stopped");
+    assert!(
+        fleet.running().is_empty(),
+        "the gang does not return at once to the worker where it failed"
+    );
+    fleet.advance(RETRY_DELAY_MS);
     let runs: Vec<u64> = fleet.running().iter().map(|row| row.1.run).collect();
     assert_eq!(runs, [2, 2]);
 
@@ -433,6 +441,29 @@
     assert_eq!(fleet.scheduler.job_status(job), Some(JobStatus::Completed));
 }
 
+/// Guards against a job that fails through the fault of a worker that it cannot do without:
+/// a gang that needs every worker spent its attempts on a failing one at once.
+#[test]
+fn a_gang_that_needs_a_failing_worker_waits_before_its_next_attempt() {
+    const FAULT_MS: u64 = 1_000;
+    const STEP_MS: u64 = 50;
+    let mut fleet = Fleet::with_workers(2);
+    let id = fleet.submit(1, record("plain", vec![gang(2, 8)]));
+    for _ in 0..FAULT_MS / STEP_MS {
+        fleet.advance(STEP_MS);
+        let failing: Vec<(String, RunName)> = fleet.running();
+        for (worker, name) in failing.into_iter().filter(|(worker, _)| worker == "w0") {
+            fleet.end_run(&worker, name, EndKind::Failed);
+        }
+    }
+    fleet.advance(1_000);
+
+    fleet.end_all(id, EndKind::Done);
+    fleet.advance(100);
+
+    assert_eq!(fleet.scheduler.job_status(id), Some(JobStatus::Completed));
+}
+
 /// Guards against a task that is started for ever: only the last 64 failed runs counted, so a
 /// queue that allows more attempts never failed a job.
 #[test]
