Wait before a failed read of the workers' entries or a commit is repeated

Cause: after a lost history, a failed read of all entries was repeated without a wait, and so was a commit whose lease had expired. Seen by reading; against a store that refuses, each is a loop of calls. Change: both wait as after any other failure. The second cannot happen at present, since the owner's commits carry no lease. Test: none of the wait alone; follow_jobs, which waited already, is tested by a_lost_history_is_not_requested_repeatedly.

--- a/src/cluster/commits.rs
+++ b/src/cluster/commits.rs
@@ -53,7 +53,10 @@
                 }
                 count_retry("commit_conflict");
             }
-            Ok(CommitResult::LeaseExpired) => {}
+            Ok(CommitResult::LeaseExpired) => {
+                count_retry("lease_expired");
+                node.timer.sleep(RETRY_MS).await;
+            }
             Err(error) => {
                 count_retry(match error {
                     StoreError::Refused => "store_refused",
--- a/src/cluster/store_watch.rs
+++ b/src/cluster/store_watch.rs
@@ -413,13 +413,16 @@
                 }
                 node.control.send_input(epoch, entries_read);
             }
-            Ok(WatchResult::HistoryGone) => {
-                if let Ok(range) = node.store.range(WORKERS_PREFIX, false).await {
+            Ok(WatchResult::HistoryGone) => match node.store.range(WORKERS_PREFIX, false).await {
+                Ok(range) => {
                     revision = range.revision;
                     handle_worker_list(&node, epoch, &range, &mut known);
                     node.control.send_input(epoch, entries_read);
                 }
-            }
+                Err(_) => {
+                    node.timer.sleep(RETRY_MS).await;
+                }
+            },
             Err(_) => {
                 node.timer.sleep(RETRY_MS).await;
             }
