Make removals conditional on the value that they remove

Cause: a removal depended on the root's revision alone. One whose answer was lost was repeated, and the first copy, carried out seconds later under the same owner, deleted a value that had been written again: the record of a worker that was closed anew, so that the next owner did not know its runs, or a new job under the name of a removed one. Seen by reading. Change: each removed value has to have its last known revision, as each put has; the values of a job go together if the job has its own. Where no revision is known, the conflict returns it, at the price of one more call.

--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -63,7 +63,15 @@
     InvalidValueReporter, //
     StoredKind,
 };
-pub use records::job_id;
+pub use pending_writes::{
+    Batch,
+    Changes,
+    PendingWrites, //
+};
+pub use records::{
+    ClosedRecord,
+    job_id, //
+};
 pub use settings::ClusterSettings;
 pub use store_health::{
     CallKey,
--- a/src/cluster/pending_writes.rs
+++ b/src/cluster/pending_writes.rs
@@ -2,11 +2,11 @@
 //! [`super::commits`] sends.
 //!
 //! Only the owner writes these values. Each transaction is conditional on the root's
-//! revision, and each put also on the value's own last revision. So a put whose answer
-//! was lost fails if the store carries it out seconds later: either another owner has
-//! written the root, or the value has a newer revision. A removal is conditional on the
-//! root's revision alone. Many changes share a transaction, so the rate of calls does not
-//! depend on the number of tasks.
+//! revision, and each put or removal also on the value's own last revision. So a write
+//! whose answer was lost fails if the store carries it out seconds later: either another
+//! owner has written the root, or the value has a newer revision. The values of a job are
+//! removed together, on the condition that the job itself has its last known revision. Many
+//! changes share a transaction, so the rate of calls does not depend on the number of tasks.
 
 use super::records::{
     ClosedRecord,
@@ -72,6 +72,8 @@
 
 /// Number of keys under which a job has values.
 const KEYS_PER_JOB: usize = 3;
+/// Transaction entries for the removal of a job: its expected revision, and its keys.
+const REMOVED_JOB_ENTRIES: usize = KEYS_PER_JOB + 1;
 
 /// The keys under which a job has values.
 fn keys_of(job: JobId) -> [String; KEYS_PER_JOB] {
@@ -131,13 +133,25 @@
         }
     }
 
+    /// Requires the last known revision of a value. One of which none is known is expected
+    /// to be absent; if it is not, the conflict returns its revision.
+    fn expect(&mut self, pending: &Pending, key: &str) {
+        let revision = pending.revisions.get(key).copied().unwrap_or(0);
+        self.transaction.expected.push((key.to_owned(), revision));
+    }
+
     /// Adds a write that requires the value's last known revision.
     fn put(&mut self, pending: &Pending, key: String, value: Bytes) {
-        let revision = pending.revisions.get(&key).copied().unwrap_or(0);
-        self.transaction.expected.push((key.clone(), revision));
+        self.expect(pending, &key);
         self.transaction.puts.push((key, value));
     }
 
+    /// Adds a removal that requires the value's last known revision.
+    fn remove(&mut self, pending: &Pending, key: String) {
+        self.expect(pending, &key);
+        self.transaction.removed.push(key);
+    }
+
     /// How many more values fit into the transaction if each takes `entries` entries.
     fn capacity(&self, entries: usize) -> usize {
         let transaction = &self.transaction;
@@ -237,7 +251,7 @@
             let key = closed_key(worker_name);
             match record {
                 Some(record) => batch.put(&pending, key, encode(record)),
-                None => batch.transaction.removed.push(key),
+                None => batch.remove(&pending, key),
             }
             batch.closed.push((worker_name.clone(), record.clone()));
         }
@@ -245,7 +259,7 @@
             let key = emptied_key(data_centre);
             match record {
                 Some(record) => batch.put(&pending, key, encode(record)),
-                None => batch.transaction.removed.push(key),
+                None => batch.remove(&pending, key),
             }
             batch.emptied.push((data_centre.clone(), record.clone()));
         }
@@ -253,9 +267,10 @@
         for &job in pending
             .deleted_jobs
             .iter()
-            .take(batch.capacity(KEYS_PER_JOB))
+            .take(batch.capacity(REMOVED_JOB_ENTRIES))
         {
             batch.deleted_jobs.push(job);
+            batch.expect(&pending, &job_key(job));
             batch.transaction.removed.extend(keys_of(job));
         }
         let transaction = &batch.transaction;
