Log why a run is stopped instead of started again

Cause: a run whose starts had no answer, or that may not start any more, was logged as gang_broken in E305, also if it is no gang, so on-call looked for a member that did not exist. Change: start_unanswered, start_not_allowed and job_over. Test: none; the decision is the same, only its reason differs.

--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -402,6 +402,10 @@
     JobOver,
     /// Another member of its gang cannot run.
     GangBroken,
+    /// Several starts had no answer.
+    StartUnanswered,
+    /// This owner may not give starts at present.
+    StartNotAllowed,
     /// More urgent work needs its resources.
     Preempted,
     /// It makes no progress.
@@ -426,6 +430,8 @@
         match self {
             Self::JobOver => "job_over",
             Self::GangBroken => "gang_broken",
+            Self::StartUnanswered => "start_unanswered",
+            Self::StartNotAllowed => "start_not_allowed",
             Self::Preempted => "preempted",
             Self::Hanging => "hanging",
             Self::Slow => "slow",
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -109,10 +109,16 @@
             self.stop_run(key, name, StopReason::CapacityShrunk);
             return;
         }
-        let may_start = self.has_authority() && self.knows_orders();
-        let known = self.groups.get(&group_key);
-        let Some(group) = known.filter(|_| sends < MAX_SENDS && may_start) else {
-            self.stop_run(key, name, StopReason::GangBroken);
+        if sends >= MAX_SENDS {
+            self.stop_run(key, name, StopReason::StartUnanswered);
+            return;
+        }
+        if !self.has_authority() || !self.knows_orders() {
+            self.stop_run(key, name, StopReason::StartNotAllowed);
+            return;
+        }
+        let Some(group) = self.groups.get(&group_key) else {
+            self.stop_run(key, name, StopReason::JobOver);
             return;
         };
         let checkpoint = group.tasks[name.task.index as usize].checkpoint.clone();
