Do not count a crash as certain where the run may have ended before

Cause: a crash at the start of a run was counted although the run had ended before, unheard. One real crash more gave the job up: with two crashes as the only suspect, or with two beside the one that an earlier owner may have missed. Change: a crash is uncertain if the run may have ended before it: its stop was ordered, it was expected to end by its progress or the estimates, or another member of its gang had ended. The time is stored with the closed worker, the verdict with the job. Two certain crashes, or two beside a missed one, still give a task up, uncertain ones only at the third. A stop that follows the loss of another member shows nothing and has a reason of its own, gang_member_lost.

--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -444,6 +444,7 @@
             name,
             worker,
             at_start,
+            uncertain,
             only_suspect,
             crashes,
             crashes_at_start,
@@ -452,7 +453,8 @@
             "crash_counted",
             if *at_start { "at_start" } else { "later" },
             json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker,
-                "alone": only_suspect, "crashes": crashes, "crashes_at_start": crashes_at_start }),
+                "uncertain": uncertain, "alone": only_suspect, "crashes": crashes,
+                "crashes_at_start": crashes_at_start }),
         ),
         Decision::TaskGivenUp {
             name,
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -123,6 +123,10 @@
     /// not respond after the start; empty in values that an earlier version stored.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub confirmed: Vec<(String, u64, bool)>,
+    /// When runs among `confirmed` may have ended, as task, run number and time since the
+    /// Unix epoch; absent in values that an earlier version stored.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub possible_ends: Vec<(String, u64, u64)>,
 }
 
 fn parse_run(task: &str, run: u64) -> Option<RunName> {
@@ -142,6 +146,14 @@
             confirmed: confirmed
                 .map(|run| (run.name.task.to_string(), run.name.run, run.at_start))
                 .collect(),
+            possible_ends: closed_runs
+                .confirmed
+                .iter()
+                .filter_map(|run| {
+                    let end_ms = run.possible_end_ms?;
+                    Some((run.name.task.to_string(), run.name.run, end_ms))
+                })
+                .collect(),
         }
     }
 
@@ -149,10 +161,12 @@
     pub fn closed_runs(&self) -> Option<ClosedRuns> {
         let runs = self.runs.iter().map(|(task, run)| parse_run(task, *run));
         let confirmed = self.confirmed.iter().map(|(task, run, at_start)| {
+            let mut ends = self.possible_ends.iter();
+            let end = ends.find(|(other, other_run, _)| (other, other_run) == (task, run));
             Some(ConfirmedRun {
                 name: parse_run(task, *run)?,
                 at_start: *at_start,
-                expected_end_ms: None,
+                possible_end_ms: end.map(|&(_, _, end_ms)| end_ms),
             })
         });
         let closed = ClosedRuns {
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -331,8 +331,9 @@
         /// Whether the crash counts as one at the start of the run: the worker is not
         /// known to have survived the start.
         at_start: bool,
-        /// Whether all suspects on the worker were of one job, and this run cannot have
-        /// ended before the crash.
+        /// Whether the run may have ended before the crash.
+        uncertain: bool,
+        /// Whether all suspects on the worker were of one job, and the crash is certain.
         only_suspect: bool,
         /// Crashes of workers under the task so far.
         crashes: u32,
@@ -402,6 +403,8 @@
     JobOver,
     /// Another member of its gang cannot run.
     GangBroken,
+    /// Its gang ended because of a member that is not known to have ended by itself.
+    GangMemberLost,
     /// Several starts had no answer.
     StartUnanswered,
     /// This owner may not give starts at present.
@@ -430,6 +433,7 @@
         match self {
             Self::JobOver => "job_over",
             Self::GangBroken => "gang_broken",
+            Self::GangMemberLost => "gang_member_lost",
             Self::StartUnanswered => "start_unanswered",
             Self::StartNotAllowed => "start_not_allowed",
             Self::Preempted => "preempted",
--- a/src/scheduler/closed_workers.rs
+++ b/src/scheduler/closed_workers.rs
@@ -83,11 +83,11 @@
         let ended = worker.unacknowledged_ends.iter().map(|end| end.row.name);
         let runs = worker.runs.keys().copied().chain(ended).collect();
         let lost = worker.lost.iter().copied();
-        let confirmed = worker.confirmed_runs().chain(lost).collect();
+        let confirmed = self.confirmed_runs_with_possible_end(key);
         let closed_runs = ClosedRuns {
             incarnation_start_ms: worker.incarnation_start_ms,
             runs,
-            confirmed,
+            confirmed: confirmed.into_iter().chain(lost).collect(),
         };
         Some((true, closed_runs))
     }
@@ -120,6 +120,7 @@
             run.phase = RunPhase::Unseen;
             run.confirmed = confirmed.is_some();
             run.survived_start = confirmed.is_none_or(|confirmed| !confirmed.at_start);
+            run.possible_end_ms = confirmed.and_then(|confirmed| confirmed.possible_end_ms);
             worker.add_run(name, run);
         }
         let mut lost = closed.confirmed;
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -11,12 +11,15 @@
 //!
 //! - Only a run that its worker confirmed counts.
 //! - A run whose worker still responded some time after the start did not crash it by
-//!   starting. The tasks of all other confirmed runs become suspects.
-//! - A task is the only suspect of a crash if all suspects belong to its job. But its run
-//!   may have ended unseen before the crash, since a poll can hang from before the end
-//!   until after the restart. So it is never the only suspect if the run, by its reported
-//!   progress, was expected to end by the latest time at which the worker may have exited.
-//!   That is the start time of the next incarnation, or the present if it is unknown.
+//!   starting, unless it is a member of a gang without progress, which may be waiting for
+//!   the others. The tasks of all other confirmed runs become suspects.
+//! - A run may have ended unseen before the crash, since a poll can hang from before the
+//!   end until after the restart: its stop was ordered, or by its progress or the estimates
+//!   it was expected to end by the latest time at which the worker may have exited. That is the
+//!   start time of the next incarnation, or the present if it is unknown. Such a crash is
+//!   uncertain.
+//! - A task is the only suspect of a crash if the crash is certain and all suspects belong
+//!   to its job.
 //! - A suspect starts on the worker with the fewest runs that could be lost with it, but
 //!   not beside a suspect of another job, and for a while nothing else starts on that
 //!   worker. So the next crashes show which of the tasks that were lost together is the
@@ -30,13 +33,15 @@
 //!   unresponsive worker has crashed is known once another incarnation answers at its
 //!   address.
 //!
-//! A task is given up after the second crash at its start as the only suspect, the third
-//! crash at its start, or the fifth crash at any time: after three crashes a task may be
-//! started at most twice more. A crash is not counted if the answer to the start was lost,
-//! or if the owner changed directly after the start. So for a job that an earlier owner
-//! knew, the limits of three and five are lower by one. If many workers crash for other
-//! reasons, some tasks without a fault are given up too. A long-running task outlives many
-//! workers, so only the crashes at its starts count.
+//! A task is given up after the second certain crash at its start if it is the only suspect
+//! of the last one, after the third crash at its start, or after the fifth crash at any
+//! time: after three crashes a task may be started at most twice more. It is also given up
+//! if its worker survived none of the five starts since it became a suspect, since the runs
+//! of a crashing task may end for other reasons first. A crash is not counted if the answer to the start was lost, or if the owner changed directly after the
+//! start. So for a job that an earlier owner knew, the limits of three and five are lower
+//! by one, the former for certain crashes only; so is that of starts. If many workers crash for other reasons,
+//! some tasks without a fault are given up too. A long-running task outlives many workers,
+//! so only the crashes at its starts count.
 
 use super::action::{
     Decision,
@@ -75,14 +80,18 @@
 /// Epoch of the first owner, and of an owner that finds no root in the store.
 const FIRST_EPOCH: u64 = 1;
 
-/// Crashes at the start of a task after which it is given up, if all suspects of the last
-/// crash belonged to its job.
+/// Certain crashes at the start of a task after which it is given up, if all suspects of the
+/// last crash belonged to its job.
 const CRASH_LIMIT_AS_ONLY_SUSPECT: usize = 2;
 /// Crashes at the start of a task after which it is given up, even if it was never the
 /// only suspect.
 const CRASH_LIMIT_AT_START: usize = 3;
 /// Crashes at any time after which a task that is not long-running is given up.
 const CRASH_LIMIT: usize = 5;
+/// Starts of a suspect after which it is given up if its worker survived none of them,
+/// whatever ended the runs. The platform allows no more starts of a task that crashes its
+/// workers.
+const SUSPECT_START_LIMIT: u32 = 5;
 /// Most crashes that are remembered of a task. Only a long-running task can have more.
 const MAX_REMEMBERED_CRASHES: usize = 16;
 
@@ -93,6 +102,8 @@
     pub run: u64,
     /// The worker did not respond long enough after the start.
     pub at_start: bool,
+    /// The run may have ended before the crash.
+    pub uncertain: bool,
 }
 
 /// A run that a worker confirmed and that was, or may be, lost with it.
@@ -102,16 +113,16 @@
     pub name: RunName,
     /// The worker did not respond long enough after the start.
     pub at_start: bool,
-    /// When the run was expected to end, estimated from its reported progress; `None` if
-    /// there is no estimate. Not stored.
-    pub expected_end_ms: Option<u64>,
+    /// When the run may have ended, since the Unix epoch: when its stop was ordered, or
+    /// when it was expected to end; `None` if neither is known.
+    pub possible_end_ms: Option<u64>,
 }
 
 impl ConfirmedRun {
     /// Whether the run may have ended before the crash of a worker that exited no later
     /// than `exit_ms`.
     fn may_have_ended(&self, exit_ms: u64) -> bool {
-        self.expected_end_ms.is_some_and(|end_ms| end_ms <= exit_ms)
+        self.possible_end_ms.is_some_and(|end_ms| end_ms <= exit_ms)
     }
 }
 
@@ -193,7 +204,7 @@
         runs.map(|(&name, run)| ConfirmedRun {
             name,
             at_start: run.is_start_unproven(),
-            expected_end_ms: None,
+            possible_end_ms: run.possible_end_ms,
         })
     }
 }
@@ -204,6 +215,14 @@
         self.crashes.iter().filter(|crash| crash.at_start).count()
     }
 
+    /// Returns the number of crashes at its start that its runs cannot have ended before.
+    fn certain_crashes_at_start(&self) -> usize {
+        let crashes = self.crashes.iter();
+        crashes
+            .filter(|crash| crash.at_start && !crash.uncertain)
+            .count()
+    }
+
     /// Whether it may be a task that crashes its workers.
     pub fn is_suspect(&self) -> bool {
         self.crashes_at_start() > 0
@@ -231,9 +250,10 @@
         is_long_running: bool,
     ) -> Option<&'static str> {
         let at_start = self.crashes_at_start();
-        if only_suspect && at_start >= CRASH_LIMIT_AS_ONLY_SUSPECT {
+        let certain = self.certain_crashes_at_start();
+        if only_suspect && certain >= CRASH_LIMIT_AS_ONLY_SUSPECT {
             Some("alone")
-        } else if at_start + uncounted >= CRASH_LIMIT_AT_START {
+        } else if at_start.max(certain + uncounted) >= CRASH_LIMIT_AT_START {
             Some("at_start")
         } else if !is_long_running && self.crashes.len() + uncounted >= CRASH_LIMIT {
             Some("at_all")
@@ -254,21 +274,21 @@
         })
     }
 
-    /// Returns the confirmed runs of a worker with their expected ends.
-    pub(super) fn confirmed_runs_with_expected_end(&self, key: WorkerKey) -> Vec<ConfirmedRun> {
+    /// Returns the confirmed runs of a worker with the times at which they may have ended.
+    pub(super) fn confirmed_runs_with_possible_end(&self, key: WorkerKey) -> Vec<ConfirmedRun> {
         let worker = self.worker(key);
         let mut confirmed: Vec<ConfirmedRun> = worker.confirmed_runs().collect();
         for run in &mut confirmed {
-            run.expected_end_ms = self.expected_end_by_progress_ms(key, &worker.runs[&run.name]);
+            run.possible_end_ms = self.possible_end_ms(key, &worker.runs[&run.name]);
         }
         confirmed
     }
 
-    /// Returns when a run is expected to end; `None` if it is long-running or has no reported
-    /// progress.
-    pub(super) fn expected_end_by_progress_ms(&self, key: WorkerKey, run: &Run) -> Option<u64> {
-        let has_estimate = run.progress.is_reported() && !run.long_running;
-        has_estimate.then(|| self.expected_run_end_ms(key, run))
+    /// Returns when a run may have ended: the end expected from its progress or the estimates,
+    /// or the end known for another reason if that is earlier.
+    pub(super) fn possible_end_ms(&self, key: WorkerKey, run: &Run) -> Option<u64> {
+        let expected_ms = (!run.long_running).then(|| self.expected_run_end_ms(key, run));
+        run.possible_end_ms.into_iter().chain(expected_ms).min()
     }
 
     /// Records runs that were lost with a worker. Crashes are counted for them once the
@@ -310,33 +330,44 @@
         let jobs: HashSet<JobId> = suspects.map(|lost| lost.name.task.job).collect();
         let only_suspect = jobs.len() == 1;
         for lost in lost {
-            self.count_crash(key, *lost, only_suspect && !lost.may_have_ended(exit_ms));
+            let crash = CrashedRun {
+                run: lost.name.run,
+                at_start: lost.at_start,
+                uncertain: lost.may_have_ended(exit_ms),
+            };
+            self.count_crash(key, lost.name, crash, only_suspect && !crash.uncertain);
         }
     }
 
     /// Counts a crash of one run, and gives its task up if it has reached a limit.
-    fn count_crash(&mut self, key: WorkerKey, lost: ConfirmedRun, only_suspect: bool) {
-        let ConfirmedRun { name, at_start, .. } = lost;
+    fn count_crash(
+        &mut self,
+        key: WorkerKey,
+        name: RunName,
+        crash: CrashedRun,
+        only_suspect: bool,
+    ) {
         let group_key = GroupKey::of(name.task);
+        let uncounted = self.uncounted_crashes(name.task.job) as usize;
         let Some(group) = self.groups.get_mut(&group_key) else {
             return;
         };
         let is_long_running = group.step.long_running;
-        let job = self.jobs.get(&name.task.job);
-        // A crash during a change of owner may be known to neither owner.
-        // `known_earlier` is also set for jobs stored before the first owner started.
-        let had_earlier_owner = self.epoch > FIRST_EPOCH;
-        let uncounted = usize::from(had_earlier_owner && job.is_some_and(|job| job.known_earlier));
         let Some(task) = group.tasks.get_mut(name.task.index as usize) else {
             return;
         };
-        let crash = CrashedRun {
-            run: name.run,
+        let CrashedRun {
             at_start,
-        };
+            uncertain,
+            ..
+        } = crash;
+        let was_suspect = task.is_suspect();
         if task.state == TaskState::Done || !task.count_crash(crash) {
             return;
         }
+        if at_start && !was_suspect {
+            task.suspect_starts = 1;
+        }
         let crashes = task.crashes.len() as u32;
         let crashes_at_start = task.crashes_at_start() as u32;
         let give_up_reason =
@@ -347,6 +378,7 @@
             name,
             worker,
             at_start,
+            uncertain,
             only_suspect,
             crashes,
             crashes_at_start,
@@ -388,6 +420,15 @@
         if run.survived_start || now_ms < run.ordered_ms + START_SURVIVAL_MS {
             return;
         }
+        let may_be_waiting = run.percent == 0;
+        let known = self.groups.get(&GroupKey::of(name.task));
+        let is_member = known.is_some_and(|group| group.step.gang && group.tasks.len() > 1);
+        if is_member && may_be_waiting {
+            return;
+        }
+        let Some(run) = self.worker_mut(key).runs.get_mut(&name) else {
+            return;
+        };
         run.survived_start = true;
         let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) else {
             return;
@@ -402,6 +443,50 @@
         for crash in &mut task.crashes {
             crash.at_start = false;
         }
+        task.suspect_starts = 0;
+    }
+
+    /// Counts a confirmed start of a suspect.
+    pub(super) fn count_suspect_start(&mut self, name: RunName) {
+        if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task))
+            && let Some(task) = group.tasks.get_mut(name.task.index as usize)
+            && task.is_suspect()
+        {
+            task.suspect_starts += 1;
+        }
+    }
+
+    /// Fails the job of a suspect that has reached the limit of its starts, after a run of it
+    /// ended.
+    pub(super) fn review_suspect_starts(&mut self, name: RunName) {
+        let uncounted = self.uncounted_crashes(name.task.job);
+        let group = self.groups.get(&GroupKey::of(name.task));
+        let task = group.and_then(|group| group.tasks.get(name.task.index as usize));
+        let Some(task) = task.filter(|task| task.state == TaskState::Waiting) else {
+            return;
+        };
+        if !task.is_suspect() || task.suspect_starts + uncounted < SUSPECT_START_LIMIT {
+            return;
+        }
+        let crashes = task.crashes.len() as u32;
+        let crashes_at_start = task.crashes_at_start() as u32;
+        let failures = task.failures();
+        self.decided(Decision::TaskGivenUp {
+            name,
+            crashes,
+            crashes_at_start,
+            reason: "starts",
+        });
+        self.fail_crashing_job(name, failures, crashes);
+    }
+
+    /// Returns how many crashes of a job's tasks this owner may not know of: a crash during a
+    /// change of owner may be known to neither owner. `known_earlier` is also set for jobs
+    /// that were stored before the first owner started.
+    fn uncounted_crashes(&self, id: JobId) -> u32 {
+        let had_earlier_owner = self.epoch > FIRST_EPOCH;
+        let job = self.jobs.get(&id);
+        u32::from(had_earlier_owner && job.is_some_and(|job| job.known_earlier))
     }
 
     /// Whether the last crash at the start of any of a group's tasks is stored. If a task
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -13,7 +13,10 @@
 };
 use super::crashes::LossCause;
 use super::state::Scheduler;
-use super::worker::CONCLUSIVE_MS;
+use super::worker::{
+    CONCLUSIVE_MS,
+    CloseState, //
+};
 use super::{
     CallOutcome,
     GroupKey,
@@ -59,6 +62,7 @@
             confirmed: false,
             survived_start: false,
             gang_ended: false,
+            possible_end_ms: None,
             suspected,
             sends: 0,
             in_flight: false,
@@ -233,7 +237,7 @@
             }
             StartRefusal::Fenced => {}
         }
-        self.handle_run_gone(key, name);
+        self.handle_run_gone(key, name, StopReason::GangBroken);
     }
 
     /// Reports that a run did not start: refused, not answered, or absent from a poll.
@@ -248,6 +252,7 @@
 
     /// Records that a run of the job has started.
     pub(super) fn record_started(&mut self, name: RunName) {
+        self.count_suspect_start(name);
         if let Some(job) = self.jobs.get_mut(&name.task.job) {
             job.started = true;
         }
@@ -268,7 +273,15 @@
         run.phase = RunPhase::Stopping;
         run.conclusive_ms = None;
         run.resend_ms = now_ms;
-        let worker = worker.name();
+        // A gang that has ended has no member left that this stop could end.
+        if reason != StopReason::GangMemberLost {
+            run.possible_end_ms.get_or_insert(now_ms);
+        }
+        if worker.close_state != CloseState::Open {
+            // The stored record says when each of its runs may have ended.
+            self.actions.push(Action::StoreClosedWorker { worker: key });
+        }
+        let worker = self.worker(key).name();
         self.decided(Decision::Stopped {
             name,
             worker,
--- a/src/scheduler/draining.rs
+++ b/src/scheduler/draining.rs
@@ -45,7 +45,7 @@
                 let group_key = GroupKey::of(name.task);
                 let group = self.groups.get(&group_key);
                 if group.is_some_and(|group| group.gang_run == Some(name.run)) {
-                    self.end_gang(group_key);
+                    self.end_gang(group_key, StopReason::GangBroken);
                 }
             }
         }
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -78,6 +78,8 @@
     pub earlier_failures: u32,
     /// Runs whose worker crashed.
     pub crashes: Vec<CrashedRun>,
+    /// Confirmed starts since it became a suspect, including the one that made it one.
+    pub suspect_starts: u32,
     /// The highest number of any of its runs.
     pub last_run: u64,
     /// The checkpoint from which the next run resumes.
@@ -122,6 +124,7 @@
             failed_runs: Vec::new(),
             earlier_failures: 0,
             crashes: Vec::new(),
+            suspect_starts: 0,
             last_run: 0,
             checkpoint: None,
             avoid: None,
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -51,15 +51,23 @@
     pub runs: Vec<u64>,
     /// Those of `runs` whose worker is not known to have survived the start.
     pub at_start: Vec<u64>,
+    /// Those of `runs` that may have ended before the crash; empty in values that an older
+    /// version of the program stored.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub uncertain: Vec<u64>,
 }
 
 impl TaskCrashes {
     fn of(index: u32, crashes: &[CrashedRun]) -> Self {
-        let at_start = crashes.iter().filter(|crash| crash.at_start);
+        let runs_where = |is_included: fn(&CrashedRun) -> bool| {
+            let included = crashes.iter().filter(|&crash| is_included(crash));
+            included.map(|crash| crash.run).collect()
+        };
         Self {
             index,
-            runs: crashes.iter().map(|crash| crash.run).collect(),
-            at_start: at_start.map(|crash| crash.run).collect(),
+            runs: runs_where(|_| true),
+            at_start: runs_where(|crash| crash.at_start),
+            uncertain: runs_where(|crash| crash.uncertain),
         }
     }
 
@@ -67,6 +75,7 @@
         let runs = self.runs.iter().map(|&run| CrashedRun {
             run,
             at_start: self.at_start.contains(&run),
+            uncertain: self.uncertain.contains(&run),
         });
         runs.collect()
     }
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -6,7 +6,8 @@
 
 use super::action::{
     Action,
-    Decision, //
+    Decision,
+    StopReason, //
 };
 use super::crashes::LossCause;
 use super::state::Scheduler;
@@ -220,7 +221,7 @@
     /// `exit_ms`.
     fn lose_runs(&mut self, key: WorkerKey, loss: LossCause, exit_ms: u64) {
         let names: Vec<RunName> = self.worker(key).runs.keys().copied().collect();
-        let confirmed = self.confirmed_runs_with_expected_end(key);
+        let confirmed = self.confirmed_runs_with_possible_end(key);
         if self.worker(key).close_state != CloseState::Open {
             // The stored record of the closed worker names these runs.
             self.actions.push(Action::StoreClosedWorker { worker: key });
@@ -233,7 +234,7 @@
         });
         for name in names {
             self.log_run_lost(key, name, loss, exit_ms);
-            self.handle_run_gone(key, name);
+            self.handle_run_gone(key, name, StopReason::GangBroken);
         }
         self.record_lost_runs(key, confirmed, loss, exit_ms);
     }
--- a/src/scheduler/poll_report.rs
+++ b/src/scheduler/poll_report.rs
@@ -235,7 +235,7 @@
             .collect();
         for name in absent {
             self.report_retry(key, name, "absent");
-            self.handle_run_gone(key, name);
+            self.handle_run_gone(key, name, StopReason::GangBroken);
         }
     }
 
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -197,7 +197,7 @@
                 .get(&key)
                 .is_some_and(|group| group.gang_run == Some(name.run))
             {
-                self.end_gang(key);
+                self.end_gang(key, StopReason::GangBroken);
             }
         }
         true
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -20,7 +20,10 @@
 //! job that is stored later than `OWNERSHIP_LOSS_NOTICE_MS` after the takeover starts at
 //! once, provided that all jobs stored until then have been read.
 
-use super::action::Decision;
+use super::action::{
+    Decision,
+    StopReason, //
+};
 use super::state::Scheduler;
 use super::worker::{
     CLOCK_DRIFT_PERMILLE,
@@ -139,7 +142,7 @@
             .filter(|task| placed(&task.state))
             .count();
         if group.step.gang && found > 0 && found < group.tasks.len() {
-            self.end_gang(key);
+            self.end_gang(key, StopReason::GangBroken);
         }
     }
 }
--- a/src/scheduler/run_ends.rs
+++ b/src/scheduler/run_ends.rs
@@ -34,7 +34,12 @@
         if !matches!(row.kind, EndKind::GangEnded | EndKind::GangIncomplete) {
             self.mark_gang_ended(row.name);
         }
-        self.handle_run_gone(key, row.name);
+        // Its gang ended before this member did: another one ended or crashed earlier.
+        let stop_reason = match row.kind {
+            EndKind::GangEnded => StopReason::GangMemberLost,
+            _ => StopReason::GangBroken,
+        };
+        self.handle_run_gone(key, row.name, stop_reason);
         let end = UnacknowledgedEnd { row, waits_for };
         self.worker_mut(key).unacknowledged_ends.push_back(end);
         self.workers_with_unacknowledged_ends.insert(key);
@@ -98,9 +103,10 @@
     }
 
     /// Marks all runs of a gang as ended, including those on workers that do not respond.
-    /// Does nothing unless a member has reported progress: until then, the members may
-    /// not have been running together.
+    /// Unless a member has reported progress, they only may have ended: until then, the
+    /// members may not have been running together.
     fn mark_gang_ended(&mut self, name: RunName) {
+        let now_ms = self.now_ms;
         let key = GroupKey::of(name.task);
         let Some(group) = self.groups.get(&key).filter(|group| group.step.gang) else {
             return;
@@ -111,12 +117,11 @@
         let members: Vec<_> = members
             .map(|(worker, member, run)| (worker, member, run.percent))
             .collect();
-        if members.iter().all(|(_, _, percent)| *percent == 0) {
-            return;
-        }
+        let has_progress = members.iter().any(|(_, _, percent)| *percent > 0);
         for (worker, member, _) in members {
             if let Some(run) = self.worker_mut(worker).runs.get_mut(&member) {
-                run.gang_ended = true;
+                run.gang_ended |= has_progress;
+                run.possible_end_ms.get_or_insert(now_ms);
             }
         }
     }
@@ -182,8 +187,14 @@
     }
 
     /// Removes a run from its worker's state. Unless the task is done, it waits again; if
-    /// the run belonged to the current run of a gang, the gang's run is given up.
-    pub(super) fn handle_run_gone(&mut self, key: WorkerKey, name: RunName) {
+    /// the run belonged to the current run of a gang, the gang's run is given up and its
+    /// other members are stopped for the given reason.
+    pub(super) fn handle_run_gone(
+        &mut self,
+        key: WorkerKey,
+        name: RunName,
+        stop_reason: StopReason,
+    ) {
         self.worker_mut(key).remove_run(&name);
         self.changed = true;
         let group_key = GroupKey::of(name.task);
@@ -202,13 +213,14 @@
             group.set_state(index, TaskState::Waiting);
         }
         if group.step.gang && group.gang_run == Some(name.run) {
-            self.end_gang(group_key);
+            self.end_gang(group_key, stop_reason);
         }
+        self.review_suspect_starts(name);
     }
 
     /// Gives up the run of a gang: the remaining members are stopped, and once all are off
     /// their workers the gang waits again.
-    pub(super) fn end_gang(&mut self, key: GroupKey) {
+    pub(super) fn end_gang(&mut self, key: GroupKey, stop_reason: StopReason) {
         let Some(group) = self.groups.get_mut(&key) else {
             return;
         };
@@ -223,7 +235,7 @@
         }
         if !group.gang_ending {
             group.gang_ending = true;
-            self.stop_group(key, StopReason::GangBroken);
+            self.stop_group(key, stop_reason);
         }
     }
 }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -75,6 +75,9 @@
     pub survived_start: bool,
     /// A member of its gang listed an end of its own, so the whole gang has ended.
     pub gang_ended: bool,
+    /// When it may have ended for a reason other than its progress: when its stop was
+    /// ordered, or as an earlier owner stored it.
+    pub possible_end_ms: Option<u64>,
     /// Its task was suspected of crashing workers when the run was started.
     pub suspected: bool,
     /// Number of orders sent for the current phase.
@@ -157,6 +160,7 @@
             confirmed: true,
             survived_start: true,
             gang_ended: false,
+            possible_end_ms: None,
             suspected: false,
             sends: 1,
             in_flight: false,
--- a/src/scheduler/worker_restart.rs
+++ b/src/scheduler/worker_restart.rs
@@ -157,7 +157,7 @@
             lost.then(|| ConfirmedRun {
                 name: *name,
                 at_start: run.is_start_unproven(),
-                expected_end_ms: self.expected_end_by_progress_ms(old, run),
+                possible_end_ms: self.possible_end_ms(old, run),
             })
         };
         let lost: Vec<ConfirmedRun> = moved.iter().filter_map(as_lost_run).collect();
--- a/src/scheduler/worker_speed.rs
+++ b/src/scheduler/worker_speed.rs
@@ -114,11 +114,6 @@
         self.last = Some(point);
     }
 
-    /// Whether the worker has reported progress other than 0 or 100 percent.
-    pub(super) fn is_reported(&self) -> bool {
-        self.last.is_some()
-    }
-
     /// Returns the projected run time of the whole task on its worker, once enough
     /// progress was reported.
     fn projected_run_ms(&self) -> Option<f64> {
--- a/tests/pending_writes.rs
+++ b/tests/pending_writes.rs
@@ -10,7 +10,12 @@
     Transaction, //
 };
 use fuchsiaslip::core::JobId;
-use fuchsiaslip::scheduler::ClosedRuns;
+use fuchsiaslip::scheduler::{
+    ClosedRuns,
+    ConfirmedRun,
+    GroupKey,
+    RunName, //
+};
 use std::collections::BTreeMap;
 
 const ROOT_REVISION: u64 = 1;
@@ -133,3 +138,30 @@
     assert!(late.is_err());
     assert!(store.revisions.contains_key(&key));
 }
+
+/// Guards against failing sound jobs: the record of a closed worker did not say when its runs
+/// may have ended.
+#[test]
+fn the_record_of_a_closed_worker_keeps_when_its_runs_may_have_ended() {
+    let group = GroupKey {
+        job: JobId(7),
+        occurrence: 0,
+        step: 0,
+    };
+    let run = |index, possible_end_ms| ConfirmedRun {
+        name: RunName {
+            task: group.task(index),
+            run: 3,
+        },
+        at_start: true,
+        possible_end_ms,
+    };
+    let runs = ClosedRuns {
+        confirmed: vec![run(0, Some(1_500)), run(1, None)],
+        ..ClosedRuns::default()
+    };
+
+    let record = ClosedRecord::new(true, &runs);
+
+    assert_eq!(record.closed_runs(), Some(runs));
+}
