Refuse jobs at once while the store answers nobody

Cause: a daemon counted as reaching the store until 0.4 s after its first call had timed out, also one that had just started (E100 to E211), and the first such peer got the jobs of the whole fleet. Ruled out: that clients ignore Retry-After (after a 503 they come back 1.04 s later); that the store answered some daemons (E211 of all 41 by 32.2 s). Change: heartbeats carry when the store last answered and since when it does not. A daemon in doubt probes it before it sends a job; a peer gets a job only if the store answered it after this daemon lost it, or just after a refusal. Jobs that may be stored are told to the other daemons and keep their 504. A daemon without the store stays ready unless it is cut off from its peers. From the same trace, the return: a candidate gives up if a later owner became known while it read the root (two owners in 67 ms), and a daemon that reads new names in the member list sends its heartbeat at once (the next owner began 1.14 s after the store was back).

--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -11,6 +11,7 @@
     PeerBody, //
 };
 use super::peer_table::Peer;
+use super::store_health::StoreContact;
 use crate::scheduler::ClusterConfiguration;
 use prost::Message;
 use std::net::SocketAddr;
@@ -23,6 +24,9 @@
 /// its small processors on heartbeats. An owner always uses
 /// [`HEARTBEAT_INTERVAL_MS`].
 const HEARTBEAT_INTERVAL_PER_PEER_MS: u64 = 12;
+/// Delay of a heartbeat that is sent ahead of time, in which further reasons for it may
+/// come.
+const REQUESTED_DELAY_MS: u64 = 10;
 /// How often a daemon checks whether to take over.
 const ELECTION_INTERVAL_MS: u64 = 50;
 /// Size of the receive buffer; the rest of a longer datagram is dropped.
@@ -43,6 +47,8 @@
                 HEARTBEAT_INTERVAL_MS.max(others.len() as u64 * HEARTBEAT_INTERVAL_PER_PEER_MS)
             }
         };
+        let (store, now_ms) = (node.store_contact(), node.now_ms());
+        let ago_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
         let heartbeat = Heartbeat {
             daemon: node.settings.daemon.clone(),
             boot: node.boot,
@@ -53,6 +59,9 @@
             configuration_version: node.configuration().version,
             cpu_millis: node.settings.cpu_millis,
             interval_ms,
+            store_answered_ago_ms: store.answered_ms.map(ago_ms),
+            store_lacking_for_ms: store.lacking_since_ms.map(ago_ms),
+            unknown_jobs: node.reported_unknown_jobs(),
         }
         .encode_to_vec();
         for (_, peer) in &others {
@@ -66,7 +75,9 @@
         // replaced after 2.4 s in a fleet of 297, although it worked.
         tokio::select! {
             _ = node.timer.sleep(interval_ms) => {}
-            () = node.until_owning() => {}
+            () = node.until_heartbeat_requested() => {
+                node.timer.sleep(REQUESTED_DELAY_MS).await;
+            }
         }
     }
 }
@@ -97,6 +108,7 @@
         boot: heartbeat.boot,
         last_heartbeat_ms: now_ms,
         has_store: heartbeat.has_store,
+        store: store_contact_of(&heartbeat, now_ms),
         store_lost_since_ms: (!heartbeat.has_store).then_some(now_ms),
         draining: heartbeat.draining,
         cpu_millis: heartbeat.cpu_millis,
@@ -104,6 +116,7 @@
         listed: false,
     };
     node.record_peer(&heartbeat.daemon, peer);
+    node.record_unknown_jobs(&heartbeat.unknown_jobs);
     if heartbeat.epoch > 0 {
         node.learn_owner(KnownOwner {
             epoch: heartbeat.epoch,
@@ -119,6 +132,20 @@
     }
 }
 
+/// What the sender of a heartbeat knows of its access to the store, in the time of this
+/// daemon. One of an older version only tells whether it has the store.
+fn store_contact_of(heartbeat: &Heartbeat, now_ms: u64) -> StoreContact {
+    let at_ms = |ago_ms: u64| now_ms.saturating_sub(ago_ms);
+    let answered_ago_ms = match heartbeat.has_store {
+        true => Some(heartbeat.store_answered_ago_ms.unwrap_or(0)),
+        false => heartbeat.store_answered_ago_ms,
+    };
+    StoreContact {
+        answered_ms: answered_ago_ms.map(at_ms),
+        lacking_since_ms: heartbeat.store_lacking_for_ms.map(at_ms),
+    }
+}
+
 /// Fetches a newer configuration from a peer: a daemon that cannot reach the store
 /// learns of it this way.
 async fn fetch_configuration(node: Rc<Node>, address: SocketAddr) {
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -30,6 +30,7 @@
 mod store_watch;
 mod stored_inputs;
 mod submit;
+mod unknown_outcomes;
 mod unreadable_jobs;
 
 pub use control::{
@@ -63,6 +64,11 @@
     InvalidValueReporter, //
     StoredKind,
 };
+pub use peer_table::{
+    Peer,
+    PeerTable,
+    StoreLoss, //
+};
 pub use pending_writes::{
     Batch,
     Changes,
@@ -76,6 +82,7 @@
 pub use store_health::{
     CallKey,
     HealthChange,
+    StoreContact,
     StoreHealth, //
 };
 pub use store_types::{
@@ -88,3 +95,4 @@
     Transaction,
     WatchResult, //
 };
+pub use unknown_outcomes::UnknownOutcomes;
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -19,15 +19,18 @@
 use super::peer_connections::Peers;
 use super::peer_table::{
     Peer,
-    PeerTable, //
+    PeerTable,
+    StoreLoss, //
 };
 use super::pending_writes::PendingWrites;
 use super::settings::ClusterSettings;
 use super::store_calls::StoreCalls;
+use super::store_health::StoreContact;
 use super::store_types::{
     StoreError,
     StoredItem, //
 };
+use super::unknown_outcomes::UnknownOutcomes;
 use crate::core::JobId;
 use crate::events;
 use crate::platform::{
@@ -104,8 +107,9 @@
     owner: RefCell<Option<KnownOwner>>,
     owner_claimed_ms: Cell<u64>,
     epoch: Cell<u64>,
-    ownership_began: Notify,
+    heartbeat_requested: Notify,
     root_revision: Cell<u64>,
+    unknown_outcomes: RefCell<UnknownOutcomes>,
     store_calls: StoreCalls,
     draining: Cell<bool>,
     configuration_behind_since_ms: Cell<Option<u64>>,
@@ -144,8 +148,9 @@
             owner: RefCell::default(),
             owner_claimed_ms: Cell::new(0),
             epoch: Cell::new(0),
-            ownership_began: Notify::new(),
+            heartbeat_requested: Notify::new(),
             root_revision: Cell::new(0),
+            unknown_outcomes: RefCell::default(),
             store_calls: StoreCalls::open(timer.clone()),
             draining: Cell::new(false),
             configuration_behind_since_ms: Cell::new(None),
@@ -226,9 +231,12 @@
         change(&mut self.emptying_orders.borrow_mut());
     }
 
-    /// Whether the load balancer may send new connections to this daemon.
+    /// Whether the load balancer may send new connections to this daemon. One that has lost
+    /// the store still answers queries and refuses jobs at once, and its peers do no better
+    /// unless it is cut off from them.
     pub fn is_ready(&self) -> bool {
-        let confirmed = !self.is_configuration_stale() || self.eligible_peer().is_some();
+        let is_isolated = || self.peer_table.borrow().is_isolated(self.now_ms());
+        let confirmed = !self.is_configuration_stale() || !is_isolated();
         self.configuration.borrow().version > 0 && confirmed && !self.draining.get()
     }
 
@@ -274,6 +282,72 @@
         self.store_calls.accepts_jobs()
     }
 
+    /// What this daemon knows of its access to the store.
+    pub fn store_contact(&self) -> StoreContact {
+        self.store_calls.contact()
+    }
+
+    /// Whether a job that is sent to the store now may get no answer, as far as this daemon
+    /// and its peers know.
+    pub fn is_store_in_doubt(&self) -> bool {
+        let lost_elsewhere_ms = self.peer_table.borrow().store_lost_ms(self.now_ms());
+        self.store_calls.is_in_doubt(lost_elsewhere_ms)
+    }
+
+    /// Whether the store answers this daemon now. When in doubt, it is probed.
+    pub async fn confirm_store(self: &Rc<Self>) -> bool {
+        if !self.accepts_jobs() {
+            return false;
+        }
+        if !self.is_store_in_doubt() {
+            return true;
+        }
+        let timeout_ms = self.store_calls.doubt_probe_timeout_ms();
+        let node = self.clone();
+        actix_rt::spawn(async move { node.probe_store(timeout_ms).await });
+        // Any answer will do, so that jobs that arrive together do not wait for each
+        // other's probes.
+        self.store_calls.until_answered(timeout_ms).await
+    }
+
+    /// Probes the store. A failed probe shows nothing new, so only answers are recorded.
+    pub async fn probe_store(&self, timeout_ms: u64) {
+        metrics::counter!("fuchsiaslip_store_probes_total").increment(1);
+        if self.store.probe(timeout_ms).await.is_ok() {
+            self.record_store_outcome(true);
+        }
+    }
+
+    /// Records that the outcome of storing a job is unknown, and tells the other daemons.
+    pub fn record_unknown_job(&self, job: JobId) {
+        let now_ms = self.now_ms();
+        self.unknown_outcomes.borrow_mut().record(job, now_ms);
+        self.request_heartbeat();
+    }
+
+    /// Records jobs whose outcome is unknown to another daemon.
+    pub fn record_unknown_jobs(&self, jobs: &[u64]) {
+        let now_ms = self.now_ms();
+        let mut unknown = self.unknown_outcomes.borrow_mut();
+        unknown.record_reported(jobs, now_ms);
+    }
+
+    /// Records that a job is stored.
+    pub fn record_stored_job(&self, job: JobId) {
+        self.unknown_outcomes.borrow_mut().record_stored(job);
+    }
+
+    /// Whether an earlier request may have stored a job.
+    pub fn may_be_stored(&self, job: JobId) -> bool {
+        let now_ms = self.now_ms();
+        self.unknown_outcomes.borrow().contains(job, now_ms)
+    }
+
+    /// The jobs with unknown outcomes of which the other daemons are told.
+    pub fn reported_unknown_jobs(&self) -> Vec<u64> {
+        self.unknown_outcomes.borrow().reported(self.now_ms())
+    }
+
     /// Returns the decoded value, or reports an invalid one, once for each revision,
     /// and returns `None`.
     pub fn valid_value<T>(
@@ -346,7 +420,7 @@
     pub fn begin_owning(&self, epoch: u64, root_revision: u64) {
         self.epoch.set(epoch);
         self.root_revision.set(root_revision);
-        self.ownership_began.notify_one();
+        self.request_heartbeat();
         self.unreadable_jobs.borrow_mut().clear();
         self.learn_owner(KnownOwner {
             epoch,
@@ -357,9 +431,14 @@
         });
     }
 
-    /// Waits until this daemon becomes the owner.
-    pub async fn until_owning(&self) {
-        self.ownership_began.notified().await;
+    /// Requests that a heartbeat is sent at once.
+    pub fn request_heartbeat(&self) {
+        self.heartbeat_requested.notify_one();
+    }
+
+    /// Waits until a heartbeat is requested.
+    pub async fn until_heartbeat_requested(&self) {
+        self.heartbeat_requested.notified().await;
     }
 
     /// Stops owning because this daemon's epoch is no longer valid. `reason` tells
@@ -425,6 +504,11 @@
         self.peer_table.borrow_mut().keep_listed(listed, now_ms);
     }
 
+    /// Whether a daemon is known from heartbeats or the member list.
+    pub fn knows_peer(&self, name: &str) -> bool {
+        self.peer_table.borrow().contains(name)
+    }
+
     /// The other daemons, known from heartbeats or the member list.
     pub fn others(&self) -> Vec<(String, Peer)> {
         self.peer_table.borrow().all()
@@ -444,11 +528,18 @@
         self.peer_table.borrow().is_incarnation_over(daemon, boot)
     }
 
-    /// The address of a live peer that reaches the store and does not drain; the
-    /// owner's if it is such a peer.
-    pub fn eligible_peer(&self) -> Option<SocketAddr> {
+    /// The address of a live peer that probably reaches the store, which this daemon has
+    /// lost; the owner's if it is such a peer.
+    pub fn peer_with_store(&self, job: JobId) -> Option<SocketAddr> {
         let owner = self.owner().map(|owner| owner.address);
-        self.peer_table.borrow().eligible_peer(owner, self.now_ms())
+        let contact = self.store_contact();
+        let lost_ms = contact.lacking_since_ms.or(contact.answered_ms);
+        let loss = StoreLoss {
+            since_ms: lost_ms.unwrap_or(self.started_ms),
+            refused: self.store_calls.was_refused(),
+        };
+        let others = self.peer_table.borrow();
+        others.peer_with_store(loss, owner, job.0, self.now_ms())
     }
 
     /// What this daemon knows when it decides whether to take over.
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -72,6 +72,7 @@
 /// The store refused a call or did not answer. The takeover may be tried again.
 pub async fn take_over(node: &Rc<Node>, reason: &'static str) -> Result<(), StoreError> {
     let began_ms = node.now_ms();
+    let replaced_epoch = node.owner().map_or(0, |owner| owner.epoch);
     let root = node.store.get(ROOT_KEY).await?;
     let revision = root.as_ref().map_or(0, |item| item.revision);
     let known = match root {
@@ -88,10 +89,10 @@
             known
         }
     };
-    if store_watch::learn_owner_from_root(node, &known)
-        && !node.is_incarnation_over(&known.owner, known.boot)
-    {
-        // Another daemon has just taken over: wait for its heartbeats.
+    store_watch::learn_owner_from_root(node, &known);
+    if known.epoch > replaced_epoch && !node.is_incarnation_over(&known.owner, known.boot) {
+        // Another daemon has just taken over: wait for its heartbeats. One of them may have
+        // arrived during the read, so that this owner was known before the root was.
         return Ok(());
     }
     // A restarted daemon has ended its earlier incarnation; heartbeats carry the boot
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -96,4 +96,15 @@
     /// Time to the next heartbeat, in milliseconds.
     #[prost(uint64, tag = "9")]
     pub interval_ms: u64,
+    /// Time since the store last answered the sender, in milliseconds; absent if it never
+    /// did, or if the sender is of an older version.
+    #[prost(uint64, optional, tag = "10")]
+    pub store_answered_ago_ms: Option<u64>,
+    /// For how long the sender's calls to the store have failed or been overdue, in
+    /// milliseconds; absent if they do not.
+    #[prost(uint64, optional, tag = "11")]
+    pub store_lacking_for_ms: Option<u64>,
+    /// Jobs of which the sender recently could not tell whether they were stored.
+    #[prost(fixed64, repeated, tag = "12")]
+    pub unknown_jobs: Vec<u64>,
 }
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -1,6 +1,7 @@
 //! The other daemons, as known from their heartbeats and the store's member list.
 
 use super::election::Candidate;
+use super::store_health::StoreContact;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -12,6 +13,19 @@
 /// gone.
 const PEER_TIMEOUT_HEARTBEATS: u64 = 3;
 
+/// Time after the loss of the store in which a peer that reported no loss counts as reaching
+/// it: until then, its heartbeats may not show that it has lost the store too.
+const PEER_LOSS_NOTICE_MS: u64 = 1_000;
+
+/// When a daemon lost the store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreLoss {
+    /// When it was lost.
+    pub since_ms: u64,
+    /// Whether the store answered and refused, so that it may refuse this daemon alone.
+    pub refused: bool,
+}
+
 /// Another daemon.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -23,6 +37,8 @@
     pub last_heartbeat_ms: u64,
     /// Whether it reaches the store.
     pub has_store: bool,
+    /// What it knows of its access to the store, in the time of this daemon.
+    pub store: StoreContact,
     /// When it first reported that it had lost the store; `None` if it reaches the
     /// store.
     pub store_lost_since_ms: Option<u64>,
@@ -47,6 +63,17 @@
     fn is_eligible(&self) -> bool {
         self.has_store && !self.draining
     }
+
+    /// Whether the store probably answers it although this daemon has lost it: the store
+    /// has answered it since, or it may not know yet whether it has lost it too.
+    fn reaches_store_after(&self, loss: StoreLoss, now_ms: u64) -> bool {
+        let answered = self.store.answered_ms;
+        let answered_since = answered.is_some_and(|at_ms| at_ms > loss.since_ms);
+        let may_be_unaware = loss.refused && now_ms < loss.since_ms + PEER_LOSS_NOTICE_MS;
+        self.is_eligible()
+            && self.store.lacking_since_ms.is_none()
+            && (answered_since || may_be_unaware)
+    }
 }
 
 /// The other daemons by name, known from heartbeats or the member list.
@@ -97,6 +124,11 @@
             .collect()
     }
 
+    /// Whether there is a peer of this name.
+    pub fn contains(&self, name: &str) -> bool {
+        self.peers.contains_key(name)
+    }
+
     /// The number of peers.
     pub fn count(&self) -> usize {
         self.peers.len()
@@ -120,13 +152,39 @@
         peer.is_some_and(|peer| peer.last_heartbeat_ms > 0 && peer.boot != boot)
     }
 
-    /// The address of a live and eligible peer; the owner's if it is one.
-    pub fn eligible_peer(&self, owner: Option<SocketAddr>, now_ms: u64) -> Option<SocketAddr> {
+    /// The address of a live peer that probably reaches the store although this daemon has
+    /// lost it: the owner's if it is one, else one that depends on `seed`, so that requests
+    /// are spread.
+    pub fn peer_with_store(
+        &self,
+        loss: StoreLoss,
+        owner: Option<SocketAddr>,
+        seed: u64,
+        now_ms: u64,
+    ) -> Option<SocketAddr> {
+        let alive = self.peers.values().filter(|peer| peer.is_alive(now_ms));
+        let reaching = alive.filter(|peer| peer.reaches_store_after(loss, now_ms));
+        let addresses: Vec<SocketAddr> = reaching.map(|peer| peer.address).collect();
+        if let Some(owner) = owner.filter(|owner| addresses.contains(owner)) {
+            return Some(owner);
+        }
+        let count = addresses.len() as u64;
+        let at = seed.checked_rem(count)?;
+        addresses.get(at as usize).copied()
+    }
+
+    /// The latest time at which a live peer lost the store, if any has lost it.
+    pub fn store_lost_ms(&self, now_ms: u64) -> Option<u64> {
         let alive = self.peers.values().filter(|peer| peer.is_alive(now_ms));
-        let eligible = alive.filter(|peer| peer.is_eligible());
-        let addresses: Vec<SocketAddr> = eligible.map(|peer| peer.address).collect();
-        let owner_address = addresses.iter().find(|address| Some(**address) == owner);
-        owner_address.or(addresses.first()).copied()
+        alive.filter_map(|peer| peer.store.lacking_since_ms).max()
+    }
+
+    /// Whether heartbeats arrive from fewer than half of the listed peers, so that this
+    /// daemon is probably cut off.
+    pub fn is_isolated(&self, now_ms: u64) -> bool {
+        let peers = || self.peers.values();
+        let alive = peers().filter(|peer| peer.is_alive(now_ms)).count();
+        alive * 2 < peers().filter(|peer| peer.listed).count()
     }
 
     /// The peers that sent a heartbeat recently, as candidates for the ownership.
--- a/src/cluster/store_calls.rs
+++ b/src/cluster/store_calls.rs
@@ -4,6 +4,7 @@
 use super::store_health::{
     CallKey,
     HealthChange,
+    StoreContact,
     StoreHealth, //
 };
 use super::store_types::StoreError;
@@ -78,10 +79,20 @@
             let took_ms = self.timer.now_ms() - began_ms;
             self.health.borrow_mut().record_latency(took_ms);
         }
+        if matches!(outcome, Err(StoreError::Refused)) {
+            let now_ms = self.timer.now_ms();
+            self.health.borrow_mut().record_refusal(now_ms);
+        }
         self.record_outcome(outcome.is_ok());
         outcome
     }
 
+    /// Waits until a call is answered, for at most `timeout_ms`; returns whether one was.
+    pub async fn until_answered(&self, timeout_ms: u64) -> bool {
+        let answered = self.answered.notified();
+        self.timer.timeout(timeout_ms, answered).await.is_ok()
+    }
+
     /// Waits for a call, and abandons it once the store has recovered from an outage that
     /// ended after the call was made: such a call is never answered.
     pub async fn abandon_after_outage<T>(
@@ -120,9 +131,31 @@
         self.health.borrow().answer_timeout_ms()
     }
 
-    /// Whether the store answers this daemon.
+    /// Whether the store has answered this daemon, and does not count as down.
     pub fn has_store(&self) -> bool {
-        !self.health.borrow().is_down(self.timer.now_ms())
+        let health = self.health.borrow();
+        health.has_answered() && !health.is_down(self.timer.now_ms())
+    }
+
+    /// What this daemon knows of its access to the store.
+    pub fn contact(&self) -> StoreContact {
+        self.health.borrow().contact(self.timer.now_ms())
+    }
+
+    /// Whether a job that is sent now may get no answer; see [`StoreHealth::is_in_doubt`].
+    pub fn is_in_doubt(&self, lost_elsewhere_ms: Option<u64>) -> bool {
+        let now_ms = self.timer.now_ms();
+        self.health.borrow().is_in_doubt(lost_elsewhere_ms, now_ms)
+    }
+
+    /// How long to wait for the answer to a probe when in doubt, in milliseconds.
+    pub fn doubt_probe_timeout_ms(&self) -> u64 {
+        self.health.borrow().doubt_probe_timeout_ms()
+    }
+
+    /// Whether the last failure was a refusal.
+    pub fn was_refused(&self) -> bool {
+        self.health.borrow().was_refused()
     }
 
     /// Whether a client's job can be stored now.
--- a/src/cluster/store_health.rs
+++ b/src/cluster/store_health.rs
@@ -8,6 +8,12 @@
 //! before are abandoned, since they are never answered. A call that takes
 //! several times the usual latency is retried. Limit: a store that is merely slow
 //! answers within a third of a second.
+//!
+//! A daemon that makes few calls notices an outage late, and one that has just started has
+//! seen no answer yet. If each of them sent its jobs to the store, their outcomes would be
+//! unknown. So daemons tell each other when the store last answered them and since when it
+//! does not, and a daemon whose own last answer is older than that is in doubt: it probes
+//! the store before it sends a job.
 
 use std::collections::BTreeMap;
 
@@ -20,6 +26,10 @@
 const OVERDUE_MS: u64 = 300;
 /// A call that was made at most this long before the recovery may still be answered.
 const RECOVERY_MARGIN_MS: u64 = 100;
+/// Shortest timeout of the probe of a daemon in doubt.
+const MIN_PROBE_TIMEOUT_MS: u64 = 250;
+/// Such a probe may take this many times the usual latency.
+const PROBE_TIMEOUT_FACTOR: f64 = 2.0;
 /// Shortest time after which a call is retried.
 const MIN_TIMEOUT_MS: f64 = 120.0;
 /// Longest time after which a call is retried: the timeout of any call.
@@ -33,12 +43,25 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallKey(u64);
 
+/// What a daemon knows of its access to the store. Other daemons receive it with its
+/// heartbeats.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StoreContact {
+    /// When the store last answered; `None` if it never did.
+    pub answered_ms: Option<u64>,
+    /// Since when calls fail or an answer is overdue; `None` if neither is so.
+    pub lacking_since_ms: Option<u64>,
+}
+
 /// The health of the store, as this daemon's calls show it.
 #[derive(Clone, Debug, Default)]
 pub struct StoreHealth {
     failed_since_ms: Option<u64>,
     recovered_ms: u64,
+    /// When a call was last answered; 0 if none was.
     answered_ms: u64,
+    /// When a call was last refused; 0 if none was.
+    refused_ms: u64,
     /// When the store first answered after its last outage.
     outage_end_ms: u64,
     /// Moving average of the latency of answers.
@@ -107,6 +130,16 @@
         }
     }
 
+    /// Records that a call was refused.
+    pub fn record_refusal(&mut self, now_ms: u64) {
+        self.refused_ms = now_ms;
+    }
+
+    /// Whether the store has answered a call of this process.
+    pub fn has_answered(&self) -> bool {
+        self.answered_ms > 0
+    }
+
     /// Whether calls have failed for so long that the store counts as down.
     pub fn is_down(&self, now_ms: u64) -> bool {
         let since_ms = self.failed_since_ms;
@@ -127,11 +160,16 @@
         self.recovered_ms
     }
 
-    /// How long the oldest call made since the last answer has been in flight.
-    fn unanswered_ms(&self, now_ms: u64) -> u64 {
+    /// When the oldest call since the last answer was made that is still in flight.
+    fn unanswered_since_ms(&self) -> Option<u64> {
         let since = self.in_flight.values().copied();
-        let oldest_ms = since.filter(|&at_ms| at_ms >= self.answered_ms).min();
-        oldest_ms.map_or(0, |at_ms| now_ms.saturating_sub(at_ms))
+        since.filter(|&at_ms| at_ms >= self.answered_ms).min()
+    }
+
+    /// How long that call has been in flight.
+    fn unanswered_ms(&self, now_ms: u64) -> u64 {
+        let since_ms = self.unanswered_since_ms();
+        since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
     }
 
     /// Whether an answer is overdue or calls fail.
@@ -139,6 +177,37 @@
         self.failed_since_ms.is_some() || self.unanswered_ms(now_ms) >= OVERDUE_MS
     }
 
+    /// What other daemons are told.
+    pub fn contact(&self, now_ms: u64) -> StoreContact {
+        let unanswered_since_ms = self.unanswered_since_ms();
+        let overdue_since_ms = unanswered_since_ms.filter(|_| self.is_overdue(now_ms));
+        StoreContact {
+            answered_ms: (self.answered_ms > 0).then_some(self.answered_ms),
+            lacking_since_ms: self.failed_since_ms.or(overdue_since_ms),
+        }
+    }
+
+    /// Whether a job that is sent now may get no answer, although the store does not count
+    /// as unavailable: no call was ever answered, an answer is overdue, or the store has
+    /// not answered since another daemon lost it at `lost_elsewhere_ms`.
+    pub fn is_in_doubt(&self, lost_elsewhere_ms: Option<u64>, now_ms: u64) -> bool {
+        self.answered_ms == 0
+            || self.is_overdue(now_ms)
+            || lost_elsewhere_ms.is_some_and(|lost_ms| lost_ms > self.answered_ms)
+    }
+
+    /// How long a daemon in doubt waits for the answer to a probe before it refuses a job, in
+    /// milliseconds.
+    pub fn doubt_probe_timeout_ms(&self) -> u64 {
+        MIN_PROBE_TIMEOUT_MS.max((PROBE_TIMEOUT_FACTOR * self.usual_latency_ms) as u64)
+    }
+
+    /// Whether the last failure was a refusal, which shows that the store answers, and
+    /// perhaps refuses this daemon alone.
+    pub fn was_refused(&self) -> bool {
+        self.refused_ms > self.answered_ms
+    }
+
     /// Whether a job that is sent now would probably get no answer.
     pub fn is_unavailable(&self, now_ms: u64) -> bool {
         let unresponsive_ms = UNRESPONSIVE_MS.max((TIMEOUT_FACTOR * self.usual_latency_ms) as u64);
--- a/src/cluster/store_watch.rs
+++ b/src/cluster/store_watch.rs
@@ -24,6 +24,7 @@
     member_key,
     parse_job_key, //
 };
+use super::store_health::StoreContact;
 use super::store_types::{
     StoreError,
     StoreEvent,
@@ -283,6 +284,12 @@
             continue;
         };
         names.push(name.to_owned());
+        if !node.knows_peer(name) {
+            // After all daemons have started during an outage of the store, they learn of
+            // each other from this list alone, and none takes over before it has heard from
+            // most of the others.
+            node.request_heartbeat();
+        }
         node.record_peer(
             name,
             Peer {
@@ -290,6 +297,7 @@
                 boot: 0,
                 last_heartbeat_ms: 0,
                 has_store: true,
+                store: StoreContact::default(),
                 store_lost_since_ms: None,
                 draining: false,
                 cpu_millis: 0,
@@ -308,12 +316,12 @@
     Ok(())
 }
 
-/// Records the owner that the root record names. Returns whether its epoch is newer
-/// than the known owner's.
-pub fn learn_owner_from_root(node: &Node, root: &RootRecord) -> bool {
+/// Records the owner that the root record names, if its epoch is newer than the known
+/// owner's.
+pub fn learn_owner_from_root(node: &Node, root: &RootRecord) {
     let known = node.owner().map_or(0, |owner| owner.epoch);
     let Some(address) = root.address.parse().ok().filter(|_| root.epoch > known) else {
-        return false;
+        return;
     };
     node.learn_owner(KnownOwner {
         epoch: root.epoch,
@@ -322,7 +330,6 @@
         boot: root.boot,
         learned_ms: node.now_ms(),
     });
-    true
 }
 
 /// Follows stored and cancelled jobs while this daemon owns. Other daemons send them
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -2,9 +2,10 @@
 //!
 //! Any daemon stores a job itself, so jobs are accepted while the owner changes. The
 //! outcome follows from the store's answer. A job is accepted if its commit was carried
-//! out or its key already exists. It is not accepted if the store refused it before
-//! anything was sent. If the store did not answer, the outcome is unknown, and the client
-//! retries with the same job name.
+//! out or its key already exists. It is not accepted if it was not sent to the store, since
+//! that is known not to answer, or if the store refused it before anything was done. If the
+//! store did not answer, the outcome is unknown, and the client retries with the same job
+//! name; until a request for that job is answered otherwise, its outcome stays unknown.
 
 use super::invalid_values::StoredKind;
 use super::node::Node;
@@ -92,14 +93,9 @@
     until_ms: u64,
 ) -> StorageOutcome {
     let bytes = encode(&record);
-    // A store that is known not to answer is not tried: an immediate refusal is
-    // correct, whereas a call would end without a known outcome.
-    let mut outcome = match node.accepts_jobs() {
-        true => store_job(node, job, bytes.clone(), until_ms).await,
-        false => StorageOutcome::Refused,
-    };
+    let mut outcome = store_job_if_answered(node, job, bytes.clone(), until_ms).await;
     if outcome == StorageOutcome::Refused
-        && let Some(peer) = node.eligible_peer()
+        && let Some(peer) = node.peer_with_store(job)
     {
         metrics::counter!("fuchsiaslip_forwarded_total", "call" => "submit").increment(1);
         let body = PeerBody::Submit(JobBytes {
@@ -112,9 +108,35 @@
     } else if outcome == StorageOutcome::Done {
         notify_owner_of_job(node, job, bytes);
     }
+    record_outcome(node, job, outcome)
+}
+
+/// Remembers a job with an unknown outcome. Returns the outcome to tell the client: a request
+/// that was refused does not show that an earlier one for the same job was.
+fn record_outcome(node: &Node, job: JobId, outcome: StorageOutcome) -> StorageOutcome {
+    match outcome {
+        StorageOutcome::Done => node.record_stored_job(job),
+        StorageOutcome::Unknown => node.record_unknown_job(job),
+        StorageOutcome::Refused if node.may_be_stored(job) => return StorageOutcome::Unknown,
+        StorageOutcome::Refused | StorageOutcome::NoSuchJob => {}
+    }
     outcome
 }
 
+/// Writes a job to the store unless that is known not to answer: an immediate refusal is
+/// correct, whereas a call would end without a known outcome.
+async fn store_job_if_answered(
+    node: &Rc<Node>,
+    job: JobId,
+    record: Bytes,
+    until_ms: u64,
+) -> StorageOutcome {
+    match node.confirm_store().await {
+        true => store_job(node, job, record, until_ms).await,
+        false => StorageOutcome::Refused,
+    }
+}
+
 /// Sends a stored job to this daemon's own scheduler.
 fn send_job_input(node: &Node, job: JobId, record: JobRecord) {
     let input = Input::JobStored {
@@ -126,12 +148,7 @@
 }
 
 /// Writes a job to the store.
-pub async fn store_job(
-    node: &Rc<Node>,
-    job: JobId,
-    record: Bytes,
-    until_ms: u64,
-) -> StorageOutcome {
+async fn store_job(node: &Rc<Node>, job: JobId, record: Bytes, until_ms: u64) -> StorageOutcome {
     let transaction = Transaction {
         expected: vec![(job_key(job), 0)],
         puts: vec![(job_key(job), record)],
@@ -215,12 +232,9 @@
 /// Cancels a job: stores the cancellation, from here or through a peer, and notifies the
 /// owner.
 pub async fn cancel(node: &Rc<Node>, job: JobId, until_ms: u64) -> StorageOutcome {
-    let mut outcome = match node.accepts_jobs() {
-        true => store_cancellation(node, job, until_ms).await,
-        false => StorageOutcome::Refused,
-    };
+    let mut outcome = store_cancellation_if_answered(node, job, until_ms).await;
     if outcome == StorageOutcome::Refused
-        && let Some(peer) = node.eligible_peer()
+        && let Some(peer) = node.peer_with_store(job)
     {
         metrics::counter!("fuchsiaslip_forwarded_total", "call" => "cancel").increment(1);
         let body = PeerBody::Cancel(job.0);
@@ -241,8 +255,20 @@
     }
 }
 
+/// Writes a job's cancellation to the store unless that is known not to answer.
+async fn store_cancellation_if_answered(
+    node: &Rc<Node>,
+    job: JobId,
+    until_ms: u64,
+) -> StorageOutcome {
+    match node.confirm_store().await {
+        true => store_cancellation(node, job, until_ms).await,
+        false => StorageOutcome::Refused,
+    }
+}
+
 /// Writes a job's cancellation to the store.
-pub async fn store_cancellation(node: &Rc<Node>, job: JobId, until_ms: u64) -> StorageOutcome {
+async fn store_cancellation(node: &Rc<Node>, job: JobId, until_ms: u64) -> StorageOutcome {
     loop {
         let outcome = node.call_store(try_cancellation(node, job)).await;
         match outcome {
@@ -397,14 +423,14 @@
         }
         PeerBody::Submit(job) => {
             let (id, record) = (JobId(job.job), Bytes::from(job.record));
-            let outcome = store_job(&node, id, record.clone(), until_ms).await;
+            let outcome = store_job_if_answered(&node, id, record.clone(), until_ms).await;
             if outcome == StorageOutcome::Done {
                 notify_owner_of_job(&node, id, record);
             }
             Some(PeerBody::StorageOutcome(outcome.code()))
         }
         PeerBody::Cancel(job) => {
-            let outcome = store_cancellation(&node, JobId(job), until_ms).await;
+            let outcome = store_cancellation_if_answered(&node, JobId(job), until_ms).await;
             if outcome == StorageOutcome::Done {
                 notify_owner_of_cancellation(&node, JobId(job));
             }
--- a/tests/store_health.rs
+++ b/tests/store_health.rs
@@ -129,3 +129,44 @@
 
     assert!(!health.is_lost_in_outage(10_000));
 }
+
+/// Guards against unknown outcomes: a daemon that had just started took the store for
+/// available until its first call had timed out.
+#[test]
+fn a_daemon_that_was_never_answered_is_in_doubt() {
+    let mut health = StoreHealth::default();
+    assert!(health.is_in_doubt(None, 10_000));
+    assert_eq!(health.contact(10_000).answered_ms, None);
+
+    health.record_outcome(true, 10_005);
+
+    assert!(!health.is_in_doubt(None, 10_005));
+    assert_eq!(health.contact(10_005).answered_ms, Some(10_005));
+}
+
+/// Guards against unknown outcomes: daemons that make few calls noticed an outage a second
+/// after the others.
+#[test]
+fn a_daemon_is_in_doubt_after_others_lost_the_store_until_it_is_answered() {
+    let mut health = health_after_answers(5, 10_000);
+    let lost_elsewhere_ms = Some(10_200);
+    assert!(!health.is_in_doubt(None, 10_300));
+    assert!(health.is_in_doubt(lost_elsewhere_ms, 10_300));
+
+    health.record_outcome(true, 10_310);
+
+    assert!(!health.is_in_doubt(lost_elsewhere_ms, 10_320));
+}
+
+#[test]
+fn other_daemons_are_told_since_when_an_answer_is_overdue() {
+    let mut health = health_after_answers(5, 10_000);
+    health.call_started(10_100);
+
+    let early = health.contact(10_200);
+    let overdue = health.contact(10_450);
+
+    assert_eq!(early.lacking_since_ms, None);
+    assert_eq!(overdue.lacking_since_ms, Some(10_100));
+    assert_eq!(overdue.answered_ms, Some(10_000));
+}
--- /dev/null
+++ b/tests/store_outage.rs
@@ -0,0 +1,126 @@
+//! Real daemons beside a stand-in of the platform whose store answers nobody.
+
+#[path = "support/daemons.rs"]
+mod daemons;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/operator.rs"]
+mod operator;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/processes.rs"]
+mod processes;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "support/proxy.rs"]
+mod proxy;
+
+use daemons::{
+    epoch,
+    fleet,
+    fleet_with_stores,
+    is_completed,
+    job,
+    path,
+    wait_until, //
+};
+use operator::{
+    Operator,
+    StoreMode, //
+};
+use processes::{
+    Answer,
+    Daemon, //
+};
+use proxy::{
+    LinkMode,
+    Proxy, //
+};
+use std::net::SocketAddr;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Longer than daemons need to notice an outage of the store.
+const NOTICE_DELAY: Duration = Duration::from_millis(1_500);
+/// Time within which a job is refused that no daemon can store.
+const AT_ONCE: Duration = Duration::from_millis(400);
+const RUN_MS: u64 = 300;
+
+fn submit(daemon: &Daemon, id: u64) -> Answer {
+    daemon.request("POST", &path(id), &job(1, RUN_MS))
+}
+
+fn status(answer: &Answer) -> u16 {
+    match answer {
+        Answer::Status(status, _) => *status,
+        Answer::None => 0,
+    }
+}
+
+/// Guards against unknown outcomes of jobs that were never sent: a daemon that had just
+/// started was taken for one that reaches the store, and got all jobs of the fleet.
+#[test]
+fn jobs_are_refused_at_once_while_the_store_answers_nobody_and_a_daemon_has_just_started() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let mut daemons = fleet(220, 3, &operator);
+    operator.world().mode = StoreMode::Unresponsive;
+    std::thread::sleep(NOTICE_DELAY);
+
+    daemons[2].kill();
+    daemons[2].start();
+    let until = Instant::now() + NOTICE_DELAY;
+    let (mut id, mut refusals) = (1, 0);
+    while Instant::now() < until {
+        id += 1;
+        let sent = Instant::now();
+        let answer = submit(&daemons[id as usize % 2], id);
+        assert_eq!(status(&answer), 503, "{answer:?}");
+        assert!(sent.elapsed() < AT_ONCE, "after {:?}", sent.elapsed());
+        refusals += 1;
+    }
+
+    assert!(refusals > 2);
+    operator.world().mode = StoreMode::Serving;
+    wait_until("a job is accepted", || {
+        status(&submit(&daemons[0], 1_000)) == 200
+    });
+    wait_until("it is completed", || is_completed(&daemons[0], 1_000));
+    assert!((2..=id).all(|id| operator.world().runs_of(id) == 0));
+}
+
+/// Guards against an untrue refusal: a job whose first request may have been stored was refused
+/// by a daemon that knew nothing of that request.
+#[test]
+fn a_job_that_may_be_stored_is_not_refused_by_another_daemon() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons = fleet(221, 2, &operator);
+    wait_until("an owner", || epoch(&operator) > 0);
+    operator.world().mode = StoreMode::Unresponsive;
+
+    let first = submit(&daemons[0], 1);
+    std::thread::sleep(NOTICE_DELAY);
+    let (repeated, other) = (submit(&daemons[1], 1), submit(&daemons[1], 2));
+
+    assert_eq!(status(&first), 504);
+    assert_eq!(status(&repeated), 504, "the first request may be stored");
+    assert_eq!(status(&other), 503, "no request for it was sent");
+}
+
+/// Guards against losing the jobs of a daemon that the store refuses while it answers others.
+#[test]
+fn a_daemon_that_cannot_reach_the_store_stores_jobs_through_a_peer() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let links: Vec<Proxy> = (0..3).map(|_| Proxy::spawn(operator.store)).collect();
+    let stores: Vec<SocketAddr> = links.iter().map(|link| link.address).collect();
+    let daemons = fleet_with_stores(222, &stores);
+    wait_until("an owner", || epoch(&operator) > 0);
+    links[2].set_mode(LinkMode::Cut);
+    std::thread::sleep(NOTICE_DELAY);
+
+    let answer = submit(&daemons[2], 1);
+
+    assert_eq!(status(&answer), 200);
+    wait_until("it is completed", || is_completed(&daemons[0], 1));
+}
