--- a/src/cluster/commits.rs
+++ b/src/cluster/commits.rs
@@ -62,7 +62,8 @@
                     StoreError::Refused => "store_refused",
                     StoreError::NoAnswer => "store_silent",
                 });
-                node.timer.sleep(RETRY_MS).await;
+                let delay_ms = node.store_retry_delay_ms(RETRY_MS);
+                node.timer.sleep(delay_ms).await;
             }
         }
     }
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -61,6 +61,9 @@
 /// force.
 const CONFIGURATION_LAG_MS: u64 = 700;
 
+/// How long a request waits for the answer to a probe of a store that counts as unavailable.
+const RETURN_PROBE_TIMEOUT_MS: u64 = 30;
+
 /// The owner, as far as this daemon knows.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KnownOwner {
@@ -253,6 +256,19 @@
         self.store_calls.call_store(call).await
     }
 
+    /// Makes a call to the store that may be held open, and records its outcome.
+    pub async fn call_store_held_open<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        self.store_calls.call_held_open(call).await
+    }
+
+    /// How long to wait before a recorded call to the store that failed is made again.
+    pub fn store_retry_delay_ms(&self, usual_ms: u64) -> u64 {
+        self.store_calls.retry_delay_ms(usual_ms)
+    }
+
     /// Waits for a call, and abandons it once the store has recovered from an outage that
     /// ended after the call was made: such a call is never answered.
     pub async fn abandon_after_outage<T>(
@@ -294,15 +310,16 @@
         self.store_calls.is_in_doubt(lost_elsewhere_ms)
     }
 
-    /// Whether the store answers this daemon now. When in doubt, it is probed.
+    /// Whether the store answers this daemon now. It is probed when that is in doubt, and
+    /// briefly while it counts as unavailable, since it may have come back after the last
+    /// probe.
     pub async fn confirm_store(self: &Rc<Self>) -> bool {
-        if !self.accepts_jobs() {
-            return false;
-        }
-        if !self.is_store_in_doubt() {
-            return true;
-        }
-        let timeout_ms = self.store_calls.doubt_probe_timeout_ms();
+        let timeout_ms = match (self.accepts_jobs(), self.is_store_in_doubt()) {
+            (true, false) => return true,
+            (true, true) => self.store_calls.doubt_probe_timeout_ms(),
+            (false, _) if self.store_calls.was_refused() => return false,
+            (false, _) => RETURN_PROBE_TIMEOUT_MS,
+        };
         let node = self.clone();
         actix_rt::spawn(async move { node.probe_store(timeout_ms).await });
         // Any answer will do, so that jobs that arrive together do not wait for each
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -286,7 +286,8 @@
             }
             Ok(_) => return node.stop_owning("root_changed"),
             Err(_) => {
-                node.timer.sleep(CONFIRM_RETRY_MS).await;
+                let delay_ms = node.store_retry_delay_ms(CONFIRM_RETRY_MS);
+                node.timer.sleep(delay_ms).await;
             }
         }
     }
--- a/src/cluster/store_calls.rs
+++ b/src/cluster/store_calls.rs
@@ -13,6 +13,9 @@
 use std::cell::RefCell;
 use tokio::sync::Notify;
 
+/// Delay before a call is made again that was lost in an outage which has ended.
+const RECOVERED_RETRY_MS: u64 = 10;
+
 /// The calls of this daemon to the store, and the health that they show.
 pub struct StoreCalls {
     timer: Timer,
@@ -73,12 +76,27 @@
             health: &self.health,
             key: self.health.borrow_mut().call_started(began_ms),
         };
-        let outcome = self.abandon_after_outage(call).await;
+        let outcome = self.outcome_unless_abandoned(call).await;
         drop(guard);
-        if outcome.is_ok() {
+        if matches!(outcome, Some(Ok(_))) {
             let took_ms = self.timer.now_ms() - began_ms;
             self.health.borrow_mut().record_latency(took_ms);
         }
+        self.recorded(outcome)
+    }
+
+    /// Makes a call that the store may hold open, and records its outcome.
+    pub async fn call_held_open<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let outcome = self.outcome_unless_abandoned(call).await;
+        self.recorded(outcome)
+    }
+
+    /// Records the outcome of a call. One that was abandoned shows nothing of the store.
+    fn recorded<T>(&self, outcome: Option<Result<T, StoreError>>) -> Result<T, StoreError> {
+        let outcome = outcome.ok_or(StoreError::NoAnswer)?;
         if matches!(outcome, Err(StoreError::Refused)) {
             let now_ms = self.timer.now_ms();
             self.health.borrow_mut().record_refusal(now_ms);
@@ -99,13 +117,22 @@
         &self,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
+        let outcome = self.outcome_unless_abandoned(call).await;
+        outcome.unwrap_or(Err(StoreError::NoAnswer))
+    }
+
+    /// Waits for a call; returns `None` if it was abandoned.
+    async fn outcome_unless_abandoned<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Option<Result<T, StoreError>> {
         let began_ms = self.timer.now_ms();
         tokio::select! {
-            outcome = call => outcome,
+            outcome = call => Some(outcome),
             () = self.lost_in_outage(began_ms) => {
                 metrics::counter!("fuchsiaslip_retries_total", "reason" => "store_was_silent")
                     .increment(1);
-                Err(StoreError::NoAnswer)
+                None
             }
         }
     }
@@ -126,6 +153,15 @@
         self.health.borrow().is_overdue(self.timer.now_ms())
     }
 
+    /// How long to wait before a recorded call that failed is made again: `usual_ms`, or
+    /// hardly at all if the store answers again.
+    pub fn retry_delay_ms(&self, usual_ms: u64) -> u64 {
+        match self.is_overdue() {
+            true => usual_ms,
+            false => usual_ms.min(RECOVERED_RETRY_MS),
+        }
+    }
+
     /// How long to wait for an answer before a call is retried, in milliseconds.
     pub fn answer_timeout_ms(&self) -> u64 {
         self.health.borrow().answer_timeout_ms()
--- a/src/cluster/store_watch.rs
+++ b/src/cluster/store_watch.rs
@@ -86,20 +86,20 @@
         let outcome = match revision {
             // Otherwise a read sent during an outage of the store would wait for its own
             // timeout, and the configuration would arrive up to a second late.
-            None => node.abandon_after_outage(read_operators(&node)).await,
+            None => node.call_store_held_open(read_operators(&node)).await,
             Some(revision) => {
                 let watch = watch_operators(&node, revision, wait_ms);
-                node.abandon_after_outage(watch).await
+                node.call_store_held_open(watch).await
             }
         };
-        node.record_store_outcome(outcome.is_ok());
         // After a failure the next watch returns at once, even without changes, since
         // an owner starts tasks only while its knowledge of the orders is fresh.
         wait_ms = if outcome.is_ok() { WATCH_WAIT_MS } else { 0 };
         match outcome {
             Ok(next) => revision = next,
             Err(_) => {
-                node.timer.sleep(RETRY_MS).await;
+                let delay_ms = node.store_retry_delay_ms(RETRY_MS);
+                node.timer.sleep(delay_ms).await;
             }
         }
     }
@@ -224,7 +224,8 @@
     let (mut lease, mut next_list_ms) = (0, 0);
     loop {
         let mut result = node.call_store(renew_membership(&node, &mut lease)).await;
-        if result.is_ok() && node.now_ms() >= next_list_ms {
+        let renewed = result.is_ok();
+        if renewed && node.now_ms() >= next_list_ms {
             result = read_members(&node).await;
             let count = node.others().len() as u64;
             next_list_ms = match result {
@@ -241,7 +242,8 @@
             next_list_ms = 0;
         }
         let wait_ms = match (result.is_ok(), starting) {
-            (false, _) => RETRY_MS,
+            (false, _) if renewed => RETRY_MS,
+            (false, _) => node.store_retry_delay_ms(RETRY_MS),
             (true, true) => STARTUP_MEMBERS_INTERVAL_MS,
             (true, false) => MEMBERS_INTERVAL_MS,
         };
