--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -60,7 +60,7 @@
             cpu_millis: node.settings.cpu_millis,
             interval_ms,
             store_answered_ago_ms: store.answered_ms.map(ago_ms),
-            store_lacking_for_ms: store.lacking_since_ms.map(ago_ms),
+            store_failing_for_ms: store.failing_since_ms.map(ago_ms),
             unknown_jobs: node.reported_unknown_jobs(),
         }
         .encode_to_vec();
@@ -70,9 +70,9 @@
                 log::debug!("cannot send a heartbeat: {error}");
             }
         }
-        // In a fleet of hundreds the interval is seconds. A new owner therefore sends
-        // a heartbeat at once: when it slept through the interval first, it was
-        // replaced after 2.4 s in a fleet of 297, although it worked.
+        // In a fleet of hundreds the interval is seconds. A new owner, which would be replaced
+        // meanwhile, and a daemon with news that cannot wait therefore request a heartbeat
+        // at once.
         tokio::select! {
             _ = node.timer.sleep(interval_ms) => {}
             () = node.until_heartbeat_requested() => {
@@ -142,7 +142,7 @@
     };
     StoreContact {
         answered_ms: answered_ago_ms.map(at_ms),
-        lacking_since_ms: heartbeat.store_lacking_for_ms.map(at_ms),
+        failing_since_ms: heartbeat.store_failing_for_ms.map(at_ms),
     }
 }
 
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -103,7 +103,7 @@
     /// For how long the sender's calls to the store have failed or been overdue, in
     /// milliseconds; absent if they do not.
     #[prost(uint64, optional, tag = "11")]
-    pub store_lacking_for_ms: Option<u64>,
+    pub store_failing_for_ms: Option<u64>,
     /// Jobs of which the sender recently could not tell whether they were stored.
     #[prost(fixed64, repeated, tag = "12")]
     pub unknown_jobs: Vec<u64>,
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -71,7 +71,7 @@
         let answered_since = answered.is_some_and(|at_ms| at_ms > loss.since_ms);
         let may_be_unaware = loss.refused && now_ms < loss.since_ms + PEER_LOSS_NOTICE_MS;
         self.is_eligible()
-            && self.store.lacking_since_ms.is_none()
+            && self.store.failing_since_ms.is_none()
             && (answered_since || may_be_unaware)
     }
 }
@@ -176,7 +176,7 @@
     /// The latest time at which a live peer lost the store, if any has lost it.
     pub fn store_lost_ms(&self, now_ms: u64) -> Option<u64> {
         let alive = self.peers.values().filter(|peer| peer.is_alive(now_ms));
-        alive.filter_map(|peer| peer.store.lacking_since_ms).max()
+        alive.filter_map(|peer| peer.store.failing_since_ms).max()
     }
 
     /// Whether heartbeats arrive from fewer than half of the listed peers, so that this
--- a/src/cluster/store_access.rs
+++ b/src/cluster/store_access.rs
@@ -140,7 +140,7 @@
     pub fn peer_with_store(&self, job: JobId) -> Option<SocketAddr> {
         let owner = self.owner().map(|owner| owner.address);
         let contact = self.store_contact();
-        let lost_ms = contact.lacking_since_ms.or(contact.answered_ms);
+        let lost_ms = contact.failing_since_ms.or(contact.answered_ms);
         let loss = StoreLoss {
             since_ms: lost_ms.unwrap_or(self.started_ms),
             refused: self.store_calls.was_refused(),
--- a/src/cluster/store_health.rs
+++ b/src/cluster/store_health.rs
@@ -50,7 +50,7 @@
     /// When the store last answered; `None` if it never did.
     pub answered_ms: Option<u64>,
     /// Since when calls fail or an answer is overdue; `None` if neither is so.
-    pub lacking_since_ms: Option<u64>,
+    pub failing_since_ms: Option<u64>,
 }
 
 /// The health of the store, as this daemon's calls show it.
@@ -183,7 +183,7 @@
         let overdue_since_ms = unanswered_since_ms.filter(|_| self.is_overdue(now_ms));
         StoreContact {
             answered_ms: (self.answered_ms > 0).then_some(self.answered_ms),
-            lacking_since_ms: self.failed_since_ms.or(overdue_since_ms),
+            failing_since_ms: self.failed_since_ms.or(overdue_since_ms),
         }
     }
 
--- a/tests/peer_table.rs
+++ b/tests/peer_table.rs
@@ -21,7 +21,7 @@
 }
 
 /// A live peer that the store last answered at `answered_ms`.
-fn peer(at: u8, answered_ms: Option<u64>, lacking_since_ms: Option<u64>) -> Peer {
+fn peer(at: u8, answered_ms: Option<u64>, failing_since_ms: Option<u64>) -> Peer {
     Peer {
         address: address(at),
         boot: 1,
@@ -29,7 +29,7 @@
         has_store: answered_ms.is_some(),
         store: StoreContact {
             answered_ms,
-            lacking_since_ms,
+            failing_since_ms,
         },
         store_lost_since_ms: None,
         draining: false,
--- a/tests/store_health.rs
+++ b/tests/store_health.rs
@@ -166,7 +166,7 @@
     let early = health.contact(10_200);
     let overdue = health.contact(10_450);
 
-    assert_eq!(early.lacking_since_ms, None);
-    assert_eq!(overdue.lacking_since_ms, Some(10_100));
+    assert_eq!(early.failing_since_ms, None);
+    assert_eq!(overdue.failing_since_ms, Some(10_100));
     assert_eq!(overdue.answered_ms, Some(10_000));
 }
