Recognize a later owner by what is known, and count starts under earlier owners

A candidate took a root whose owner has no valid address for a later owner that it had to wait for, for ever (no_daemon_takes_over_while_the_root_is_unreadable). Change: a candidate is overtaken only by an owner that is known now; each known crash at the start of a task counts as a start.

--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -113,10 +113,10 @@
 }
 
 /// Whether another daemon has taken over since this one decided to replace the owner of
-/// `replaced_epoch`: the root names a later owner whose process has not ended. That owner may
-/// be known already, from a heartbeat that arrived while the root was read.
-pub fn is_overtaken(replaced_epoch: u64, root_epoch: u64, root_owner_exited: bool) -> bool {
-    root_epoch > replaced_epoch && !root_owner_exited
+/// `replaced_epoch`: an owner of a later epoch is known, from the root that was read since or
+/// from a heartbeat that arrived meanwhile, and its process has not ended.
+pub fn is_overtaken(replaced_epoch: u64, known_epoch: u64, known_owner_exited: bool) -> bool {
+    known_epoch > replaced_epoch && !known_owner_exited
 }
 
 /// How long an owner may send no heartbeat before it counts as dead.
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -91,8 +91,11 @@
         }
     };
     store_watch::learn_owner_from_root(node, &known);
-    let root_owner_exited = node.is_incarnation_over(&known.owner, known.boot);
-    if is_overtaken(replaced_epoch, known.epoch, root_owner_exited) {
+    let is_overtaken = node.owner().is_some_and(|owner| {
+        let exited = node.is_incarnation_over(&owner.name, owner.boot);
+        is_overtaken(replaced_epoch, owner.epoch, exited)
+    });
+    if is_overtaken {
         // Wait for the heartbeats of the new owner.
         return Ok(());
     }
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -228,6 +228,12 @@
         self.crashes_at_start() > 0
     }
 
+    /// Counts each crash at its start as a start of a suspect, also those that an earlier
+    /// owner saw.
+    pub(super) fn count_crashes_as_starts(&mut self) {
+        self.suspect_starts = self.suspect_starts.max(self.crashes_at_start() as u32);
+    }
+
     /// Counts a crash, and returns whether it was not counted before.
     fn count_crash(&mut self, crash: CrashedRun) -> bool {
         if self.crashes.iter().any(|known| known.run == crash.run) {
@@ -361,13 +367,10 @@
             uncertain,
             ..
         } = crash;
-        let was_suspect = task.is_suspect();
         if task.state == TaskState::Done || !task.count_crash(crash) {
             return;
         }
-        if at_start && !was_suspect {
-            task.suspect_starts = 1;
-        }
+        task.count_crashes_as_starts();
         let crashes = task.crashes.len() as u32;
         let crashes_at_start = task.crashes_at_start() as u32;
         let give_up_reason =
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -175,6 +175,7 @@
             if let Some(task) = group.tasks.get_mut(row.index as usize) {
                 let highest = row.runs.iter().copied().max().unwrap_or(0);
                 task.crashes = row.crashes();
+                task.count_crashes_as_starts();
                 task.last_run = task.last_run.max(highest);
             }
         }
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -758,3 +758,32 @@
     assert_eq!(starts_of(&fleet, task_of(id, 0)), MAX_STARTS);
     assert_eq!(status_of(&fleet, id), Some(JobStatus::Failed));
 }
+
+/// Guards against a sixth start after a change of owner: the next owner counted only its own
+/// starts of a task that had crashed workers under the earlier one.
+#[test]
+fn the_starts_of_a_suspect_that_crashed_under_earlier_owners_count() {
+    const CRASHES: usize = 2;
+    let mut fleet = Fleet::with_workers(8);
+    fleet.down_ms = LONG_DOWN_MS;
+    let job = record("plain", vec![step(1, 1)]);
+    let id = submit_crashing(&mut fleet, 1, job.clone());
+    while fleet.crashed.len() < CRASHES {
+        fleet.advance(STEP_MS);
+    }
+    fleet.advance(LONG_DOWN_MS + 200);
+    let earlier_starts = starts_of(&fleet, task_of(id, 0)) - fleet.running().len();
+
+    let mut next = fleet.next_owner(2, &[(id, job)], true);
+    next.crashing.clear();
+    for _ in 0..LONG_ENOUGH_MS / 100 {
+        next.advance(100);
+        for (worker, name) in next.running() {
+            next.end_run(&worker, name, EndKind::LeaseExpired);
+        }
+    }
+
+    let starts = earlier_starts + starts_of(&next, task_of(id, 0));
+    assert!(starts <= MAX_STARTS, "started {starts} times");
+    assert_eq!(status_of(&next, id), Some(JobStatus::Failed));
+}
