--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -38,8 +38,8 @@
 //! time: after three crashes a task may be started at most twice more. It is also given up
 //! if its worker survived none of the five starts since it became a suspect, since the runs
 //! of a crashing task may end for other reasons first. A crash is not counted if the answer to the start was lost, or if the owner changed directly after the
-//! start. So for a job that an earlier owner knew, the limits of three and five, and that of
-//! starts, are lower by one; the first of them not for a single uncertain crash. If many workers crash for other reasons,
+//! start. So for a job that an earlier owner knew, the limits of three and five are lower
+//! by one, the former for certain crashes only; so is that of starts. If many workers crash for other reasons,
 //! some tasks without a fault are given up too. A long-running task outlives many workers,
 //! so only the crashes at its starts count.
 
@@ -257,15 +257,9 @@
     ) -> Option<&'static str> {
         let at_start = self.crashes_at_start();
         let certain = self.certain_crashes_at_start();
-        // A single uncertain crash beside a missed one would give up a sound task whose run
-        // had ended; two of them are more likely the task's own.
-        let with_missed = match at_start - certain {
-            0..=1 => certain + uncounted,
-            _ => at_start + uncounted,
-        };
         if only_suspect && certain >= CRASH_LIMIT_AS_ONLY_SUSPECT {
             Some("alone")
-        } else if at_start.max(with_missed) >= CRASH_LIMIT_AT_START {
+        } else if at_start.max(certain + uncounted) >= CRASH_LIMIT_AT_START {
             Some("at_start")
         } else if !is_long_running && self.crashes.len() + uncounted >= CRASH_LIMIT {
             Some("at_all")
