--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -37,11 +37,12 @@
 //! of the last one, after the third crash at its start, or after the fifth crash at any
 //! time: after three crashes a task may be started at most twice more. It is also given up
 //! if its worker survived none of the five starts since it became a suspect, since the runs
-//! of a crashing task may end for other reasons first. A crash is not counted if the answer to the start was lost, or if the owner changed directly after the
-//! start. So for a job that an earlier owner knew, the limits of three and five are lower
-//! by one, the former for certain crashes only; so is that of starts. If many workers crash for other reasons,
-//! some tasks without a fault are given up too. A long-running task outlives many workers,
-//! so only the crashes at its starts count.
+//! of a crashing task may end for other reasons first. A crash is not counted if the answer
+//! to the start was lost, or if the owner changed directly after the start. So for a job
+//! that an earlier owner knew, the limits of three and five, and that of starts, are lower by
+//! one; the first of them counts certain crashes only. If many workers crash for other
+//! reasons, some tasks without a fault are given up too. A long-running task outlives many
+//! workers, so only the crashes at its starts count.
 
 use super::action::{
     Decision,
