--- a/justfile
+++ b/justfile
@@ -54,6 +54,10 @@
 day file site first="1" last="8":
     for seed in $(seq {{first}} {{last}}); do "$FLEETBENCH" run {{site}} {{file}} --vary --seed "$seed" --why "a day of our own"; done
 
+# How long jobs take from stage to stage, by the logs of a played day; `just stages day.txt 28 32`.
+stages log from="-1000" until="100000":
+    cargo run --release --example stages -- {{log}} {{from}} {{until}}
+
 # The plots in docs/, from the printed figures.
 plots:
     cargo bench --bench decisions | cargo run --release --example plots
--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -112,6 +112,13 @@
     pub reason: &'static str,
 }
 
+/// Whether another daemon has taken over since this one decided to replace the owner of
+/// `replaced_epoch`: the root names a later owner whose process has not ended. That owner may
+/// be known already, from a heartbeat that arrived while the root was read.
+pub fn is_overtaken(replaced_epoch: u64, root_epoch: u64, root_owner_exited: bool) -> bool {
+    root_epoch > replaced_epoch && !root_owner_exited
+}
+
 /// How long an owner may send no heartbeat before it counts as dead.
 fn owner_timeout_ms(status: &OwnerStatus, listed: usize) -> u64 {
     let is_new = status.last_heartbeat_ms < status.learned_ms + NEW_OWNER_MS;
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -321,6 +321,16 @@
             *state,
             job_ended_fields(*job, failure.as_ref()),
         ),
+        Decision::JobEndShown {
+            job,
+            state,
+            wait_ms,
+        } => (
+            events::JOB_END_SHOWN,
+            "job_end_shown",
+            *state,
+            json!({ "job": job.to_string(), "wait_ms": wait_ms }),
+        ),
         Decision::RecoveryOver {
             waited_ms,
             groups,
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -23,6 +23,7 @@
 mod pending_writes;
 mod records;
 mod settings;
+mod store_access;
 mod store_calls;
 mod store_health;
 mod store_probe;
@@ -49,6 +50,7 @@
     ElectionView,
     OwnerStatus,
     Takeover,
+    is_overtaken,
     takeover, //
 };
 pub use emptying::EmptyingOrders;
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -4,6 +4,7 @@
 //! a conditional write that raises the epoch, so each epoch has one owner.
 
 use super::commits;
+use super::election::is_overtaken;
 use super::emptying;
 use super::invalid_values::StoredKind;
 use super::node::{
@@ -90,9 +91,9 @@
         }
     };
     store_watch::learn_owner_from_root(node, &known);
-    if known.epoch > replaced_epoch && !node.is_incarnation_over(&known.owner, known.boot) {
-        // Another daemon has just taken over: wait for its heartbeats. One of them may have
-        // arrived during the read, so that this owner was known before the root was.
+    let root_owner_exited = node.is_incarnation_over(&known.owner, known.boot);
+    if is_overtaken(replaced_epoch, known.epoch, root_owner_exited) {
+        // Wait for the heartbeats of the new owner.
         return Ok(());
     }
     // A restarted daemon has ended its earlier incarnation; heartbeats carry the boot
--- a/src/events.rs
+++ b/src/events.rs
@@ -107,6 +107,8 @@
     TERMS_UNKNOWN = 323, Info, "a job waits because this owner knows neither its queue nor the terms under which it was accepted", "declare the queue again, and find out why the owner has no newer configuration";
     /// A task crashes its workers.
     TASK_CRASHES_WORKERS = 324, Warn, "a task crashes the workers that start it and is given up; its job fails", "inform the account; the E313 lines of the task name the workers";
+    /// The end of a job is durable, so callers see it.
+    JOB_END_SHOWN = 325, Info, "the end of a job is stored and shown to its caller", "none, unless wait_ms is long: then the store was slow or answered nobody, see E211";
     /// The upkeep of a machine was ordered.
     UPKEEP_ORDERED = 330, Info, "the upkeep of a machine was ordered, with the outcome named", "none, unless it repeats: then check the platform's interface for machines";
     /// A data centre gets no new tasks.
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -218,6 +218,15 @@
         /// Why it failed; `None` if it ended otherwise.
         failure: Option<JobFailure>,
     },
+    /// The end of a job is durable and shown to its caller from now on.
+    JobEndShown {
+        /// The job.
+        job: JobId,
+        /// How it ended.
+        state: &'static str,
+        /// Time since it ended, in milliseconds.
+        wait_ms: u64,
+    },
     /// The recovery of a new owner is over: all workers have answered, or all leases of
     /// earlier owners have expired.
     RecoveryOver {
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -96,13 +96,18 @@
         self.cancelled || self.ended.is_some()
     }
 
+    /// Whether the job has completed or failed and all its changes are durable.
+    fn is_end_shown(&self) -> bool {
+        self.ended.is_some() && self.stored >= self.change
+    }
+
     /// Returns the status that is reported to callers: completed or failed only once that
     /// is durable.
     pub fn status(&self) -> JobStatus {
         match self.ended {
             _ if self.cancelled => JobStatus::Cancelled,
-            Some(FinalState::Completed) if self.stored >= self.change => JobStatus::Completed,
-            Some(FinalState::Failed) if self.stored >= self.change => JobStatus::Failed,
+            Some(FinalState::Completed) if self.is_end_shown() => JobStatus::Completed,
+            Some(FinalState::Failed) if self.is_end_shown() => JobStatus::Failed,
             _ if self.started => JobStatus::Running,
             _ => JobStatus::Queued,
         }
@@ -197,11 +202,7 @@
         job.ended = Some(state);
         job.ended_ms = now_ms;
         self.job_changed(id);
-        let name = match state {
-            FinalState::Completed => "completed",
-            FinalState::Failed => "failed",
-        };
-        self.close_job(id, name, failure);
+        self.close_job(id, state.name(), failure);
     }
 
     /// Applies a stored cancellation, or remembers it until the job is known.
@@ -268,7 +269,19 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        let was_shown = job.is_end_shown();
         job.stored = job.stored.max(change);
+        if !was_shown
+            && job.is_end_shown()
+            && let Some(ended) = job.ended
+        {
+            let wait_ms = self.now_ms.saturating_sub(job.ended_ms);
+            self.decided(Decision::JobEndShown {
+                job: id,
+                state: ended.name(),
+                wait_ms,
+            });
+        }
         // A task that waited until its last crash was stored may start now.
         let waited = {
             let mut keys = self.groups_of(id);
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -23,6 +23,16 @@
     Failed,
 }
 
+impl FinalState {
+    /// Returns its name in logs.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// Failures of one task.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TaskFailures {
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -5,6 +5,7 @@
     Candidate,
     ElectionView,
     OwnerStatus,
+    is_overtaken,
     takeover, //
 };
 
@@ -177,3 +178,12 @@
     assert_eq!(reason(Some(draining)), Some("owner_draining"));
     assert_eq!(reason(Some(without_store)), Some("owner_without_store"));
 }
+
+/// Guards against two owners in quick succession: the heartbeat of a new owner arrived while a
+/// second candidate read the root, which then named no owner that it did not know.
+#[test]
+fn an_owner_that_became_known_during_a_takeover_is_not_replaced() {
+    assert!(is_overtaken(2, 3, false));
+    assert!(!is_overtaken(2, 2, false), "the owner to replace");
+    assert!(!is_overtaken(2, 3, true), "it has exited since");
+}
