Send counted crashes to the daemons that may own next

Cause: an owner counts a crash at the start of a task in memory and stores the count in its next commit. If it exits before (its store is down, or it is killed within those milliseconds), its successor finds nothing, since the crashed worker has restarted and runs nothing.

Ruled out: storing each start of a task before it is sent, which costs a commit for each start.

Before: eight owners that are killed between the count and its commit start such a task more than five times (tests/crashes.rs shows it with the reports left out). After: at most five, and the job fails. What stays: a crash that no owner noticed before it exited.

--- a/src/cluster/actions.rs
+++ b/src/cluster/actions.rs
@@ -14,6 +14,7 @@
     Action,
     CallOutcome,
     Callee,
+    Decision,
     GroupKey,
     Input,
     RunName,
@@ -108,7 +109,12 @@
                 node.stop_owning("worker_fenced");
                 return;
             }
-            Action::Decided(decision) => log_lines::decision(epoch, &decision),
+            Action::Decided(decision) => {
+                log_lines::decision(epoch, &decision);
+                if let Decision::CrashCounted { crash, .. } = &decision {
+                    node.record_counted_crash(*crash);
+                }
+            }
             Action::StoreProgress { .. }
             | Action::StoreRoster
             | Action::StoreClosedWorker { .. } => {}
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -62,6 +62,7 @@
             store_answered_ago_ms: store.answered_ms.map(ago_ms),
             store_failing_for_ms: store.failing_since_ms.map(ago_ms),
             unknown_jobs: node.reported_unknown_jobs(),
+            crashes: node.take_unsent_crashes(),
         }
         .encode_to_vec();
         for (_, peer) in &others {
@@ -70,6 +71,9 @@
                 log::debug!("cannot send a heartbeat: {error}");
             }
         }
+        if node.has_unsent_crashes() {
+            node.request_heartbeat();
+        }
         // In a fleet of hundreds the interval is seconds. A new owner, which would be replaced
         // meanwhile, and a daemon with news that cannot wait therefore request a heartbeat
         // at once.
@@ -117,6 +121,7 @@
     };
     node.record_peer(&heartbeat.daemon, peer);
     node.record_unknown_jobs(&heartbeat.unknown_jobs);
+    node.record_crashes_of_owner(&heartbeat.crashes);
     if heartbeat.epoch > 0 {
         node.learn_owner(KnownOwner {
             epoch: heartbeat.epoch,
--- a/src/cluster/log_lines.rs
+++ b/src/cluster/log_lines.rs
@@ -451,19 +451,21 @@
                 "exited_within_ms": exited_within_ms, "percent": percent }),
         ),
         Decision::CrashCounted {
-            name,
+            crash,
             worker,
-            at_start,
-            uncertain,
-            only_suspect,
             crashes,
             crashes_at_start,
         } => (
             events::CRASH_COUNTED,
             "crash_counted",
-            if *at_start { "at_start" } else { "later" },
-            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker,
-                "uncertain": uncertain, "alone": only_suspect, "crashes": crashes,
+            if crash.crash.at_start {
+                "at_start"
+            } else {
+                "later"
+            },
+            json!({ "task": crash.name.task.to_string(), "run": crash.name.run,
+                "worker": worker.as_deref(), "uncertain": crash.crash.uncertain,
+                "alone": crash.only_suspect, "crashes": crashes,
                 "crashes_at_start": crashes_at_start }),
         ),
         Decision::TaskGivenUp {
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -8,6 +8,7 @@
 mod client_requests;
 mod commits;
 mod control;
+mod counted_crashes;
 mod daemon;
 mod election;
 mod emptying;
@@ -39,6 +40,7 @@
     Control,
     Output, //
 };
+pub use counted_crashes::CountedCrashes;
 pub use daemon::{
     ClusterDaemon,
     Error,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -4,6 +4,7 @@
     Command,
     Control, //
 };
+use super::counted_crashes::CountedCrashes;
 use super::election::{
     Candidate,
     ElectionView,
@@ -17,6 +18,7 @@
     StoredKind,
 };
 use super::peer_connections::Peers;
+use super::peer_frame::CrashMessage;
 use super::peer_table::{
     Peer,
     PeerTable, //
@@ -35,6 +37,7 @@
 };
 use crate::scheduler::{
     ClusterConfiguration,
+    CountedCrash,
     Input, //
 };
 use crate::timer::Timer;
@@ -105,6 +108,7 @@
     heartbeat_requested: Notify,
     root_revision: Cell<u64>,
     pub(super) unknown_outcomes: RefCell<UnknownOutcomes>,
+    pub(super) counted_crashes: RefCell<CountedCrashes>,
     pub(super) store_calls: StoreCalls,
     draining: Cell<bool>,
     configuration_behind_since_ms: Cell<Option<u64>>,
@@ -146,6 +150,7 @@
             heartbeat_requested: Notify::new(),
             root_revision: Cell::new(0),
             unknown_outcomes: RefCell::default(),
+            counted_crashes: RefCell::default(),
             store_calls: StoreCalls::open(timer.clone()),
             draining: Cell::new(false),
             configuration_behind_since_ms: Cell::new(None),
@@ -278,6 +283,44 @@
         self.unreadable_jobs.borrow_mut().remove(&job);
     }
 
+    /// Records a crash that this daemon's scheduler counted. One at the start of a task is
+    /// sent to the other daemons at once.
+    pub fn record_counted_crash(&self, crash: CountedCrash) {
+        let mut crashes = self.counted_crashes.borrow_mut();
+        if crash.crash.at_start && crashes.record_own(crash, self.now_ms()) {
+            self.request_heartbeat();
+        }
+    }
+
+    /// Records crashes that an owner counted. If this daemon owns, the sender was replaced
+    /// before it had stored them.
+    pub fn record_crashes_of_owner(&self, messages: &[CrashMessage]) {
+        for crash in messages.iter().map(CountedCrash::from) {
+            let mut crashes = self.counted_crashes.borrow_mut();
+            if crashes.record(crash, self.now_ms()) && self.owns() {
+                self.control
+                    .send_input(self.epoch(), Input::CrashCounted(crash));
+            }
+        }
+    }
+
+    /// The crashes that owners counted recently, as inputs of a new owner.
+    pub fn counted_crash_inputs(&self) -> Vec<Input> {
+        let crashes = self.counted_crashes.borrow().all();
+        crashes.into_iter().map(Input::CrashCounted).collect()
+    }
+
+    /// The crashes that the next heartbeat carries.
+    pub fn take_unsent_crashes(&self) -> Vec<CrashMessage> {
+        let crashes = self.counted_crashes.borrow_mut().take_unsent();
+        crashes.into_iter().map(CrashMessage::from).collect()
+    }
+
+    /// Whether heartbeats have to carry more crashes.
+    pub fn has_unsent_crashes(&self) -> bool {
+        self.counted_crashes.borrow().has_unsent()
+    }
+
     /// Marks this daemon as draining.
     pub fn drain(&self) {
         self.draining.set(true);
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -235,6 +235,7 @@
         sent_ms: requested_ms,
     });
     stored.extend(job_inputs(node, &jobs, &progress));
+    stored.extend(node.counted_crash_inputs());
     for item in &states.items {
         node.pending_writes
             .record_revision(&item.key, item.revision);
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -107,4 +107,33 @@
     /// Jobs of which the sender recently could not tell whether they were stored.
     #[prost(fixed64, repeated, tag = "12")]
     pub unknown_jobs: Vec<u64>,
+    /// Crashes at the start of a task that the sender counted as the owner.
+    #[prost(message, repeated, tag = "13")]
+    pub crashes: Vec<CrashMessage>,
+}
+
+/// A worker that crashed at the start of a run.
+#[derive(Clone, PartialEq, Message)]
+pub struct CrashMessage {
+    /// The job.
+    #[prost(fixed64, tag = "1")]
+    pub job: u64,
+    /// The occurrence.
+    #[prost(uint32, tag = "2")]
+    pub occurrence: u32,
+    /// The step.
+    #[prost(uint32, tag = "3")]
+    pub step: u32,
+    /// The task's number in its step.
+    #[prost(uint32, tag = "4")]
+    pub index: u32,
+    /// The number of the run.
+    #[prost(uint64, tag = "5")]
+    pub run: u64,
+    /// Whether the run may have ended before the crash.
+    #[prost(bool, tag = "6")]
+    pub uncertain: bool,
+    /// Whether all suspects of the crash were of one job, and the crash is certain.
+    #[prost(bool, tag = "7")]
+    pub only_suspect: bool,
 }
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -1,6 +1,7 @@
 //! The actions and decisions that the scheduler returns.
 
 use super::{
+    CountedCrash,
     GroupKey,
     JobRecord,
     RunName,
@@ -333,17 +334,10 @@
     },
     /// A worker crashed under a run.
     CrashCounted {
-        /// The run.
-        name: RunName,
-        /// The worker's name.
-        worker: Arc<str>,
-        /// Whether the crash counts as one at the start of the run: the worker is not
-        /// known to have survived the start.
-        at_start: bool,
-        /// Whether the run may have ended before the crash.
-        uncertain: bool,
-        /// Whether all suspects on the worker were of one job, and the crash is certain.
-        only_suspect: bool,
+        /// The run and its crash.
+        crash: CountedCrash,
+        /// The worker's name; `None` if an earlier owner counted the crash.
+        worker: Option<Arc<str>>,
         /// Crashes of workers under the task so far.
         crashes: u32,
         /// Crashes of workers at a start of the task so far.
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -64,6 +64,7 @@
     WorkerKey, //
 };
 use std::collections::HashSet;
+use std::sync::Arc;
 
 /// A worker that responds this long after a start was not crashed by that start.
 const START_SURVIVAL_MS: u64 = 1_000;
@@ -107,6 +108,17 @@
     pub uncertain: bool,
 }
 
+/// A crash under a run, as an owner counted it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CountedCrash {
+    /// The run.
+    pub name: RunName,
+    /// Its crash.
+    pub crash: CrashedRun,
+    /// Whether all suspects on the worker were of one job, and the crash is certain.
+    pub only_suspect: bool,
+}
+
 /// A run that a worker confirmed and that was, or may be, lost with it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConfirmedRun {
@@ -336,24 +348,40 @@
         let suspects = lost.iter().filter(|lost| lost.at_start);
         let jobs: HashSet<JobId> = suspects.map(|lost| lost.name.task.job).collect();
         let only_suspect = jobs.len() == 1;
+        let worker = self.worker(key).name();
         for lost in lost {
             let crash = CrashedRun {
                 run: lost.name.run,
                 at_start: lost.at_start,
                 uncertain: lost.may_have_ended(exit_ms),
             };
-            self.count_crash(key, lost.name, crash, only_suspect && !crash.uncertain);
+            let counted = CountedCrash {
+                name: lost.name,
+                crash,
+                only_suspect: only_suspect && !crash.uncertain,
+            };
+            self.count_crash(counted, Some(worker.clone()));
+        }
+    }
+
+    /// Counts a crash that an earlier owner counted, once its group is open.
+    pub(super) fn handle_counted_crash(&mut self, counted: CountedCrash) {
+        let key = GroupKey::of(counted.name.task);
+        if self.groups.contains_key(&key) {
+            self.count_crash(counted, None);
+        } else if self.jobs.get(&key.job).is_none_or(|job| !job.is_over()) {
+            let reported = self.reported_crashes.entry(key).or_default();
+            reported.push(counted);
         }
     }
 
     /// Counts a crash of one run, and gives its task up if it has reached a limit.
-    fn count_crash(
-        &mut self,
-        key: WorkerKey,
-        name: RunName,
-        crash: CrashedRun,
-        only_suspect: bool,
-    ) {
+    fn count_crash(&mut self, counted: CountedCrash, worker: Option<Arc<str>>) {
+        let CountedCrash {
+            name,
+            crash,
+            only_suspect,
+        } = counted;
         let group_key = GroupKey::of(name.task);
         let uncounted = self.uncounted_crashes(name.task.job) as usize;
         let Some(group) = self.groups.get_mut(&group_key) else {
@@ -363,27 +391,20 @@
         let Some(task) = group.tasks.get_mut(name.task.index as usize) else {
             return;
         };
-        let CrashedRun {
-            at_start,
-            uncertain,
-            ..
-        } = crash;
+        let at_start = crash.at_start;
         if task.state == TaskState::Done || !task.count_crash(crash) {
             return;
         }
+        task.last_run = task.last_run.max(name.run);
         task.count_crashes_as_starts();
         let crashes = task.crashes.len() as u32;
         let crashes_at_start = task.crashes_at_start() as u32;
         let give_up_reason =
             task.give_up_reason(only_suspect && at_start, uncounted, is_long_running);
         let failures = task.failures();
-        let worker = self.worker(key).name();
         self.decided(Decision::CrashCounted {
-            name,
+            crash: counted,
             worker,
-            at_start,
-            uncertain,
-            only_suspect,
             crashes,
             crashes_at_start,
         });
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -328,6 +328,8 @@
         /// The outcome of the order.
         outcome: UpkeepOutcome,
     },
+    /// An earlier owner counted this crash, and may not have stored it.
+    CrashCounted(super::CountedCrash),
     /// All stored data of the job has been deleted.
     JobDeleted(JobId),
     /// The store confirmed this owner's epoch at this time.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -68,6 +68,7 @@
 pub use crashes::{
     ClosedRuns,
     ConfirmedRun,
+    CountedCrash,
     CrashedRun, //
 };
 pub use emptying::EmptyingOrder;
--- a/src/scheduler/occurrence.rs
+++ b/src/scheduler/occurrence.rs
@@ -134,6 +134,11 @@
             self.assign_found_runs(key);
         }
         self.job_mut(id).open_occurrences.push(occurrence);
+        for key in keys.clone() {
+            for crash in self.reported_crashes.remove(&key).into_iter().flatten() {
+                self.handle_counted_crash(crash);
+            }
+        }
         for key in keys {
             self.release_ready_steps(key);
         }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -16,6 +16,7 @@
 use super::{
     ClosedRuns,
     ClusterConfiguration,
+    CountedCrash,
     GraphJob,
     Group,
     GroupKey,
@@ -139,6 +140,8 @@
     /// Jobs whose cancellation was read before their record.
     pub(super) cancelled_early: HashSet<JobId>,
     pub(super) groups: BTreeMap<GroupKey, Group>,
+    /// Crashes that earlier owners counted, of groups that are not open yet.
+    pub(super) reported_crashes: BTreeMap<GroupKey, Vec<CountedCrash>>,
     /// Jobs whose stored data is being deleted. The value is the time at which the
     /// deletion was confirmed; the entry is dropped [`DELETED_JOB_RETENTION_MS`] later.
     pub(super) deleting_jobs: BTreeMap<JobId, Option<u64>>,
@@ -190,6 +193,7 @@
             guaranteed: HashSet::new(),
             cancelled_early: HashSet::new(),
             groups: BTreeMap::new(),
+            reported_crashes: BTreeMap::new(),
             deleting_jobs: BTreeMap::new(),
             vacant_keys: VecDeque::new(),
             upkeep: Upkeep::default(),
@@ -298,6 +302,7 @@
                 machine,
                 outcome,
             } => self.handle_upkeep_result(wave, &machine, outcome),
+            Input::CrashCounted(crash) => self.handle_counted_crash(crash),
             Input::JobDeleted(job) => {
                 self.deleting_jobs.insert(job, Some(self.now_ms));
             }
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -27,6 +27,9 @@
 };
 use fuchsiaslip::core::JobId;
 use fuchsiaslip::scheduler::{
+    Action,
+    CountedCrash,
+    Decision,
     EndKind,
     GroupKey,
     Input,
@@ -165,6 +168,63 @@
     assert_eq!(next.scheduler.job_status(id), Some(JobStatus::Failed));
 }
 
+/// Runs a task that crashes its workers under nine owners, each killed once it has counted a
+/// crash and before any of its writes is stored. Each new owner receives the crashes that the
+/// earlier ones counted if `sends_crashes`. Returns the number of starts and the final state.
+fn starts_under_owners_that_store_nothing(sends_crashes: bool) -> (usize, Option<JobStatus>) {
+    let mut fleet = Fleet::with_workers(8);
+    fleet.crash_after_ms = 10;
+    let job = record("urgent", vec![step(1, 4)]);
+    let id = submit_crashing(&mut fleet, 1, job.clone());
+    let (mut starts, mut counted) = (0, Vec::new());
+    for epoch in 2..10 {
+        fleet.defers_progress = true;
+        let until_ms = fleet.now_ms + LONG_ENOUGH_MS;
+        while counted_crashes(&fleet).is_empty() && fleet.now_ms < until_ms {
+            fleet.advance(STEP_MS);
+        }
+        counted.extend(counted_crashes(&fleet));
+        starts += starts_of(&fleet, task_of(id, 0));
+        fleet = fleet.next_owner(epoch, &[(id, job.clone())], true);
+        for &crash in counted.iter().filter(|_| sends_crashes) {
+            fleet.send_input(Input::CrashCounted(crash));
+        }
+    }
+    fleet.defers_progress = false;
+    fleet.advance(LONG_ENOUGH_MS);
+    starts += starts_of(&fleet, task_of(id, 0));
+    (starts, fleet.scheduler.job_status(id))
+}
+
+/// Returns the crashes that the scheduler of a fleet counted.
+fn counted_crashes(fleet: &Fleet) -> Vec<CountedCrash> {
+    let actions = fleet.actions.iter();
+    actions
+        .filter_map(|action| match action {
+            Action::Decided(Decision::CrashCounted { crash, .. }) => Some(*crash),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Guards against a crash that is lost with the owner that counted it: the owner exits before
+/// the count is stored, and its successor starts the task as if it had never crashed.
+#[test]
+fn a_crash_that_an_owner_counted_is_known_to_the_next_owner_before_it_is_stored() {
+    let (starts, status) = starts_under_owners_that_store_nothing(true);
+
+    assert!(starts <= MAX_STARTS, "started {starts} times");
+    assert_eq!(status, Some(JobStatus::Failed));
+}
+
+/// Shows what the one above depends on: without the reports the task is started too often.
+#[test]
+fn without_reports_owners_that_store_nothing_start_a_crashing_task_too_often() {
+    let (starts, _) = starts_under_owners_that_store_nothing(false);
+
+    assert!(starts > MAX_STARTS, "started {starts} times");
+}
+
 /// Time after which workers are back before any of their runs can have ended.
 const SHORT_DOWN_MS: u64 = 1_000;
 /// Time after which workers are back when their runs may have ended before the crash.
