Ask the owner before a job is refused in an outage of the store

Cause: a request that arrived again after its job had been accepted, while the store answered nobody, got 503: daemons remembered only the jobs with unknown outcomes.

Change: a daemon that is about to refuse a job asks the owner, if that sends heartbeats, whether it knows the job; if so the answer is that of the first request. Ruled out: sending the names of accepted jobs with heartbeats, some ten a second to each of hundreds of daemons.

Before: an_accepted_job_that_arrives_again_in_an_outage_is_not_refused failed, 503 three times. What stays: where neither the store nor an owner answers, as after a loss of all daemons in an outage, nobody can tell a first request from a repeated one.

--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -475,6 +475,13 @@
         }
     }
 
+    /// Whether another daemon is known as the owner and has recently sent a heartbeat.
+    pub fn is_owner_alive(&self) -> bool {
+        let others = self.peer_table.borrow();
+        self.owner()
+            .is_some_and(|owner| others.is_alive(&owner.name, owner.boot, self.now_ms()))
+    }
+
     /// What this daemon knows of the owner.
     fn owner_status(&self, owner: &KnownOwner) -> OwnerStatus {
         let others = self.peer_table.borrow();
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -145,6 +145,12 @@
         peer.filter(|peer| peer.boot == boot)
     }
 
+    /// Whether this incarnation of a peer sent a heartbeat recently.
+    pub fn is_alive(&self, name: &str, boot: u64, now_ms: u64) -> bool {
+        self.incarnation(name, boot)
+            .is_some_and(|peer| peer.is_alive(now_ms))
+    }
+
     /// Whether an incarnation of a peer has certainly ended, because a heartbeat of
     /// another one arrived.
     pub fn is_incarnation_over(&self, name: &str, boot: u64) -> bool {
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -44,6 +44,8 @@
 const FORWARD_TIMEOUT_MS: u64 = 1_500;
 /// Timeout of one query to the owner, which answers in a few milliseconds.
 const OWNER_TIMEOUT_MS: u64 = 350;
+/// Timeout of asking the owner whether it knows a job that is about to be refused.
+const CONFIRM_TIMEOUT_MS: u64 = 150;
 /// How long a query for a job is sent to the owner, about the duration of a takeover;
 /// then the store is read.
 const OWNER_WAIT_MS: u64 = 900;
@@ -108,21 +110,31 @@
     } else if outcome == StorageOutcome::Done {
         notify_owner_of_job(node, job, bytes);
     }
-    record_outcome(node, job, outcome)
-}
-
-/// Remembers a job with an unknown outcome. Returns the outcome to tell the client: a request
-/// that was refused does not show that an earlier one for the same job was.
-fn record_outcome(node: &Node, job: JobId, outcome: StorageOutcome) -> StorageOutcome {
+    let outcome = match outcome {
+        // A request that was refused does not show that an earlier one for the same job was.
+        StorageOutcome::Refused if is_known_to_owner(node, job).await => StorageOutcome::Done,
+        StorageOutcome::Refused if node.may_be_stored(job) => return StorageOutcome::Unknown,
+        other => other,
+    };
     match outcome {
         StorageOutcome::Done => node.record_stored_job(job),
         StorageOutcome::Unknown => node.record_unknown_job(job),
-        StorageOutcome::Refused if node.may_be_stored(job) => return StorageOutcome::Unknown,
         StorageOutcome::Refused | StorageOutcome::NoSuchJob => {}
     }
     outcome
 }
 
+/// Whether the owner knows a job, which is then stored: the request arrives again after the
+/// job was accepted. An owner without recent heartbeats is not asked.
+async fn is_known_to_owner(node: &Rc<Node>, job: JobId) -> bool {
+    if !node.owns() && !node.is_owner_alive() {
+        return false;
+    }
+    let asking = ask_owner(node, job);
+    let answer = node.timer.timeout(CONFIRM_TIMEOUT_MS, asking).await;
+    matches!(answer, Ok(Some(Some(_))))
+}
+
 /// Writes a job to the store unless that is known not to answer: an immediate refusal is
 /// correct, whereas a call would end without a known outcome.
 async fn store_job_if_answered(
--- a/tests/store_outage.rs
+++ b/tests/store_outage.rs
@@ -107,6 +107,26 @@
     assert_eq!(status(&other), 503, "no request for it was sent");
 }
 
+/// Guards against an untrue refusal: a request that arrived again after its job had been
+/// accepted was refused while the store answered nobody, although the job was stored and ran.
+#[test]
+fn an_accepted_job_that_arrives_again_in_an_outage_is_not_refused() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons = fleet(223, 3, &operator);
+    wait_until("an owner", || epoch(&operator) > 0);
+    let first = submit(&daemons[0], 1);
+    assert_eq!(status(&first), 200);
+    operator.world().mode = StoreMode::Unresponsive;
+    std::thread::sleep(NOTICE_DELAY);
+
+    let repeated: Vec<u16> = daemons.iter().map(|to| status(&submit(to, 1))).collect();
+    let other: Vec<u16> = daemons.iter().map(|to| status(&submit(to, 2))).collect();
+
+    assert_eq!(repeated, [200; 3], "the job is stored");
+    assert_eq!(other, [503; 3], "no request for it was sent");
+}
+
 /// Guards against losing the jobs of a daemon that the store refuses while it answers others.
 #[test]
 fn a_daemon_that_cannot_reach_the_store_stores_jobs_through_a_peer() {
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -54,7 +54,7 @@
 /// | 214, 215, 217 | `owner_cut_off.rs` |
 /// | 218 | `large_fleet.rs` |
 /// | 219 | `crashes/whole_path.rs` |
-/// | 220 to 222 | `store_outage.rs` |
+/// | 220 to 223 | `store_outage.rs` |
 /// | 230 to 238 | `foreign/path.rs` |
 ///
 /// Benches run alone and may use any number; 254 is the highest.
