Count the bytes that a daemon sends and receives by what they are for

The owner of a fleet of small VMs fills its link, and nothing showed with what. fuchsiaslip_bytes_total{kind,direction} counts polls, orders, reads, watches and writes of the store, heartbeats, frames between daemons and clients' requests. Frames that wait behind each other are written with one flush, so that a burst costs one system call.

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -25,6 +25,12 @@
     Queue, //
     VersionedTerms,
 };
+use crate::traffic::{
+    Direction,
+    HTTP_HEAD_BYTES,
+    TrafficKind,
+    record_bytes, //
+};
 use actix_http::body::BoxBody;
 use actix_http::header::{
     CONNECTION,
@@ -172,6 +178,11 @@
         epoch: node.owner().map_or(0, |owner| owner.epoch),
         has_store: node.has_store(),
     });
+    record_bytes(
+        TrafficKind::Client,
+        Direction::Out,
+        body.len() + HTTP_HEAD_BYTES,
+    );
     let mut response = Response::build(status);
     response.insert_header((CONTENT_TYPE, HeaderValue::from_static("application/json")));
     let may_retry = matches!(
@@ -196,6 +207,12 @@
     // bytes would reset the connection and lose the answer.
     let configuration = node.configuration();
     let body = read_body(request, configuration.limits.max_body_bytes).await;
+    let body_bytes = body.as_ref().map_or(0, Bytes::len);
+    record_bytes(
+        TrafficKind::Client,
+        Direction::In,
+        body_bytes + HTTP_HEAD_BYTES,
+    );
     if configuration.version == 0 {
         // Nor is the limit of a body known: one that is too large for the default may
         // be allowed.
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -13,6 +13,11 @@
 use super::peer_table::Peer;
 use super::store_health::StoreContact;
 use crate::scheduler::ClusterConfiguration;
+use crate::traffic::{
+    Direction,
+    TrafficKind,
+    record_bytes, //
+};
 use prost::Message;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -67,6 +72,7 @@
         .encode_to_vec();
         for (_, peer) in &others {
             // Datagrams may be lost; the next heartbeat makes up for this one.
+            record_bytes(TrafficKind::Heartbeat, Direction::Out, heartbeat.len());
             if let Err(error) = socket.send_to(&heartbeat, peer.address).await {
                 log::debug!("cannot send a heartbeat: {error}");
             }
@@ -97,6 +103,7 @@
             node.timer.sleep(1).await;
             continue;
         };
+        record_bytes(TrafficKind::Heartbeat, Direction::In, length);
         match Heartbeat::decode(&buffer[..length]) {
             Ok(heartbeat) => handle_heartbeat(&node, heartbeat, from),
             Err(_) => metrics::counter!("fuchsiaslip_beats_unread_total").increment(1),
--- a/src/cluster/peer_connections.rs
+++ b/src/cluster/peer_connections.rs
@@ -5,11 +5,17 @@
     PeerFrame, //
 };
 use crate::timer::Timer;
+use crate::traffic::{
+    Direction,
+    TrafficKind,
+    record_bytes, //
+};
 use bytes::{
     Bytes,
     BytesMut, //
 };
 use futures_util::{
+    Sink,
     SinkExt,
     StreamExt, //
 };
@@ -174,12 +180,13 @@
         tokio::select! {
             frame = outgoing.recv() => {
                 let Some(frame) = frame else { return };
-                if framed.send(Bytes::from(frame.encode_to_vec())).await.is_err() {
+                if send_frames(&mut framed, frame, &mut outgoing).await.is_err() {
                     return;
                 }
             }
             received = framed.next() => {
                 let Some(Ok(bytes)) = received else { return };
+                record_bytes(TrafficKind::Peer, Direction::In, bytes.len());
                 let Some((id, body)) = decode_frame(bytes) else { return };
                 if let Some(answer) = pending.borrow_mut().remove(&id) {
                     // The caller may have given up.
@@ -190,6 +197,25 @@
     }
 }
 
+/// Sends a frame, and those that are waiting behind it, with one flush.
+async fn send_frames<S>(
+    sink: &mut S,
+    first: PeerFrame,
+    waiting: &mut mpsc::UnboundedReceiver<PeerFrame>,
+) -> Result<(), S::Error>
+where
+    S: Sink<Bytes> + Unpin,
+{
+    let mut next = Some(first);
+    while let Some(frame) = next {
+        let bytes = frame.encode_to_vec();
+        record_bytes(TrafficKind::Peer, Direction::Out, bytes.len());
+        sink.feed(Bytes::from(bytes)).await?;
+        next = waiting.try_recv().ok();
+    }
+    sink.flush().await
+}
+
 fn decode_frame(bytes: BytesMut) -> Option<(u64, PeerBody)> {
     match PeerFrame::decode(bytes) {
         Ok(frame) => Some((frame.id, frame.body?)),
@@ -212,12 +238,13 @@
     let (answers, mut answered) = mpsc::unbounded_channel::<PeerFrame>();
     actix_rt::spawn(async move {
         while let Some(frame) = answered.recv().await {
-            if sink.send(Bytes::from(frame.encode_to_vec())).await.is_err() {
+            if send_frames(&mut sink, frame, &mut answered).await.is_err() {
                 return;
             }
         }
     });
     while let Some(Ok(bytes)) = frames.next().await {
+        record_bytes(TrafficKind::Peer, Direction::In, bytes.len());
         let Some((id, body)) = decode_frame(bytes) else {
             return;
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod scheduler;
 pub mod standin;
 pub mod timer;
+pub mod traffic;
 mod unsent;
 pub mod wire;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -2,6 +2,12 @@
 //! body.
 
 use crate::timer::Timer;
+use crate::traffic::{
+    Direction,
+    HTTP_HEAD_BYTES,
+    TrafficKind,
+    record_bytes, //
+};
 use crate::unsent::was_never_sent;
 use awc::Client;
 use awc::http::{
@@ -56,7 +62,8 @@
         Self { client, timer }
     }
 
-    /// Makes a call whose response has to begin within `timeout_ms`. The body may take
+    /// Makes a call whose response has to begin within `timeout_ms`; `kind` is what its bytes
+    /// are counted as. The body may take
     /// longer as long as parts of it keep arriving: a configuration of a thousand queues
     /// takes seconds on the links of small VMs. An unresponsive connection is dropped
     /// with its call, so that the next call opens another.
@@ -66,12 +73,15 @@
     /// No complete response came.
     pub async fn call(
         &self,
+        kind: TrafficKind,
         method: Method,
         url: String,
         headers: &[(&'static str, &str)],
         body: Option<Vec<u8>>,
         timeout_ms: u64,
     ) -> Result<(StatusCode, Bytes), CallFailure> {
+        let sent = url.len() + body.as_ref().map_or(0, Vec::len) + HTTP_HEAD_BYTES;
+        record_bytes(kind, Direction::Out, sent);
         let mut request = self.client.request(method, url);
         for &(name, value) in headers {
             request = request.insert_header((name, value));
@@ -95,6 +105,7 @@
         let mut body = BytesMut::new();
         while let Ok(chunk) = self.timer.timeout(STALL_TIMEOUT_MS, response.next()).await {
             let Some(chunk) = chunk else {
+                record_bytes(kind, Direction::In, body.len() + HTTP_HEAD_BYTES);
                 return Ok((status, body.freeze()));
             };
             let chunk = chunk.map_err(|_| CallFailure::NoAnswer)?;
@@ -113,13 +124,14 @@
     /// No complete response came.
     pub async fn post<T: Serialize>(
         &self,
+        kind: TrafficKind,
         url: String,
         headers: &[(&'static str, &str)],
         body: &T,
         timeout_ms: u64,
     ) -> Result<(StatusCode, Bytes), CallFailure> {
         let body = serde_json::to_vec(body).map_err(|_| CallFailure::NotSent)?;
-        self.call(Method::POST, url, headers, Some(body), timeout_ms)
+        self.call(kind, Method::POST, url, headers, Some(body), timeout_ms)
             .await
     }
 }
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -11,6 +11,7 @@
     UpkeepOutcome,
     WaveOrder, //
 };
+use crate::traffic::TrafficKind;
 use awc::http::{
     Method,
     StatusCode, //
@@ -109,7 +110,14 @@
                 let query = serde_urlencoded::to_string([("page_token", &token)]);
                 url = format!("{url}?{}", query.map_err(|_| CallFailure::NotSent)?);
             }
-            let call = self.http.call(Method::GET, url, &[], None, CALL_TIMEOUT_MS);
+            let call = self.http.call(
+                TrafficKind::Other,
+                Method::GET,
+                url,
+                &[],
+                None,
+                CALL_TIMEOUT_MS,
+            );
             let (status, body) = call.await?;
             let page: Option<PageBody> = serde_json::from_slice(&body).ok();
             let Some(page) = page.filter(|_| status == StatusCode::OK) else {
@@ -138,7 +146,9 @@
             (EPOCH_HEADER, epoch.as_str()),
         ];
         let body = UpkeepBody { machine, wave };
-        let call = self.http.post(url, &headers, &body, CALL_TIMEOUT_MS);
+        let call = self
+            .http
+            .post(TrafficKind::Other, url, &headers, &body, CALL_TIMEOUT_MS);
         match call.await {
             Ok((status, body)) => outcome_of(status, &body),
             Err(_) => UpkeepOutcome::NoAnswer,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,6 +14,7 @@
     Transaction,
     WatchResult, //
 };
+use crate::traffic::TrafficKind;
 use awc::http::{
     Method,
     StatusCode, //
@@ -193,7 +194,14 @@
     /// The store refused or did not answer.
     pub async fn get(&self, key: &str) -> Result<Option<StoredItem>, StoreError> {
         let url = self.url(&format!("kv-key?key={}", percent_encode(key)));
-        let answer = self.http.call(Method::GET, url, &[], None, CALL_TIMEOUT_MS);
+        let answer = self.http.call(
+            TrafficKind::StoreRead,
+            Method::GET,
+            url,
+            &[],
+            None,
+            CALL_TIMEOUT_MS,
+        );
         let (status, body) = store_answer(answer.await)?;
         match status {
             StatusCode::OK => Ok(Some(decode::<ItemBody>(&body)?.into_item())),
@@ -209,7 +217,14 @@
     /// The store refused or did not answer within `timeout_ms`.
     pub async fn probe(&self, timeout_ms: u64) -> Result<(), StoreError> {
         let url = self.url("kv-key?key=probe&serializable=1");
-        let answer = self.http.call(Method::GET, url, &[], None, timeout_ms);
+        let answer = self.http.call(
+            TrafficKind::StoreRead,
+            Method::GET,
+            url,
+            &[],
+            None,
+            timeout_ms,
+        );
         match store_answer(answer.await)?.0 {
             StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
             other => Err(error_of_status(other)),
@@ -234,9 +249,14 @@
             if !after.is_empty() {
                 call.push_str(&format!("&after={}", percent_encode(&after)));
             }
-            let answer = self
-                .http
-                .call(Method::GET, self.url(&call), &[], None, CALL_TIMEOUT_MS);
+            let answer = self.http.call(
+                TrafficKind::StoreRead,
+                Method::GET,
+                self.url(&call),
+                &[],
+                None,
+                CALL_TIMEOUT_MS,
+            );
             let (status, body) = store_answer(answer.await)?;
             if status != StatusCode::OK {
                 return Err(error_of_status(status));
@@ -271,9 +291,14 @@
         let prefix = percent_encode(prefix);
         let call = format!("kv-watch?prefix={prefix}&after={revision}&wait_ms={wait_ms}");
         let timeout_ms = wait_ms + WATCH_SLACK_MS;
-        let answer = self
-            .http
-            .call(Method::GET, self.url(&call), &[], None, timeout_ms);
+        let answer = self.http.call(
+            TrafficKind::StoreWatch,
+            Method::GET,
+            self.url(&call),
+            &[],
+            None,
+            timeout_ms,
+        );
         let answer = answer.await;
         if answer == Err(CallFailure::TooLarge) {
             // A repeated watch would be as long, whereas the pages of a range are bounded.
@@ -341,6 +366,7 @@
             remove: &transaction.removed,
         };
         let answer = self.http.post(
+            TrafficKind::StoreWrite,
             self.url("kv-txn"),
             &[],
             &body,
@@ -371,9 +397,13 @@
     /// The store refused or did not answer.
     pub async fn grant_lease(&self, ttl_ms: u64) -> Result<u64, StoreError> {
         let body = TtlBody { ttl_ms };
-        let answer = self
-            .http
-            .post(self.url("kv-lease"), &[], &body, CALL_TIMEOUT_MS);
+        let answer = self.http.post(
+            TrafficKind::StoreWrite,
+            self.url("kv-lease"),
+            &[],
+            &body,
+            CALL_TIMEOUT_MS,
+        );
         let (status, body) = store_answer(answer.await)?;
         match status {
             StatusCode::OK => Ok(decode::<LeaseBody>(&body)?.lease),
@@ -388,9 +418,14 @@
     /// The store refused or did not answer.
     pub async fn renew_lease(&self, lease: u64) -> Result<bool, StoreError> {
         let url = self.url(&format!("kv-keep/{lease}"));
-        let answer = self
-            .http
-            .call(Method::POST, url, &[], None, CALL_TIMEOUT_MS);
+        let answer = self.http.call(
+            TrafficKind::StoreWrite,
+            Method::POST,
+            url,
+            &[],
+            None,
+            CALL_TIMEOUT_MS,
+        );
         let (status, _) = store_answer(answer.await)?;
         match status {
             StatusCode::OK => Ok(true),
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -12,6 +12,7 @@
     StartRefusal,
     TaskId, //
 };
+use crate::traffic::TrafficKind;
 use awc::http::StatusCode;
 use bytes::Bytes;
 use serde::{
@@ -191,7 +192,9 @@
     ) -> CallOutcome {
         let url = format!("http://{address}/-/{call}");
         let headers = [(INCARNATION_HEADER, worker_name)];
-        match self.http.post(url, &headers, body, ORDER_TIMEOUT_MS).await {
+        let kind = TrafficKind::WorkerOrder;
+        let call = self.http.post(kind, url, &headers, body, ORDER_TIMEOUT_MS);
+        match call.await {
             Ok((status, body)) => outcome_of(status, &body),
             // `NotSent` counts as no answer too: nothing of the order was sent, but the
             // packet that opens the connection may still be in flight.
@@ -223,7 +226,10 @@
         };
         let headers = [(INCARNATION_HEADER, worker_name)];
         let timeout_ms = wait_ms + POLL_SLACK_MS;
-        let answer = self.http.post(url, &headers, &body, timeout_ms).await;
+        let answer = self
+            .http
+            .post(TrafficKind::WorkerPoll, url, &headers, &body, timeout_ms);
+        let answer = answer.await;
         let (status, body) = answer.map_err(|_| CallOutcome::NoAnswer)?;
         if status != StatusCode::OK {
             return Err(outcome_of(status, &body));
@@ -247,7 +253,10 @@
             workers: workers.iter().map(|worker| &**worker).collect(),
         };
         let url = format!("http://{address}/-/advise");
-        let answer = self.http.post(url, &[], &body, ADVICE_TIMEOUT_MS).await;
+        let answer = self
+            .http
+            .post(TrafficKind::Other, url, &[], &body, ADVICE_TIMEOUT_MS);
+        let answer = answer.await;
         let (status, body) = answer.ok()?;
         if status != StatusCode::OK {
             return None;
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -10,6 +10,7 @@
     HttpClient, //
 };
 use fuchsiaslip::timer::Timer;
+use fuchsiaslip::traffic::TrafficKind;
 use std::io::{
     Read,
     Write, //
@@ -60,7 +61,9 @@
     let timer = Timer::spawn().expect("a timer");
     actix_rt::System::new().block_on(async move {
         let client = HttpClient::new(timer);
-        client.call(Method::GET, url, &[], None, TIMEOUT_MS).await
+        let kind = TrafficKind::StoreRead;
+        let call = client.call(kind, Method::GET, url, &[], None, TIMEOUT_MS);
+        call.await
     })
 }
 
