Have other daemons carry an owner's calls to workers

Cause: each worker is polled by the owner, with a connection, a kilobyte and some 0.1 ms of processor time a second, and each start repeats the job's payload.

Ruled out: several owners with data centres of their own, since guarantees hold over all of them and the store would have a root for each; an owner that only sends more slowly, since 6,000 polls a second stay 6,000.

Change: an owner with more workers than its VM can call (a quarter of link, descriptors and processor, as the settings say) has other daemons make the calls, each for the workers of its own data centre that weighted rendezvous hashing gives it. Decisions stay where they are: each call is the owner's, with its epoch, lease and acknowledgement, so a carrier that is killed, frozen or cut off is as a link that fails. A worker's address, a job's payload and a worker's runs cross a connection once, after that only what has changed. A carrier that does not respond is left out for 2 to 16 s; a worker that one carrier does not reach is called through the next. A carrier refuses calls of an owner that it knows to be superseded, and acknowledges nothing to a worker that may have restarted. A peer without a response to one request no longer ends the connection.

Small fleets call their workers as before.

--- a/src/cluster/actions.rs
+++ b/src/cluster/actions.rs
@@ -9,6 +9,15 @@
 use super::node::Node;
 use super::pending_writes::Changes;
 use super::records::EmptiedRecord;
+use super::worker_call::{
+    StartOrder,
+    WorkerAnswer,
+    WorkerCall, //
+};
+use super::worker_calls::{
+    call_worker,
+    record_worker_counts, //
+};
 use crate::core::JobId;
 use crate::scheduler::{
     Action,
@@ -17,7 +26,6 @@
     Decision,
     GroupKey,
     Input,
-    RunName,
     UpkeepOutcome, //
 };
 use std::rc::Rc;
@@ -36,6 +44,9 @@
 
 fn execute(node: &Rc<Node>, output: Output) {
     let epoch = output.epoch;
+    if let Some(counts) = output.worker_counts {
+        record_worker_counts(node, counts);
+    }
     let mut deleted_jobs: Vec<JobId> = Vec::new();
     let mut waves = Vec::new();
     let mut emptied = Vec::new();
@@ -47,15 +58,12 @@
                 lease_end_ms,
                 wait_ms,
             } => {
-                let polling = poll(
-                    node.clone(),
-                    epoch,
-                    callee,
+                let call = WorkerCall::Poll {
                     last_seen,
                     lease_end_ms,
                     wait_ms,
-                );
-                actix_rt::spawn(polling);
+                };
+                actix_rt::spawn(poll(node.clone(), epoch, callee, call));
             }
             Action::Start {
                 callee,
@@ -65,24 +73,47 @@
                 checkpoint,
                 ticket,
             } => {
-                let order = StartOrder {
+                let worker = callee.worker;
+                let call = WorkerCall::Start(StartOrder {
                     name,
                     payload,
                     lease_end_ms,
                     checkpoint,
                     ticket,
+                });
+                let to_input = move |outcome| Input::StartResult {
+                    worker,
+                    name,
+                    outcome,
                 };
-                actix_rt::spawn(start(node.clone(), epoch, callee, order));
+                let order = give_order(node.clone(), epoch, callee, "start", call, to_input);
+                actix_rt::spawn(order);
             }
             Action::Stop { callee, name } => {
-                actix_rt::spawn(stop(node.clone(), epoch, callee, name));
+                let worker = callee.worker;
+                let call = WorkerCall::Stop(name);
+                let to_input = move |outcome| Input::StopResult {
+                    worker,
+                    name,
+                    outcome,
+                };
+                let order = give_order(node.clone(), epoch, callee, "stop", call, to_input);
+                actix_rt::spawn(order);
             }
             Action::Throttle {
                 callee,
                 name,
                 percent,
             } => {
-                actix_rt::spawn(throttle(node.clone(), epoch, callee, name, percent));
+                let worker = callee.worker;
+                let call = WorkerCall::Throttle { name, percent };
+                let to_input = move |outcome| Input::ThrottleResult {
+                    worker,
+                    name,
+                    outcome,
+                };
+                let order = give_order(node.clone(), epoch, callee, "pace", call, to_input);
+                actix_rt::spawn(order);
             }
             Action::Advise { step, workers } => {
                 actix_rt::spawn(advise(node.clone(), epoch, step, workers));
@@ -130,96 +161,38 @@
     });
 }
 
-struct StartOrder {
-    name: RunName,
-    payload: Arc<str>,
-    lease_end_ms: u64,
-    checkpoint: Option<Arc<str>>,
-    ticket: Option<Arc<str>>,
-}
-
-async fn poll(
-    node: Rc<Node>,
-    epoch: u64,
-    callee: Callee,
-    last_seen: u64,
-    lease_end_ms: Option<u64>,
-    wait_ms: u64,
-) {
+async fn poll(node: Rc<Node>, epoch: u64, callee: Callee, call: WorkerCall) {
     let sent_ms = node.now_ms();
     let worker = callee.worker;
-    let answer = node
-        .workers
-        .poll(
-            &callee.address,
-            &callee.worker_name,
-            epoch,
-            last_seen,
-            lease_end_ms,
-            wait_ms,
-        )
-        .await;
-    let input = match answer {
-        Ok(report) => Input::PollAnswered {
+    let input = match call_worker(&node, epoch, &callee, call).await {
+        WorkerAnswer::Report(report) => Input::PollAnswered {
             worker,
             sent_ms,
             report,
         },
-        Err(outcome) => Input::PollFailed { worker, outcome },
-    };
-    node.control.send_input(epoch, input);
-}
-
-async fn start(node: Rc<Node>, epoch: u64, callee: Callee, order: StartOrder) {
-    let sent_ms = node.now_ms();
-    let outcome = node
-        .workers
-        .start(
-            &callee.address,
-            &callee.worker_name,
-            epoch,
-            order.name,
-            &order.payload,
-            order.lease_end_ms,
-            order.checkpoint.as_deref(),
-            order.ticket.as_deref(),
-        )
-        .await;
-    record_order(&node, "start", sent_ms, outcome);
-    let input = Input::StartResult {
-        worker: callee.worker,
-        name: order.name,
-        outcome,
+        WorkerAnswer::Outcome(outcome) => Input::PollFailed { worker, outcome },
     };
     node.control.send_input(epoch, input);
 }
 
-async fn stop(node: Rc<Node>, epoch: u64, callee: Callee, name: RunName) {
-    let sent_ms = node.now_ms();
-    let workers = &node.workers;
-    let outcome = workers.stop(&callee.address, &callee.worker_name, epoch, name);
-    let outcome = outcome.await;
-    record_order(&node, "stop", sent_ms, outcome);
-    let input = Input::StopResult {
-        worker: callee.worker,
-        name,
-        outcome,
-    };
-    node.control.send_input(epoch, input);
-}
-
-async fn throttle(node: Rc<Node>, epoch: u64, callee: Callee, name: RunName, percent: u32) {
+/// Gives a worker an order and sends the scheduler the input that `to_input` makes of the
+/// outcome. `order` is a label value of `fuchsiaslip_orders_total`.
+async fn give_order(
+    node: Rc<Node>,
+    epoch: u64,
+    callee: Callee,
+    order: &'static str,
+    call: WorkerCall,
+    to_input: impl FnOnce(CallOutcome) -> Input,
+) {
     let sent_ms = node.now_ms();
-    let workers = &node.workers;
-    let outcome = workers.throttle(&callee.address, &callee.worker_name, epoch, name, percent);
-    let outcome = outcome.await;
-    record_order(&node, "pace", sent_ms, outcome);
-    let input = Input::ThrottleResult {
-        worker: callee.worker,
-        name,
-        outcome,
+    let outcome = match call_worker(&node, epoch, &callee, call).await {
+        WorkerAnswer::Outcome(outcome) => outcome,
+        // Only polls are answered by reports.
+        WorkerAnswer::Report(_) => CallOutcome::NoAnswer,
     };
-    node.control.send_input(epoch, input);
+    record_order(&node, order, sent_ms, outcome);
+    node.control.send_input(epoch, to_input(outcome));
 }
 
 /// Reads the list of machines. A platform without an interface for machines has no
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -33,6 +33,8 @@
 const IDLE_WAIT_MS: u64 = 60_000;
 /// How often the gauges of the scheduler's sizes are set.
 const GAUGE_INTERVAL_MS: u64 = 1_000;
+/// How often the workers in each data centre are counted.
+const COUNT_INTERVAL_MS: u64 = 250;
 /// Most commands handled before a decision, so that a burst of inputs costs one
 /// scheduling pass.
 const MAX_BATCH: usize = 256;
@@ -88,6 +90,8 @@
     /// Closed-worker records to store, by the worker's name: whether it gets no more
     /// starts, and the runs that it may have. `None` for a worker that is gone.
     pub closed: Vec<(String, Option<ClosedRecord>)>,
+    /// Number of workers in each data centre, if it changed.
+    pub worker_counts: Option<BTreeMap<String, usize>>,
 }
 
 /// A handle to the control thread.
@@ -142,6 +146,7 @@
 fn run(timer: &Timer, commands: &Receiver<Command>, outputs: &UnboundedSender<Output>) {
     let mut scheduler: Option<Scheduler> = None;
     let mut next_gauges_ms = 0;
+    let (mut next_counts_ms, mut worker_counts) = (0, BTreeMap::new());
     loop {
         let now_ms = timer.now_ms();
         let wake_ms = scheduler
@@ -157,6 +162,7 @@
             apply(&mut scheduler, command, timer);
         }
         let Some(scheduler) = &mut scheduler else {
+            worker_counts.clear();
             continue;
         };
         if now_ms >= next_gauges_ms {
@@ -164,8 +170,17 @@
             set_size_gauges(&scheduler.sizes());
             set_kept_gauge("unnoted_ends", scheduler.unacknowledged_end_count());
         }
-        let output = decide(scheduler, timer.now_ms());
-        if !output.actions.is_empty() && outputs.send(output).is_err() {
+        let mut output = decide(scheduler, timer.now_ms());
+        if worker_counts.is_empty() || now_ms >= next_counts_ms {
+            next_counts_ms = now_ms + COUNT_INTERVAL_MS;
+            let counted = scheduler.worker_counts();
+            if counted != worker_counts {
+                output.worker_counts = Some(counted.clone());
+                worker_counts = counted;
+            }
+        }
+        let is_empty = output.actions.is_empty() && output.worker_counts.is_none();
+        if !is_empty && outputs.send(output).is_err() {
             return;
         }
     }
@@ -265,6 +280,7 @@
         records: records.collect(),
         roster: roster.then(|| roster_rows(scheduler)),
         closed: closed.into_iter().collect(),
+        worker_counts: None,
         actions,
     }
 }
--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -218,8 +218,8 @@
         actix_rt::spawn(heartbeat::receive(node.clone(), heartbeat_socket));
         actix_rt::spawn(heartbeat::elect(node.clone()));
         let shared = node.clone();
-        actix_rt::spawn(Peers::serve(peer_listener, move |body| {
-            submit::answer(shared.clone(), body)
+        actix_rt::spawn(Peers::serve(peer_listener, move |connection, body| {
+            submit::answer(shared.clone(), connection, body)
         }));
         let shared = node.clone();
         actix_rt::spawn(serve(readiness_listener, move |request: Request| {
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -68,6 +68,8 @@
             store_failing_for_ms: store.failing_since_ms.map(ago_ms),
             unknown_jobs: node.reported_unknown_jobs(),
             crashes: node.take_unsent_crashes(),
+            data_centre: node.settings.data_centre.clone(),
+            carried_workers: node.settings.resources.carried_workers(),
         }
         .encode_to_vec();
         for (_, peer) in &others {
@@ -124,6 +126,8 @@
         draining: heartbeat.draining,
         cpu_millis: heartbeat.cpu_millis,
         interval_ms: heartbeat.interval_ms,
+        data_centre: heartbeat.data_centre.clone(),
+        carried_workers: heartbeat.carried_workers,
         listed: false,
     };
     node.record_peer(&heartbeat.daemon, peer);
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -5,6 +5,12 @@
 //! owner.
 
 mod actions;
+mod carried_connection;
+mod carrier;
+mod carrier_frame;
+mod carrier_plan;
+mod carrier_routes;
+mod carrier_session;
 mod client_requests;
 mod commits;
 mod control;
@@ -34,7 +40,23 @@
 mod submit;
 mod unknown_outcomes;
 mod unreadable_jobs;
+mod worker_call;
+mod worker_calls;
 
+pub use carrier_frame::{
+    AnswerMessage,
+    CallMessage, //
+};
+pub use carrier_plan::{
+    CarrierPlan,
+    Member,
+    VmResources, //
+};
+pub use carrier_session::{
+    CarrierSession,
+    OwnerSession,
+    SessionError, //
+};
 pub use control::{
     Command,
     Control,
@@ -100,3 +122,9 @@
     WatchResult, //
 };
 pub use unknown_outcomes::UnknownOutcomes;
+pub use worker_call::{
+    AddressedCall,
+    StartOrder,
+    WorkerAnswer,
+    WorkerCall, //
+};
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of a daemon share on its traffic thread.
 
+use super::carrier_routes::CarrierRoutes;
 use super::control::{
     Command,
     Control, //
@@ -109,6 +110,7 @@
     root_revision: Cell<u64>,
     pub(super) unknown_outcomes: RefCell<UnknownOutcomes>,
     pub(super) counted_crashes: RefCell<CountedCrashes>,
+    pub(super) carrier_routes: RefCell<CarrierRoutes>,
     pub(super) store_calls: StoreCalls,
     draining: Cell<bool>,
     configuration_behind_since_ms: Cell<Option<u64>>,
@@ -151,6 +153,7 @@
             root_revision: Cell::new(0),
             unknown_outcomes: RefCell::default(),
             counted_crashes: RefCell::default(),
+            carrier_routes: RefCell::default(),
             store_calls: StoreCalls::open(timer.clone()),
             draining: Cell::new(false),
             configuration_behind_since_ms: Cell::new(None),
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -40,6 +40,7 @@
     worker_inputs, //
 };
 use super::unreadable_jobs;
+use super::worker_calls;
 use crate::events;
 use crate::platform::{
     EMPTYING_PREFIX,
@@ -265,6 +266,7 @@
         ),
     );
     metrics::counter!("fuchsiaslip_takeovers_total", "reason" => taken.reason).increment(1);
+    actix_rt::spawn(worker_calls::maintain_plan(node.clone(), epoch));
     actix_rt::spawn(commits::run(node.clone(), epoch));
     actix_rt::spawn(store_watch::reread_waves(node.clone(), epoch));
     actix_rt::spawn(store_watch::follow_jobs(node.clone(), epoch, jobs.revision));
--- a/src/cluster/peer_connections.rs
+++ b/src/cluster/peer_connections.rs
@@ -1,9 +1,16 @@
 //! Connections between daemons: requests and responses in length-delimited frames.
 
+use super::carried_connection::CarriedConnection;
+use super::carrier_session::OwnerSession;
 use super::peer_frame::{
     PeerBody,
     PeerFrame, //
 };
+use super::worker_call::{
+    AddressedCall,
+    WorkerAnswer, //
+};
+use crate::events;
 use crate::timer::Timer;
 use crate::traffic::{
     Direction,
@@ -48,12 +55,78 @@
 /// Most requests without a response on one connection; further requests fail at once.
 const MAX_PENDING: usize = 1_024;
 
-type PendingRequests = Rc<RefCell<HashMap<u64, oneshot::Sender<PeerBody>>>>;
+/// Why a call through a carrier got no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CarrierError {
+    /// The carrier responds, and this call was not answered in time.
+    NoAnswer,
+    /// The carrier cannot be reached or does not respond at all.
+    Disconnected,
+}
+
+/// What is shared between a connection and those who wait for responses on it.
+struct ConnectionState {
+    pending: RefCell<HashMap<u64, oneshot::Sender<PeerBody>>>,
+    calls: RefCell<HashMap<u64, oneshot::Sender<WorkerAnswer>>>,
+    session: RefCell<OwnerSession>,
+    /// When a frame last arrived, or the connection was opened.
+    received_ms: Cell<u64>,
+}
+
+impl ConnectionState {
+    fn open(now_ms: u64) -> Self {
+        Self {
+            pending: RefCell::default(),
+            calls: RefCell::default(),
+            session: RefCell::default(),
+            received_ms: Cell::new(now_ms),
+        }
+    }
+
+    /// Passes a response to the one who waits for it. Returns `false` if it cannot be decoded.
+    fn handle_response(&self, frame: PeerFrame) -> bool {
+        let PeerFrame { id, body } = frame;
+        // Whoever waits may have given up.
+        match body {
+            Some(PeerBody::WorkerAnswer(message)) => {
+                let decoded = self.session.borrow_mut().decode(message);
+                match decoded {
+                    Ok(answer) => {
+                        if let Some(waiting) = self.calls.borrow_mut().remove(&id) {
+                            drop(waiting.send(answer));
+                        }
+                    }
+                    Err(error) => {
+                        events::log(events::FRAME_BROKEN, format_args!("{error}"));
+                        return false;
+                    }
+                }
+            }
+            Some(body) => {
+                if let Some(waiting) = self.pending.borrow_mut().remove(&id) {
+                    drop(waiting.send(body));
+                }
+            }
+            // The peer has no response. Dropping the senders tells that.
+            None => {
+                self.pending.borrow_mut().remove(&id);
+                self.calls.borrow_mut().remove(&id);
+            }
+        }
+        true
+    }
+
+    /// Tells everybody at once that no response comes.
+    fn close(&self) {
+        self.pending.borrow_mut().clear();
+        self.calls.borrow_mut().clear();
+    }
+}
 
 #[derive(Clone)]
 struct Connection {
     frames: mpsc::UnboundedSender<PeerFrame>,
-    pending: PendingRequests,
+    state: Rc<ConnectionState>,
 }
 
 /// Connections to other daemons, used from one thread.
@@ -89,21 +162,22 @@
         body: PeerBody,
         timeout_ms: u64,
     ) -> Option<PeerBody> {
+        let sent_ms = self.timer.now_ms();
         let connection = self.connection(address);
-        let id = self.next_id.replace(self.next_id.get() + 1);
+        let id = self.next_id();
         let (answer, answered) = oneshot::channel();
-        if connection.pending.borrow().len() >= MAX_PENDING {
+        if connection.state.pending.borrow().len() >= MAX_PENDING {
             metrics::counter!("fuchsiaslip_peer_refusals_total", "reason" => "too_many_waiting")
                 .increment(1);
             return None;
         }
-        connection.pending.borrow_mut().insert(id, answer);
+        connection.state.pending.borrow_mut().insert(id, answer);
         let frame = PeerFrame {
             id,
             body: Some(body),
         };
         if connection.frames.send(frame).is_err() {
-            self.connections.borrow_mut().remove(&address);
+            self.disconnect(address, &connection);
             return None;
         }
         match self.timer.timeout(timeout_ms, answered).await {
@@ -111,12 +185,73 @@
             Err(_) => {
                 metrics::counter!("fuchsiaslip_retries_total", "reason" => "peer_silent")
                     .increment(1);
-                self.connections.borrow_mut().remove(&address);
+                connection.state.pending.borrow_mut().remove(&id);
+                // A carrier that answers other requests is not disconnected for this one.
+                if connection.state.received_ms.get() <= sent_ms {
+                    self.disconnect(address, &connection);
+                }
                 None
             }
         }
     }
 
+    /// Has a carrier make a call to a worker, and waits for the worker's answer.
+    ///
+    /// # Errors
+    ///
+    /// No answer came within `timeout_ms`, or the carrier does not respond.
+    pub async fn call_worker(
+        &self,
+        carrier: SocketAddr,
+        call: &AddressedCall,
+        timeout_ms: u64,
+    ) -> Result<WorkerAnswer, CarrierError> {
+        let sent_ms = self.timer.now_ms();
+        let mut connection = self.connection(carrier);
+        if connection.state.session.borrow().is_full() {
+            self.disconnect(carrier, &connection);
+            connection = self.connection(carrier);
+        }
+        let id = self.next_id();
+        let (answer, answered) = oneshot::channel();
+        connection.state.calls.borrow_mut().insert(id, answer);
+        let message = connection.state.session.borrow_mut().encode(call);
+        let frame = PeerFrame {
+            id,
+            body: Some(PeerBody::WorkerCall(message)),
+        };
+        if connection.frames.send(frame).is_err() {
+            self.disconnect(carrier, &connection);
+            return Err(CarrierError::Disconnected);
+        }
+        match self.timer.timeout(timeout_ms, answered).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) => Err(CarrierError::Disconnected),
+            Err(_) => {
+                connection.state.calls.borrow_mut().remove(&id);
+                if connection.state.received_ms.get() > sent_ms {
+                    return Err(CarrierError::NoAnswer);
+                }
+                self.disconnect(carrier, &connection);
+                Err(CarrierError::Disconnected)
+            }
+        }
+    }
+
+    fn next_id(&self) -> u64 {
+        self.next_id.replace(self.next_id.get() + 1)
+    }
+
+    /// Closes a connection, so that the next request opens another.
+    fn disconnect(&self, address: SocketAddr, connection: &Connection) {
+        connection.state.close();
+        let mut connections = self.connections.borrow_mut();
+        let current = connections.get(&address);
+        if current.is_some_and(|current| Rc::ptr_eq(&current.state, &connection.state)) {
+            connections.remove(&address);
+        }
+    }
+
     fn connection(&self, address: SocketAddr) -> Connection {
         let mut connections = self.connections.borrow_mut();
         if let Some(connection) = connections.get(&address)
@@ -127,26 +262,26 @@
         let (frames, outgoing) = mpsc::unbounded_channel();
         let connection = Connection {
             frames,
-            pending: PendingRequests::default(),
+            state: Rc::new(ConnectionState::open(self.timer.now_ms())),
         };
-        let pending = connection.pending.clone();
+        let state = connection.state.clone();
         let timer = self.timer.clone();
         actix_rt::spawn(async move {
             let connecting = TcpStream::connect(address);
             if let Ok(Ok(stream)) = timer.timeout(CONNECT_TIMEOUT_MS, connecting).await {
-                run_connection(stream, outgoing, &pending).await;
+                run_connection(stream, outgoing, &state, &timer).await;
             }
-            // Dropping the senders tells the callers at once that no response comes.
-            pending.borrow_mut().clear();
+            state.close();
         });
         connections.insert(address, connection.clone());
         connection
     }
 
-    /// Accepts connections on `listener` and responds to requests with `answer`.
+    /// Accepts connections on `listener` and responds to requests with `answer`, which returns
+    /// `None` if a connection is of no use any more.
     pub async fn serve<F, A>(listener: TcpListener, answer: F)
     where
-        F: Fn(PeerBody) -> A + Clone + 'static,
+        F: Fn(Rc<CarriedConnection>, PeerBody) -> Option<A> + Clone + 'static,
         A: Future<Output = Option<PeerBody>> + 'static,
     {
         loop {
@@ -169,7 +304,8 @@
 async fn run_connection(
     stream: TcpStream,
     mut outgoing: mpsc::UnboundedReceiver<PeerFrame>,
-    pending: &PendingRequests,
+    state: &ConnectionState,
+    timer: &Timer,
 ) {
     // Frames are small and each waits for a response, so Nagle's delay would add up.
     if let Err(error) = stream.set_nodelay(true) {
@@ -187,10 +323,10 @@
             received = framed.next() => {
                 let Some(Ok(bytes)) = received else { return };
                 record_bytes(TrafficKind::Peer, Direction::In, bytes.len());
-                let Some((id, body)) = decode_frame(bytes) else { return };
-                if let Some(answer) = pending.borrow_mut().remove(&id) {
-                    // The caller may have given up.
-                    drop(answer.send(body));
+                state.received_ms.set(timer.now_ms());
+                let Some(frame) = decode_frame(bytes) else { return };
+                if !state.handle_response(frame) {
+                    return;
                 }
             }
         }
@@ -216,11 +352,11 @@
     sink.flush().await
 }
 
-fn decode_frame(bytes: BytesMut) -> Option<(u64, PeerBody)> {
+fn decode_frame(bytes: BytesMut) -> Option<PeerFrame> {
     match PeerFrame::decode(bytes) {
-        Ok(frame) => Some((frame.id, frame.body?)),
+        Ok(frame) => Some(frame),
         Err(error) => {
-            crate::events::log(crate::events::FRAME_BROKEN, format_args!("{error}"));
+            events::log(events::FRAME_BROKEN, format_args!("{error}"));
             None
         }
     }
@@ -228,12 +364,13 @@
 
 async fn serve_connection<F, A>(stream: TcpStream, answer: F)
 where
-    F: Fn(PeerBody) -> A + Clone + 'static,
+    F: Fn(Rc<CarriedConnection>, PeerBody) -> Option<A> + Clone + 'static,
     A: Future<Output = Option<PeerBody>> + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY: {error}");
     }
+    let connection = Rc::new(CarriedConnection::default());
     let (mut sink, mut frames) = framed(stream).split();
     let (answers, mut answered) = mpsc::unbounded_channel::<PeerFrame>();
     actix_rt::spawn(async move {
@@ -245,13 +382,21 @@
     });
     while let Some(Ok(bytes)) = frames.next().await {
         record_bytes(TrafficKind::Peer, Direction::In, bytes.len());
-        let Some((id, body)) = decode_frame(bytes) else {
+        let Some(PeerFrame {
+            id,
+            body: Some(body),
+        }) = decode_frame(bytes)
+        else {
+            return;
+        };
+        let Some(answering) = answer(connection.clone(), body) else {
             return;
         };
-        let (answers, answering) = (answers.clone(), answer(body));
+        let answers = answers.clone();
         actix_rt::spawn(async move {
             let body = answering.await;
-            // The peer may have disconnected; it then asks another daemon.
+            // The peer may have disconnected; it then asks another daemon. Nothing is awaited
+            // in between, so answers of workers are sent in the order of their encoding.
             drop(answers.send(PeerFrame { id, body }));
         });
     }
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -1,5 +1,9 @@
 //! Messages between daemons.
 
+use super::carrier_frame::{
+    AnswerMessage,
+    CallMessage, //
+};
 use prost::{
     Message,
     Oneof, //
@@ -12,7 +16,10 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// The content; absent if a request has no response.
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "PeerBody",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
     pub body: Option<PeerBody>,
 }
 
@@ -53,6 +60,12 @@
     /// The configuration as JSON; empty if there is no newer version.
     #[prost(bytes = "vec", tag = "12")]
     Configuration(Vec<u8>),
+    /// Asks a carrier to call a worker.
+    #[prost(message, tag = "13")]
+    WorkerCall(CallMessage),
+    /// What became of the call.
+    #[prost(message, tag = "14")]
+    WorkerAnswer(AnswerMessage),
 }
 
 /// A job and its record, encoded as in the store.
@@ -110,6 +123,12 @@
     /// Crashes at the start of a task that the sender counted as the owner.
     #[prost(message, repeated, tag = "13")]
     pub crashes: Vec<CrashMessage>,
+    /// The sender's data centre.
+    #[prost(string, tag = "14")]
+    pub data_centre: String,
+    /// How many workers the sender carries for an owner; 0 if it carries none.
+    #[prost(uint64, tag = "15")]
+    pub carried_workers: u64,
 }
 
 /// A worker that crashed at the start of a run.
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -1,5 +1,6 @@
 //! The other daemons, as known from their heartbeats and the store's member list.
 
+use super::carrier_plan::Member;
 use super::election::Candidate;
 use super::store_health::StoreContact;
 use std::collections::BTreeMap;
@@ -48,6 +49,10 @@
     pub cpu_millis: u64,
     /// Time between its heartbeats.
     pub interval_ms: u64,
+    /// Its data centre; empty if it is only listed.
+    pub data_centre: String,
+    /// How many workers it carries for an owner; 0 if that is not known.
+    pub carried_workers: u64,
     /// Whether the store lists it.
     pub listed: bool,
 }
@@ -193,6 +198,20 @@
         alive * 2 < peers().filter(|peer| peer.listed).count()
     }
 
+    /// The peers that may carry an owner's calls to workers.
+    pub fn carriers(&self, now_ms: u64) -> Vec<Member> {
+        let alive = self.peers.iter().filter(|(_, peer)| peer.is_alive(now_ms));
+        let usable = alive.filter(|(_, peer)| !peer.draining && peer.carried_workers > 0);
+        usable
+            .map(|(name, peer)| Member {
+                name: name.clone(),
+                address: peer.address,
+                data_centre: peer.data_centre.clone(),
+                carried_workers: peer.carried_workers,
+            })
+            .collect()
+    }
+
     /// The peers that sent a heartbeat recently, as candidates for the ownership.
     pub fn candidates(&self, now_ms: u64) -> Vec<Candidate> {
         let alive = self.peers.iter().filter(|(_, peer)| peer.is_alive(now_ms));
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one daemon on an operator's platform.
 
+use super::carrier_plan::VmResources;
 use crate::scheduler::Tuning;
 use std::net::{
     IpAddr,
@@ -32,6 +33,8 @@
     pub machines_address: Option<String>,
     /// Millicores of its VM. The daemon with the most is preferred as owner.
     pub cpu_millis: u64,
+    /// What its VM has for calls to workers.
+    pub resources: VmResources,
     /// Grace period of a drain, after which the platform kills the process.
     pub grace_ms: u64,
     /// Parameters of the scheduler.
--- a/src/cluster/store_watch.rs
+++ b/src/cluster/store_watch.rs
@@ -304,6 +304,8 @@
                 draining: false,
                 cpu_millis: 0,
                 interval_ms: 0,
+                data_centre: String::new(),
+                carried_workers: 0,
                 listed: true,
             },
         );
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -7,6 +7,8 @@
 //! store did not answer, the outcome is unknown, and the client retries with the same job
 //! name; until a request for that job is answered otherwise, its outcome stays unknown.
 
+use super::carried_connection::CarriedConnection;
+use super::carrier;
 use super::invalid_values::StoredKind;
 use super::node::Node;
 use super::peer_connections::status_from_code;
@@ -29,6 +31,7 @@
     Transaction, //
 };
 use crate::core::JobId;
+use crate::events;
 use crate::scheduler::{
     Input,
     JobRecord,
@@ -404,8 +407,31 @@
     }
 }
 
-/// Answers a request of a peer.
-pub async fn answer(node: Rc<Node>, body: PeerBody) -> Option<PeerBody> {
+/// Answers a request of a peer. Returns `None` if the connection is of no use any more.
+pub fn answer(
+    node: Rc<Node>,
+    connection: Rc<CarriedConnection>,
+    body: PeerBody,
+) -> Option<impl Future<Output = Option<PeerBody>> + 'static> {
+    let call = match body {
+        PeerBody::WorkerCall(message) => match connection.decode(message) {
+            Ok((worker, call)) => Ok(carrier::carry_out(node, connection.clone(), worker, call)),
+            Err(error) => {
+                events::log(events::FRAME_BROKEN, format_args!("{error}"));
+                return None;
+            }
+        },
+        other => Err(answer_request(node, other)),
+    };
+    Some(async move {
+        match call {
+            Ok(carried) => Some(carried.await),
+            Err(answering) => answering.await,
+        }
+    })
+}
+
+async fn answer_request(node: Rc<Node>, body: PeerBody) -> Option<PeerBody> {
     let until_ms = node.now_ms() + FORWARD_TIMEOUT_MS;
     match body {
         PeerBody::JobStatusOf(job) => {
@@ -454,7 +480,9 @@
             let bytes = if newer { encode(&*own) } else { Bytes::new() };
             Some(PeerBody::Configuration(bytes.to_vec()))
         }
-        PeerBody::JobStatus(_)
+        PeerBody::WorkerCall(_)
+        | PeerBody::WorkerAnswer(_)
+        | PeerBody::JobStatus(_)
         | PeerBody::PendingCount(_)
         | PeerBody::StorageOutcome(_)
         | PeerBody::Configuration(_) => {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,6 +1,9 @@
 //! Reads the platform's settings file, which has lines of the form `a.b=value`.
 
-use crate::cluster::ClusterSettings;
+use crate::cluster::{
+    ClusterSettings,
+    VmResources, //
+};
 use crate::scheduler::Tuning;
 use std::collections::HashMap;
 use std::net::{
@@ -31,6 +34,8 @@
 /// Lower limit of the maximum age of emptying orders. An owner reads them once a second
 /// where nothing changes, so with less it would start nothing between two reads.
 const MIN_ORDERS_MAX_AGE_MS: u64 = 1_500;
+/// Bytes in a megabit.
+const BYTES_PER_MBIT: f64 = 125_000.0;
 /// Lower limit of the maximum age of workers' entries. They are known as of the time when
 /// the last answered watch was sent, which is at most two watches ago.
 const MIN_ENTRIES_MAX_AGE_MS: u64 = 2_000;
@@ -171,6 +176,13 @@
         holder_gap_ms: fields.bound_ms("bounds.lease_ms", 1.0, 3_000)? + HOLDER_MARGIN_MS,
         ..default
     };
+    let cpu_millis = fields.bound_ms("limits.cpu_share", 1_000.0, 1_000)?
+        * fields.bound_ms("limits.cores", 1.0, 1)?.max(1);
+    let resources = VmResources {
+        link_bytes_per_s: fields.bound_ms("limits.link_mbps", BYTES_PER_MBIT, u64::MAX)?,
+        descriptors: fields.bound_ms("limits.file_descriptors", 1.0, u64::MAX)?,
+        cpu_millis,
+    };
     Ok(ClusterSettings {
         daemon: fields.text("node_name")?.to_owned(),
         data_centre: fields.text("zone")?.to_owned(),
@@ -182,8 +194,8 @@
         store_address: fields.text("platform.address")?.to_owned(),
         advice_address: fields.text("recommendation").ok().map(str::to_owned),
         machines_address: fields.text("cloud_api.address").ok().map(str::to_owned),
-        cpu_millis: (fields.bound_ms("limits.cpu_share", 1_000.0, 1_000)?)
-            * fields.bound_ms("limits.cores", 1.0, 1)?.max(1),
+        cpu_millis,
+        resources,
         grace_ms: fields.bound_ms("bounds.grace_period_s", 1_000.0, 6_000)?,
         tuning,
     })
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -1,6 +1,12 @@
 //! Client of the workers and of the external placement policy.
 
 use super::http::HttpClient;
+use crate::cluster::{
+    AddressedCall,
+    StartOrder,
+    WorkerAnswer,
+    WorkerCall, //
+};
 use crate::scheduler::{
     CallOutcome,
     EndKind,
@@ -21,12 +27,6 @@
 };
 use std::sync::Arc;
 
-/// Timeout of an order. A worker answers within a few milliseconds, so an answer that takes
-/// longer than this is lost. The order can then be sent again within the time that the
-/// members of a gang wait for each other.
-const ORDER_TIMEOUT_MS: u64 = 450;
-/// Time that a poll may take in addition to its wait.
-const POLL_SLACK_MS: u64 = 600;
 /// Timeout of a request to the external policy.
 const ADVICE_TIMEOUT_MS: u64 = 3_000;
 const INCARNATION_HEADER: &str = "Expected-Instance";
@@ -124,77 +124,46 @@
         Self { http }
     }
 
-    /// Starts a run.
-    #[expect(clippy::too_many_arguments, reason = "the fields of one order")]
-    pub async fn start(
-        &self,
-        address: &str,
-        worker_name: &str,
-        epoch: u64,
-        name: RunName,
-        payload: &str,
-        lease_end_ms: u64,
-        checkpoint: Option<&str>,
-        ticket: Option<&str>,
-    ) -> CallOutcome {
-        let body = StartBody {
-            task: name.task.to_string(),
-            run_id: name.run,
-            spec: payload,
-            deadline_ms: lease_end_ms,
-            fencing_token: epoch,
-            checkpoint,
-            ticket,
+    /// Makes a call to a worker.
+    pub async fn call(&self, call: &AddressedCall) -> WorkerAnswer {
+        let epoch = call.epoch;
+        let outcome = match &call.call {
+            WorkerCall::Poll { .. } => {
+                let answer = self.poll(call).await;
+                return answer.map_or_else(WorkerAnswer::Outcome, WorkerAnswer::Report);
+            }
+            WorkerCall::Start(order) => {
+                let body = start_body(epoch, order);
+                self.order(call, "run-start", &body).await
+            }
+            WorkerCall::Stop(name) => {
+                let body = StopBody {
+                    task: name.task.to_string(),
+                    run_id: name.run,
+                    fencing_token: epoch,
+                };
+                self.order(call, "run-stop", &body).await
+            }
+            &WorkerCall::Throttle { name, percent } => {
+                let body = ThrottleBody {
+                    task: name.task.to_string(),
+                    run_id: name.run,
+                    percent,
+                    fencing_token: epoch,
+                };
+                self.order(call, "pace", &body).await
+            }
         };
-        self.order(address, worker_name, "run-start", &body).await
+        WorkerAnswer::Outcome(outcome)
     }
 
-    /// Stops a run.
-    pub async fn stop(
-        &self,
-        address: &str,
-        worker_name: &str,
-        epoch: u64,
-        name: RunName,
-    ) -> CallOutcome {
-        let body = StopBody {
-            task: name.task.to_string(),
-            run_id: name.run,
-            fencing_token: epoch,
-        };
-        self.order(address, worker_name, "run-stop", &body).await
-    }
-
-    /// Limits a run to `percent` of its full speed.
-    pub async fn throttle(
-        &self,
-        address: &str,
-        worker_name: &str,
-        epoch: u64,
-        name: RunName,
-        percent: u32,
-    ) -> CallOutcome {
-        let body = ThrottleBody {
-            task: name.task.to_string(),
-            run_id: name.run,
-            percent,
-            fencing_token: epoch,
-        };
-        self.order(address, worker_name, "pace", &body).await
-    }
-
-    async fn order<T: Serialize>(
-        &self,
-        address: &str,
-        worker_name: &str,
-        call: &str,
-        body: &T,
-    ) -> CallOutcome {
-        let url = format!("http://{address}/-/{call}");
-        let headers = [(INCARNATION_HEADER, worker_name)];
+    async fn order<T: Serialize>(&self, call: &AddressedCall, path: &str, body: &T) -> CallOutcome {
+        let url = format!("http://{}/-/{path}", call.address);
+        let headers = [(INCARNATION_HEADER, &*call.worker_name)];
         let kind = TrafficKind::WorkerOrder;
-        let call = self.http.post(kind, url, &headers, body, ORDER_TIMEOUT_MS);
-        match call.await {
+        let timeout_ms = call.call.timeout_ms();
+        let answer = self.http.post(kind, url, &headers, body, timeout_ms);
+        match answer.await {
             Ok((status, body)) => outcome_of(status, &body),
             // `NotSent` counts as no answer too: nothing of the order was sent, but the
             // packet that opens the connection may still be in flight.
@@ -202,35 +171,29 @@
         }
     }
 
-    /// Polls a worker: renews its lease and returns its runs and ends. The worker may hold
-    /// the poll open for `wait_ms`; `last_seen` acknowledges ends up to this number.
-    ///
-    /// # Errors
-    ///
-    /// The worker refused or did not answer. The error is never `CallOutcome::Done`.
-    pub async fn poll(
-        &self,
-        address: &str,
-        worker_name: &str,
-        epoch: u64,
-        last_seen: u64,
-        lease_end_ms: Option<u64>,
-        wait_ms: u64,
-    ) -> Result<PollReport, CallOutcome> {
-        let url = format!("http://{address}/-/hold");
+    /// Polls a worker. The error is never `CallOutcome::Done`.
+    async fn poll(&self, call: &AddressedCall) -> Result<PollReport, CallOutcome> {
+        let WorkerCall::Poll {
+            last_seen,
+            lease_end_ms,
+            wait_ms,
+        } = call.call
+        else {
+            return Err(CallOutcome::NoAnswer);
+        };
+        let url = format!("http://{}/-/hold", call.address);
         let body = PollBody {
             deadline_ms: lease_end_ms,
-            fencing_token: epoch,
+            fencing_token: call.epoch,
             last_seen,
             wait_ms,
         };
-        let headers = [(INCARNATION_HEADER, worker_name)];
-        let timeout_ms = wait_ms + POLL_SLACK_MS;
+        let headers = [(INCARNATION_HEADER, &*call.worker_name)];
+        let timeout_ms = call.call.timeout_ms();
         let answer = self
             .http
             .post(TrafficKind::WorkerPoll, url, &headers, &body, timeout_ms);
-        let answer = answer.await;
-        let (status, body) = answer.map_err(|_| CallOutcome::NoAnswer)?;
+        let (status, body) = answer.await.map_err(|_| CallOutcome::NoAnswer)?;
         if status != StatusCode::OK {
             return Err(outcome_of(status, &body));
         }
@@ -267,6 +230,18 @@
     }
 }
 
+fn start_body(epoch: u64, order: &StartOrder) -> StartBody<'_> {
+    StartBody {
+        task: order.name.task.to_string(),
+        run_id: order.name.run,
+        spec: &order.payload,
+        deadline_ms: order.lease_end_ms,
+        fencing_token: epoch,
+        checkpoint: order.checkpoint.as_deref(),
+        ticket: order.ticket.as_deref(),
+    }
+}
+
 fn outcome_of(status: StatusCode, body: &Bytes) -> CallOutcome {
     match status {
         StatusCode::OK => CallOutcome::Done,
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -22,6 +22,8 @@
     pub address: Arc<str>,
     /// The worker's name; a worker with another name does not carry out the call.
     pub worker_name: Arc<str>,
+    /// The worker's data centre; empty if its entry was never read.
+    pub data_centre: Arc<str>,
 }
 
 /// An action that the caller of the scheduler has to carry out.
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -22,6 +22,7 @@
     WorkerInfo, //
 };
 use crate::core::WorkerKey;
+use std::collections::BTreeMap;
 
 /// Time after which the key of a worker that is gone is reused: ten times the timeout of
 /// a call to a worker.
@@ -41,6 +42,19 @@
         .collect()
     }
 
+    /// Returns the number of workers in each data centre.
+    pub fn worker_counts(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        let workers = self.workers.iter();
+        for worker in workers.filter(|worker| worker.contact != Contact::Gone) {
+            match counts.get_mut(&worker.info.data_centre) {
+                Some(count) => *count += 1,
+                None => drop(counts.insert(worker.info.data_centre.clone(), 1)),
+            }
+        }
+        counts
+    }
+
     /// Handles a readable entry: adds the worker or updates it.
     pub(super) fn handle_worker_registered(&mut self, info: WorkerInfo) {
         let known = self.worker_index.get(&info.worker_name).copied();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -104,6 +104,7 @@
     JobObjective, //
     OrderingPolicy,
 };
+pub use polling::MIN_RESTART_MS;
 pub use run_time_model::RunTimeModel;
 pub use spec::{
     JobRecord,
--- a/src/scheduler/polling.rs
+++ b/src/scheduler/polling.rs
@@ -13,7 +13,7 @@
 const MAX_FIRST_POLLS: usize = 128;
 
 /// Shortest time in which a worker can crash and restart.
-const MIN_RESTART_MS: u64 = 250;
+pub const MIN_RESTART_MS: u64 = 250;
 
 impl Scheduler {
     /// Polls a worker if its next poll is due and none is in flight.
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -260,6 +260,7 @@
     address: Arc<str>,
     name: Arc<str>,
     rack: Arc<str>,
+    data_centre: Arc<str>,
 }
 
 /// Returns the rack of a worker, which is the second of its labels.
@@ -275,6 +276,7 @@
             address: info.address.as_str().into(),
             name: info.worker_name.as_str().into(),
             rack: rack_of(&info).into(),
+            data_centre: info.data_centre.as_str().into(),
             info,
             incarnation_start_ms: None,
             late_starts: Vec::new(),
@@ -322,6 +324,7 @@
         self.has_drained |= info.draining;
         self.set_address(&info.address);
         self.rack = rack_of(&info).into();
+        self.data_centre = info.data_centre.as_str().into();
         let capacity = info.capacity;
         self.info = info;
         self.listed = true;
@@ -348,6 +351,7 @@
             worker: self.key,
             address: self.address.clone(),
             worker_name: self.name.clone(),
+            data_centre: self.data_centre.clone(),
         }
     }
 
--- a/tests/peer_table.rs
+++ b/tests/peer_table.rs
@@ -35,6 +35,8 @@
         draining: false,
         cpu_millis: 250,
         interval_ms: 250,
+        data_centre: "z".to_owned(),
+        carried_workers: 64,
         listed: true,
     }
 }
