Store the start of a suspect before it is sent

Change: the number of starts since a task became a suspect is stored with its crashes, with the next start included before it is made; in most cases the commit of the crash carries it. A new owner gives such a task up before it starts it if the limit of five is reached.

Before: a_start_of_a_suspect_is_stored_before_it_is_sent counts 10 starts under nine owners. After: at most five. The drawn crashes and the tests of sound tasks on bad workers pass.

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -37,7 +37,8 @@
 //! of the last one, after the third crash at its start, or after the fifth crash at any
 //! time: after three crashes a task may be started at most twice more. It is also given up
 //! if its worker survived none of the five starts since it became a suspect, since the runs
-//! of a crashing task may end for other reasons first. A crash is not counted if the answer
+//! of a crashing task may end for other reasons first. Each start of a suspect is stored before
+//! it is sent, since the crash that follows may be lost with its owner. A crash is not counted if the answer
 //! to the start was lost, or if the owner changed directly after the start. So for a job
 //! that an earlier owner knew, the limits of three and five, and that of starts, are lower by
 //! one; the first of them counts certain crashes only. If many workers crash for other
@@ -245,6 +246,17 @@
     /// owner saw.
     pub(super) fn count_crashes_as_starts(&mut self) {
         self.suspect_starts = self.suspect_starts.max(self.crashes_at_start() as u32);
+        self.reserved_starts = self.reserved_starts.max(self.suspect_starts);
+    }
+
+    /// Reserves the next start of a suspect, so that the next owner assumes that it was made.
+    /// Returns whether it was not reserved yet.
+    fn reserve_start(&mut self) -> bool {
+        let is_unreserved = self.reserved_starts <= self.suspect_starts;
+        if is_unreserved {
+            self.reserved_starts = self.suspect_starts + 1;
+        }
+        is_unreserved
     }
 
     /// Counts a crash, and returns whether it was not counted before.
@@ -397,6 +409,9 @@
         }
         task.last_run = task.last_run.max(name.run);
         task.count_crashes_as_starts();
+        if task.is_suspect() {
+            task.reserve_start();
+        }
         let crashes = task.crashes.len() as u32;
         let crashes_at_start = task.crashes_at_start() as u32;
         let give_up_reason =
@@ -469,6 +484,7 @@
             crash.at_start = false;
         }
         task.suspect_starts = 0;
+        task.reserved_starts = 0;
     }
 
     /// Counts a confirmed start of a suspect.
@@ -505,6 +521,25 @@
         self.fail_crashing_job(name, failures, crashes);
     }
 
+    /// Fails the job of a group if a suspect has reached the limit of its starts under earlier
+    /// owners.
+    fn review_suspects(&mut self, key: GroupKey) {
+        let Some(group) = self.groups.get(&key) else {
+            return;
+        };
+        let tasks = (0u32..).zip(&group.tasks);
+        let suspects = tasks.filter(|(_, task)| task.is_suspect());
+        let names: Vec<RunName> = suspects
+            .map(|(index, task)| RunName {
+                task: key.task(index),
+                run: task.last_run,
+            })
+            .collect();
+        for name in names {
+            self.review_suspect_starts(name);
+        }
+    }
+
     /// Returns how many crashes of a job's tasks this owner may not know of: a crash during a
     /// change of owner may be known to neither owner. `known_earlier` is also set for jobs
     /// that were stored before the first owner started.
@@ -514,9 +549,25 @@
         u32::from(had_earlier_owner && job.is_some_and(|job| job.known_earlier))
     }
 
-    /// Whether the last crash at the start of any of a group's tasks is stored. If a task
-    /// were started earlier, the next owner might not know of that crash.
-    pub(super) fn is_crash_stored(&self, key: GroupKey) -> bool {
+    /// Whether the last crash at the start of any of a group's tasks is stored, and the next
+    /// start of each suspect with it. If a task were started earlier, the next owner might not
+    /// know of that crash or of that start. Starts that are not reserved yet are reserved.
+    pub(super) fn reserve_suspect_starts(&mut self, key: GroupKey) -> bool {
+        self.review_suspects(key);
+        let Some(group) = self.groups.get_mut(&key) else {
+            return false;
+        };
+        let suspects = group
+            .tasks
+            .iter_mut()
+            .filter(|task| task.state == TaskState::Waiting && task.is_suspect());
+        let unreserved = suspects.filter_map(|task| task.reserve_start().then_some(()));
+        if unreserved.count() > 0 {
+            let change = self.job_changed(key.job);
+            if let Some(group) = self.groups.get_mut(&key) {
+                group.crash_change = change;
+            }
+        }
         self.jobs[&key.job].stored >= self.groups[&key].crash_change
     }
 
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -4,6 +4,7 @@
     CrashedRun,
     Group,
     GroupKey,
+    Task,
     TaskState, //
 };
 use serde::{
@@ -65,12 +66,16 @@
     /// version of the program stored.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub uncertain: Vec<u64>,
+    /// Number of starts since the first crash at a start, including one that may have been
+    /// made since this was stored; 0 in values that an older version of the program stored.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub starts: u32,
 }
 
 impl TaskCrashes {
-    fn of(index: u32, crashes: &[CrashedRun]) -> Self {
+    fn of(index: u32, task: &Task) -> Self {
         let runs_where = |is_included: fn(&CrashedRun) -> bool| {
-            let included = crashes.iter().filter(|&crash| is_included(crash));
+            let included = task.crashes.iter().filter(|&crash| is_included(crash));
             included.map(|crash| crash.run).collect()
         };
         Self {
@@ -78,6 +83,7 @@
             runs: runs_where(|_| true),
             at_start: runs_where(|crash| crash.at_start),
             uncertain: runs_where(|crash| crash.uncertain),
+            starts: task.reserved_starts,
         }
     }
 
@@ -145,8 +151,7 @@
                 });
             }
             if !task.crashes.is_empty() && task.state != TaskState::Done {
-                let crashes = TaskCrashes::of(index, &task.crashes);
-                progress.crashes.push(crashes);
+                progress.crashes.push(TaskCrashes::of(index, task));
             }
         }
         let empty =
@@ -175,6 +180,7 @@
             if let Some(task) = group.tasks.get_mut(row.index as usize) {
                 let highest = row.runs.iter().copied().max().unwrap_or(0);
                 task.crashes = row.crashes();
+                task.suspect_starts = row.starts;
                 task.count_crashes_as_starts();
                 task.last_run = task.last_run.max(highest);
             }
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -166,7 +166,7 @@
         reservations: &mut Reservations,
     ) -> usize {
         let key = ranked.key;
-        if !self.is_crash_stored(key) {
+        if !self.reserve_suspect_starts(key) {
             return 0;
         }
         let suspected = self.has_waiting_suspect(key);
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -819,6 +819,36 @@
     assert_eq!(status_of(&fleet, id), Some(JobStatus::Failed));
 }
 
+/// Guards against a sixth start after changes of owner: the starts of a suspect that crashed
+/// its workers while its owners exited, and runs of it that ended otherwise, were known to no
+/// later owner.
+#[test]
+fn a_start_of_a_suspect_is_stored_before_it_is_sent() {
+    let mut fleet = Fleet::with_workers(8);
+    fleet.down_ms = LONG_DOWN_MS;
+    let job = record("plain", vec![step(1, 1)]);
+    let id = submit_crashing(&mut fleet, 1, job.clone());
+    while counted_crashes(&fleet).is_empty() {
+        fleet.advance(STEP_MS);
+    }
+    let mut starts = 0;
+    for epoch in 2..10 {
+        let until_ms = fleet.now_ms + LONG_ENOUGH_MS;
+        let before = starts_of(&fleet, task_of(id, 0));
+        while starts_of(&fleet, task_of(id, 0)) == before && fleet.now_ms < until_ms {
+            fleet.advance(STEP_MS);
+        }
+        starts += starts_of(&fleet, task_of(id, 0));
+        fleet = fleet.next_owner(epoch, &[(id, job.clone())], true);
+        // The worker that the task crashed last is back before the new owner polls it.
+        fleet.closed.clear();
+    }
+    starts += starts_of(&fleet, task_of(id, 0));
+
+    assert!(starts <= MAX_STARTS, "started {starts} times");
+    assert_eq!(status_of(&fleet, id), Some(JobStatus::Failed));
+}
+
 /// Guards against a sixth start after a change of owner: the next owner counted only its own
 /// starts of a task that had crashed workers under the earlier one.
 #[test]
