Store the roster in parts; read the member list once at the start; cap the ranks that are awaited

Three causes that grow with the fleet, found by the owner's bytes and by reading.

Roster: one value held all workers, and each worker that came or went rewrote it. It is stored in 64 parts now; a worker belongs to the same part for ever. The value of earlier versions is read, and emptied once its workers are in the parts. A roster of 6,000: a worker that joins writes less than a fortieth of it (a_worker_that_joins_a_large_fleet_changes_a_small_part_of_the_roster).

Member list: each daemon read it every 0.3 s in its first 2 s. With 587 daemons that is 65 MB each time, by computation, where the store's link carries 125 MB a second and a new owner reads all that is stored. Each reads it once after it has registered, not stale; of two that start together the later one finds the other and greets it.

Ranks: a candidate left the takeover to each better one in turn for 0.3 s. If all large VMs are lost with the owner, the small ones count them as alive for many seconds and would wait up to 72 times that. At most four are awaited; the others are spread by their names. A daemon also no longer waits to hear from most of the others if the owner's process has ended.

An owner pauses for 0.1 s between watches of the workers' entries that returned changes: they are written all the time, so that it made a call for every few of them.

Tests: four of tests/pending_writes.rs, two of tests/election.rs; those that read the roster from one value read its parts, and check the rewritten value as well. The soak damages both.

--- a/src/cluster/commits.rs
+++ b/src/cluster/commits.rs
@@ -71,6 +71,7 @@
 
 /// Reports to the scheduler which of its changes are durable.
 fn report_stored(node: &Node, epoch: u64, batch: Batch) {
+    let roster_names = batch.roster_names();
     for (job, change) in batch.progress {
         node.control
             .send_input(epoch, Input::ProgressStored { job, change });
@@ -87,8 +88,9 @@
     for job in batch.deleted_jobs {
         node.control.send_input(epoch, Input::JobDeleted(job));
     }
-    if let Some(workers) = batch.roster {
-        node.control.send_input(epoch, Input::RosterStored(workers));
+    if !roster_names.is_empty() {
+        let input = Input::RosterStored(roster_names);
+        node.control.send_input(epoch, input);
     }
 }
 
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -1,5 +1,6 @@
 //! Runs the scheduler on the control thread, the only thread that accesses its state.
 
+use super::pending_writes::RosterChange;
 use super::records::{
     ClosedRecord,
     RosterRow, //
@@ -86,7 +87,7 @@
     /// Progress to store: the job, the number of its change, and its whole progress.
     pub records: Vec<(JobId, u64, ProgressRecord)>,
     /// The roster to store, if it changed.
-    pub roster: Option<Vec<RosterRow>>,
+    pub roster: Option<RosterChange>,
     /// Closed-worker records to store, by the worker's name: whether it gets no more
     /// starts, and the runs that it may have. `None` for a worker that is gone.
     pub closed: Vec<(String, Option<ClosedRecord>)>,
@@ -241,13 +242,16 @@
     }
 }
 
-fn roster_rows(scheduler: &Scheduler) -> Vec<RosterRow> {
+fn roster_change(scheduler: &Scheduler) -> RosterChange {
     let rows = scheduler.roster().into_iter();
-    rows.map(|(worker_name, address)| RosterRow {
+    let rows = rows.map(|(worker_name, address)| RosterRow {
         worker_name,
         address,
-    })
-    .collect()
+    });
+    RosterChange {
+        rows: rows.collect(),
+        unconfirmed: scheduler.unconfirmed_workers(),
+    }
 }
 
 /// Makes the scheduler's decision and collects the state that it asks to have stored.
@@ -278,7 +282,7 @@
     Output {
         epoch: scheduler.epoch(),
         records: records.collect(),
-        roster: roster.then(|| roster_rows(scheduler)),
+        roster: roster.then(|| roster_change(scheduler)),
         closed: closed.into_iter().collect(),
         worker_counts: None,
         actions,
--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -10,6 +10,8 @@
 //! receives heartbeats from few of the listed daemons is probably cut off itself and
 //! waits longest.
 
+use xxhash_rust::xxh3::xxh3_64;
+
 /// Time without a heartbeat after which the owner counts as dead in a small fleet:
 /// two and a half heartbeat intervals and the delay of a busy daemon.
 const OWNER_TIMEOUT_MS: u64 = 700;
@@ -26,6 +28,12 @@
 const NEW_OWNER_MS: u64 = 5_000;
 /// Added for each better candidate. A takeover takes about 50 ms.
 const RANK_DELAY_MS: u64 = 300;
+/// Number of better candidates that a daemon waits for. If all VMs of a kind are lost with
+/// the owner, the others count them as alive for a while, and would wait for each of them.
+const MAX_AWAITED_RANKS: u64 = 4;
+/// Candidates with a higher rank are spread over this time by their names, so that a few of
+/// hundreds try at once.
+const UNRANKED_SPREAD_MS: u64 = 600;
 /// Added for a daemon that receives heartbeats from less than half of the listed
 /// daemons.
 const ISOLATED_DELAY_MS: u64 = 1_500;
@@ -159,10 +167,24 @@
             }
         }
     };
-    let isolated = view.reachable.len() * 2 < view.listed;
+    // Nobody replaces an owner needlessly whose process has ended.
+    let has_exited = view
+        .owner
+        .as_ref()
+        .is_some_and(|status| status.incarnation_over);
+    let isolated = view.reachable.len() * 2 < view.listed && !has_exited;
     let isolated_ms = if isolated { ISOLATED_DELAY_MS } else { 0 };
     Some(Takeover {
-        due_ms: from_ms + rank * RANK_DELAY_MS + isolated_ms,
+        due_ms: from_ms + rank_delay_ms(rank, &view.own.name) + isolated_ms,
         reason,
     })
 }
+
+/// How long a daemon leaves the takeover to `rank` better candidates.
+fn rank_delay_ms(rank: u64, name: &str) -> u64 {
+    let spread_ms = match rank > MAX_AWAITED_RANKS {
+        true => xxh3_64(name.as_bytes()) % UNRANKED_SPREAD_MS,
+        false => 0,
+    };
+    rank.min(MAX_AWAITED_RANKS) * RANK_DELAY_MS + spread_ms
+}
--- a/src/cluster/inspect.rs
+++ b/src/cluster/inspect.rs
@@ -15,8 +15,9 @@
     MemberRecord,
     PROGRESS_PREFIX,
     ROOT_KEY,
-    ROSTER_KEY,
+    ROSTER_PREFIX,
     RosterRow,
+    WHOLE_ROSTER_KEY,
     cancelled_key,
     decode,
     decode_job_record,
@@ -54,7 +55,10 @@
 };
 use crate::timer::Timer;
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 /// A fleet as the store shows it.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
@@ -173,11 +177,16 @@
             report.daemons.insert(name, member.address);
         }
     }
-    if let Some(item) = store.get(ROSTER_KEY).await? {
+    let mut roster = store.range(ROSTER_PREFIX, true).await?.items;
+    roster.extend(store.get(WHOLE_ROSTER_KEY).await?);
+    let mut workers = BTreeSet::new();
+    for item in roster {
         let decoded = decode::<Vec<RosterRow>>(&item.value);
         let rows = report.valid_value(StoredKind::Roster, &item, decoded);
-        report.workers = rows.unwrap_or_default().len();
+        let rows = rows.unwrap_or_default().into_iter();
+        workers.extend(rows.map(|row| row.worker_name));
     }
+    report.workers = workers.len();
     for item in store.range(CLOSED_PREFIX, true).await?.items {
         let decoded = decode::<ClosedRecord>(&item.value);
         let record = report.valid_value(StoredKind::Closed, &item, decoded);
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -99,9 +99,11 @@
     Batch,
     Changes,
     PendingWrites, //
+    RosterChange,
 };
 pub use records::{
     ClosedRecord,
+    RosterRow,
     job_id, //
 };
 pub use settings::ClusterSettings;
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -17,10 +17,9 @@
     JOBS_PREFIX,
     PROGRESS_PREFIX,
     ROOT_KEY,
-    ROSTER_KEY,
+    ROSTER_PREFIX,
     RootRecord,
-    RosterRow,
-    decode,
+    WHOLE_ROSTER_KEY,
     decode_root,
     encode, //
 };
@@ -36,6 +35,7 @@
     emptied_records,
     job_inputs,
     roster_inputs,
+    roster_rows,
     wave_inputs,
     worker_inputs, //
 };
@@ -192,10 +192,11 @@
         actix_rt::spawn(store_watch::refresh_configuration(node.clone()));
     }
     let requested_ms = node.now_ms();
-    let (jobs, progress, roster, closed, workers, waves, states, orders, emptied) = tokio::try_join!(
+    let (jobs, progress, whole_roster, roster, closed, workers, waves, states, orders, emptied) = tokio::try_join!(
         node.store.range(JOBS_PREFIX, false),
         node.store.range(PROGRESS_PREFIX, false),
-        node.store.get(ROSTER_KEY),
+        node.store.get(WHOLE_ROSTER_KEY),
+        node.store.range(ROSTER_PREFIX, false),
         node.store.range(CLOSED_PREFIX, false),
         node.store.range(WORKERS_PREFIX, false),
         node.store.range(WAVES_PREFIX, false),
@@ -214,13 +215,9 @@
     node.begin_owning(epoch, taken.root_revision);
     let mut stored = vec![Input::Configure(node.configuration())];
     let mut roster_count = 0;
-    if let Some(item) = roster {
-        node.pending_writes
-            .record_revision(ROSTER_KEY, item.revision);
-        let decoded = decode::<Vec<RosterRow>>(&item.value);
-        let rows = node.valid_value(StoredKind::Roster, &item, decoded);
+    if whole_roster.is_some() || !roster.items.is_empty() {
         let records = closed_records(node, &closed);
-        match rows {
+        match roster_rows(node, whole_roster, &roster) {
             Some(rows) => {
                 roster_count = rows.len();
                 stored.extend(roster_inputs(node, rows, records));
--- a/src/cluster/pending_writes.rs
+++ b/src/cluster/pending_writes.rs
@@ -13,14 +13,16 @@
     EMPTIED_PREFIX,
     EmptiedRecord,
     ROOT_KEY,
-    ROSTER_KEY,
     RosterRow,
+    WHOLE_ROSTER_KEY,
     cancelled_key,
     closed_key,
     emptied_key,
     encode,
     job_key,
-    progress_key, //
+    progress_key,
+    roster_part,
+    roster_part_key, //
 };
 use super::store_types::{
     MAX_TRANSACTION_ENTRIES,
@@ -40,6 +42,7 @@
 use std::cell::RefCell;
 use std::collections::{
     BTreeMap,
+    BTreeSet,
     HashMap, //
 };
 use tokio::sync::Notify;
@@ -51,13 +54,22 @@
 /// or `None` if that cannot be decoded.
 pub type StoredEmptied = (String, u64, Option<EmptiedRecord>);
 
+/// The roster, with the workers that may not be used yet.
+#[derive(Clone, Debug, Default)]
+pub struct RosterChange {
+    /// All rows.
+    pub rows: Vec<RosterRow>,
+    /// Names of the workers whose rows the scheduler waits for, even if they are stored.
+    pub unconfirmed: Vec<String>,
+}
+
 /// Changes that the owner wants stored.
 #[derive(Default)]
 pub struct Changes {
     /// Progress of jobs, each with the number of its change.
     pub progress: Vec<(JobId, u64, ProgressRecord)>,
     /// The roster, if it changed.
-    pub roster: Option<Vec<RosterRow>>,
+    pub roster: Option<RosterChange>,
     /// Records of closed and reopened workers, by worker name; `None` removes the
     /// record of a worker that is gone.
     pub closed: Vec<(String, Option<ClosedRecord>)>,
@@ -70,6 +82,9 @@
     pub deleted_jobs: Vec<JobId>,
 }
 
+/// Most parts of the roster in one transaction, so that the progress of jobs goes along.
+const MAX_ROSTER_PARTS: usize = 8;
+
 /// Number of keys under which a job has values.
 const KEYS_PER_JOB: usize = 3;
 /// Transaction entries for the removal of a job: its expected revision, and its keys.
@@ -83,7 +98,16 @@
 #[derive(Default)]
 struct Pending {
     progress: BTreeMap<JobId, (u64, ProgressRecord)>,
-    roster: Option<Vec<RosterRow>>,
+    /// Parts of the roster that differ from what is stored.
+    roster: BTreeMap<u32, Vec<RosterRow>>,
+    /// Parts of the roster as they are stored; a missing one is empty.
+    stored_roster: HashMap<u32, Vec<RosterRow>>,
+    /// Stored parts that cannot be decoded; the next change of the roster overwrites them.
+    unreadable_parts: BTreeSet<u32>,
+    /// The roster is also stored in one value, which is emptied once all parts are stored.
+    has_whole_roster: bool,
+    /// The roster of this owner is known, so the parts can replace that value.
+    knows_roster: bool,
     closed: BTreeMap<String, Option<ClosedRecord>>,
     waves: BTreeMap<u64, bool>,
     emptied: BTreeMap<String, Option<EmptiedRecord>>,
@@ -94,6 +118,40 @@
     revisions: HashMap<String, u64>,
 }
 
+impl Pending {
+    /// Replaces the roster: the parts that differ from what is stored have to be written.
+    fn change_roster(&mut self, change: RosterChange) {
+        let mut parts: BTreeMap<u32, Vec<RosterRow>> = BTreeMap::new();
+        for row in change.rows {
+            let part = roster_part(&row.worker_name);
+            parts.entry(part).or_default().push(row);
+        }
+        let written = self.stored_roster.keys().chain(self.roster.keys());
+        for &part in written.chain(&self.unreadable_parts) {
+            parts.entry(part).or_default();
+        }
+        for rows in parts.values_mut() {
+            rows.sort_by(|a, b| a.worker_name.cmp(&b.worker_name));
+        }
+        self.knows_roster = true;
+        let (stored, unreadable) = (&self.stored_roster, &self.unreadable_parts);
+        let unconfirmed = change.unconfirmed.iter().map(|name| roster_part(name));
+        let unconfirmed: BTreeSet<u32> = unconfirmed.collect();
+        // A part that is being written has to be written again even if it is as it was
+        // before.
+        let being_written = std::mem::take(&mut self.roster);
+        parts.retain(|part, rows| {
+            let is_stored = match stored.get(part) {
+                Some(stored) => stored == rows,
+                None => rows.is_empty(),
+            };
+            let is_awaited = unconfirmed.contains(part) || being_written.contains_key(part);
+            !is_stored || is_awaited || unreadable.contains(part)
+        });
+        self.roster = parts;
+    }
+}
+
 /// The changes that are not stored yet.
 #[derive(Default)]
 pub struct PendingWrites {
@@ -107,8 +165,10 @@
     pub transaction: Transaction,
     /// Jobs whose progress it writes, with the numbers of the changes written.
     pub progress: Vec<(JobId, u64)>,
-    /// Names of the workers on the roster that it writes.
-    pub roster: Option<Vec<String>>,
+    /// The parts of the roster that it writes.
+    roster: Vec<(u32, Vec<RosterRow>)>,
+    /// Whether it empties the roster in one value.
+    empties_whole_roster: bool,
     /// Records of closed workers, by worker name; `None` for those that it removes.
     pub closed: Vec<(String, Option<ClosedRecord>)>,
     waves: Vec<(u64, bool)>,
@@ -125,7 +185,8 @@
         Self {
             transaction,
             progress: Vec::new(),
-            roster: None,
+            roster: Vec::new(),
+            empties_whole_roster: false,
             closed: Vec::new(),
             waves: Vec::new(),
             emptied: Vec::new(),
@@ -152,6 +213,12 @@
         self.transaction.removed.push(key);
     }
 
+    /// Names of the workers in the parts of the roster that it writes.
+    pub fn roster_names(&self) -> Vec<String> {
+        let rows = self.roster.iter().flat_map(|(_, rows)| rows);
+        rows.map(|row| row.worker_name.clone()).collect()
+    }
+
     /// How many more values fit into the transaction if each takes `entries` entries.
     fn capacity(&self, entries: usize) -> usize {
         let transaction = &self.transaction;
@@ -173,6 +240,20 @@
         pending.revisions.insert(key.to_owned(), revision);
     }
 
+    /// Takes over the parts of the roster that earlier owners stored. A part that cannot be
+    /// decoded is `None`. `has_whole_roster` tells whether the roster is also stored in one
+    /// value.
+    pub fn record_roster(&self, parts: Vec<(u32, Option<Vec<RosterRow>>)>, has_whole_roster: bool) {
+        let mut pending = self.pending.borrow_mut();
+        for (part, rows) in parts {
+            match rows {
+                Some(rows) => drop(pending.stored_roster.insert(part, rows)),
+                None => drop(pending.unreadable_parts.insert(part)),
+            }
+        }
+        pending.has_whole_roster = has_whole_roster;
+    }
+
     /// Takes over the records that earlier owners stored for emptied data centres. A record
     /// whose order is no longer in force is removed; the others stay as they were first
     /// stored.
@@ -205,7 +286,9 @@
         for (job, change, record) in changes.progress {
             pending.progress.insert(job, (change, record));
         }
-        pending.roster = changes.roster.or(pending.roster.take());
+        if let Some(change) = changes.roster {
+            pending.change_roster(change);
+        }
         pending.closed.extend(changes.closed);
         pending.waves.extend(changes.waves);
         for (data_centre, record) in changes.emptied {
@@ -233,9 +316,14 @@
     pub fn batch(&self, root_revision: u64) -> Option<Batch> {
         let pending = self.pending.borrow();
         let mut batch = Batch::begin(root_revision);
-        if let Some(roster) = &pending.roster {
-            batch.put(&pending, ROSTER_KEY.to_owned(), encode(roster));
-            batch.roster = Some(roster.iter().map(|row| row.worker_name.clone()).collect());
+        for (&part, rows) in pending.roster.iter().take(MAX_ROSTER_PARTS) {
+            batch.put(&pending, roster_part_key(part), encode(rows));
+            batch.roster.push((part, rows.clone()));
+        }
+        if pending.has_whole_roster && pending.knows_roster && pending.roster.is_empty() {
+            let empty: [RosterRow; 0] = [];
+            batch.put(&pending, WHOLE_ROSTER_KEY.to_owned(), encode(&empty));
+            batch.empties_whole_roster = true;
         }
         for (&job, (change, record)) in pending.progress.iter().take(batch.capacity(VALUE_ENTRIES))
         {
@@ -290,16 +378,15 @@
                 pending.progress.remove(job);
             }
         }
-        if let Some(stored) = &batch.roster {
-            // A roster that changed meanwhile is stored again, even with the same
-            // number of rows.
-            let newest = pending.roster.as_ref();
-            let same =
-                newest.is_some_and(|rows| rows.iter().map(|row| &row.worker_name).eq(stored));
-            if same {
-                pending.roster = None;
+        for (part, rows) in &batch.roster {
+            // A part that changed meanwhile is stored again.
+            if pending.roster.get(part) == Some(rows) {
+                pending.roster.remove(part);
             }
+            pending.stored_roster.insert(*part, rows.clone());
+            pending.unreadable_parts.remove(part);
         }
+        pending.has_whole_roster &= !batch.empties_whole_roster;
         for (worker_name, record) in &batch.closed {
             if record.is_none() {
                 pending.revisions.remove(&closed_key(worker_name));
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -15,12 +15,19 @@
     Deserialize,
     Serialize, //
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The root: names the owner and its epoch. Every commit of an owner is conditional on
 /// the root's revision.
 pub const ROOT_KEY: &str = "owner";
-/// The roster: workers that an owner uses or has used.
-pub const ROSTER_KEY: &str = "roster";
+/// The roster, workers that an owner uses or has used, as an earlier version of the program
+/// stored it: in one value.
+pub const WHOLE_ROSTER_KEY: &str = "roster";
+/// The parts of the roster; the number of the part follows.
+pub const ROSTER_PREFIX: &str = "roster/";
+/// Number of parts of the roster. A worker that comes or goes changes one part, and the largest
+/// fleets have a few hundred workers in each.
+pub const ROSTER_PARTS: u32 = 64;
 /// Accepted jobs and their cancellations.
 pub const JOBS_PREFIX: &str = "jobs/";
 /// Progress of jobs, written by the owner.
@@ -107,6 +114,23 @@
     pub address: String,
 }
 
+/// The key of a part of the roster.
+pub fn roster_part_key(part: u32) -> String {
+    format!("{ROSTER_PREFIX}{part:02}")
+}
+
+/// The number of a part of the roster; `None` for the key of another value.
+pub fn parse_roster_part(key: &str) -> Option<u32> {
+    let part = key.strip_prefix(ROSTER_PREFIX)?.parse().ok()?;
+    (part < ROSTER_PARTS).then_some(part)
+}
+
+/// The part of the roster that a worker belongs to. It never changes, so that no worker is
+/// missing from all parts at any time.
+pub fn roster_part(worker_name: &str) -> u32 {
+    (xxh3_64(worker_name.as_bytes()) % u64::from(ROSTER_PARTS)) as u32
+}
+
 /// Whether a worker gets no more starts.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct ClosedRecord {
--- a/src/cluster/store_watch.rs
+++ b/src/cluster/store_watch.rs
@@ -63,6 +63,9 @@
 const NEW_OWNER_WATCH_WAIT_MS: u64 = 100;
 /// How long a new owner uses the shorter wait: that first second and some margin.
 const NEW_OWNER_WATCHES_MS: u64 = 1_200;
+/// Pause after a watch that returned changes of workers' entries. Each worker writes its entry
+/// every few seconds, so that an owner of thousands would make hundreds of calls a second.
+const WORKERS_PAUSE_MS: u64 = 100;
 /// Wait after a call that failed.
 const RETRY_MS: u64 = 100;
 /// Duration of the lease of a member's entry. Several renewals may be lost.
@@ -72,10 +75,6 @@
 /// Shortest time between two reads of the member list, for each other daemon. Daemons
 /// also know each other from heartbeats, and the list of 300 daemons is 45 KB.
 const MEMBERS_INTERVAL_PER_DAEMON_MS: u64 = 150;
-/// How often the member list is read during [`STARTUP_MS`].
-const STARTUP_MEMBERS_INTERVAL_MS: u64 = 300;
-/// How long after its start a process reads the member list more often.
-const STARTUP_MS: u64 = 2_000;
 
 /// Follows the operators' values: the configuration, waves of upkeep, and orders to
 /// empty data centres.
@@ -220,13 +219,21 @@
 }
 
 /// Keeps this daemon in the member list, and reads the list.
+///
+/// A daemon reads the list once after it has registered, and greets all daemons on it with a
+/// heartbeat. Of two daemons that start together, the one that registers later finds the other
+/// on the list, so both know each other, and hundreds that start at once read the list once
+/// each. Later reads only repair what was missed.
 pub async fn maintain_membership(node: Rc<Node>) {
     let (mut lease, mut next_list_ms) = (0, 0);
+    // Stale reads do not show the daemons that registered just before.
+    let mut allow_stale = false;
     loop {
         let mut result = node.call_store(renew_membership(&node, &mut lease)).await;
         let renewed = result.is_ok();
         if renewed && node.now_ms() >= next_list_ms {
-            result = read_members(&node).await;
+            result = read_members(&node, allow_stale).await;
+            allow_stale |= result.is_ok();
             let count = node.others().len() as u64;
             next_list_ms = match result {
                 Ok(()) => node.now_ms() + count * MEMBERS_INTERVAL_PER_DAEMON_MS,
@@ -237,15 +244,10 @@
             metrics::counter!("fuchsiaslip_retries_total", "reason" => "members_unread")
                 .increment(1);
         }
-        let starting = node.now_ms() < node.started_ms + STARTUP_MS;
-        if starting {
-            next_list_ms = 0;
-        }
-        let wait_ms = match (result.is_ok(), starting) {
-            (false, _) if renewed => RETRY_MS,
-            (false, _) => node.store_retry_delay_ms(RETRY_MS),
-            (true, true) => STARTUP_MEMBERS_INTERVAL_MS,
-            (true, false) => MEMBERS_INTERVAL_MS,
+        let wait_ms = match result.is_ok() {
+            false if renewed => RETRY_MS,
+            false => node.store_retry_delay_ms(RETRY_MS),
+            true => MEMBERS_INTERVAL_MS,
         };
         node.timer.sleep(wait_ms).await;
     }
@@ -274,8 +276,8 @@
     Ok(())
 }
 
-async fn read_members(node: &Node) -> Result<(), StoreError> {
-    let members = node.store.range(MEMBERS_PREFIX, true).await?;
+async fn read_members(node: &Node, allow_stale: bool) -> Result<(), StoreError> {
+    let members = node.store.range(MEMBERS_PREFIX, allow_stale).await?;
     let mut names = Vec::new();
     for item in &members.items {
         let name = item.key.strip_prefix(MEMBERS_PREFIX).unwrap_or_default();
@@ -419,10 +421,14 @@
                 revision: next,
             }) => {
                 revision = next;
+                let is_changed = !events.is_empty();
                 for event in events {
                     handle_worker_event(&node, epoch, event, &mut known);
                 }
                 node.control.send_input(epoch, entries_read);
+                if is_changed {
+                    node.timer.sleep(WORKERS_PAUSE_MS).await;
+                }
             }
             Ok(WatchResult::HistoryGone) => match node.store.range(WORKERS_PREFIX, false).await {
                 Ok(range) => {
--- a/src/cluster/stored_inputs.rs
+++ b/src/cluster/stored_inputs.rs
@@ -11,6 +11,7 @@
 use super::node::Node;
 use super::pending_writes::{
     Changes,
+    RosterChange,
     StoredEmptied, //
 };
 use super::records::{
@@ -23,7 +24,8 @@
     decode_job_record,
     decode_progress,
     job_id,
-    parse_job_key, //
+    parse_job_key,
+    parse_roster_part, //
 };
 use super::store_types::{
     StoredItem, //
@@ -44,7 +46,10 @@
     ProgressRecord,
     WaveOrder, //
 };
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 use std::sync::Arc;
 
 /// Records of closed workers, by worker name; `None` for one that cannot be decoded.
@@ -62,6 +67,51 @@
     records.collect()
 }
 
+/// Decodes the roster, of which earlier versions of the program stored one value and this one
+/// stores parts. Returns `None` if any part of it cannot be decoded.
+pub fn roster_rows(
+    node: &Node,
+    whole: Option<StoredItem>,
+    parts: &StoredRange,
+) -> Option<Vec<RosterRow>> {
+    let decode_rows = |item: &StoredItem| {
+        node.pending_writes
+            .record_revision(&item.key, item.revision);
+        let decoded = decode::<Vec<RosterRow>>(&item.value);
+        node.valid_value(StoredKind::Roster, item, decoded)
+    };
+    let stored_parts: Vec<(u32, Option<Vec<RosterRow>>)> = parts
+        .items
+        .iter()
+        .filter_map(|item| Some((parse_roster_part(&item.key)?, decode_rows(item))))
+        .collect();
+    let whole_rows = whole.as_ref().map(decode_rows);
+    let is_whole_empty = match &whole_rows {
+        None => true,
+        Some(rows) => rows.as_ref().is_some_and(Vec::is_empty),
+    };
+    let rows: Option<Vec<Vec<RosterRow>>> =
+        stored_parts.iter().map(|(_, rows)| rows.clone()).collect();
+    node.pending_writes
+        .record_roster(stored_parts, !is_whole_empty);
+    let mut rows = rows?.concat();
+    if let Some(whole_rows) = whole_rows {
+        let known: HashSet<String> = rows.iter().map(|row| row.worker_name.clone()).collect();
+        let others = whole_rows?.into_iter();
+        rows.extend(others.filter(|row| !known.contains(&row.worker_name)));
+        if !is_whole_empty {
+            node.pending_writes.add(Changes {
+                roster: Some(RosterChange {
+                    rows: rows.clone(),
+                    unconfirmed: Vec::new(),
+                }),
+                ..Changes::default()
+            });
+        }
+    }
+    Some(rows)
+}
+
 /// Returns inputs for the workers on the roster, with the runs of closed ones. A closed
 /// record that cannot be decoded names no runs, so its worker may run anything; the
 /// record is overwritten with that of an open worker. Records of workers that are not
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -42,6 +42,16 @@
         .collect()
     }
 
+    /// Returns the names of the workers that may not be used until the roster with their names
+    /// is stored.
+    pub fn unconfirmed_workers(&self) -> Vec<String> {
+        let workers = self.workers.iter();
+        workers
+            .filter(|worker| worker.contact != Contact::Gone && !worker.on_roster)
+            .map(|worker| worker.info.worker_name.clone())
+            .collect()
+    }
+
     /// Returns the number of workers in each data centre.
     pub fn worker_counts(&self) -> BTreeMap<String, usize> {
         let mut counts = BTreeMap::new();
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -96,6 +96,42 @@
     assert_eq!(takeover_at_ms(&weak), Some(NOW_MS + 1_000));
 }
 
+/// Guards against a fleet without an owner for minutes: all large VMs were lost with the
+/// owner, and the small ones left the takeover to each of them in turn.
+#[test]
+fn a_daemon_does_not_wait_for_hundreds_of_better_candidates() {
+    let due_ms = |own: &str| {
+        let mut small = view(Some(owner_status()));
+        small.own = candidate(own, 120);
+        small.reachable = (0..72)
+            .map(|at| candidate(&format!("c{at}"), 1_000))
+            .collect();
+        takeover_at_ms(&small).expect("it is eligible")
+    };
+
+    let due: Vec<u64> = (0..515).map(|at| due_ms(&format!("d{at}"))).collect();
+
+    let first_ms = due.iter().min().copied().unwrap_or(0);
+    assert!(due.iter().all(|&due_ms| due_ms <= NOW_MS + 2_500));
+    let at_once = due.iter().filter(|&&due_ms| due_ms < first_ms + 20);
+    assert!(at_once.count() < 40, "few try at the same time");
+}
+
+/// Guards against a wait for daemons that are not back yet: after a loss of all VMs, each
+/// hears from few others, and the owner's process has certainly ended.
+#[test]
+fn the_successor_of_an_owner_that_has_exited_does_not_wait_for_most_of_the_others() {
+    let mut restarted = view(Some(OwnerStatus {
+        incarnation_over: true,
+        ..owner_status()
+    }));
+    restarted.reachable.clear();
+    restarted.listed = 586;
+    restarted.started_ms = NOW_MS;
+
+    assert_eq!(takeover_at_ms(&restarted), Some(NOW_MS + 250));
+}
+
 /// Guards against a weak first owner: at the first start of a fleet, a VM with an
 /// eighth of a core took over before it knew of the strong ones, and lost the
 /// ownership in the first burst.
--- a/tests/foreign/path.rs
+++ b/tests/foreign/path.rs
@@ -155,8 +155,8 @@
     wait_until("completed", || is_completed(&daemons[1], 4));
 
     assert_each_ran_once(&operator.world(), 24);
-    let roster = operator.world().value("roster").expect("a roster");
-    assert_eq!(roster.as_array().map(Vec::len), Some(3), "{roster}");
+    let roster = operator.world().roster();
+    assert_eq!(roster.len(), 3, "{roster:?}");
     assert_reported_once(&daemons, count);
 }
 
@@ -390,8 +390,9 @@
     assert!(ended <= second.started, "the task ran twice at a time");
     drop(world);
     wait_until("the roster is rewritten", || {
-        let roster = operator.world().value("roster");
-        roster.is_some_and(|roster| roster.is_array())
+        let world = operator.world();
+        let whole = world.value("roster");
+        whole.is_some_and(|whole| whole == json!([])) && !world.roster().is_empty()
     });
 }
 
@@ -552,6 +553,7 @@
     world.put("op/wave/1", &json!(7));
     world.put("status/wave/1", &json!([]));
     world.put("roster", &json!("w0"));
+    world.put("roster/03", &json!([{ "incarnation": 3 }]));
     world.put("owner", &json!({}));
     world.put("closed/w0", &json!({ "closed": "yes" }));
     world.put("members/d0", &json!({ "address": 7 }));
@@ -583,6 +585,7 @@
             ("owner", "bad_field"),
             ("progress/0000000000000002", "bad_field"),
             ("roster", "bad_field"),
+            ("roster/03", "bad_field"),
             ("servers/w9", "bad_field"),
             ("status/wave/1", "bad_field"),
         ]
--- a/tests/owner_cut_off.rs
+++ b/tests/owner_cut_off.rs
@@ -169,7 +169,7 @@
     const JOB: u64 = 1;
     let fleet = Fleet::spawn(215, 2);
     wait_until("an owner has begun", || {
-        fleet.operator.world().value("roster").is_some()
+        !fleet.operator.world().roster().is_empty()
     });
     let (owner, epoch) = (fleet.owner(), fleet.epoch());
     fleet.operator.world().mode = StoreMode::RefusingRanges;
@@ -198,7 +198,7 @@
     operator.world().configure(1, &[("q", 1)], 5);
     let mut daemons = fleet(217, 2, &operator);
     wait_until_with_interval(CHECK_INTERVAL, "an owner", || {
-        operator.world().value("roster").is_some()
+        !operator.world().roster().is_empty()
     });
     std::thread::sleep(Duration::from_secs(2));
     daemons[0].request("POST", &path(1), &job(1, 60_000));
--- a/tests/pending_writes.rs
+++ b/tests/pending_writes.rs
@@ -6,6 +6,8 @@
     Changes,
     ClosedRecord,
     PendingWrites,
+    RosterChange,
+    RosterRow,
     StoredItem,
     Transaction, //
 };
@@ -165,3 +167,110 @@
 
     assert_eq!(record.closed_runs(), Some(runs));
 }
+
+fn roster_row(worker: usize) -> RosterRow {
+    RosterRow {
+        worker_name: format!("w{worker}"),
+        address: format!("10.0.0.1:{worker}"),
+    }
+}
+
+fn roster_change(workers: impl IntoIterator<Item = usize>, unconfirmed: &[usize]) -> Changes {
+    let roster = RosterChange {
+        rows: workers.into_iter().map(roster_row).collect(),
+        unconfirmed: unconfirmed.iter().map(|at| format!("w{at}")).collect(),
+    };
+    Changes {
+        roster: Some(roster),
+        ..Changes::default()
+    }
+}
+
+/// The bytes that the pending changes write, and the names of the workers whose rows they store.
+fn write_all(writes: &PendingWrites, store: &mut Store) -> (usize, Vec<String>) {
+    let (mut bytes, mut names) = (0, Vec::new());
+    while let Some(batch) = writes.batch(ROOT_REVISION) {
+        let puts = batch.transaction.puts.iter();
+        bytes += puts.map(|(_, value)| value.len()).sum::<usize>();
+        match store.commit(&batch.transaction) {
+            Ok(revision) => {
+                writes.handle_commit(&batch, revision);
+                names.extend(batch.roster_names());
+            }
+            Err(items) => assert!(writes.handle_conflict(&batch, &items, ROOT_REVISION)),
+        }
+    }
+    (bytes, names)
+}
+
+/// Guards against a write of the whole roster for each worker that comes or goes: with 6,000
+/// workers that was half a megabyte on a link of 20 Mbit/s.
+#[test]
+fn a_worker_that_joins_a_large_fleet_changes_a_small_part_of_the_roster() {
+    const WORKERS: usize = 6_000;
+    let mut store = Store::with_root();
+    let writes = PendingWrites::default();
+    writes.add(roster_change(0..WORKERS, &[]));
+    let (all_bytes, _) = write_all(&writes, &mut store);
+
+    writes.add(roster_change(0..=WORKERS, &[WORKERS]));
+    let (bytes, names) = write_all(&writes, &mut store);
+
+    assert!(bytes < all_bytes / 40, "{bytes} of {all_bytes} bytes");
+    assert!(names.contains(&format!("w{WORKERS}")));
+}
+
+/// Guards against a worker that is never used: it left and returned before its removal was
+/// stored, so that nothing seemed to be left to store.
+#[test]
+fn a_worker_that_returns_before_its_removal_is_stored_is_confirmed() {
+    let mut store = Store::with_root();
+    let writes = PendingWrites::default();
+    writes.add(roster_change([1, 2], &[1, 2]));
+    write_all(&writes, &mut store);
+
+    writes.add(roster_change([1, 2], &[2]));
+    let (_, names) = write_all(&writes, &mut store);
+
+    assert!(names.contains(&"w2".to_owned()), "{names:?}");
+}
+
+/// Guards against a roster that names nobody for a moment: the value in which earlier versions
+/// kept it is emptied only after all its workers are in the parts.
+#[test]
+fn the_roster_in_one_value_is_emptied_after_its_parts_are_stored() {
+    let mut store = Store::with_root();
+    store.put("roster");
+    let writes = PendingWrites::default();
+    writes.record_revision("roster", 2);
+    writes.record_roster(Vec::new(), true);
+    writes.add(roster_change(0..300, &[]));
+
+    let mut keys = Vec::new();
+    while let Some(batch) = writes.batch(ROOT_REVISION) {
+        let revision = store.commit(&batch.transaction).expect("no conflict");
+        writes.handle_commit(&batch, revision);
+        keys.extend(batch.transaction.puts.into_iter().map(|(key, _)| key));
+    }
+
+    assert_eq!(keys.iter().filter(|key| *key == "roster").count(), 1);
+    assert_eq!(keys.last().map(String::as_str), Some("roster"));
+    assert_eq!(keys.len(), 65);
+}
+
+/// Guards against a part that cannot be decoded and stays so: no later owner could tell which
+/// workers it named.
+#[test]
+fn a_part_of_the_roster_that_cannot_be_decoded_is_overwritten_with_the_next_change() {
+    let mut store = Store::with_root();
+    store.put("roster/05");
+    let writes = PendingWrites::default();
+    writes.record_roster(vec![(5, None)], false);
+    assert!(writes.batch(ROOT_REVISION).is_none(), "not before");
+
+    writes.add(roster_change([], &[]));
+    let batch = writes.batch(ROOT_REVISION).expect("a write");
+
+    assert_eq!(batch.transaction.puts.len(), 1);
+    assert_eq!(batch.transaction.puts[0].0, "roster/05");
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -306,7 +306,11 @@
             4 => world.put(&format!("servers/{number}&after=#%"), &json!([])),
             5 => world.put_bytes(&format!("servers/{number}"), &vec![b'['; 100_000]),
             6 => world.put(&format!("jobs/{number:x}/x"), &json!({})),
-            _ => world.put("roster", &json!({ "rows": number })),
+            _ if number % 2 == 0 => world.put("roster", &json!({ "rows": number })),
+            _ => {
+                let part = number / 2 % 64;
+                world.put(&format!("roster/{part:02}"), &json!({ "rows": number }));
+            }
         }
     }
 
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -313,6 +313,15 @@
         serde_json::from_slice(&bytes).ok()
     }
 
+    /// The names of the workers on the stored roster.
+    pub fn roster(&self) -> Vec<String> {
+        let keys = self.items.keys().filter(|key| key.starts_with("roster/"));
+        let parts = keys.filter_map(|key| self.value(key));
+        let rows = parts.flat_map(|part| part.as_array().cloned().unwrap_or_default());
+        rows.filter_map(|row| row["incarnation"].as_str().map(str::to_owned))
+            .collect()
+    }
+
     /// Records the steps of a submitted job, from which workers learn what their runs need.
     pub fn record_job(&mut self, job: u64, body: &Value) {
         let steps = body["steps"].as_array().cloned().unwrap_or_default();
