--- a/src/cluster/carrier.rs
+++ b/src/cluster/carrier.rs
@@ -27,6 +27,7 @@
     worker: u32,
     mut call: AddressedCall,
 ) -> PeerBody {
+    metrics::counter!("fuchsiaslip_carried_calls_total").increment(1);
     let now_ms = node.now_ms();
     if let WorkerCall::Poll { last_seen, .. } = &mut call.call
         && !connection.is_same_incarnation(worker, now_ms)
--- a/src/cluster/carrier_plan.rs
+++ b/src/cluster/carrier_plan.rs
@@ -11,6 +11,7 @@
 
 use std::collections::{
     BTreeMap,
+    BTreeSet,
     HashMap, //
 };
 use std::net::SocketAddr;
@@ -196,14 +197,10 @@
         self.carriers.values().map(Vec::len).sum()
     }
 
-    /// The names of the carriers with their data centres.
-    pub fn carriers(&self) -> Vec<(&str, &str)> {
-        let all = self.carriers.iter();
-        all.flat_map(|(data_centre, carriers)| {
-            let names = carriers.iter().map(|carrier| carrier.name.as_str());
-            names.map(|name| (data_centre.as_str(), name))
-        })
-        .collect()
+    /// The names of the carriers.
+    pub fn names(&self) -> BTreeSet<String> {
+        let carriers = self.carriers.values().flatten();
+        carriers.map(|carrier| carrier.name.clone()).collect()
     }
 }
 
--- a/src/cluster/worker_calls.rs
+++ b/src/cluster/worker_calls.rs
@@ -13,7 +13,10 @@
     CallOutcome,
     Callee, //
 };
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::rc::Rc;
 
 /// How often the carriers are computed while this daemon owns.
@@ -46,8 +49,33 @@
         ..
     } = &mut *routes;
     let callable_workers = node.settings.resources.callable_workers();
+    let before: BTreeSet<String> = plan.names();
     plan.update(&members, worker_counts, callable_workers, now_ms);
-    metrics::gauge!("fuchsiaslip_carriers").set(plan.count() as f64);
+    let after = plan.names();
+    metrics::gauge!("fuchsiaslip_carriers").set(after.len() as f64);
+    if before != after {
+        log_change(&before, &after, node.epoch());
+    }
+}
+
+fn log_change(before: &BTreeSet<String>, after: &BTreeSet<String>, epoch: u64) {
+    /// Most names in one line.
+    const MAX_NAMES: usize = 8;
+    let names = |names: std::collections::btree_set::Difference<'_, String>| {
+        let names: Vec<&str> = names.take(MAX_NAMES).map(String::as_str).collect();
+        names.join(" ")
+    };
+    let (added, removed) = (
+        names(after.difference(before)),
+        names(before.difference(after)),
+    );
+    events::log(
+        events::CARRIERS_CHANGED,
+        format_args!(
+            "{} carriers, epoch {epoch}, added {added}, removed {removed}",
+            after.len()
+        ),
+    );
 }
 
 /// Makes a call to a worker and waits for its answer.
--- a/src/events.rs
+++ b/src/events.rs
@@ -67,6 +67,8 @@
     STORE_SILENT = 211, Warn, "the key-value service does not answer; nothing new is accepted, running work continues", "check the key-value service";
     /// A carrier does not respond.
     CARRIER_LOST = 212, Warn, "a daemon that made calls to workers for the owner does not respond; other daemons make them", "none, unless one daemon is named repeatedly: then check its VM and the network between it and the owner";
+    /// Other daemons make the owner's calls to workers.
+    CARRIERS_CHANGED = 213, Info, "the daemons that make calls to workers for the owner have changed", "none";
     /// A worker was lost.
     WORKER_LOST = 300, Warn, "a worker's lease has expired without contact; its gangs are ended", "replace the worker";
     /// A worker answers again.
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -409,9 +409,6 @@
         }
         task.last_run = task.last_run.max(name.run);
         task.count_crashes_as_starts();
-        if task.is_suspect() {
-            task.reserve_start();
-        }
         let crashes = task.crashes.len() as u32;
         let crashes_at_start = task.crashes_at_start() as u32;
         let give_up_reason =
@@ -522,10 +519,10 @@
     }
 
     /// Fails the job of a group if a suspect has reached the limit of its starts under earlier
-    /// owners.
-    fn review_suspects(&mut self, key: GroupKey) {
+    /// owners. Returns whether the group still waits.
+    pub(super) fn review_suspects(&mut self, key: GroupKey) -> bool {
         let Some(group) = self.groups.get(&key) else {
-            return;
+            return false;
         };
         let tasks = (0u32..).zip(&group.tasks);
         let suspects = tasks.filter(|(_, task)| task.is_suspect());
@@ -538,6 +535,7 @@
         for name in names {
             self.review_suspect_starts(name);
         }
+        self.groups.contains_key(&key)
     }
 
     /// Returns how many crashes of a job's tasks this owner may not know of: a crash during a
@@ -549,11 +547,16 @@
         u32::from(had_earlier_owner && job.is_some_and(|job| job.known_earlier))
     }
 
-    /// Whether the last crash at the start of any of a group's tasks is stored, and the next
-    /// start of each suspect with it. If a task were started earlier, the next owner might not
-    /// know of that crash or of that start. Starts that are not reserved yet are reserved.
+    /// Whether the last crash at the start of any of a group's tasks is stored. If a task were
+    /// started earlier, the next owner might not know of that crash.
+    pub(super) fn is_crash_stored(&self, key: GroupKey) -> bool {
+        self.jobs[&key.job].stored >= self.groups[&key].crash_change
+    }
+
+    /// Reserves the next start of each waiting suspect of a group that has a place. Returns
+    /// whether these starts are stored: if a suspect were started earlier and crashed its
+    /// worker while the owner exits, the next owner would not know of that start.
     pub(super) fn reserve_suspect_starts(&mut self, key: GroupKey) -> bool {
-        self.review_suspects(key);
         let Some(group) = self.groups.get_mut(&key) else {
             return false;
         };
@@ -568,7 +571,7 @@
                 group.crash_change = change;
             }
         }
-        self.jobs[&key.job].stored >= self.groups[&key].crash_change
+        self.is_crash_stored(key)
     }
 
     /// Whether a waiting task of the group is a suspect. All tasks of the group then start as
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -166,7 +166,7 @@
         reservations: &mut Reservations,
     ) -> usize {
         let key = ranked.key;
-        if !self.reserve_suspect_starts(key) {
+        if !self.review_suspects(key) || !self.is_crash_stored(key) {
             return 0;
         }
         let suspected = self.has_waiting_suspect(key);
@@ -197,8 +197,12 @@
                 place(candidates, &PlacementRequest { count, ..*request })
             }),
         };
+        let waiting = group.waiting;
+        if suspected && !placements.is_empty() && !self.reserve_suspect_starts(key) {
+            return 0;
+        }
         let placed: u32 = placements.iter().map(|placement| placement.count).sum();
-        let complete = placed == group.waiting;
+        let complete = placed == waiting;
         let started = self.start_placements(key, &placements, candidates);
         if started > 0 {
             reservations.ends.invalidate();
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -658,7 +658,7 @@
     assert!(crashed.is_empty(), "{crashed:?}");
 }
 
-/// The crash is stored before the task starts again. If an owner started the task first and
+/// The crash is stored before the task starts again, and so is that start. If an owner started the task first and
 /// then died, the next owner would not learn of the crash.
 #[test]
 fn a_task_waits_until_its_crash_is_stored() {
@@ -670,8 +670,12 @@
     let before = starts_of(&fleet, task_of(id, 0));
     fleet.commit(id, true);
     fleet.advance(100);
+    let between = starts_of(&fleet, task_of(id, 0));
+    fleet.commit(id, true);
+    fleet.advance(100);
 
     assert_eq!(before, 1, "the task started before its crash was stored");
+    assert_eq!(between, 1, "the task started before that start was stored");
     assert_eq!(
         starts_of(&fleet, task_of(id, 0)),
         2,
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -55,6 +55,7 @@
 /// | 218 | `large_fleet.rs` |
 /// | 219 | `crashes/whole_path.rs` |
 /// | 220 to 223 | `store_outage.rs` |
+/// | 224 to 229 | `carriers.rs` |
 /// | 230 to 238 | `foreign/path.rs` |
 ///
 /// Benches run alone and may use any number; 254 is the highest.
@@ -66,13 +67,18 @@
 impl Daemon {
     /// Starts a daemon at `ip`.
     pub fn spawn(name: &str, ip: Ipv4Addr, store: SocketAddr) -> Self {
+        Self::spawn_with_settings(name, ip, store, "")
+    }
+
+    /// Starts a daemon at `ip` with further lines in its settings.
+    pub fn spawn_with_settings(name: &str, ip: Ipv4Addr, store: SocketAddr, further: &str) -> Self {
         let text = format!(
             "node_name={name}\nip={ip}\nzone=z\n\
              listen_addresses.frontend={ip}:{CLIENT_PORT}\n\
              listen_addresses.readiness={ip}:{READINESS_PORT}\n\
              internal_port_range={FIRST_INTERNAL_PORT},{}\n\
              platform.address={store}\nbounds.grace_period_s=6\n\
-             bounds.evacuation_ms=5000\n",
+             bounds.evacuation_ms=5000\n{further}",
             FIRST_INTERNAL_PORT + 15
         );
         let settings =
@@ -148,6 +154,18 @@
         exchange(SocketAddr::new(self.ip.into(), CLIENT_PORT), bytes)
     }
 
+    /// The value of a metric without labels; 0 if it was never set.
+    pub fn metric(&self, name: &str) -> f64 {
+        let address = SocketAddr::new(self.ip.into(), FIRST_INTERNAL_PORT + 1);
+        let request = b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+        let Answer::Status(200, text) = exchange(address, request) else {
+            return 0.0;
+        };
+        let mut lines = text.lines();
+        let value = lines.find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+        value.unwrap_or(0.0)
+    }
+
     /// Whether the daemon reports that it is ready.
     pub fn is_ready(&self) -> bool {
         let address = SocketAddr::new(self.ip.into(), READINESS_PORT);
