Store confirmed starts of suspects instead of reserved ones; keep the carriers of a new owner

Carriers: a_frozen_owner_that_thaws_gives_no_orders_through_carriers failed once beside other load. The first output of the scheduler, with the number of workers, was executed before the task that keeps the carriers up to date had run, and that task began by forgetting everything; the numbers are sent only when they change, so this owner called all workers itself for ever. The carriers are forgotten before the scheduler begins.

--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -248,6 +248,7 @@
         earlier_owner_exited: taken.earlier_owner_exited,
     });
     let (job_count, worker_count) = (jobs.items.len(), workers.items.len());
+    worker_calls::reset_carriers(node);
     node.control.send(super::Command::Begin {
         epoch,
         tuning: node.settings.tuning,
--- a/src/cluster/worker_calls.rs
+++ b/src/cluster/worker_calls.rs
@@ -30,9 +30,14 @@
     update_plan(node);
 }
 
+/// Forgets the carriers of an earlier ownership. This has to happen before the scheduler begins,
+/// which reports the number of workers only when it changes.
+pub fn reset_carriers(node: &Node) {
+    *node.carrier_routes.borrow_mut() = CarrierRoutes::default();
+}
+
 /// Keeps the carriers up to date while this daemon owns under `epoch`.
 pub async fn maintain_plan(node: Rc<Node>, epoch: u64) {
-    *node.carrier_routes.borrow_mut() = CarrierRoutes::default();
     while node.epoch() == epoch {
         update_plan(&node);
         node.timer.sleep(PLAN_INTERVAL_MS).await;
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -37,8 +37,7 @@
 //! of the last one, after the third crash at its start, or after the fifth crash at any
 //! time: after three crashes a task may be started at most twice more. It is also given up
 //! if its worker survived none of the five starts since it became a suspect, since the runs
-//! of a crashing task may end for other reasons first. Each start of a suspect is stored before
-//! it is sent, since the crash that follows may be lost with its owner. A crash is not counted if the answer
+//! of a crashing task may end for other reasons first. A crash is not counted if the answer
 //! to the start was lost, or if the owner changed directly after the start. So for a job
 //! that an earlier owner knew, the limits of three and five, and that of starts, are lower by
 //! one; the first of them counts certain crashes only. If many workers crash for other
@@ -246,17 +245,6 @@
     /// owner saw.
     pub(super) fn count_crashes_as_starts(&mut self) {
         self.suspect_starts = self.suspect_starts.max(self.crashes_at_start() as u32);
-        self.reserved_starts = self.reserved_starts.max(self.suspect_starts);
-    }
-
-    /// Reserves the next start of a suspect, so that the next owner assumes that it was made.
-    /// Returns whether it was not reserved yet.
-    fn reserve_start(&mut self) -> bool {
-        let is_unreserved = self.reserved_starts <= self.suspect_starts;
-        if is_unreserved {
-            self.reserved_starts = self.suspect_starts + 1;
-        }
-        is_unreserved
     }
 
     /// Counts a crash, and returns whether it was not counted before.
@@ -481,16 +469,17 @@
             crash.at_start = false;
         }
         task.suspect_starts = 0;
-        task.reserved_starts = 0;
     }
 
-    /// Counts a confirmed start of a suspect.
+    /// Counts a confirmed start of a suspect, and stores the count at once, since the next owner
+    /// does not know of a run that crashes its worker while this owner exits.
     pub(super) fn count_suspect_start(&mut self, name: RunName) {
         if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task))
             && let Some(task) = group.tasks.get_mut(name.task.index as usize)
             && task.is_suspect()
         {
             task.suspect_starts += 1;
+            self.job_changed(name.task.job);
         }
     }
 
@@ -553,27 +542,6 @@
         self.jobs[&key.job].stored >= self.groups[&key].crash_change
     }
 
-    /// Reserves the next start of each waiting suspect of a group that has a place. Returns
-    /// whether these starts are stored: if a suspect were started earlier and crashed its
-    /// worker while the owner exits, the next owner would not know of that start.
-    pub(super) fn reserve_suspect_starts(&mut self, key: GroupKey) -> bool {
-        let Some(group) = self.groups.get_mut(&key) else {
-            return false;
-        };
-        let suspects = group
-            .tasks
-            .iter_mut()
-            .filter(|task| task.state == TaskState::Waiting && task.is_suspect());
-        let unreserved = suspects.filter_map(|task| task.reserve_start().then_some(()));
-        if unreserved.count() > 0 {
-            let change = self.job_changed(key.job);
-            if let Some(group) = self.groups.get_mut(&key) {
-                group.crash_change = change;
-            }
-        }
-        self.is_crash_stored(key)
-    }
-
     /// Whether a waiting task of the group is a suspect. All tasks of the group then start as
     /// suspects.
     pub(super) fn has_waiting_suspect(&self, key: GroupKey) -> bool {
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -80,9 +80,6 @@
     pub crashes: Vec<CrashedRun>,
     /// Confirmed starts since it became a suspect, including the one that made it one.
     pub suspect_starts: u32,
-    /// Starts that the next owner assumes: those that were counted, and one that may be made
-    /// once this number is stored.
-    pub reserved_starts: u32,
     /// The highest number of any of its runs.
     pub last_run: u64,
     /// The checkpoint from which the next run resumes.
@@ -128,7 +125,6 @@
             earlier_failures: 0,
             crashes: Vec::new(),
             suspect_starts: 0,
-            reserved_starts: 0,
             last_run: 0,
             checkpoint: None,
             avoid: None,
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -66,8 +66,8 @@
     /// version of the program stored.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub uncertain: Vec<u64>,
-    /// Number of starts since the first crash at a start, including one that may have been
-    /// made since this was stored; 0 in values that an older version of the program stored.
+    /// Number of confirmed starts since the first crash at a start, including that one; 0 in
+    /// values that an older version of the program stored.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub starts: u32,
 }
@@ -83,7 +83,7 @@
             runs: runs_where(|_| true),
             at_start: runs_where(|crash| crash.at_start),
             uncertain: runs_where(|crash| crash.uncertain),
-            starts: task.reserved_starts,
+            starts: task.suspect_starts,
         }
     }
 
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -198,9 +198,6 @@
             }),
         };
         let waiting = group.waiting;
-        if suspected && !placements.is_empty() && !self.reserve_suspect_starts(key) {
-            return 0;
-        }
         let placed: u32 = placements.iter().map(|placement| placement.count).sum();
         let complete = placed == waiting;
         let started = self.start_placements(key, &placements, candidates);
