Make no scheduling pass for an entry that tells nothing new

Cause: workers write their entries every few seconds, and each write called for a pass over all workers.

Change: an entry that is as it was known, of a worker that is listed and on the roster without a problem, is ignored.

--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -68,6 +68,9 @@
     /// Handles a readable entry: adds the worker or updates it.
     pub(super) fn handle_worker_registered(&mut self, info: WorkerInfo) {
         let known = self.worker_index.get(&info.worker_name).copied();
+        if known.is_some_and(|key| self.worker(key).confirms_entry(&info)) {
+            return;
+        }
         let key = known.unwrap_or_else(|| self.add_worker(info.clone()));
         let emptied = self.emptying.covers(&info.data_centre);
         self.apply_entry(key, info);
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -380,6 +380,14 @@
         start_times.is_some_and(|(answering_ms, entry_ms)| answering_ms != entry_ms)
     }
 
+    /// Whether an entry tells nothing new. Workers write theirs every few seconds, and each change
+    /// calls for a scheduling pass over the whole fleet.
+    pub(super) fn confirms_entry(&self, info: &WorkerInfo) -> bool {
+        let is_settled = self.listed && self.on_roster && self.contact != Contact::Gone;
+        let is_trusted = self.entry_problem.is_none() && self.address_conflict.is_none();
+        is_settled && is_trusted && self.info == *info
+    }
+
     /// Whether its entry is present and valid.
     pub fn is_usable(&self) -> bool {
         self.listed && self.entry_problem.is_none()
