--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -46,7 +46,7 @@
 pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
         let others = node.others();
-        let interval_ms = match node.owns() {
+        let interval_ms = match node.sends_as_owner() {
             true => HEARTBEAT_INTERVAL_MS,
             false => {
                 HEARTBEAT_INTERVAL_MS.max(others.len() as u64 * HEARTBEAT_INTERVAL_PER_PEER_MS)
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -115,6 +115,7 @@
     owner: RefCell<Option<KnownOwner>>,
     owner_claimed_ms: Cell<u64>,
     epoch: Cell<u64>,
+    takes_over: Cell<bool>,
     heartbeat_requested: Notify,
     root_revision: Cell<u64>,
     pub(super) unknown_outcomes: RefCell<UnknownOutcomes>,
@@ -158,6 +159,7 @@
             owner: RefCell::default(),
             owner_claimed_ms: Cell::new(0),
             epoch: Cell::new(0),
+            takes_over: Cell::new(false),
             heartbeat_requested: Notify::new(),
             root_revision: Cell::new(0),
             unknown_outcomes: RefCell::default(),
@@ -387,6 +389,20 @@
         });
     }
 
+    /// Records whether this daemon has taken an epoch and is reading the stored state. The others
+    /// wait for it meanwhile only as long as they receive its heartbeats.
+    pub fn set_takes_over(&self, takes_over: bool) {
+        self.takes_over.set(takes_over);
+        if takes_over {
+            self.request_heartbeat();
+        }
+    }
+
+    /// Whether this daemon sends heartbeats as often as an owner does.
+    pub fn sends_as_owner(&self) -> bool {
+        self.owns() || self.takes_over.get()
+    }
+
     /// Requests that a heartbeat is sent at once.
     pub fn request_heartbeat(&self) {
         self.heartbeat_requested.notify_one();
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -150,6 +150,7 @@
         earlier_owner_exited,
         reason,
     };
+    node.set_takes_over(true);
     let mut outcome = begin(node, &taken).await;
     for _ in 1..MAX_READ_ATTEMPTS {
         if outcome.is_ok() || is_superseded(node, taken.epoch) {
@@ -158,6 +159,7 @@
         node.timer.sleep(READ_RETRY_MS).await;
         outcome = begin(node, &taken).await;
     }
+    node.set_takes_over(false);
     if let Err(error) = &outcome {
         events::log(
             events::TAKEOVER_INCOMPLETE,
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -15,7 +15,10 @@
     epoch,
     wait_until_with_interval, //
 };
-use operator::Operator;
+use operator::{
+    Operator,
+    StoreMode, //
+};
 use processes::{
     Daemon,
     loopback, //
@@ -71,3 +74,34 @@
         "the first heartbeat came after {first_heartbeat_after:?}"
     );
 }
+
+/// Guards against an owner that is replaced while it reads the stored state: in a large fleet a
+/// daemon that does not own yet sends a heartbeat every few seconds, and the others took it for
+/// silent after 0.7 s.
+#[test]
+fn a_daemon_that_takes_over_sends_heartbeats_while_it_reads_the_stored_state() {
+    const WHILE_READING: Duration = Duration::from_millis(450);
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let socket = list_other_daemons(&operator);
+    let daemon = Daemon::spawn("d0", loopback(218, 1), operator.store);
+    wait_until_with_interval(CHECK_INTERVAL, "the daemon is ready", || daemon.is_ready());
+    operator.world().mode = StoreMode::RefusingRanges;
+    wait_until_with_interval(CHECK_INTERVAL, "the daemon takes over", || {
+        epoch(&operator) > 0
+    });
+
+    socket.set_nonblocking(true).expect("a socket");
+    let mut datagram = [0; 1_500];
+    while socket.recv(&mut datagram).is_ok() {}
+    let until = Instant::now() + WHILE_READING;
+    let (mut rounds, mut last) = (0, Instant::now() - WHILE_READING);
+    while Instant::now() < until {
+        if socket.recv(&mut datagram).is_ok() {
+            rounds += u32::from(last.elapsed() > OWNER_TIMEOUT / 7);
+            last = Instant::now();
+        }
+    }
+
+    assert!(rounds >= 2, "{rounds} heartbeats");
+}
