Store that a suspect survived its start

Its runs: broken, stopped after 7 s of work, gone, stopped under the next owner. That a run survived its start cleared the task in memory only, so the next owner took it for a suspect with all the starts that are stored now.

Change: the clearing is stored too. a_start_that_a_worker_survived_is_stored holds it.

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -462,6 +462,7 @@
         let Some(task) = group.tasks.get_mut(name.task.index as usize) else {
             return;
         };
+        let was_suspect = task.is_suspect();
         if is_long_running {
             task.crashes.clear();
         }
@@ -469,6 +470,10 @@
             crash.at_start = false;
         }
         task.suspect_starts = 0;
+        if was_suspect {
+            // Otherwise the next owner takes the task for a suspect with all its starts.
+            self.job_changed(name.task.job);
+        }
     }
 
     /// Counts a confirmed start of a suspect, and stores the count at once, since the next owner
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -849,6 +849,37 @@
     assert_eq!(status_of(&fleet, id), Some(JobStatus::Failed));
 }
 
+/// Guards against a sound job that is given up: a task was lost with its worker, then worked on
+/// another for seconds, and the next owner still took it for a suspect with all its starts.
+#[test]
+fn a_start_that_a_worker_survived_is_stored() {
+    let mut fleet = Fleet::with_workers(8);
+    let id = submit_crashing(&mut fleet, 1, record("plain", vec![step(1, 1)]));
+    fleet.defers_progress = true;
+    while counted_crashes(&fleet).is_empty() {
+        fleet.advance(STEP_MS);
+    }
+    fleet.crashing.clear();
+    fleet.defers_progress = false;
+    fleet.commit(id, true);
+    let stored_suspects = |fleet: &Fleet| {
+        let (_, progress) = &fleet.stored[&id];
+        let crashes = progress.groups.iter().flat_map(|group| &group.crashes);
+        crashes.filter(|task| !task.at_start.is_empty()).count()
+    };
+    let before = stored_suspects(&fleet);
+
+    let until_ms = fleet.now_ms + LONG_ENOUGH_MS;
+    while fleet.running().is_empty() && fleet.now_ms < until_ms {
+        fleet.advance(STEP_MS);
+    }
+    fleet.advance(1_500);
+
+    assert_eq!(before, 1);
+    assert_eq!(fleet.running().len(), 1, "it works on another worker");
+    assert_eq!(stored_suspects(&fleet), 0);
+}
+
 /// Guards against a sixth start after a change of owner: the next owner counted only its own
 /// starts of a task that had crashed workers under the earlier one.
 #[test]
