Poll at most 128 workers at first again

The check is right: it guards an owner that calls the workers itself, and no measurement shows that more holds there.

--- a/src/scheduler/polling.rs
+++ b/src/scheduler/polling.rs
@@ -8,9 +8,9 @@
 use crate::core::WorkerKey;
 
 /// Most polls in flight to workers that have not answered yet. A new owner polls
-/// thousands of workers, mostly through carriers; sent all at once, these polls and their
-/// answers would delay its heartbeats for a second on the link of a small VM.
-const MAX_FIRST_POLLS: usize = 512;
+/// thousands of workers; sent all at once, these polls would delay its heartbeats for a
+/// second.
+const MAX_FIRST_POLLS: usize = 128;
 
 /// Shortest time in which a worker can crash and restart.
 pub const MIN_RESTART_MS: u64 = 250;
