Bound heartbeats ahead of time by the link; read again

Cause, found on reading the change: each crash that an owner counts, and each job with an unknown outcome, requests a heartbeat to all daemons 10 ms after the one before, and crashes that did not fit into one kept requesting the next. With 587 daemons a round is up to 0.6 MB: when hundreds of workers crash at once, the owner on a link of 20 Mbit/s would fill it with its own heartbeats for seconds.

Calls through one carrier are bounded too, and counted when refused.

network_bytes.rs and BytePurpose are the new names of traffic.rs and TrafficKind, since the traffic thread and daemon/traffic.rs are something else. A simpler loop over the pages of a range; two comments that were out of date; a variable that a reverted way had left.

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -11,6 +11,12 @@
     self,
     StorageOutcome, //
 };
+use crate::network_bytes::{
+    BytePurpose,
+    Direction,
+    HTTP_HEAD_BYTES,
+    record_bytes, //
+};
 use crate::platform::{
     READINESS_PATH,
     account_key, //
@@ -25,12 +31,6 @@
     Queue, //
     VersionedTerms,
 };
-use crate::traffic::{
-    Direction,
-    HTTP_HEAD_BYTES,
-    TrafficKind,
-    record_bytes, //
-};
 use actix_http::body::BoxBody;
 use actix_http::header::{
     CONNECTION,
@@ -179,7 +179,7 @@
         has_store: node.has_store(),
     });
     record_bytes(
-        TrafficKind::Client,
+        BytePurpose::Client,
         Direction::Out,
         body.len() + HTTP_HEAD_BYTES,
     );
@@ -209,7 +209,7 @@
     let body = read_body(request, configuration.limits.max_body_bytes).await;
     let body_bytes = body.as_ref().map_or(0, Bytes::len);
     record_bytes(
-        TrafficKind::Client,
+        BytePurpose::Client,
         Direction::In,
         body_bytes + HTTP_HEAD_BYTES,
     );
--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -34,8 +34,7 @@
 /// since the other daemons are then known as well.
 const START_DELAY_MS: u64 = 150;
 /// Wait after the start if there never was an owner. All daemons of a fleet start
-/// within 0.3 s and learn of each other from member lists that are read a few times a
-/// second. With a shorter wait, a weak VM that did not know the strong ones yet
+/// within 0.3 s and learn of each other from the member list and from heartbeats. With a shorter wait, a weak VM that did not know the strong ones yet
 /// became the owner and could not keep up with the first burst.
 const FIRST_START_DELAY_MS: u64 = 1_200;
 /// How long an owner that lost the store may take to reach it again, counted from
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -12,12 +12,12 @@
 };
 use super::peer_table::Peer;
 use super::store_health::StoreContact;
-use crate::scheduler::ClusterConfiguration;
-use crate::traffic::{
+use crate::network_bytes::{
+    BytePurpose,
     Direction,
-    TrafficKind,
     record_bytes, //
 };
+use crate::scheduler::ClusterConfiguration;
 use prost::Message;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,9 +29,13 @@
 /// its small processors on heartbeats. An owner always uses
 /// [`HEARTBEAT_INTERVAL_MS`].
 const HEARTBEAT_INTERVAL_PER_PEER_MS: u64 = 12;
-/// Delay of a heartbeat that is sent ahead of time, in which further reasons for it may
+/// Shortest delay of a heartbeat that is sent ahead of time, in which further reasons for it may
 /// come.
 const REQUESTED_DELAY_MS: u64 = 10;
+/// Headers of a datagram.
+const DATAGRAM_HEADER_BYTES: u64 = 28;
+/// Divisor of the capacity of the link: the most that heartbeats ahead of time take of it.
+const REQUESTED_LINK_SHARE: u64 = 4;
 /// How often a daemon checks whether to take over.
 const ELECTION_INTERVAL_MS: u64 = 50;
 /// Size of the receive buffer; the rest of a longer datagram is dropped.
@@ -74,26 +78,37 @@
         .encode_to_vec();
         for (_, peer) in &others {
             // Datagrams may be lost; the next heartbeat makes up for this one.
-            record_bytes(TrafficKind::Heartbeat, Direction::Out, heartbeat.len());
+            record_bytes(BytePurpose::Heartbeat, Direction::Out, heartbeat.len());
             if let Err(error) = socket.send_to(&heartbeat, peer.address).await {
                 log::debug!("cannot send a heartbeat: {error}");
             }
         }
-        if node.has_unsent_crashes() {
-            node.request_heartbeat();
-        }
+        let round_bytes = others.len() as u64 * (heartbeat.len() as u64 + DATAGRAM_HEADER_BYTES);
+        let link_bytes_per_s = node.settings.resources.link_bytes_per_s;
+        let requested_delay_ms = requested_delay_ms(round_bytes, link_bytes_per_s, interval_ms);
         // In a fleet of hundreds the interval is seconds. A new owner, which would be replaced
         // meanwhile, and a daemon with news that cannot wait therefore request a heartbeat
         // at once.
         tokio::select! {
             _ = node.timer.sleep(interval_ms) => {}
             () = node.until_heartbeat_requested() => {
-                node.timer.sleep(REQUESTED_DELAY_MS).await;
+                node.timer.sleep(requested_delay_ms).await;
             }
         }
     }
 }
 
+/// How long after a round of heartbeats the next one is sent if it is requested ahead of time.
+///
+/// Load pattern: hundreds of workers crash at once, or the outcome of one job after the other
+/// becomes unknown, and each is a reason for a heartbeat to hundreds of daemons. Sent every 10 ms,
+/// these rounds would fill the link of a small VM, and the heartbeats would keep themselves waiting.
+pub fn requested_delay_ms(round_bytes: u64, link_bytes_per_s: u64, interval_ms: u64) -> u64 {
+    let share_bytes_per_s = (link_bytes_per_s / REQUESTED_LINK_SHARE).max(1);
+    let paced_ms = round_bytes.saturating_mul(1_000) / share_bytes_per_s;
+    paced_ms.clamp(REQUESTED_DELAY_MS, interval_ms.max(REQUESTED_DELAY_MS))
+}
+
 /// Receives and handles heartbeats.
 pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
@@ -105,7 +120,7 @@
             node.timer.sleep(1).await;
             continue;
         };
-        record_bytes(TrafficKind::Heartbeat, Direction::In, length);
+        record_bytes(BytePurpose::Heartbeat, Direction::In, length);
         match Heartbeat::decode(&buffer[..length]) {
             Ok(heartbeat) => handle_heartbeat(&node, heartbeat, from),
             Err(_) => metrics::counter!("fuchsiaslip_beats_unread_total").increment(1),
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -78,6 +78,7 @@
     takeover, //
 };
 pub use emptying::EmptyingOrders;
+pub use heartbeat::requested_delay_ms;
 pub use inspect::{
     EmptiedDataCentre,
     FleetReport,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -344,11 +344,6 @@
         crashes.into_iter().map(CrashMessage::from).collect()
     }
 
-    /// Whether heartbeats have to carry more crashes.
-    pub fn has_unsent_crashes(&self) -> bool {
-        self.counted_crashes.borrow().has_unsent()
-    }
-
     /// Marks this daemon as draining.
     pub fn drain(&self) {
         self.draining.set(true);
--- a/src/cluster/peer_connections.rs
+++ b/src/cluster/peer_connections.rs
@@ -11,12 +11,12 @@
     WorkerAnswer, //
 };
 use crate::events;
-use crate::timer::Timer;
-use crate::traffic::{
+use crate::network_bytes::{
+    BytePurpose,
     Direction,
-    TrafficKind,
     record_bytes, //
 };
+use crate::timer::Timer;
 use bytes::{
     Bytes,
     BytesMut, //
@@ -55,6 +55,10 @@
 /// Most requests without a response on one connection; further requests fail at once.
 const MAX_PENDING: usize = 1_024;
 
+/// Most calls to workers without an answer on one connection: several for each worker that a
+/// carrier is given.
+const MAX_CALLS: usize = 4_096;
+
 /// Why a call through a carrier got no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CarrierError {
@@ -212,6 +216,11 @@
             self.disconnect(carrier, &connection);
             connection = self.connection(carrier);
         }
+        if connection.state.calls.borrow().len() >= MAX_CALLS {
+            metrics::counter!("fuchsiaslip_peer_refusals_total", "reason" => "too_many_waiting")
+                .increment(1);
+            return Err(CarrierError::NoAnswer);
+        }
         let id = self.next_id();
         let (answer, answered) = oneshot::channel();
         connection.state.calls.borrow_mut().insert(id, answer);
@@ -322,7 +331,7 @@
             }
             received = framed.next() => {
                 let Some(Ok(bytes)) = received else { return };
-                record_bytes(TrafficKind::Peer, Direction::In, bytes.len());
+                record_bytes(BytePurpose::Peer, Direction::In, bytes.len());
                 state.received_ms.set(timer.now_ms());
                 let Some(frame) = decode_frame(bytes) else { return };
                 if !state.handle_response(frame) {
@@ -345,7 +354,7 @@
     let mut next = Some(first);
     while let Some(frame) = next {
         let bytes = frame.encode_to_vec();
-        record_bytes(TrafficKind::Peer, Direction::Out, bytes.len());
+        record_bytes(BytePurpose::Peer, Direction::Out, bytes.len());
         sink.feed(Bytes::from(bytes)).await?;
         next = waiting.try_recv().ok();
     }
@@ -381,7 +390,7 @@
         }
     });
     while let Some(Ok(bytes)) = frames.next().await {
-        record_bytes(TrafficKind::Peer, Direction::In, bytes.len());
+        record_bytes(BytePurpose::Peer, Direction::In, bytes.len());
         let Some(PeerFrame {
             id,
             body: Some(body),
--- a/src/traffic.rs
+++ b/src/network_bytes.rs
@@ -2,7 +2,7 @@
 
 /// What bytes on the network are for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum TrafficKind {
+pub enum BytePurpose {
     /// Reads of single values and of ranges of the store.
     StoreRead,
     /// Watches of the store.
@@ -35,7 +35,7 @@
 /// The line and headers of an HTTP message that the callers do not know, in bytes.
 pub const HTTP_HEAD_BYTES: usize = 120;
 
-impl TrafficKind {
+impl BytePurpose {
     fn name(self) -> &'static str {
         match self {
             Self::StoreRead => "store_read",
@@ -61,7 +61,7 @@
 }
 
 /// Counts bytes in `fuchsiaslip_bytes_total`.
-pub fn record_bytes(kind: TrafficKind, direction: Direction, bytes: usize) {
+pub fn record_bytes(kind: BytePurpose, direction: Direction, bytes: usize) {
     metrics::counter!(
         "fuchsiaslip_bytes_total", "kind" => kind.name(), "direction" => direction.name()
     )
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,13 +1,13 @@
 //! HTTP client with separate timeouts for the start of a response and for pauses in its
 //! body.
 
-use crate::timer::Timer;
-use crate::traffic::{
+use crate::network_bytes::{
+    BytePurpose,
     Direction,
     HTTP_HEAD_BYTES,
-    TrafficKind,
     record_bytes, //
 };
+use crate::timer::Timer;
 use crate::unsent::was_never_sent;
 use awc::Client;
 use awc::http::{
@@ -73,7 +73,7 @@
     /// No complete response came.
     pub async fn call(
         &self,
-        kind: TrafficKind,
+        kind: BytePurpose,
         method: Method,
         url: String,
         headers: &[(&'static str, &str)],
@@ -124,7 +124,7 @@
     /// No complete response came.
     pub async fn post<T: Serialize>(
         &self,
-        kind: TrafficKind,
+        kind: BytePurpose,
         url: String,
         headers: &[(&'static str, &str)],
         body: &T,
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -5,13 +5,13 @@
     HttpClient, //
 };
 use super::store::WAVE_STATES_PREFIX;
+use crate::network_bytes::BytePurpose;
 use crate::scheduler::{
     MachineInfo,
     MachineState,
     UpkeepOutcome,
     WaveOrder, //
 };
-use crate::traffic::TrafficKind;
 use awc::http::{
     Method,
     StatusCode, //
@@ -111,7 +111,7 @@
                 url = format!("{url}?{}", query.map_err(|_| CallFailure::NotSent)?);
             }
             let call = self.http.call(
-                TrafficKind::Other,
+                BytePurpose::Other,
                 Method::GET,
                 url,
                 &[],
@@ -148,7 +148,7 @@
         let body = UpkeepBody { machine, wave };
         let call = self
             .http
-            .post(TrafficKind::Other, url, &headers, &body, CALL_TIMEOUT_MS);
+            .post(BytePurpose::Other, url, &headers, &body, CALL_TIMEOUT_MS);
         match call.await {
             Ok((status, body)) => outcome_of(status, &body),
             Err(_) => UpkeepOutcome::NoAnswer,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,7 +14,7 @@
     Transaction,
     WatchResult, //
 };
-use crate::traffic::TrafficKind;
+use crate::network_bytes::BytePurpose;
 use awc::http::{
     Method,
     StatusCode, //
@@ -196,7 +196,7 @@
     pub async fn get(&self, key: &str) -> Result<Option<StoredItem>, StoreError> {
         let url = self.url(&format!("kv-key?key={}", percent_encode(key)));
         let answer = self.http.call(
-            TrafficKind::StoreRead,
+            BytePurpose::StoreRead,
             Method::GET,
             url,
             &[],
@@ -219,7 +219,7 @@
     pub async fn probe(&self, timeout_ms: u64) -> Result<(), StoreError> {
         let url = self.url("kv-key?key=probe&serializable=1");
         let answer = self.http.call(
-            TrafficKind::StoreRead,
+            BytePurpose::StoreRead,
             Method::GET,
             url,
             &[],
@@ -281,18 +281,15 @@
         loop {
             let page = self.page(prefix, allow_stale, &after).await?;
             let last = page.items.last().map(|item| item.key.clone());
+            let has_more = page.has_more && last.as_deref().is_none_or(is_within);
             let within = page.items.into_iter().filter(|item| is_within(&item.key));
             items.extend(within.map(ItemBody::into_item));
-            after = match last {
-                Some(last) if page.has_more && is_within(&last) && last > after => last,
-                // After a page that does not advance, the loop would never end.
-                Some(last) if page.has_more && is_within(&last) => {
-                    log::debug!("a page of the store ends at {last}, where it began");
-                    return Err(StoreError::NoAnswer);
-                }
-                None if page.has_more => return Err(StoreError::NoAnswer),
-                _ => return Ok(items),
-            };
+            if !has_more {
+                return Ok(items);
+            }
+            // After a page that does not advance, the loop would never end.
+            let advanced = last.filter(|last| *last > after);
+            after = advanced.ok_or(StoreError::NoAnswer)?;
         }
     }
 
@@ -309,7 +306,7 @@
         if !after.is_empty() {
             call.push_str(&format!("&after={}", percent_encode(after)));
         }
-        let (kind, url) = (TrafficKind::StoreRead, self.url(&call));
+        let (kind, url) = (BytePurpose::StoreRead, self.url(&call));
         let answer = self
             .http
             .call(kind, Method::GET, url, &[], None, CALL_TIMEOUT_MS);
@@ -335,7 +332,7 @@
         let call = format!("kv-watch?prefix={prefix}&after={revision}&wait_ms={wait_ms}");
         let timeout_ms = wait_ms + WATCH_SLACK_MS;
         let answer = self.http.call(
-            TrafficKind::StoreWatch,
+            BytePurpose::StoreWatch,
             Method::GET,
             self.url(&call),
             &[],
@@ -409,7 +406,7 @@
             remove: &transaction.removed,
         };
         let answer = self.http.post(
-            TrafficKind::StoreWrite,
+            BytePurpose::StoreWrite,
             self.url("kv-txn"),
             &[],
             &body,
@@ -441,7 +438,7 @@
     pub async fn grant_lease(&self, ttl_ms: u64) -> Result<u64, StoreError> {
         let body = TtlBody { ttl_ms };
         let answer = self.http.post(
-            TrafficKind::StoreWrite,
+            BytePurpose::StoreWrite,
             self.url("kv-lease"),
             &[],
             &body,
@@ -462,7 +459,7 @@
     pub async fn renew_lease(&self, lease: u64) -> Result<bool, StoreError> {
         let url = self.url(&format!("kv-keep/{lease}"));
         let answer = self.http.call(
-            TrafficKind::StoreWrite,
+            BytePurpose::StoreWrite,
             Method::POST,
             url,
             &[],
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -7,6 +7,7 @@
     WorkerAnswer,
     WorkerCall, //
 };
+use crate::network_bytes::BytePurpose;
 use crate::scheduler::{
     CallOutcome,
     EndKind,
@@ -18,7 +19,6 @@
     StartRefusal,
     TaskId, //
 };
-use crate::traffic::TrafficKind;
 use awc::http::StatusCode;
 use bytes::Bytes;
 use serde::{
@@ -160,7 +160,7 @@
     async fn order<T: Serialize>(&self, call: &AddressedCall, path: &str, body: &T) -> CallOutcome {
         let url = format!("http://{}/-/{path}", call.address);
         let headers = [(INCARNATION_HEADER, &*call.worker_name)];
-        let kind = TrafficKind::WorkerOrder;
+        let kind = BytePurpose::WorkerOrder;
         let timeout_ms = call.call.timeout_ms();
         let answer = self.http.post(kind, url, &headers, body, timeout_ms);
         match answer.await {
@@ -192,7 +192,7 @@
         let timeout_ms = call.call.timeout_ms();
         let answer = self
             .http
-            .post(TrafficKind::WorkerPoll, url, &headers, &body, timeout_ms);
+            .post(BytePurpose::WorkerPoll, url, &headers, &body, timeout_ms);
         let (status, body) = answer.await.map_err(|_| CallOutcome::NoAnswer)?;
         if status != StatusCode::OK {
             return Err(outcome_of(status, &body));
@@ -218,7 +218,7 @@
         let url = format!("http://{address}/-/advise");
         let answer = self
             .http
-            .post(TrafficKind::Other, url, &[], &body, ADVICE_TIMEOUT_MS);
+            .post(BytePurpose::Other, url, &[], &body, ADVICE_TIMEOUT_MS);
         let answer = answer.await;
         let (status, body) = answer.ok()?;
         if status != StatusCode::OK {
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -513,7 +513,7 @@
     }
 
     /// Fails the job of a group if a suspect has reached the limit of its starts under earlier
-    /// owners. Returns whether the group still waits.
+    /// owners. Returns whether the group is still open.
     pub(super) fn review_suspects(&mut self, key: GroupKey) -> bool {
         let Some(group) = self.groups.get(&key) else {
             return false;
@@ -541,8 +541,8 @@
         u32::from(had_earlier_owner && job.is_some_and(|job| job.known_earlier))
     }
 
-    /// Whether the last crash at the start of any of a group's tasks is stored. If a task were
-    /// started earlier, the next owner might not know of that crash.
+    /// Whether the last crash at the start of any of a group's tasks is stored. If a task
+    /// were started earlier, the next owner might not know of that crash.
     pub(super) fn is_crash_stored(&self, key: GroupKey) -> bool {
         self.jobs[&key.job].stored >= self.groups[&key].crash_change
     }
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -197,9 +197,8 @@
                 place(candidates, &PlacementRequest { count, ..*request })
             }),
         };
-        let waiting = group.waiting;
         let placed: u32 = placements.iter().map(|placement| placement.count).sum();
-        let complete = placed == waiting;
+        let complete = placed == group.waiting;
         let started = self.start_placements(key, &placements, candidates);
         if started > 0 {
             reservations.ends.invalidate();
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -5,12 +5,12 @@
     StatusCode, //
 };
 use bytes::Bytes;
+use fuchsiaslip::network_bytes::BytePurpose;
 use fuchsiaslip::platform::{
     CallFailure,
     HttpClient, //
 };
 use fuchsiaslip::timer::Timer;
-use fuchsiaslip::traffic::TrafficKind;
 use std::io::{
     Read,
     Write, //
@@ -61,7 +61,7 @@
     let timer = Timer::spawn().expect("a timer");
     actix_rt::System::new().block_on(async move {
         let client = HttpClient::new(timer);
-        let kind = TrafficKind::StoreRead;
+        let kind = BytePurpose::StoreRead;
         let call = client.call(kind, Method::GET, url, &[], None, TIMEOUT_MS);
         call.await
     })
