Report the number of workers under each epoch

Cause, found on reading the change: the number of workers was sent when it differed from what was sent last. If the end of an ownership and the begin of the next came together, the next owner was not sent the same number again, had no carriers, and would have called all workers itself.

Before: the_number_of_workers_is_reported_under_each_epoch got none under the second epoch. After: under each of five. The scheduler's passes are counted in fuchsiaslip_passes_total.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -147,7 +147,7 @@
 fn run(timer: &Timer, commands: &Receiver<Command>, outputs: &UnboundedSender<Output>) {
     let mut scheduler: Option<Scheduler> = None;
     let mut next_gauges_ms = 0;
-    let (mut next_counts_ms, mut worker_counts) = (0, BTreeMap::new());
+    let mut reported_counts = ReportedCounts::default();
     loop {
         let now_ms = timer.now_ms();
         let wake_ms = scheduler
@@ -163,23 +163,16 @@
             apply(&mut scheduler, command, timer);
         }
         let Some(scheduler) = &mut scheduler else {
-            worker_counts.clear();
             continue;
         };
         if now_ms >= next_gauges_ms {
             next_gauges_ms = now_ms + GAUGE_INTERVAL_MS;
             set_size_gauges(&scheduler.sizes());
             set_kept_gauge("unnoted_ends", scheduler.unacknowledged_end_count());
+            metrics::counter!("fuchsiaslip_passes_total").absolute(scheduler.pass_count());
         }
         let mut output = decide(scheduler, timer.now_ms());
-        if worker_counts.is_empty() || now_ms >= next_counts_ms {
-            next_counts_ms = now_ms + COUNT_INTERVAL_MS;
-            let counted = scheduler.worker_counts();
-            if counted != worker_counts {
-                output.worker_counts = Some(counted.clone());
-                worker_counts = counted;
-            }
-        }
+        output.worker_counts = reported_counts.changed(scheduler, now_ms);
         let is_empty = output.actions.is_empty() && output.worker_counts.is_none();
         if !is_empty && outputs.send(output).is_err() {
             return;
@@ -187,6 +180,37 @@
     }
 }
 
+/// The numbers of workers that were reported last, and under which epoch.
+#[derive(Default)]
+struct ReportedCounts {
+    epoch: u64,
+    counts: BTreeMap<String, usize>,
+    next_ms: u64,
+}
+
+impl ReportedCounts {
+    /// Counts the workers if that is due. Returns the numbers if they have changed, or if none
+    /// were reported under this epoch: each owner begins without them.
+    fn changed(&mut self, scheduler: &Scheduler, now_ms: u64) -> Option<BTreeMap<String, usize>> {
+        if self.epoch != scheduler.epoch() {
+            *self = Self {
+                epoch: scheduler.epoch(),
+                ..Self::default()
+            };
+        }
+        if now_ms < self.next_ms {
+            return None;
+        }
+        self.next_ms = now_ms + COUNT_INTERVAL_MS;
+        let counted = scheduler.worker_counts();
+        if counted == self.counts {
+            return None;
+        }
+        self.counts.clone_from(&counted);
+        Some(counted)
+    }
+}
+
 fn set_size_gauges(sizes: &Sizes) {
     let kept = [
         ("jobs", sizes.jobs),
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -156,6 +156,8 @@
     pub(super) pass_at_ms: u64,
     /// Something changed that calls for a scheduling pass.
     pub(super) changed: bool,
+    /// Number of scheduling passes so far.
+    passes: u64,
     pub(super) roster_write_pending: bool,
     pub(super) actions: Vec<Action>,
 }
@@ -203,6 +205,7 @@
             review_at_ms: 0,
             pass_at_ms: 0,
             changed: false,
+            passes: 0,
             roster_write_pending: false,
             actions: Vec::new(),
         }
@@ -325,6 +328,7 @@
             if self.changed || self.now_ms >= self.pass_at_ms {
                 self.changed = false;
                 self.pass_at_ms = self.now_ms + RETRY_PASS_MS;
+                self.passes += 1;
                 self.pass();
             }
         }
@@ -374,6 +378,11 @@
         self.epoch
     }
 
+    /// Returns the number of scheduling passes so far.
+    pub fn pass_count(&self) -> u64 {
+        self.passes
+    }
+
     /// Returns all jobs in memory.
     pub fn jobs(&self) -> impl Iterator<Item = &GraphJob> {
         self.jobs.values()
