Do not refuse a job while a live owner does not say whether it knows it

Cause, found on reading the change: if the owner sent heartbeats but did not answer within 150 ms, the job was refused as if the owner did not know it.

Before: a_job_is_not_refused_while_a_live_owner_does_not_respond got 503 for an accepted job beside a frozen owner. After: 504, as long as the owner counts as alive.

--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -47,8 +47,6 @@
 const FORWARD_TIMEOUT_MS: u64 = 1_500;
 /// Timeout of one query to the owner, which answers in a few milliseconds.
 const OWNER_TIMEOUT_MS: u64 = 350;
-/// Timeout of asking the owner whether it knows a job that is about to be refused.
-const CONFIRM_TIMEOUT_MS: u64 = 150;
 /// How long a query for a job is sent to the owner, about the duration of a takeover;
 /// then the store is read.
 const OWNER_WAIT_MS: u64 = 900;
@@ -113,29 +111,29 @@
     } else if outcome == StorageOutcome::Done {
         notify_owner_of_job(node, job, bytes);
     }
-    let outcome = match outcome {
-        // A request that was refused does not show that an earlier one for the same job was.
-        StorageOutcome::Refused if is_known_to_owner(node, job).await => StorageOutcome::Done,
-        StorageOutcome::Refused if node.may_be_stored(job) => return StorageOutcome::Unknown,
-        other => other,
-    };
     match outcome {
         StorageOutcome::Done => node.record_stored_job(job),
         StorageOutcome::Unknown => node.record_unknown_job(job),
-        StorageOutcome::Refused | StorageOutcome::NoSuchJob => {}
+        StorageOutcome::Refused => return earlier_outcome(node, job).await,
+        StorageOutcome::NoSuchJob => {}
     }
     outcome
 }
 
-/// Whether the owner knows a job, which is then stored: the request arrives again after the
-/// job was accepted. An owner without recent heartbeats is not asked.
-async fn is_known_to_owner(node: &Rc<Node>, job: JobId) -> bool {
-    if !node.owns() && !node.is_owner_alive() {
-        return false;
+/// The outcome of an earlier request for a job of which this request is refused, since a refusal
+/// says that the job never runs; `Refused` if no earlier request is known. An owner knows all
+/// stored jobs; one without recent heartbeats is not asked.
+async fn earlier_outcome(node: &Rc<Node>, job: JobId) -> StorageOutcome {
+    let has_owner = node.owns() || node.is_owner_alive();
+    let known = match has_owner {
+        true => ask_owner(node, job).await,
+        false => Some(None),
+    };
+    match known {
+        Some(Some(_)) => StorageOutcome::Done,
+        Some(None) if !node.may_be_stored(job) => StorageOutcome::Refused,
+        Some(None) | None => StorageOutcome::Unknown,
     }
-    let asking = ask_owner(node, job);
-    let answer = node.timer.timeout(CONFIRM_TIMEOUT_MS, asking).await;
-    matches!(answer, Ok(Some(Some(_))))
 }
 
 /// Writes a job to the store unless that is known not to answer: an immediate refusal is
--- a/tests/store_outage.rs
+++ b/tests/store_outage.rs
@@ -33,6 +33,7 @@
     LinkMode,
     Proxy, //
 };
+use rustix::process::Signal;
 use std::net::SocketAddr;
 use std::time::{
     Duration,
@@ -127,6 +128,36 @@
     assert_eq!(other, [503; 3], "no request for it was sent");
 }
 
+/// Guards against an untrue refusal: the owner, which knows all stored jobs, did not respond, and
+/// the request of an accepted job that arrived again was refused without its word.
+#[test]
+fn a_job_is_not_refused_while_a_live_owner_does_not_respond() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons = fleet(239, 3, &operator);
+    wait_until("an owner", || epoch(&operator) > 0);
+    let root = operator.world().value("owner").expect("a root");
+    let owner = daemons.iter().position(|daemon| {
+        root["address"]
+            .as_str()
+            .is_some_and(|at| at.starts_with(&format!("{}:", daemon.ip)))
+    });
+    let owner = owner.expect("one of the daemons");
+    assert_eq!(status(&submit(&daemons[owner], 1)), 200);
+    operator.world().mode = StoreMode::Unresponsive;
+    std::thread::sleep(NOTICE_DELAY);
+
+    daemons[owner].signal(Signal::STOP);
+    let repeated = submit(&daemons[(owner + 1) % 3], 1);
+    daemons[owner].signal(Signal::CONT);
+
+    assert_eq!(
+        status(&repeated),
+        504,
+        "nobody can tell whether it is stored"
+    );
+}
+
 /// Guards against losing the jobs of a daemon that the store refuses while it answers others.
 #[test]
 fn a_daemon_that_cannot_reach_the_store_stores_jobs_through_a_peer() {
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -54,7 +54,7 @@
 /// | 214, 215, 217 | `owner_cut_off.rs` |
 /// | 218 | `large_fleet.rs` |
 /// | 219 | `crashes/whole_path.rs` |
-/// | 220 to 223 | `store_outage.rs` |
+/// | 220 to 223, 239 | `store_outage.rs` |
 /// | 224 to 229 | `carriers.rs` |
 /// | 230 to 238 | `foreign/path.rs` |
 ///
