--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -75,6 +75,26 @@
     );
 }
 
+/// Guards against hundreds of calls a second to the store: the owner's watch of the workers' entries
+/// returns with each of them, and thousands of workers write theirs all the time.
+#[test]
+fn an_owner_does_not_call_the_store_for_each_entry_that_is_written() {
+    const WRITES: u64 = 200;
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let _daemon = Daemon::spawn("d0", loopback(218, 2), operator.store);
+    wait_until_with_interval(CHECK_INTERVAL, "the daemon owns", || epoch(&operator) > 0);
+    let before = operator.world().worker_watches;
+
+    for _ in 0..WRITES {
+        operator.world().register(0, "ready");
+        std::thread::sleep(CHECK_INTERVAL);
+    }
+
+    let watches = operator.world().worker_watches - before;
+    assert!(watches < WRITES / 4, "{watches} watches");
+}
+
 /// Guards against an owner that is replaced while it reads the stored state: in a large fleet a
 /// daemon that does not own yet sends a heartbeat every few seconds, and the others took it for
 /// silent after 0.7 s.
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -25,7 +25,8 @@
     Schedule,
     StartRefusal,
     StepSpec,
-    TaskId, //
+    TaskId,
+    WorkerInfo, //
 };
 use std::sync::Arc;
 
@@ -546,3 +547,24 @@
     let after = next.starts[0].0.run;
     assert!(after > before, "run {after} follows run {before}");
 }
+
+/// Guards against an owner that spends its processor on passes: each worker writes its entry every
+/// few seconds, and each write called for a pass over the whole fleet.
+#[test]
+fn an_entry_that_tells_nothing_new_calls_for_no_pass() {
+    let mut fleet = Fleet::with_workers(4);
+    let workers = fleet.scheduler.workers().iter();
+    let entries: Vec<WorkerInfo> = workers.map(|worker| worker.info.clone()).collect();
+    let before = fleet.scheduler.pass_count();
+
+    for entry in entries {
+        fleet.send_input(Input::WorkerRegistered(entry));
+        fleet.settle();
+    }
+    let after_same = fleet.scheduler.pass_count();
+    fleet.send_input(Input::WorkerRegistered(leaving_info("w0", 2_000)));
+    fleet.settle();
+
+    assert_eq!(after_same, before);
+    assert_eq!(fleet.scheduler.pass_count(), before + 1);
+}
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -225,6 +225,8 @@
     pub overcommitted_starts: Vec<String>,
     /// Calls to the store, without watches and transactions.
     pub calls: u64,
+    /// Watches of the workers' entries.
+    pub worker_watches: u64,
     writes: u64,
     workers: Vec<FakeWorker>,
     steps: HashMap<String, Vec<SubmittedStep>>,
@@ -905,6 +907,7 @@
             leases: HashMap::new(),
             next_lease: 1,
             calls: 0,
+            worker_watches: 0,
             writes: 0,
             workers: (0..worker_count)
                 .map(|index| {
@@ -1095,6 +1098,7 @@
     const CHECK_INTERVAL: Duration = Duration::from_millis(5);
     let number = |field: &str| query[field].parse::<u64>().unwrap_or(0);
     let until = Instant::now() + Duration::from_millis(number("wait_ms"));
+    lock(world).worker_watches += u64::from(query["prefix"] == "servers/");
     loop {
         // A store that stops answering does not answer waiting watches either.
         if lock(world).mode == StoreMode::Unresponsive {
