End an ownership at once when a part of the owner fails

After a killed owner the next one panicked in its first pass; its process went on.

Cause: nothing watched the control thread. A panic ended that thread alone. The traffic thread went on to send heartbeats as the owner and to confirm the epoch, so no other daemon took over, and readiness did not depend on the thread. The log did not show the panic, nor what the pass had decided, since both were lost with the thread; only standard error had the place.

Change: a round of the control thread that panics drops its scheduler and is reported with the decisions that were not carried out (E106, then lines with "dropped", then E208). It is ready once its control thread responds. An owner whose thread makes no round in ten checks has failed as well. The same holds for the tasks of the traffic thread: those of an ownership end it when they panic, and those that last as long as the daemon are started again.

Related paths read: all actix_rt::spawn and thread::Builder in cluster/. Not covered: the timer and log threads, and a panic in one client's request.

Also: log_lines.rs is divided, the lines of decisions have a file of their own; what node.rs did for learned state moved to learned_state.rs.

--- a/src/cluster/actions.rs
+++ b/src/cluster/actions.rs
@@ -4,11 +4,21 @@
 //! its own and sends its result to the scheduler as an input. What has to be stored
 //! is added to the pending writes.
 
-use super::control::Output;
-use super::log_lines;
+use super::control::{
+    Output,
+    Report, //
+};
+use super::decision_lines::{
+    log_decision,
+    log_dropped_decision, //
+};
 use super::node::Node;
 use super::pending_writes::Changes;
 use super::records::EmptiedRecord;
+use super::supervision::{
+    Part,
+    spawn_for_epoch, //
+};
 use super::worker_call::{
     StartOrder,
     WorkerAnswer,
@@ -30,14 +40,38 @@
 };
 use std::rc::Rc;
 use std::sync::Arc;
+use tokio::sync::Mutex;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-/// Executes the control thread's outputs until that thread ends. Outputs of an
-/// epoch under which this daemon no longer owns are dropped.
-pub async fn run(node: Rc<Node>, mut outputs: UnboundedReceiver<Output>) {
-    while let Some(output) = outputs.recv().await {
-        if output.epoch == node.epoch() {
-            execute(&node, output);
+/// Number of actions of a scheduler that failed of which the decisions are logged: the last ones
+/// are next to the cause.
+const MAX_DROPPED_LINES: usize = 64;
+/// A call whose result the scheduler waits for.
+const CALL: Part = Part("call");
+
+/// Receives the control thread's reports until that thread ends.
+pub async fn run(node: Rc<Node>, reports: Rc<Mutex<UnboundedReceiver<Report>>>) {
+    let mut reports = reports.lock().await;
+    while let Some(report) = reports.recv().await {
+        match report {
+            // An epoch under which this daemon no longer owns is over.
+            Report::Decided(output) if output.epoch == node.epoch() => execute(&node, output),
+            Report::Decided(_) => {}
+            Report::Failed { epoch, dropped } => {
+                let epoch = epoch.unwrap_or_else(|| node.epoch());
+                log_dropped(epoch, &dropped);
+                node.record_failure(Part("control"), epoch);
+            }
+        }
+    }
+}
+
+/// Logs the last decisions of a scheduler that failed; none of them was carried out.
+fn log_dropped(epoch: u64, actions: &[Action]) {
+    let from = actions.len().saturating_sub(MAX_DROPPED_LINES);
+    for action in &actions[from..] {
+        if let Action::Decided(decision) = action {
+            log_dropped_decision(epoch, decision);
         }
     }
 }
@@ -63,7 +97,8 @@
                     lease_end_ms,
                     wait_ms,
                 };
-                actix_rt::spawn(poll(node.clone(), epoch, callee, call));
+                let poll = poll(node.clone(), epoch, callee, call);
+                spawn_for_epoch(node, epoch, CALL, poll);
             }
             Action::Start {
                 callee,
@@ -87,7 +122,7 @@
                     outcome,
                 };
                 let order = give_order(node.clone(), epoch, callee, "start", call, to_input);
-                actix_rt::spawn(order);
+                spawn_for_epoch(node, epoch, CALL, order);
             }
             Action::Stop { callee, name } => {
                 let worker = callee.worker;
@@ -98,7 +133,7 @@
                     outcome,
                 };
                 let order = give_order(node.clone(), epoch, callee, "stop", call, to_input);
-                actix_rt::spawn(order);
+                spawn_for_epoch(node, epoch, CALL, order);
             }
             Action::Throttle {
                 callee,
@@ -113,16 +148,19 @@
                     outcome,
                 };
                 let order = give_order(node.clone(), epoch, callee, "pace", call, to_input);
-                actix_rt::spawn(order);
+                spawn_for_epoch(node, epoch, CALL, order);
             }
             Action::Advise { step, workers } => {
-                actix_rt::spawn(advise(node.clone(), epoch, step, workers));
+                let advice = advise(node.clone(), epoch, step, workers);
+                spawn_for_epoch(node, epoch, CALL, advice);
             }
             Action::ListMachines => {
-                actix_rt::spawn(list_machines(node.clone(), epoch));
+                let list = list_machines(node.clone(), epoch);
+                spawn_for_epoch(node, epoch, CALL, list);
             }
             Action::BeginUpkeep { wave, machine } => {
-                actix_rt::spawn(order_upkeep(node.clone(), epoch, wave, machine));
+                let order = order_upkeep(node.clone(), epoch, wave, machine);
+                spawn_for_epoch(node, epoch, CALL, order);
             }
             Action::StoreWaveState { wave, completed } => waves.push((wave, completed)),
             Action::StoreEmptiedDataCentre {
@@ -141,7 +179,7 @@
                 return;
             }
             Action::Decided(decision) => {
-                log_lines::decision(epoch, &decision);
+                log_decision(epoch, &decision);
                 if let Decision::CrashCounted { crash, .. } = &decision {
                     node.record_counted_crash(*crash);
                 }
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -1,4 +1,7 @@
 //! Runs the scheduler on the control thread, the only thread that accesses its state.
+//!
+//! A decision that panics ends the scheduler but not the thread: the traffic thread is told, so
+//! that this daemon gives up the ownership, and the thread waits for the next command.
 
 use super::pending_writes::RosterChange;
 use super::records::{
@@ -21,6 +24,16 @@
     BTreeMap,
     BTreeSet, //
 };
+use std::ops::ControlFlow;
+use std::panic::{
+    AssertUnwindSafe,
+    catch_unwind, //
+};
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::sync::mpsc::{
     Receiver,
     RecvTimeoutError,
@@ -101,28 +114,67 @@
     pub worker_counts: Option<BTreeMap<String, usize>>,
 }
 
+/// What the control thread tells the traffic thread.
+pub enum Report {
+    /// The result of a decision.
+    Decided(Output),
+    /// A panic ended the scheduler.
+    Failed {
+        /// The epoch of the scheduler; `None` if there was none.
+        epoch: Option<u64>,
+        /// The actions that it had decided on and that are not carried out.
+        dropped: Vec<Action>,
+    },
+}
+
+/// Makes a decision of a scheduler at a time in milliseconds: [`Scheduler::decide`], unless a
+/// test passes another one.
+pub type Decide = Box<dyn FnMut(&mut Scheduler, u64) -> Vec<Action> + Send>;
+
 /// A handle to the control thread.
 #[derive(Clone)]
 pub struct Control {
     commands: Sender<Command>,
+    rounds: Arc<AtomicU64>,
 }
 
 impl Control {
-    /// Starts the thread.
+    /// Starts the thread, which makes its decisions with `decide`.
     ///
     /// # Errors
     ///
     /// The thread cannot be started.
-    pub fn spawn(timer: Timer, outputs: UnboundedSender<Output>) -> std::io::Result<Self> {
+    pub fn spawn(
+        timer: Timer,
+        reports: UnboundedSender<Report>,
+        decide: Decide,
+    ) -> std::io::Result<Self> {
         let (commands, received) = channel();
+        let rounds = Arc::new(AtomicU64::new(0));
+        let thread = ControlThread {
+            timer,
+            commands: received,
+            reports,
+            decide,
+            scheduler: None,
+            next_gauges_ms: 0,
+            reported_counts: ReportedCounts::default(),
+            rounds: rounds.clone(),
+        };
         std::thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || run(&timer, &received, &outputs))?;
-        Ok(Self { commands })
+            .spawn(move || thread.run())?;
+        Ok(Self { commands, rounds })
+    }
+
+    /// Returns how often the thread has waited for commands and then handled them. An owner's
+    /// thread does so many times a second.
+    pub fn rounds(&self) -> u64 {
+        self.rounds.load(Ordering::Relaxed)
     }
 
-    /// Sends the thread a command. The command is dropped if the thread has ended,
-    /// which happens only while the process exits.
+    /// Sends the thread a command. The command is dropped if the thread has ended, which happens
+    /// only while the process exits.
     pub fn send(&self, command: Command) {
         if self.commands.send(command).is_err() {
             log::debug!("the control thread has ended");
@@ -157,38 +209,74 @@
     }
 }
 
-fn run(timer: &Timer, commands: &Receiver<Command>, outputs: &UnboundedSender<Output>) {
-    let mut scheduler: Option<Scheduler> = None;
-    let mut next_gauges_ms = 0;
-    let mut reported_counts = ReportedCounts::default();
-    loop {
-        let now_ms = timer.now_ms();
-        let wake_ms = scheduler
+struct ControlThread {
+    timer: Timer,
+    commands: Receiver<Command>,
+    reports: UnboundedSender<Report>,
+    decide: Decide,
+    scheduler: Option<Scheduler>,
+    next_gauges_ms: u64,
+    reported_counts: ReportedCounts,
+    rounds: Arc<AtomicU64>,
+}
+
+impl ControlThread {
+    fn run(mut self) {
+        loop {
+            // After a panic nothing of the scheduler is used but the actions, which are logged.
+            let round = catch_unwind(AssertUnwindSafe(|| self.run_round()));
+            if round.unwrap_or_else(|_| self.report_failure()).is_break() {
+                return;
+            }
+            self.rounds.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Waits until there are commands or a decision is due, and handles both. Breaks once the
+    /// traffic thread has ended.
+    fn run_round(&mut self) -> ControlFlow<()> {
+        let now_ms = self.timer.now_ms();
+        let wake_ms = self
+            .scheduler
             .as_ref()
             .map_or(now_ms + IDLE_WAIT_MS, Scheduler::wake_at_ms);
         let wait = Duration::from_millis(wake_ms.saturating_sub(now_ms));
-        match commands.recv_timeout(wait) {
-            Ok(command) => apply(&mut scheduler, command, timer),
+        match self.commands.recv_timeout(wait) {
+            Ok(command) => apply(&mut self.scheduler, command, &self.timer),
             Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
+            Err(RecvTimeoutError::Disconnected) => return ControlFlow::Break(()),
         }
-        for command in commands.try_iter().take(MAX_BATCH) {
-            apply(&mut scheduler, command, timer);
+        for command in self.commands.try_iter().take(MAX_BATCH) {
+            apply(&mut self.scheduler, command, &self.timer);
         }
-        let Some(scheduler) = &mut scheduler else {
-            continue;
+        let Some(scheduler) = &mut self.scheduler else {
+            return ControlFlow::Continue(());
         };
-        if now_ms >= next_gauges_ms {
-            next_gauges_ms = now_ms + GAUGE_INTERVAL_MS;
+        if now_ms >= self.next_gauges_ms {
+            self.next_gauges_ms = now_ms + GAUGE_INTERVAL_MS;
             set_size_gauges(&scheduler.sizes());
             set_kept_gauge("unnoted_ends", scheduler.unacknowledged_end_count());
             metrics::counter!("fuchsiaslip_passes_total").absolute(scheduler.pass_count());
         }
-        let mut output = decide(scheduler, timer.now_ms());
-        output.worker_counts = reported_counts.changed(scheduler, now_ms);
+        let actions = (self.decide)(scheduler, self.timer.now_ms());
+        let mut output = collect_output(scheduler, actions);
+        output.worker_counts = self.reported_counts.changed(scheduler, now_ms);
         let is_empty = output.actions.is_empty() && output.worker_counts.is_none();
-        if !is_empty && outputs.send(output).is_err() {
-            return;
+        if !is_empty && self.reports.send(Report::Decided(output)).is_err() {
+            return ControlFlow::Break(());
+        }
+        ControlFlow::Continue(())
+    }
+
+    /// Drops the scheduler, whose state may be inconsistent, and reports that. Breaks once the
+    /// traffic thread has ended.
+    fn report_failure(&mut self) -> ControlFlow<()> {
+        let failed = self.scheduler.take();
+        let epoch = failed.as_ref().map(Scheduler::epoch);
+        let dropped = failed.map(Scheduler::into_actions).unwrap_or_default();
+        match self.reports.send(Report::Failed { epoch, dropped }) {
+            Ok(()) => ControlFlow::Continue(()),
+            Err(_) => ControlFlow::Break(()),
         }
     }
 }
@@ -251,11 +339,11 @@
             tuning,
             stored,
         } => {
-            let mut started = Scheduler::new(epoch, tuning, now_ms);
+            // Set first: a panic is reported under the epoch of the scheduler.
+            let started = scheduler.insert(Scheduler::new(epoch, tuning, now_ms));
             for input in stored {
                 started.handle(input, now_ms);
             }
-            *scheduler = Some(started);
         }
         Command::Input { epoch, input } => {
             let matching = scheduler
@@ -295,9 +383,8 @@
     }
 }
 
-/// Makes the scheduler's decision and collects the state that it asks to have stored.
-fn decide(scheduler: &mut Scheduler, now_ms: u64) -> Output {
-    let actions = scheduler.decide(now_ms);
+/// Collects the state that the actions of a decision ask to have stored.
+fn collect_output(scheduler: &Scheduler, actions: Vec<Action>) -> Output {
     let mut changed = BTreeSet::new();
     let mut roster = false;
     let mut closed = BTreeMap::new();
--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -2,7 +2,10 @@
 
 use super::actions;
 use super::client_requests;
-use super::control::Control;
+use super::control::{
+    Control,
+    Decide, //
+};
 use super::heartbeat;
 use super::log_lines::BoundedLines;
 use super::node::Node;
@@ -11,7 +14,13 @@
 use super::store_probe;
 use super::store_watch;
 use super::submit;
+use super::supervision::{
+    self,
+    Part,
+    spawn_lasting, //
+};
 use crate::events;
+use crate::panics;
 use crate::platform::{
     HttpClient,
     MachineClient,
@@ -21,6 +30,7 @@
     WorkerClient,
     read_settings, //
 };
+use crate::scheduler::Scheduler;
 use crate::timer::Timer;
 use actix_http::body::BoxBody;
 use actix_http::{
@@ -49,7 +59,10 @@
     SignalKind,
     signal, //
 };
-use tokio::sync::mpsc;
+use tokio::sync::{
+    Mutex,
+    mpsc, //
+};
 
 /// How long the head of a request may take to arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
@@ -97,9 +110,11 @@
     let settings = settings_at(&path)?;
     let metrics = set_up_metrics();
     set_up_log()?;
+    panics::report();
     let timer = Timer::spawn()?;
     actix_rt::System::new().block_on(async move {
-        let daemon = ClusterDaemon::spawn(settings, timer, metrics).await?;
+        let decide = Box::new(Scheduler::decide);
+        let daemon = ClusterDaemon::spawn(settings, timer, metrics, decide).await?;
         daemon.until_signalled(&path).await
     })
 }
@@ -180,7 +195,7 @@
 }
 
 impl ClusterDaemon {
-    /// Starts a daemon.
+    /// Starts a daemon that makes its decisions with `decide`.
     ///
     /// # Errors
     ///
@@ -189,9 +204,10 @@
         settings: ClusterSettings,
         timer: Timer,
         metrics: PrometheusHandle,
+        decide: Decide,
     ) -> Result<Self, Error> {
-        let (outputs, decisions) = mpsc::unbounded_channel();
-        let control = Control::spawn(timer.clone(), outputs)?;
+        let (sender, reports) = mpsc::unbounded_channel();
+        let control = Control::spawn(timer.clone(), sender, decide)?;
         let http = HttpClient::new(timer.clone());
         let store = StoreClient::new(http.clone(), &settings.store_address);
         let workers = WorkerClient::new(http.clone());
@@ -210,30 +226,50 @@
             source,
         })?);
         let node = Node::open(settings, timer, store, workers, machines, control, boot);
-        actix_rt::spawn(actions::run(node.clone(), decisions));
-        actix_rt::spawn(store_probe::run(node.clone()));
-        actix_rt::spawn(store_watch::follow_operator_values(node.clone()));
-        actix_rt::spawn(store_watch::maintain_membership(node.clone()));
-        actix_rt::spawn(heartbeat::send(node.clone(), heartbeat_socket.clone()));
-        actix_rt::spawn(heartbeat::receive(node.clone(), heartbeat_socket));
-        actix_rt::spawn(heartbeat::elect(node.clone()));
-        let shared = node.clone();
-        actix_rt::spawn(Peers::serve(peer_listener, move |connection, body| {
-            submit::answer(shared.clone(), connection, body)
-        }));
-        let shared = node.clone();
-        actix_rt::spawn(serve(readiness_listener, move |request: Request| {
-            let shared = shared.clone();
-            async move { client_requests::readiness(&shared, request.path()) }
-        }));
-        actix_rt::spawn(serve(metrics_listener, move |_| {
-            let text = metrics.render();
-            async move { Response::ok().set_body(BoxBody::new(text)) }
-        }));
-        let shared = node.clone();
-        actix_rt::spawn(serve(client_listener, move |request| {
-            client_requests::answer(shared.clone(), request)
-        }));
+        let reports = Rc::new(Mutex::new(reports));
+        spawn_part(&node, "actions", move |node| {
+            actions::run(node, reports.clone())
+        });
+        spawn_part(&node, "store_probe", store_probe::run);
+        spawn_part(
+            &node,
+            "operator_values",
+            store_watch::follow_operator_values,
+        );
+        spawn_part(&node, "membership", store_watch::maintain_membership);
+        spawn_part(&node, "control_watch", supervision::watch_control);
+        spawn_part(&node, "election", heartbeat::elect);
+        let socket = heartbeat_socket.clone();
+        spawn_part(&node, "heartbeats_out", move |node| {
+            heartbeat::send(node, socket.clone())
+        });
+        spawn_part(&node, "heartbeats_in", move |node| {
+            heartbeat::receive(node, heartbeat_socket.clone())
+        });
+        spawn_part(&node, "peers", move |node| {
+            let listener = peer_listener.clone();
+            Peers::serve(listener, move |connection, body| {
+                submit::answer(node.clone(), connection, body)
+            })
+        });
+        spawn_part(&node, "readiness", move |node| {
+            serve(readiness_listener.clone(), move |request: Request| {
+                let node = node.clone();
+                async move { client_requests::readiness(&node, request.path()) }
+            })
+        });
+        spawn_part(&node, "metrics", move |_| {
+            let metrics = metrics.clone();
+            serve(metrics_listener.clone(), move |_| {
+                let text = metrics.render();
+                async move { Response::ok().set_body(BoxBody::new(text)) }
+            })
+        });
+        spawn_part(&node, "clients", move |node| {
+            serve(client_listener.clone(), move |request| {
+                client_requests::answer(node.clone(), request)
+            })
+        });
         events::log(
             events::DAEMON_STARTED,
             format_args!(
@@ -302,13 +338,23 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+/// Starts a task that lasts as long as the daemon.
+fn spawn_part<F>(node: &Rc<Node>, part: &'static str, start: impl Fn(Rc<Node>) -> F + 'static)
+where
+    F: Future<Output = ()> + 'static,
+{
+    let shared = node.clone();
+    spawn_lasting(node, Part(part), move || start(shared.clone()));
+}
+
+async fn listen(address: SocketAddr) -> Result<Rc<TcpListener>, Error> {
     let listener = TcpListener::bind(address).await;
-    listener.map_err(|source| Error::Listen { address, source })
+    let listener = listener.map_err(|source| Error::Listen { address, source })?;
+    Ok(Rc::new(listener))
 }
 
 /// Serves HTTP on `listener`, with `answer` for each request.
-async fn serve<F, A>(listener: TcpListener, answer: F)
+async fn serve<F, A>(listener: Rc<TcpListener>, answer: F)
 where
     F: Fn(Request) -> A + Clone + 'static,
     A: Future<Output = Response<BoxBody>> + 'static,
--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -62,7 +62,7 @@
     pub name: String,
     /// Millicores of its VM. The daemon with more is the better candidate.
     pub cpu_millis: u64,
-    /// Whether it reaches the store and does not drain.
+    /// Whether it reaches the store, does not drain and has not failed.
     pub eligible: bool,
 }
 
@@ -81,6 +81,9 @@
     pub store_lost_since_ms: Option<u64>,
     /// Whether it is draining.
     pub draining: bool,
+    /// When it first reported that a failure of its own keeps it from owning; `None` if none
+    /// does.
+    pub failed_since_ms: Option<u64>,
     /// Whether its process has ended, because its daemon has a newer incarnation.
     pub incarnation_over: bool,
 }
@@ -140,6 +143,10 @@
             (view.started_ms + START_DELAY_MS, "owner_restarted")
         }
         Some(status) if status.draining => (status.last_heartbeat_ms, "owner_draining"),
+        Some(OwnerStatus {
+            failed_since_ms: Some(since_ms),
+            ..
+        }) => (*since_ms, "owner_failed"),
         Some(status) => {
             let unresponsive_due_ms = status.last_heartbeat_ms + OWNER_TIMEOUT_MS;
             let store_loss_due_ms = status
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -75,6 +75,7 @@
             data_centre: node.settings.data_centre.clone(),
             carried_workers: node.settings.resources.carried_workers(),
             keeps_learned: true,
+            failed: node.has_failed(),
         }
         .encode_to_vec();
         for (_, peer) in &others {
@@ -140,6 +141,7 @@
         store: store_contact_of(&heartbeat, now_ms),
         store_lost_since_ms: (!heartbeat.has_store).then_some(now_ms),
         draining: heartbeat.draining,
+        failed_since_ms: heartbeat.failed.then_some(now_ms),
         cpu_millis: heartbeat.cpu_millis,
         interval_ms: heartbeat.interval_ms,
         data_centre: heartbeat.data_centre.clone(),
--- a/src/cluster/learned_state.rs
+++ b/src/cluster/learned_state.rs
@@ -5,6 +5,7 @@
 //! for either: a message without an answer is sent again with newer values, and a new owner
 //! whose read of the store is late or fails begins without it.
 
+use super::election::successors;
 use super::invalid_values::{
     InvalidReason,
     StoredKind, //
@@ -32,12 +33,20 @@
     StoreError,
     StoredRange, //
 };
+use super::supervision::{
+    Part,
+    spawn_for_epoch, //
+};
 use crate::events;
-use crate::scheduler::Input;
+use crate::scheduler::{
+    Input,
+    Learned, //
+};
 use actix_rt::task::JoinHandle;
 use futures_util::FutureExt;
 use futures_util::future::join_all;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Number of likely successors that are told: the loss of a rack rarely takes more.
@@ -59,6 +68,52 @@
 /// Wait before the store is read again after a failure.
 const REREAD_MS: u64 = 5_000;
 
+impl Node {
+    /// Keeps what an owner has learned, unless something newer is kept.
+    pub fn keep_learned(&self, learned: &Learned, stamp: LearnedStamp, source: LearnedSource) {
+        let now_ms = self.now_ms();
+        let mut kept = self.kept_learned.borrow_mut();
+        kept.record(learned, stamp, source, now_ms);
+        metrics::gauge!("fuchsiaslip_kept", "what" => "learned").set(kept.len() as f64);
+    }
+
+    /// Keeps what an owner has told. If this daemon owns by now, its scheduler is told too.
+    pub fn record_learned_of_owner(&self, message: &LearnedMessage) {
+        let (learned, stamp) = (message.learned(), message.stamp());
+        self.keep_learned(&learned, stamp, LearnedSource::Owner);
+        if self.owns() && stamp.epoch < self.epoch() {
+            let age_ms = self.now_ms().saturating_sub(stamp.at_ms);
+            let input = Input::Learned { learned, age_ms };
+            self.control.send_input(self.epoch(), input);
+        }
+    }
+
+    /// Records that a daemon keeps what owners have learned.
+    pub fn record_learned_receiver(&self, name: &str, boot: u64) {
+        let mut receivers = self.learned_receivers.borrow_mut();
+        if receivers.get(name) != Some(&boot) {
+            receivers.insert(name.to_owned(), boot);
+        }
+    }
+
+    /// The first `count` daemons that would take over from this one and keep what it has
+    /// learned: their names, incarnations and addresses.
+    pub fn learned_successors(&self, count: usize) -> Vec<(String, u64, SocketAddr)> {
+        let others = self.peer_table.borrow();
+        let mut receivers = self.learned_receivers.borrow_mut();
+        receivers.retain(|name, &mut boot| others.incarnation(name, boot).is_some());
+        let mut candidates = others.candidates(self.now_ms());
+        candidates.retain(|candidate| receivers.contains_key(&candidate.name));
+        let names = successors(&candidates, count).into_iter();
+        let told = names.filter_map(|name| {
+            let boot = *receivers.get(&name)?;
+            let address = others.incarnation(&name, boot)?.address;
+            Some((name, boot, address))
+        });
+        told.collect()
+    }
+}
+
 /// A read of the stored parts, in the background.
 pub type SnapshotRead = JoinHandle<Result<StoredRange, StoreError>>;
 
@@ -79,8 +134,10 @@
     let pending = (!is_over).then_some(read);
     let (inputs, counts) = node.kept_learned.borrow().inputs(node.now_ms());
     report(epoch, &counts);
-    actix_rt::spawn(share(node.clone(), epoch));
-    actix_rt::spawn(store(node.clone(), epoch, parts, pending));
+    let sharing = share(node.clone(), epoch);
+    spawn_for_epoch(node, epoch, Part("learned_messages"), sharing);
+    let storing = store(node.clone(), epoch, parts, pending);
+    spawn_for_epoch(node, epoch, Part("learned_writes"), storing);
     inputs
 }
 
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -16,6 +16,7 @@
 mod control;
 mod counted_crashes;
 mod daemon;
+mod decision_lines;
 mod election;
 mod emptying;
 mod heartbeat;
@@ -43,6 +44,7 @@
 mod store_watch;
 mod stored_inputs;
 mod submit;
+mod supervision;
 mod unknown_outcomes;
 mod unreadable_jobs;
 mod worker_call;
@@ -65,7 +67,9 @@
 pub use control::{
     Command,
     Control,
-    Output, //
+    Decide,
+    Output,
+    Report, //
 };
 pub use counted_crashes::CountedCrashes;
 pub use daemon::{
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -10,8 +10,7 @@
     Candidate,
     ElectionView,
     OwnerStatus,
-    effective_heartbeat_ms,
-    successors, //
+    effective_heartbeat_ms, //
 };
 use super::emptying::EmptyingOrders;
 use super::invalid_values::{
@@ -19,14 +18,7 @@
     InvalidValueReporter, //
     StoredKind,
 };
-use super::kept_learned::{
-    KeptLearned,
-    LearnedSource, //
-};
-use super::learned_frame::{
-    LearnedMessage,
-    LearnedStamp, //
-};
+use super::kept_learned::KeptLearned;
 use super::peer_connections::Peers;
 use super::peer_frame::CrashMessage;
 use super::peer_table::{
@@ -37,6 +29,7 @@
 use super::settings::ClusterSettings;
 use super::store_calls::StoreCalls;
 use super::store_types::StoredItem;
+use super::supervision::Failure;
 use super::unknown_outcomes::UnknownOutcomes;
 use crate::core::JobId;
 use crate::events;
@@ -48,8 +41,7 @@
 use crate::scheduler::{
     ClusterConfiguration,
     CountedCrash,
-    Input,
-    Learned, //
+    Input, //
 };
 use crate::timer::Timer;
 use std::cell::{
@@ -135,10 +127,11 @@
     pub(super) counted_crashes: RefCell<CountedCrashes>,
     pub(super) kept_learned: RefCell<KeptLearned>,
     /// Daemons that keep what owners have learned, with their incarnations.
-    learned_receivers: RefCell<BTreeMap<String, u64>>,
+    pub(super) learned_receivers: RefCell<BTreeMap<String, u64>>,
     pub(super) carrier_routes: RefCell<CarrierRoutes>,
     pub(super) store_calls: StoreCalls,
     draining: Cell<bool>,
+    pub(super) failure: Cell<Option<Failure>>,
     configuration_behind_since_ms: Cell<Option<u64>>,
     fetching_configuration: Cell<bool>,
     invalid_values: RefCell<InvalidValueReporter>,
@@ -185,6 +178,7 @@
             carrier_routes: RefCell::default(),
             store_calls: StoreCalls::open(timer.clone()),
             draining: Cell::new(false),
+            failure: Cell::new(None),
             configuration_behind_since_ms: Cell::new(None),
             fetching_configuration: Cell::new(false),
             invalid_values: RefCell::default(),
@@ -283,7 +277,8 @@
     pub fn is_ready(&self) -> bool {
         let is_isolated = || self.peer_table.borrow().is_isolated(self.now_ms());
         let confirmed = !self.is_configuration_stale() || !is_isolated();
-        self.configuration.borrow().version > 0 && confirmed && !self.draining.get()
+        let is_working = self.is_responding() && !self.draining.get();
+        self.configuration.borrow().version > 0 && confirmed && is_working
     }
 
     /// Returns the decoded value, or reports an invalid one, once for each revision,
@@ -362,50 +357,6 @@
         crashes.into_iter().map(CrashMessage::from).collect()
     }
 
-    /// Keeps what an owner has learned, unless something newer is kept.
-    pub fn keep_learned(&self, learned: &Learned, stamp: LearnedStamp, source: LearnedSource) {
-        let now_ms = self.now_ms();
-        let mut kept = self.kept_learned.borrow_mut();
-        kept.record(learned, stamp, source, now_ms);
-        metrics::gauge!("fuchsiaslip_kept", "what" => "learned").set(kept.len() as f64);
-    }
-
-    /// Keeps what an owner has told. If this daemon owns by now, its scheduler is told too.
-    pub fn record_learned_of_owner(&self, message: &LearnedMessage) {
-        let (learned, stamp) = (message.learned(), message.stamp());
-        self.keep_learned(&learned, stamp, LearnedSource::Owner);
-        if self.owns() && stamp.epoch < self.epoch() {
-            let age_ms = self.now_ms().saturating_sub(stamp.at_ms);
-            let input = Input::Learned { learned, age_ms };
-            self.control.send_input(self.epoch(), input);
-        }
-    }
-
-    /// Records that a daemon keeps what owners have learned.
-    pub fn record_learned_receiver(&self, name: &str, boot: u64) {
-        let mut receivers = self.learned_receivers.borrow_mut();
-        if receivers.get(name) != Some(&boot) {
-            receivers.insert(name.to_owned(), boot);
-        }
-    }
-
-    /// The first `count` daemons that would take over from this one and keep what it has
-    /// learned: their names, incarnations and addresses.
-    pub fn learned_successors(&self, count: usize) -> Vec<(String, u64, SocketAddr)> {
-        let others = self.peer_table.borrow();
-        let mut receivers = self.learned_receivers.borrow_mut();
-        receivers.retain(|name, &mut boot| others.incarnation(name, boot).is_some());
-        let mut candidates = others.candidates(self.now_ms());
-        candidates.retain(|candidate| receivers.contains_key(&candidate.name));
-        let names = successors(&candidates, count).into_iter();
-        let told = names.filter_map(|name| {
-            let boot = *receivers.get(&name)?;
-            let address = others.incarnation(&name, boot)?.address;
-            Some((name, boot, address))
-        });
-        told.collect()
-    }
-
     /// Marks this daemon as draining.
     pub fn drain(&self) {
         self.draining.set(true);
@@ -485,13 +436,18 @@
                     self.epoch()
                 ),
             );
-            metrics::counter!("fuchsiaslip_deposed_total", "reason" => reason).increment(1);
-            self.epoch.set(0);
-            self.pending_writes.clear();
-            self.control.send(Command::End);
+            self.end_ownership(reason);
         }
     }
 
+    /// Ends this daemon's ownership, as [`Self::stop_owning`] without its line in the log.
+    pub(super) fn end_ownership(&self, reason: &'static str) {
+        metrics::counter!("fuchsiaslip_deposed_total", "reason" => reason).increment(1);
+        self.epoch.set(0);
+        self.pending_writes.clear();
+        self.control.send(Command::End);
+    }
+
     /// Records an owner. One whose epoch is not higher than the known owner's is
     /// ignored; a higher epoch than this daemon's own ends its ownership.
     pub fn learn_owner(&self, owner: KnownOwner) {
@@ -564,7 +520,7 @@
             own: Candidate {
                 name: self.settings.daemon.clone(),
                 cpu_millis: self.settings.cpu_millis,
-                eligible: self.has_store() && !self.draining.get(),
+                eligible: self.has_store() && !self.draining.get() && !self.has_failed(),
             },
             started_ms: self.started_ms,
             store_recovered_ms: self.store_calls.recovered_ms(),
@@ -595,6 +551,7 @@
             learned_ms: owner.learned_ms,
             store_lost_since_ms: peer.and_then(|peer| peer.store_lost_since_ms),
             draining: peer.is_some_and(|peer| peer.draining),
+            failed_since_ms: peer.and_then(|peer| peer.failed_since_ms),
             incarnation_over: !self.owns() && self.is_incarnation_over(&owner.name, owner.boot),
         }
     }
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -40,6 +40,10 @@
     wave_inputs,
     worker_inputs, //
 };
+use super::supervision::{
+    Part,
+    spawn_for_epoch, //
+};
 use super::unreadable_jobs;
 use super::worker_calls;
 use crate::events;
@@ -270,13 +274,20 @@
         ),
     );
     metrics::counter!("fuchsiaslip_takeovers_total", "reason" => taken.reason).increment(1);
-    actix_rt::spawn(worker_calls::maintain_plan(node.clone(), epoch));
-    actix_rt::spawn(commits::run(node.clone(), epoch));
-    actix_rt::spawn(store_watch::reread_waves(node.clone(), epoch));
-    actix_rt::spawn(store_watch::follow_jobs(node.clone(), epoch, jobs.revision));
-    actix_rt::spawn(store_watch::follow_workers(node.clone(), epoch, workers));
-    actix_rt::spawn(unreadable_jobs::reread_jobs(node.clone(), epoch));
-    actix_rt::spawn(confirm(node.clone(), epoch));
+    let task = worker_calls::maintain_plan(node.clone(), epoch);
+    spawn_for_epoch(node, epoch, Part("carrier_plan"), task);
+    let task = commits::run(node.clone(), epoch);
+    spawn_for_epoch(node, epoch, Part("commits"), task);
+    let task = store_watch::reread_waves(node.clone(), epoch);
+    spawn_for_epoch(node, epoch, Part("waves"), task);
+    let task = store_watch::follow_jobs(node.clone(), epoch, jobs.revision);
+    spawn_for_epoch(node, epoch, Part("jobs"), task);
+    let task = store_watch::follow_workers(node.clone(), epoch, workers);
+    spawn_for_epoch(node, epoch, Part("workers"), task);
+    let task = unreadable_jobs::reread_jobs(node.clone(), epoch);
+    spawn_for_epoch(node, epoch, Part("unreadable_jobs"), task);
+    let task = confirm(node.clone(), epoch);
+    spawn_for_epoch(node, epoch, Part("confirmation"), task);
     Ok(())
 }
 
--- a/src/cluster/peer_connections.rs
+++ b/src/cluster/peer_connections.rs
@@ -288,7 +288,7 @@
 
     /// Accepts connections on `listener` and responds to requests with `answer`, which returns
     /// `None` if a connection is of no use any more.
-    pub async fn serve<F, A>(listener: TcpListener, answer: F)
+    pub async fn serve<F, A>(listener: Rc<TcpListener>, answer: F)
     where
         F: Fn(Rc<CarriedConnection>, PeerBody) -> Option<A> + Clone + 'static,
         A: Future<Output = Option<PeerBody>> + 'static,
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -137,6 +137,9 @@
     /// the connection on which it is told.
     #[prost(bool, tag = "20")]
     pub keeps_learned: bool,
+    /// Whether a failure of the sender's own keeps it from owning.
+    #[prost(bool, tag = "21")]
+    pub failed: bool,
 }
 
 /// A worker that crashed at the start of a run.
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -45,6 +45,9 @@
     pub store_lost_since_ms: Option<u64>,
     /// Whether it is draining.
     pub draining: bool,
+    /// When it first reported that a failure of its own keeps it from owning; `None` if none
+    /// does.
+    pub failed_since_ms: Option<u64>,
     /// Millicores of its VM.
     pub cpu_millis: u64,
     /// Time between its heartbeats.
@@ -64,9 +67,9 @@
         self.last_heartbeat_ms > 0 && now_ms < self.last_heartbeat_ms + timeout_ms
     }
 
-    /// Whether it reaches the store and does not drain.
+    /// Whether it reaches the store, does not drain and has not failed.
     fn is_eligible(&self) -> bool {
-        self.has_store && !self.draining
+        self.has_store && !self.draining && self.failed_since_ms.is_none()
     }
 
     /// Whether the store probably answers it although this daemon has lost it: the store
@@ -107,6 +110,9 @@
                     true => None,
                     false => known.store_lost_since_ms.or(Some(peer.last_heartbeat_ms)),
                 },
+                failed_since_ms: peer
+                    .failed_since_ms
+                    .map(|since_ms| known.failed_since_ms.unwrap_or(since_ms)),
                 ..peer
             },
             None => peer,
--- a/src/cluster/store_watch.rs
+++ b/src/cluster/store_watch.rs
@@ -314,6 +314,7 @@
                 store: StoreContact::default(),
                 store_lost_since_ms: None,
                 draining: false,
+                failed_since_ms: None,
                 cpu_millis: 0,
                 interval_ms: 0,
                 data_centre: String::new(),
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -36,6 +36,7 @@
     Owner,
     Settings as OwnerSettings, //
 };
+use crate::panics;
 use crate::timer::Timer;
 use actix_http::{
     HttpService,
@@ -151,6 +152,7 @@
         return Ok(());
     }
     set_up_log()?;
+    panics::report();
     let timer = Timer::spawn()?;
     let daemon = Daemon::spawn(settings, timer.clone())?;
     actix_rt::System::new().block_on(drain_on_signal(&daemon))?;
--- a/src/events.rs
+++ b/src/events.rs
@@ -43,6 +43,8 @@
     SETTINGS_RELOADED = 104, Info, "the settings file was read again", "restart the daemon if the line says that changes need a restart";
     /// The settings file is invalid.
     SETTINGS_REFUSED = 105, Warn, "the settings file is invalid; the daemon keeps the previous settings", "fix the file and send SIGHUP again";
+    /// A thread or a task of the daemon panicked.
+    THREAD_PANICKED = 106, Error, "a thread or a task of this daemon panicked at the place named", "report the line, and those with dropped true after it; an owner that failed is followed by E208";
     /// A client's request was answered.
     REQUEST_ANSWERED = 110, Info, "a request was answered", "docs/OPERATIONS.md explains how to find the cause of a refusal";
     /// This daemon became the owner.
@@ -61,6 +63,8 @@
     RECOVERY_FINISHED = 206, Info, "this owner knows which runs earlier owners started; stored work starts", "if it waited for seconds, check the workers that did not answer";
     /// A daemon took the next epoch but could not start as owner.
     TAKEOVER_INCOMPLETE = 207, Warn, "this daemon took the next epoch but could not start as owner; unless another daemon takes over first, it retries after the timeout for an unresponsive owner", "check the key-value service and the network between it and this daemon's VM";
+    /// This daemon gave up the ownership after a failure of its own.
+    OWNER_FAILED = 208, Error, "a part of this daemon failed; it gave up the ownership, and another daemon takes over", "report the E106 before it; if the owners after it fail as well, compare the places and the last lines of each";
     /// The store answers again.
     STORE_BACK = 210, Info, "the key-value service answers again", "none";
     /// The store does not answer.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ledger;
 pub mod network_bytes;
 pub mod owner;
+mod panics;
 pub mod platform;
 pub mod scheduler;
 pub mod standin;
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -351,6 +351,12 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the actions that were decided on since the last call of [`Scheduler::decide`]
+    /// returned, after a panic in one of its methods.
+    pub fn into_actions(self) -> Vec<Action> {
+        self.actions
+    }
+
     /// Detects that this process was paused since its last decision. The gap is compared
     /// with the mean gap, so that a VM so slow that every decision takes a second does not
     /// count as paused.
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -30,6 +30,7 @@
         learned_ms: NOW_MS - 60_000,
         store_lost_since_ms: None,
         draining: false,
+        failed_since_ms: None,
         incarnation_over: false,
     }
 }
@@ -145,6 +146,25 @@
     assert_eq!(takeover_at_ms(&first), Some(NOW_MS + 1_500));
 }
 
+/// Guards against a wait for an owner whose heartbeats go on although it has failed and given up
+/// the ownership: only the missing claim in them would show that, after seconds.
+#[test]
+fn an_owner_that_failed_is_replaced_at_once_and_in_the_order_of_rank() {
+    let failed = OwnerStatus {
+        failed_since_ms: Some(NOW_MS - 200),
+        ..owner_status()
+    };
+    let mut second = view(Some(failed.clone()));
+    second.reachable.push(candidate("a", 250));
+
+    assert_eq!(takeover_at_ms(&view(Some(failed))), Some(NOW_MS - 200));
+    assert_eq!(
+        takeover_at_ms(&second),
+        Some(NOW_MS + 100),
+        "one rank later"
+    );
+}
+
 #[test]
 fn a_draining_owner_is_replaced_at_once() {
     let draining = OwnerStatus {
--- a/tests/peer_table.rs
+++ b/tests/peer_table.rs
@@ -33,6 +33,7 @@
         },
         store_lost_since_ms: None,
         draining: false,
+        failed_since_ms: None,
         cpu_millis: 250,
         interval_ms: 250,
         data_centre: "z".to_owned(),
@@ -131,3 +132,24 @@
     assert!(!half.is_isolated(NOW_MS));
     assert!(third.is_isolated(NOW_MS));
 }
+
+/// Guards against a fleet without an owner: if the time of each heartbeat of a failed owner
+/// counted, the takeover of a daemon of the second rank would never be due.
+#[test]
+fn a_peer_has_failed_since_it_first_said_so_until_it_says_otherwise() {
+    let failed_at = |since_ms: Option<u64>| Peer {
+        failed_since_ms: since_ms,
+        ..peer(1, Some(NOW_MS), None)
+    };
+    let mut table = table(vec![failed_at(Some(NOW_MS - 500))]);
+    let failed_since_ms = |table: &PeerTable| table.all()[0].1.failed_since_ms;
+
+    table.record("d0", failed_at(Some(NOW_MS)));
+    let first_ms = failed_since_ms(&table);
+    table.record("d0", failed_at(None));
+    let works = failed_since_ms(&table);
+
+    assert_eq!(first_ms, Some(NOW_MS - 500));
+    assert_eq!(works, None);
+    assert!(table.candidates(NOW_MS)[0].eligible);
+}
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -58,6 +58,7 @@
 /// | 224 to 229 | `carriers.rs` |
 /// | 230 to 238 | `foreign/path.rs` |
 /// | 246 to 248 | `learned_state/whole_path.rs` |
+/// | 249, 250 | `owner_parts.rs` |
 ///
 /// Benches run alone and may use any number; 254 is the highest.
 pub fn loopback(test: u8, at: u8) -> Ipv4Addr {
@@ -65,6 +66,26 @@
     Ipv4Addr::new(127, 1 + test, (process % 250) as u8, 1 + at)
 }
 
+/// The settings of a daemon at `ip`, with further lines.
+pub fn settings_text(name: &str, ip: Ipv4Addr, store: SocketAddr, further: &str) -> String {
+    format!(
+        "node_name={name}\nip={ip}\nzone=z\n\
+         listen_addresses.frontend={ip}:{CLIENT_PORT}\n\
+         listen_addresses.readiness={ip}:{READINESS_PORT}\n\
+         internal_port_range={FIRST_INTERNAL_PORT},{}\n\
+         platform.address={store}\nbounds.grace_period_s=6\n\
+         bounds.evacuation_ms=5000\n{further}",
+        FIRST_INTERNAL_PORT + 15
+    )
+}
+
+/// Whether the daemon at `ip` reports that it is ready.
+pub fn is_ready_at(ip: Ipv4Addr) -> bool {
+    let address = SocketAddr::new(ip.into(), READINESS_PORT);
+    let request = b"GET /-/readiness HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+    matches!(exchange(address, request), Answer::Status(200, _))
+}
+
 impl Daemon {
     /// Starts a daemon at `ip`.
     pub fn spawn(name: &str, ip: Ipv4Addr, store: SocketAddr) -> Self {
@@ -73,15 +94,7 @@
 
     /// Starts a daemon at `ip` with further lines in its settings.
     pub fn spawn_with_settings(name: &str, ip: Ipv4Addr, store: SocketAddr, further: &str) -> Self {
-        let text = format!(
-            "node_name={name}\nip={ip}\nzone=z\n\
-             listen_addresses.frontend={ip}:{CLIENT_PORT}\n\
-             listen_addresses.readiness={ip}:{READINESS_PORT}\n\
-             internal_port_range={FIRST_INTERNAL_PORT},{}\n\
-             platform.address={store}\nbounds.grace_period_s=6\n\
-             bounds.evacuation_ms=5000\n{further}",
-            FIRST_INTERNAL_PORT + 15
-        );
+        let text = settings_text(name, ip, store, further);
         let settings =
             std::env::temp_dir().join(format!("fuchsiaslip-{}-{ip}.settings", std::process::id()));
         std::fs::write(&settings, text).expect("settings are written");
@@ -169,9 +182,7 @@
 
     /// Whether the daemon reports that it is ready.
     pub fn is_ready(&self) -> bool {
-        let address = SocketAddr::new(self.ip.into(), READINESS_PORT);
-        let request = b"GET /-/readiness HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
-        matches!(exchange(address, request), Answer::Status(200, _))
+        is_ready_at(self.ip)
     }
 }
 
