End given-up jobs before a pass makes its list of groups

Cause: a pass goes through a list of waiting groups. For each group it reviewed the suspects, and one that had reached the limit of its starts under earlier owners failed its job, which removes all groups of the job. If the list had another group of that job, the pass looked it up by index and panicked. The count of starts is stored and the end of the job was lost with the panic, so that each next owner failed at the same place.

Change: a pass reviews the suspects of all waiting groups before it makes its list. Nothing that it decides after that closes a group; starts, stops, preemptions, reservations and advice were read for it, and debug builds check it after each offer. Every other caller of end_job was read as well: each looks groups up again afterwards.

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -52,6 +52,7 @@
 use super::state::Scheduler;
 use super::worker::Contact;
 use super::{
+    Group,
     GroupKey,
     Run,
     RunName,
@@ -512,24 +513,22 @@
         self.fail_crashing_job(name, failures, crashes);
     }
 
-    /// Fails the job of a group if a suspect has reached the limit of its starts under earlier
-    /// owners. Returns whether the group is still open.
-    pub(super) fn review_suspects(&mut self, key: GroupKey) -> bool {
-        let Some(group) = self.groups.get(&key) else {
-            return false;
-        };
-        let tasks = (0u32..).zip(&group.tasks);
-        let suspects = tasks.filter(|(_, task)| task.is_suspect());
-        let names: Vec<RunName> = suspects
-            .map(|(index, task)| RunName {
-                task: key.task(index),
+    /// Fails the jobs of waiting groups of which a suspect has reached the limit of its starts
+    /// under earlier owners.
+    pub(super) fn review_suspects(&mut self) {
+        let suspects_of = |group: &Group| {
+            let tasks = (0u32..).zip(&group.tasks);
+            let suspects = tasks.filter(|(_, task)| task.is_suspect());
+            let names = suspects.map(|(index, task)| RunName {
+                task: group.key.task(index),
                 run: task.last_run,
-            })
-            .collect();
-        for name in names {
+            });
+            names.collect::<Vec<_>>()
+        };
+        let suspects: Vec<RunName> = self.waiting_groups().flat_map(suspects_of).collect();
+        for name in suspects {
             self.review_suspect_starts(name);
         }
-        self.groups.contains_key(&key)
     }
 
     /// Returns how many crashes of a job's tasks this owner may not know of: a crash during a
--- a/src/scheduler/ordering.rs
+++ b/src/scheduler/ordering.rs
@@ -164,14 +164,19 @@
 }
 
 impl Scheduler {
+    /// Returns the groups that wait for capacity, of jobs whose terms are known.
+    pub(super) fn waiting_groups(&self) -> impl Iterator<Item = &Group> {
+        let groups = self.groups.values();
+        groups
+            .filter(|group| group.is_ready(self.now_ms))
+            .filter(|group| self.jobs[&group.key.job].terms.is_some())
+    }
+
     /// Returns the groups that wait for capacity, in the order in which it is offered.
     pub(super) fn ranked(&mut self) -> Vec<Ranked> {
         self.guaranteed = self.guaranteed_jobs();
         let mut ranked: Vec<Ranked> = self
-            .groups
-            .values()
-            .filter(|group| group.is_ready(self.now_ms))
-            .filter(|group| self.jobs[&group.key.job].terms.is_some())
+            .waiting_groups()
             .map(|group| self.rank(group))
             .collect();
         ranked.sort_by(Ranked::compare);
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -1,6 +1,9 @@
 //! Runs a scheduling pass: offers free capacity to waiting groups in the order of
 //! [`super::ordering`].
 //!
+//! A pass first ends the jobs that have to be given up. What it decides after that closes no
+//! group, so each group of its list stays open until the pass is over.
+//!
 //! Starts, reservations and preemptions of a pass are subtracted from the candidates'
 //! free resources at once, so no resources are given to two groups. A pass starts
 //! nothing unless the epoch was confirmed recently, a configuration is known, and the
@@ -95,6 +98,7 @@
             return;
         }
         self.report_stale_entries();
+        self.review_suspects();
         let mut candidates = self.candidates();
         let mut failed_searches = FailedSearches::default();
         let mut reservations = Reservations::default();
@@ -128,6 +132,10 @@
                 non_urgent_capacity.reserve(self.waiting_gang_members(ranked.key) * accelerators);
             }
             starts += started.tasks;
+            debug_assert!(
+                self.groups.contains_key(&ranked.key),
+                "an offer closes no group"
+            );
         }
         let is_short = failed_searches.is_short || reservations.gangs > 0;
         self.accounts.record_pass(is_short);
@@ -191,7 +199,7 @@
         reservations: &mut Reservations,
     ) -> Started {
         let key = ranked.key;
-        if !self.review_suspects(key) || !self.is_crash_stored(key) {
+        if !self.is_crash_stored(key) {
             return Started::default();
         }
         let suspected = self.has_waiting_suspect(key);
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -908,3 +908,50 @@
     assert!(starts <= MAX_STARTS, "started {starts} times");
     assert_eq!(status_of(&next, id), Some(JobStatus::Failed));
 }
+
+/// Has the worker of another member of a gang crash again and again, until the next owner gives
+/// the job up in its first pass, with a second step of the job still waiting for capacity. The
+/// owner is killed after the last crash.
+fn fleet_that_gives_up_a_job_with_two_waiting_steps() -> Fleet {
+    const MEMBERS: u32 = 6;
+    const CRASHES: u32 = 4;
+    const WORK_MS: u64 = 1_500;
+    let mut fleet = Fleet::with_workers(14);
+    let other = record("plain", vec![gang(5, 8)]);
+    let other_id = fleet.submit(1, other.clone());
+    let job = record("plain", vec![gang(MEMBERS, 8), gang(10, 8)]);
+    let id = fleet.submit(2, job.clone());
+    for index in 0..CRASHES {
+        let until_ms = fleet.now_ms + LONG_ENOUGH_MS;
+        let running = |fleet: &Fleet| -> Vec<(String, RunName)> {
+            let running = fleet.running().into_iter();
+            running.filter(|(_, name)| name.task.job == id).collect()
+        };
+        while running(&fleet).len() < MEMBERS as usize && fleet.now_ms < until_ms {
+            fleet.advance(STEP_MS);
+        }
+        fleet.advance(WORK_MS);
+        let hosts = running(&fleet);
+        let host = hosts
+            .iter()
+            .find(|(_, name)| name.task == task_of(id, index));
+        let (worker, _) = host.expect("the member runs");
+        fleet.crash(worker);
+    }
+    fleet.advance(500);
+    let jobs = [(other_id, other), (id, job)];
+    fleet.next_owner(2, &jobs, true)
+}
+
+/// Guards against owners that panic one after the other: a pass gave a job up and then looked up
+/// the job's other steps, which were still on its list of waiting groups.
+#[test]
+fn an_owner_that_gives_up_a_job_with_two_waiting_steps_goes_on_to_schedule_others() {
+    let mut fleet = fleet_that_gives_up_a_job_with_two_waiting_steps();
+    fleet.advance(LONG_ENOUGH_MS);
+
+    let later = fleet.submit(3, record("plain", vec![step(1, 1)]));
+    fleet.advance(STEP_MS);
+
+    assert_eq!(starts_of(&fleet, task_of(later, 0)), 1);
+}
