Draw crashes under jobs of several steps

The drawn jobs had one step each, so that no drawn case could have shown a pass that ends a job with a second waiting step. Two kinds of jobs with two and three steps are added. Where a step is a gang, the fixture looked for a member that is done in the workers' lists of ends; a worker forgets an end once it is acknowledged, so that a member that started 50 ms after the others never ended (case 446 of 3,000). It now remembers the runs of gangs that are done. The checks are the same.

--- a/tests/crashes/drawn.rs
+++ b/tests/crashes/drawn.rs
@@ -73,6 +73,8 @@
     first_seen_ms: HashMap<RunName, u64>,
     /// Runs that had crashed and of whose crashes nothing was stored when the owner changed.
     unrecorded: HashSet<RunName>,
+    /// Runs of gangs of which a member is done; the others are done with it.
+    done_gangs: HashSet<(GroupKey, u64)>,
     /// The final states of jobs as observed; the scheduler deletes jobs after a while.
     ended: HashMap<JobId, JobStatus>,
     epoch: u64,
@@ -88,6 +90,7 @@
             jobs: Vec::new(),
             first_seen_ms: HashMap::new(),
             unrecorded: HashSet::new(),
+            done_gangs: HashSet::new(),
             ended: HashMap::new(),
             epoch: 1,
         }
@@ -115,13 +118,15 @@
 
     fn submit(&mut self, kind: u8, crashes: bool) {
         let id = JobId(self.jobs.len() as u64 + 1);
-        let steps = match kind % 4 {
+        let steps = match kind % 6 {
             0 => vec![step(3, 1)],
             1 => vec![gang(2, 4)],
             2 => vec![gang(3, 2)],
-            _ => vec![step(1, 2)],
+            3 => vec![step(1, 2)],
+            4 => vec![gang(3, 8), gang(5, 8)],
+            _ => vec![step(2, 4), gang(2, 4), step(3, 1)],
         };
-        let queue = ["urgent", "plain"][usize::from(kind / 4 % 2)];
+        let queue = ["urgent", "plain"][usize::from(kind / 6 % 2)];
         let job = record(queue, steps);
         if crashes {
             self.fleet.crashing.insert(super::task_of(id, 0));
@@ -209,6 +214,7 @@
                 self.fleet.end_run(&worker, name, EndKind::LeaseExpired);
             } else if now_ms >= started_ms + RUN_MS && self.can_end(name) {
                 self.fleet.end_run(&worker, name, EndKind::Done);
+                self.done_gangs.insert((GroupKey::of(name.task), name.run));
             }
         }
     }
@@ -217,29 +223,21 @@
     /// complete.
     fn can_end(&self, name: RunName) -> bool {
         let (_, job) = &self.jobs[name.task.job.0 as usize - 1];
-        let step = &job.spec.steps[0];
+        let key = GroupKey::of(name.task);
+        let step = &job.spec.steps[key.step as usize];
         let crashing = &self.fleet.crashing;
-        let gang_crashes = step.gang && crashing.contains(&super::task_of(name.task.job, 0));
+        let gang_crashes = step.gang && crashing.contains(&key.task(0));
         let running = self.fleet.running();
-        let members = running.iter().filter(|(_, other)| {
-            other.run == name.run && GroupKey::of(other.task) == GroupKey::of(name.task)
-        });
+        let members = running
+            .iter()
+            .filter(|(_, other)| other.run == name.run && GroupKey::of(other.task) == key);
+        // The worker that listed its end may have forgotten it since.
+        let has_done_member = self.done_gangs.contains(&(key, name.run));
         let has_missing_member =
-            step.gang && members.count() < step.count as usize && !self.has_done_member(name);
+            step.gang && members.count() < step.count as usize && !has_done_member;
         !crashing.contains(&name.task) && !gang_crashes && !has_missing_member
     }
 
-    /// Whether a member of the same run is already done.
-    fn has_done_member(&self, name: RunName) -> bool {
-        let workers = self.fleet.workers.values();
-        let mut ended = workers.flat_map(|worker| &worker.ended);
-        ended.any(|row| {
-            row.kind == EndKind::Done
-                && row.name.run == name.run
-                && GroupKey::of(row.name.task) == GroupKey::of(name.task)
-        })
-    }
-
     fn check(&mut self) {
         let running = self.fleet.running();
         let tasks: HashSet<TaskId> = running.iter().map(|(_, name)| name.task).collect();
