Stop a daemon of which a thread panics

The process went on: it refused or did not answer requests, its tasks sent heartbeats, and nothing started it again. The lease in the store was not renewed, so that another daemon owned after it.

A thread that panics now stops the daemon's other threads, and the process ends with an error, for whoever runs it to start it again. The scheduler cannot be started anew inside the process, since lists and configurations are passed to it only when they change.

a_daemon_whose_control_thread_panics_stops_and_another_one_owns; a test passes what handles the owner's events to Daemon::spawn_with. Tasks on the traffic thread of this deployment are not supervised yet.

--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -3,7 +3,10 @@
 //! Other threads send it requests and events. It sends the resulting actions to the
 //! traffic thread.
 
-use super::kill::ShutdownReceiver;
+use super::kill::{
+    ShutdownSignal,
+    spawn_thread, //
+};
 use super::status::Status;
 use crate::core::{
     Refusal,
@@ -46,6 +49,10 @@
     Acknowledged(Event, oneshot::Sender<bool>),
 }
 
+/// Handles an event of an owner at a time in milliseconds: [`Owner::handle`], unless a test
+/// passes another one.
+pub type HandleEvent = Box<dyn FnMut(&mut Owner, Event, u64) -> Vec<Action> + Send>;
+
 /// A handle to the control thread.
 #[derive(Clone, Debug)]
 pub struct Control {
@@ -60,26 +67,28 @@
     /// The thread cannot be started.
     pub fn spawn(
         owner: Owner,
+        handle_event: HandleEvent,
         timer: Timer,
         status: Arc<Status>,
         actions: mpsc::UnboundedSender<Action>,
-        shutdown: ShutdownReceiver,
+        shutdown: &ShutdownSignal,
     ) -> std::io::Result<Self> {
         let (sender, messages) = mpsc::channel(QUEUE_LENGTH);
-        std::thread::Builder::new()
-            .name("control".to_owned())
-            .spawn(move || {
-                let mut thread = ControlThread {
-                    owner,
-                    timer,
-                    status,
-                    actions,
-                    replies: HashMap::new(),
-                    next_token: 0,
-                    next_gauges_ms: 0,
-                };
-                actix_rt::System::new().block_on(shutdown.run_until(thread.run(messages)));
-            })?;
+        let until_shutdown = shutdown.subscribe();
+        spawn_thread("control", shutdown, move || {
+            let mut thread = ControlThread {
+                owner,
+                handle_event,
+                timer,
+                status,
+                actions,
+                replies: HashMap::new(),
+                next_token: 0,
+                next_gauges_ms: 0,
+            };
+            let running = until_shutdown.run_until(thread.run(messages));
+            actix_rt::System::new().block_on(running);
+        })?;
         Ok(Self { sender })
     }
 
@@ -120,6 +129,7 @@
 
 struct ControlThread {
     owner: Owner,
+    handle_event: HandleEvent,
     timer: Timer,
     status: Arc<Status>,
     actions: mpsc::UnboundedSender<Action>,
@@ -174,7 +184,7 @@
     }
 
     fn handle_event(&mut self, event: Event, now_ms: u64) {
-        for action in self.owner.handle(event, now_ms) {
+        for action in (self.handle_event)(&mut self.owner, event, now_ms) {
             match action {
                 Action::Reply { token, reply } => {
                     if let Some(sender) = self.replies.remove(&token) {
--- a/src/daemon/kill.rs
+++ b/src/daemon/kill.rs
@@ -1,13 +1,24 @@
 //! The shutdown signal, which stops every thread of a daemon at once and without a
-//! drain.
+//! drain. A thread that panics sends it: without that thread, the others would go on to accept
+//! work that nothing schedules.
 
+use std::panic::{
+    AssertUnwindSafe,
+    catch_unwind, //
+};
 use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use tokio::sync::watch;
 
 /// Sends the shutdown signal to every thread of a daemon.
 #[derive(Clone, Debug)]
 pub struct ShutdownSignal {
     sender: Arc<watch::Sender<bool>>,
+    /// Whether a thread that panicked sent it.
+    has_failed: Arc<AtomicBool>,
 }
 
 /// Receives the shutdown signal in one thread.
@@ -20,6 +31,7 @@
     fn default() -> Self {
         Self {
             sender: Arc::new(watch::Sender::new(false)),
+            has_failed: Arc::default(),
         }
     }
 }
@@ -36,6 +48,33 @@
     pub fn send(&self) {
         self.sender.send_replace(true);
     }
+
+    /// Returns whether a thread of the daemon has panicked.
+    pub fn has_failed(&self) -> bool {
+        self.has_failed.load(Ordering::Relaxed)
+    }
+}
+
+/// Starts a thread of a daemon. If it panics, all threads of the daemon stop.
+///
+/// # Errors
+///
+/// The thread cannot be started.
+pub fn spawn_thread(
+    name: &str,
+    shutdown: &ShutdownSignal,
+    work: impl FnOnce() + Send + 'static,
+) -> std::io::Result<()> {
+    let shutdown = shutdown.clone();
+    let supervised = move || {
+        // The state of the work is dropped.
+        if catch_unwind(AssertUnwindSafe(work)).is_err() {
+            shutdown.has_failed.store(true, Ordering::Relaxed);
+            shutdown.send();
+        }
+    };
+    let thread = std::thread::Builder::new().name(name.to_owned());
+    thread.spawn(supervised).map(|_| ())
 }
 
 impl ShutdownReceiver {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -25,6 +25,7 @@
     Caller,
     token_digest, //
 };
+pub use control::HandleEvent;
 pub use directory::home_data_centre;
 pub use patch::{
     PatchOutcome,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,7 +1,10 @@
 //! Starts, runs and drains a daemon.
 
 use super::configuration;
-use super::control::Control;
+use super::control::{
+    Control,
+    HandleEvent, //
+};
 use super::directory::Directory;
 use super::entry::{
     Api,
@@ -10,7 +13,8 @@
 };
 use super::kill::{
     ShutdownReceiver,
-    ShutdownSignal, //
+    ShutdownSignal,
+    spawn_thread, //
 };
 use super::patch;
 use super::peer::Peers;
@@ -120,6 +124,9 @@
     /// A thread cannot be started.
     #[error("cannot start a thread: {0}; raise the process limits of the VM")]
     Thread(#[from] std::io::Error),
+    /// A thread has panicked.
+    #[error("a thread of the daemon has panicked; start the daemon again and report its E106")]
+    Failed,
     /// The log cannot be set up.
     #[error("cannot set up the log: {0}; start only one daemon in a process")]
     Log(String),
@@ -192,7 +199,7 @@
 
 /// Drains the daemon on the first signal. Each further signal only logs how many requests
 /// are in progress, since ending the process would cut their connections.
-async fn drain_on_signal(daemon: &Daemon) -> std::io::Result<()> {
+async fn drain_on_signal(daemon: &Daemon) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut checks = daemon.timer.interval(DRAIN_CHECK_INTERVAL_MS);
@@ -200,9 +207,14 @@
         tokio::select! {
             _ = terminate.recv() => daemon.handle_signal(),
             _ = interrupt.recv() => daemon.handle_signal(),
-            _ = checks.next() => if daemon.is_drained() {
-                return Ok(());
-            },
+            _ = checks.next() => {
+                if daemon.has_failed() {
+                    return Err(Error::Failed);
+                }
+                if daemon.is_drained() {
+                    return Ok(());
+                }
+            }
         }
     }
 }
@@ -242,6 +254,19 @@
     ///
     /// An address cannot be listened on, or a thread cannot be started.
     pub fn spawn(settings: Settings, timer: Timer) -> Result<Self, Error> {
+        Self::spawn_with(settings, timer, Box::new(Owner::handle))
+    }
+
+    /// As [`Self::spawn`], with `handle_event` as what the owner does with its events.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::spawn`].
+    pub fn spawn_with(
+        settings: Settings,
+        timer: Timer,
+        handle_event: HandleEvent,
+    ) -> Result<Self, Error> {
         let http = listen(settings.http_address, "http_address")?;
         let peer = listen(settings.peer_address, "peer_address")?;
         let (http_address, peer_address) = (http.local_addr()?, peer.local_addr()?);
@@ -253,10 +278,11 @@
         let shutdown = ShutdownSignal::default();
         let control = Control::spawn(
             owner,
+            handle_event,
             timer.clone(),
             status.clone(),
             actions,
-            shutdown.subscribe(),
+            &shutdown,
         )?;
         let (commands, command_receiver) = mpsc::channel(COMMAND_QUEUE_LENGTH);
         let shared = Shared {
@@ -273,22 +299,14 @@
             timer: timer.clone(),
             control,
         };
-        std::thread::Builder::new()
-            .name("traffic".to_owned())
-            .spawn({
-                let shutdown_receiver = shutdown.subscribe();
-                move || {
-                    let running = shutdown_receiver.run_until(traffic_thread.run(
-                        peer,
-                        action_receiver,
-                        command_receiver,
-                    ));
-                    actix_rt::System::new().block_on(running);
-                }
-            })?;
-        std::thread::Builder::new().name("http".to_owned()).spawn({
-            let shutdown_receiver = shutdown.subscribe();
-            move || serve_http(http, shared, shutdown_receiver)
+        let until_shutdown = shutdown.subscribe();
+        spawn_thread("traffic", &shutdown, move || {
+            let running = traffic_thread.run(peer, action_receiver, command_receiver);
+            actix_rt::System::new().block_on(until_shutdown.run_until(running));
+        })?;
+        let until_shutdown = shutdown.subscribe();
+        spawn_thread("http", &shutdown, move || {
+            serve_http(http, shared, until_shutdown);
         })?;
         events::log(
             events::DAEMON_STARTED,
@@ -350,6 +368,12 @@
         drained
     }
 
+    /// Returns whether a thread of the daemon has panicked, which stops it as a loss of its VM
+    /// would.
+    pub fn has_failed(&self) -> bool {
+        self.shutdown.has_failed()
+    }
+
     /// Whether this daemon owns its data centre.
     pub fn is_owner(&self) -> bool {
         self.status.owner_epoch() > 0
--- a/tests/face.rs
+++ b/tests/face.rs
@@ -4,6 +4,8 @@
 mod support;
 
 use awc::http::StatusCode;
+use fuchsiaslip::daemon::Daemon;
+use fuchsiaslip::owner::Owner;
 use fuchsiaslip::standin::TaskSpec;
 use fuchsiaslip::timer::Timer;
 use std::io::{
@@ -11,7 +13,13 @@
     Write, //
 };
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use support::{
+    DATA_CENTRE,
     JADRAN_TOKEN,
     OPERATOR_TOKEN,
     client,
@@ -20,6 +28,7 @@
     eventually,
     first_patch,
     platform,
+    settings,
     small_job, //
 };
 
@@ -245,6 +254,40 @@
     assert!(ended_runs >= 1);
 }
 
+/// Guards against a daemon that goes on without its control thread: it refused or did not answer
+/// every request, and its process did not end, so that nothing started it again.
+#[actix_rt::test]
+async fn a_daemon_whose_control_thread_panics_stops_and_another_one_owns() {
+    let timer = Timer::spawn().unwrap();
+    let platform = platform(&timer, 6);
+    let should_fail = Arc::new(AtomicBool::new(false));
+    let failing = should_fail.clone();
+    let handle_event = move |owner: &mut Owner, event, now_ms| {
+        assert!(!failing.load(Ordering::Relaxed), "a fault of the test");
+        owner.handle(event, now_ms)
+    };
+    let first_settings = settings("d1", &platform);
+    let first = Daemon::spawn_with(first_settings, timer.clone(), Box::new(handle_event)).unwrap();
+    platform.add_daemon("d1", DATA_CENTRE, &first.peer_address.to_string());
+    configure(&first, &timer).await;
+    let second = daemon("d2", &platform, &timer);
+
+    should_fail.store(true, Ordering::Relaxed);
+
+    eventually(&timer, || async { first.has_failed().then_some(()) }).await;
+    eventually(&timer, || async { second.is_owner().then_some(()) }).await;
+    let job = small_job("standard", &TaskSpec::default());
+    let caller = client(&second, JADRAN_TOKEN, &timer);
+    let served = eventually(&timer, || async {
+        let response = caller.submit("after", &job, 5_000).await.ok()?;
+        (response.status == StatusCode::OK).then_some(response)
+    })
+    .await;
+    assert!(served.accepted().or(served.job.clone()).is_some());
+    let stopped = client(&first, JADRAN_TOKEN, &timer);
+    assert!(stopped.submit("late", &job, 0).await.is_err());
+}
+
 /// Guards against accepting a job without a commit during a store outage, against
 /// ending running tasks, and against refusals that wrongly set `not_run`.
 #[actix_rt::test]
