Count runs known from the store while they are being stopped

A new owner knows the runs of a closed worker from the store alone. They count as using nothing, and once the worker lists one it is adopted with its resources.

A run that is stopped or ends before it was seen now counts with the resources of its group, or with the whole worker if its group is gone.

a_run_known_from_the_store_counts_while_it_is_being_stopped fails before the change ("the worker was full") and passes with it.

--- a/src/scheduler/closed_workers.rs
+++ b/src/scheduler/closed_workers.rs
@@ -152,6 +152,25 @@
         }
     }
 
+    /// Counts the resources of a run that this owner has not seen on the worker and that is
+    /// about to be stopped or to end: it is not adopted if the worker lists it. If its group is
+    /// gone, it counts as taking the whole worker.
+    pub(super) fn count_unseen_resources(&mut self, key: WorkerKey, name: RunName) {
+        let group = self.groups.get(&GroupKey::of(name.task));
+        let resources = group.map(|group| group.resources);
+        let worker = self.worker_mut(key);
+        let run = worker.runs.get(&name);
+        let Some(run) = run.filter(|run| run.phase == RunPhase::Unseen) else {
+            return;
+        };
+        let counted = super::Run {
+            resources: resources.unwrap_or(worker.info.capacity),
+            resources_unknown: resources.is_none(),
+            ..run.clone()
+        };
+        worker.add_run(name, counted);
+    }
+
     /// Removes a run that this owner has not seen on the worker, and makes its task wait
     /// again. Any other run stays.
     pub(super) fn drop_unseen_run(&mut self, key: WorkerKey, name: RunName) {
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -262,6 +262,7 @@
     pub(super) fn stop_run(&mut self, key: WorkerKey, name: RunName, reason: StopReason) {
         let now_ms = self.now_ms;
         let lost_core_s = self.lost_core_s(key, name);
+        self.count_unseen_resources(key, name);
         let worker = self.worker_mut(key);
         let Some(run) = worker.runs.get_mut(&name) else {
             return;
--- a/src/scheduler/run_ends.rs
+++ b/src/scheduler/run_ends.rs
@@ -148,6 +148,7 @@
         }
         group.gang_run = None;
         for (worker, task) in others {
+            self.count_unseen_resources(worker, RunName { task, run });
             if let Some(entry) = self.worker_mut(worker).runs.get_mut(&RunName { task, run }) {
                 entry.phase = RunPhase::Ending;
             }
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -178,3 +178,29 @@
         "no start was sent after the entries were read again"
     );
 }
+
+/// Guards against starts beyond the capacity of a worker after a change of owner: a run that was
+/// known only from the store, and that was being stopped when its worker responded again,
+/// counted as using nothing.
+#[test]
+fn a_run_known_from_the_store_counts_while_it_is_being_stopped() {
+    let (mut fleet, id, job) = Fleet::with_job(1, record("plain", vec![step(1, 8)]));
+    fleet.unresponsive.push("w0".to_owned());
+    fleet.advance(1_000);
+    let mut next = fleet.next_owner(2, &[(id, job)], false);
+    next.stops_take_effect = false;
+    next.send_input(Input::JobCancelled(id));
+    next.advance(100);
+
+    let later = next.submit(2, record("plain", vec![step(1, 8)]));
+    next.unresponsive.clear();
+    next.advance(500);
+    let is_later = |name: &RunName| name.task.job == later;
+    let started_beside = next.starts.iter().any(|(name, ..)| is_later(name));
+    next.stops_take_effect = true;
+    next.end_all(id, EndKind::Stopped);
+    next.advance(500);
+
+    assert!(!started_beside, "the worker was full");
+    assert!(next.running().iter().any(|(_, name)| is_later(name)));
+}
