Set a job aside that has ended two owners

The scheduler now knows which single job it is deciding about, in inputs and in a pass. A new owner that finds marks of two epochs handles the job like one whose values cannot be decoded: nothing of it starts, its runs go on, its ends stay unacknowledged, callers see the stored state, and it is logged (E326). Marks of deleted jobs are removed. A kill leaves no mark.

a_job_that_ends_two_owners_is_set_aside_until_it_is_released: three daemons whose decision about one job panics; the other job is done within 5 s, two owners end, the job is queued for its caller, and after its release with the fault gone it completes.

--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -202,6 +202,9 @@
     /// address of the platform's store
     #[argh(option)]
     pub store: String,
+    /// release the job, which was set aside after several owners failed on it
+    #[argh(switch)]
+    pub release: bool,
     /// the job, 16 hexadecimal digits
     #[argh(positional)]
     pub job: Option<String>,
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -126,6 +126,16 @@
             text += &format!("  {task} run {run}\n");
         }
     }
+    for (job, failures) in &report.failures {
+        text += &format!("job {job}: owners failed while they decided about it\n");
+        for failure in failures {
+            // The message may contain what a caller submitted, so it is escaped.
+            text += &format!(
+                "  epoch {}, {}: {:?}\n",
+                failure.epoch, failure.daemon, failure.message
+            );
+        }
+    }
     for (data_centre, order) in &report.emptied_data_centres {
         let known = match order.known_ms {
             Some(known_ms) => format!("known to owners for {known_ms} ms"),
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -25,7 +25,8 @@
     StoreError,
     inspect_fleet,
     inspect_job,
-    job_id, //
+    job_id,
+    release_job, //
 };
 use crate::core::Adjacency;
 use crate::daemon::token_digest;
@@ -277,6 +278,11 @@
         value: name.clone(),
         choices: "16 hexadecimal digits",
     })?;
+    if command.release {
+        let removed = release_job(&command.store, timer, job).await?;
+        println!("{name}: {removed} marks of failed owners removed");
+        return Ok(ExitCode::SUCCESS);
+    }
     match inspect_job(&command.store, timer, job).await? {
         Some(stored) => {
             println!("{stored:#?}");
--- a/src/cluster/actions.rs
+++ b/src/cluster/actions.rs
@@ -15,6 +15,7 @@
 use super::node::Node;
 use super::pending_writes::Changes;
 use super::records::EmptiedRecord;
+use super::set_aside::store_mark;
 use super::supervision::{
     Part,
     spawn_for_epoch, //
@@ -57,9 +58,18 @@
             // An epoch under which this daemon no longer owns is over.
             Report::Decided(output) if output.epoch == node.epoch() => execute(&node, output),
             Report::Decided(_) => {}
-            Report::Failed { epoch, dropped } => {
+            Report::Failed {
+                epoch,
+                job,
+                message,
+                dropped,
+            } => {
                 let epoch = epoch.unwrap_or_else(|| node.epoch());
                 log_dropped(epoch, &dropped);
+                // First, so that the next owner finds the mark.
+                if let Some(job) = job {
+                    store_mark(&node, epoch, job, &message).await;
+                }
                 node.record_failure(Part("control"), epoch);
             }
         }
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -9,6 +9,7 @@
     RosterRow, //
 };
 use crate::core::JobId;
+use crate::panics::message;
 use crate::scheduler::{
     Action,
     Input,
@@ -122,6 +123,10 @@
     Failed {
         /// The epoch of the scheduler; `None` if there was none.
         epoch: Option<u64>,
+        /// The job that it was deciding about, if it was one.
+        job: Option<JobId>,
+        /// The message of the panic.
+        message: String,
         /// The actions that it had decided on and that are not carried out.
         dropped: Vec<Action>,
     },
@@ -225,7 +230,8 @@
         loop {
             // After a panic nothing of the scheduler is used but the actions, which are logged.
             let round = catch_unwind(AssertUnwindSafe(|| self.run_round()));
-            if round.unwrap_or_else(|_| self.report_failure()).is_break() {
+            let round = round.unwrap_or_else(|panic| self.report_failure(message(&*panic)));
+            if round.is_break() {
                 return;
             }
             self.rounds.fetch_add(1, Ordering::Relaxed);
@@ -270,11 +276,16 @@
 
     /// Drops the scheduler, whose state may be inconsistent, and reports that. Breaks once the
     /// traffic thread has ended.
-    fn report_failure(&mut self) -> ControlFlow<()> {
+    fn report_failure(&mut self, message: &str) -> ControlFlow<()> {
         let failed = self.scheduler.take();
         let epoch = failed.as_ref().map(Scheduler::epoch);
-        let dropped = failed.map(Scheduler::into_actions).unwrap_or_default();
-        match self.reports.send(Report::Failed { epoch, dropped }) {
+        let report = Report::Failed {
+            epoch,
+            job: failed.as_ref().and_then(Scheduler::deciding),
+            message: message.to_owned(),
+            dropped: failed.map(Scheduler::into_actions).unwrap_or_default(),
+        };
+        match self.reports.send(report) {
             Ok(()) => ControlFlow::Continue(()),
             Err(_) => ControlFlow::Break(()),
         }
--- a/src/cluster/inspect.rs
+++ b/src/cluster/inspect.rs
@@ -13,9 +13,11 @@
     ClosedRecord,
     EMPTIED_PREFIX,
     EmptiedRecord,
+    FailureMark,
     JOBS_PREFIX,
     JobKeyKind,
     LEARNED_PREFIX,
+    MARKS_PREFIX,
     MEMBERS_PREFIX,
     MemberRecord,
     PROGRESS_PREFIX,
@@ -30,7 +32,8 @@
     decode_root,
     job_id,
     job_key,
-    parse_job_key, //
+    parse_job_key,
+    parse_mark_key, //
     progress_key,
 };
 use super::store_types::{
@@ -85,6 +88,8 @@
     pub emptied_data_centres: BTreeMap<String, EmptiedDataCentre>,
     /// What owners have stored of what they learned; `None` if nothing is stored.
     pub learned: Option<LearnedReport>,
+    /// Marks of owners that failed while they decided about a job, by job.
+    pub failures: BTreeMap<String, Vec<FailureReport>>,
     /// Number of open jobs.
     pub open_jobs: usize,
     /// Number of completed jobs that are still stored.
@@ -97,6 +102,17 @@
     pub unused: Vec<UnusedValue>,
 }
 
+/// An owner that failed while it decided about a job.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct FailureReport {
+    /// Its epoch.
+    pub epoch: u64,
+    /// Its name; empty if the value cannot be decoded.
+    pub daemon: String,
+    /// The message of the panic.
+    pub message: String,
+}
+
 /// An invalid value in the store.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct UnusedValue {
@@ -222,6 +238,7 @@
     }
     read_emptied(&store, timer.now_ms(), &mut report).await?;
     read_learned(&store, timer.now_ms(), &mut report).await?;
+    read_failures(&store, &mut report).await?;
     count_jobs(&store, &mut report).await?;
     check_other_values(&store, &mut report).await?;
     report.unused.sort_by(|a, b| a.key.cmp(&b.key));
@@ -304,6 +321,33 @@
     Ok(())
 }
 
+/// Adds the marks of owners that failed while they decided about a job.
+async fn read_failures(store: &StoreClient, report: &mut FleetReport) -> Result<(), StoreError> {
+    for item in store.range(MARKS_PREFIX, true).await?.items {
+        let Some((job, epoch)) = parse_mark_key(&item.key) else {
+            let reason = InvalidReason::because("bad_name");
+            report.add_invalid(StoredKind::FailureMark, &item, reason);
+            continue;
+        };
+        let decoded = decode::<FailureMark>(&item.value);
+        let mark = report.valid_value(StoredKind::FailureMark, &item, decoded);
+        let failure = match mark {
+            Some(mark) => FailureReport {
+                epoch,
+                daemon: mark.daemon,
+                message: mark.message,
+            },
+            None => FailureReport {
+                epoch,
+                ..FailureReport::default()
+            },
+        };
+        let failures = report.failures.entry(job.to_string());
+        failures.or_default().push(failure);
+    }
+    Ok(())
+}
+
 fn name_of(key: &str, prefix: &str) -> String {
     key.strip_prefix(prefix).unwrap_or(key).to_owned()
 }
--- a/src/cluster/invalid_values.rs
+++ b/src/cluster/invalid_values.rs
@@ -59,11 +59,13 @@
     Member,
     /// A part of what owners have learned.
     Learned,
+    /// The mark of an owner that failed while it decided about a job.
+    FailureMark,
 }
 
 impl StoredKind {
     /// All kinds.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Worker,
         Self::Configuration,
         Self::Wave,
@@ -77,6 +79,7 @@
         Self::Closed,
         Self::Member,
         Self::Learned,
+        Self::FailureMark,
     ];
 
     /// The kind as logs and counters name it.
@@ -95,6 +98,7 @@
             Self::Closed => "closed",
             Self::Member => "member",
             Self::Learned => "learned",
+            Self::FailureMark => "failure_mark",
         }
     }
 
@@ -120,6 +124,7 @@
             Self::Learned => {
                 "the next owner learns the speeds of these workers and queues again, then the part is rewritten"
             }
+            Self::FailureMark => "its key names no job, so none is set aside for it",
         }
     }
 }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -35,6 +35,7 @@
 mod peer_table;
 mod pending_writes;
 mod records;
+mod set_aside;
 mod settings;
 mod store_access;
 mod store_calls;
@@ -140,6 +141,7 @@
     RosterRow,
     job_id, //
 };
+pub use set_aside::release_job;
 pub use settings::ClusterSettings;
 pub use store_health::{
     CallKey,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -136,6 +136,7 @@
     fetching_configuration: Cell<bool>,
     invalid_values: RefCell<InvalidValueReporter>,
     unreadable_jobs: RefCell<BTreeSet<JobId>>,
+    set_aside_jobs: RefCell<BTreeSet<JobId>>,
 }
 
 impl Node {
@@ -183,6 +184,7 @@
             fetching_configuration: Cell::new(false),
             invalid_values: RefCell::default(),
             unreadable_jobs: RefCell::default(),
+            set_aside_jobs: RefCell::default(),
             timer,
         })
     }
@@ -312,6 +314,16 @@
         self.unreadable_jobs.borrow_mut().insert(job);
     }
 
+    /// Records the jobs that this owner has set aside.
+    pub fn set_aside(&self, jobs: BTreeSet<JobId>) {
+        *self.set_aside_jobs.borrow_mut() = jobs;
+    }
+
+    /// Whether this owner has set a job aside.
+    pub fn is_set_aside(&self, job: JobId) -> bool {
+        self.set_aside_jobs.borrow().contains(&job)
+    }
+
     /// Up to `limit` jobs with a value that cannot be decoded, in order, from `from`
     /// on.
     pub fn unreadable_jobs(&self, from: JobId, limit: usize) -> Vec<JobId> {
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -16,6 +16,7 @@
     CLOSED_PREFIX,
     EMPTIED_PREFIX,
     JOBS_PREFIX,
+    MARKS_PREFIX,
     PROGRESS_PREFIX,
     ROOT_KEY,
     ROSTER_PREFIX,
@@ -24,6 +25,7 @@
     decode_root,
     encode, //
 };
+use super::set_aside;
 use super::store_types::{
     CommitResult,
     StoreError,
@@ -200,9 +202,22 @@
     }
     let requested_ms = node.now_ms();
     let learned = learned_state::read(node);
-    let (jobs, progress, whole_roster, roster, closed, workers, waves, states, orders, emptied) = tokio::try_join!(
+    let (
+        jobs,
+        progress,
+        marks,
+        whole_roster,
+        roster,
+        closed,
+        workers,
+        waves,
+        states,
+        orders,
+        emptied,
+    ) = tokio::try_join!(
         node.store.range(JOBS_PREFIX, false),
         node.store.range(PROGRESS_PREFIX, false),
+        node.store.range(MARKS_PREFIX, false),
         node.store.get(WHOLE_ROSTER_KEY),
         node.store.range(ROSTER_PREFIX, false),
         node.store.range(CLOSED_PREFIX, false),
@@ -242,7 +257,10 @@
     });
     // Before the jobs, whose run times it predicts.
     stored.extend(learned_state::restore(node, epoch, learned));
-    stored.extend(job_inputs(node, &jobs, &progress));
+    let set_aside = set_aside::set_aside_jobs(node, epoch, &marks);
+    set_aside::remove_old_marks(node, &marks, &jobs);
+    stored.extend(job_inputs(node, &jobs, &progress, &set_aside));
+    node.set_aside(set_aside);
     stored.extend(node.counted_crash_inputs());
     for item in &states.items {
         node.pending_writes
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -44,6 +44,8 @@
 /// Data centres that get no new tasks, with the time at which an owner learned of it;
 /// written by the owner for people to read.
 pub const EMPTIED_PREFIX: &str = "emptied/";
+/// Marks of owners that failed while they decided about a job; the job and the epoch follow.
+pub const MARKS_PREFIX: &str = "failures/";
 const CANCELLED_SUFFIX: &str = "/cancelled";
 /// Highest valid epoch, reached after 30,000 years with one owner a second. Each epoch
 /// has its own range of run numbers, which must not overflow.
@@ -238,6 +240,33 @@
     format!("{PROGRESS_PREFIX}{job}")
 }
 
+/// An owner that failed while it decided about a job, for people to read.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct FailureMark {
+    /// The owner's name.
+    pub daemon: String,
+    /// When it failed, since the Unix epoch.
+    pub at_ms: u64,
+    /// The message of the panic.
+    pub message: String,
+}
+
+/// The prefix of the marks of a job.
+pub fn marks_prefix_of(job: JobId) -> String {
+    format!("{MARKS_PREFIX}{job}/")
+}
+
+/// The key of the mark that the owner of `epoch` stores for a job.
+pub fn mark_key(job: JobId, epoch: u64) -> String {
+    format!("{}{epoch}", marks_prefix_of(job))
+}
+
+/// The job and the epoch of a mark; `None` for the key of another value.
+pub fn parse_mark_key(key: &str) -> Option<(JobId, u64)> {
+    let (job, epoch) = key.strip_prefix(MARKS_PREFIX)?.split_once('/')?;
+    Some((job_id(job)?, epoch.parse().ok()?))
+}
+
 /// The key of a daemon.
 pub fn member_key(daemon: &str) -> String {
     format!("{MEMBERS_PREFIX}{daemon}")
--- a/src/cluster/stored_inputs.rs
+++ b/src/cluster/stored_inputs.rs
@@ -47,6 +47,7 @@
     WaveOrder, //
 };
 use std::collections::{
+    BTreeSet,
     HashMap,
     HashSet, //
 };
@@ -222,8 +223,13 @@
 
 /// Returns inputs for stored jobs with their progress, and for cancellations. A job with
 /// a value that cannot be decoded has an input of its own: treated as a job without
-/// progress, its completed tasks would run again.
-pub fn job_inputs(node: &Node, jobs: &StoredRange, progress: &StoredRange) -> Vec<Input> {
+/// progress, its completed tasks would run again. Jobs that are set aside have the same.
+pub fn job_inputs(
+    node: &Node,
+    jobs: &StoredRange,
+    progress: &StoredRange,
+    set_aside: &BTreeSet<JobId>,
+) -> Vec<Input> {
     let mut progress_by_job: HashMap<JobId, Option<ProgressRecord>> = HashMap::new();
     for item in &progress.items {
         node.pending_writes
@@ -245,6 +251,7 @@
             Some(JobKeyKind::Job(id)) => {
                 let decoded = decode_job_record(&item.value);
                 let record = node.valid_value(StoredKind::Job, item, decoded);
+                let record = record.filter(|_| !set_aside.contains(&id));
                 match (record, progress_by_job.remove(&id)) {
                     (Some(record), None) => inputs.push(job_input(id, record, None)),
                     (Some(record), Some(Some(progress))) => {
--- a/src/cluster/unreadable_jobs.rs
+++ b/src/cluster/unreadable_jobs.rs
@@ -3,7 +3,8 @@
 //!
 //! No task of such a job starts meanwhile. The job's record and progress are sent to the
 //! scheduler together: with the record alone, tasks that are done would run again.
-//! A job whose record was removed counts as cancelled.
+//! A job whose record was removed counts as cancelled. Jobs that are set aside are read again
+//! once they are released.
 
 use super::invalid_values::StoredKind;
 use super::node::Node;
@@ -13,6 +14,7 @@
     job_key,
     progress_key, //
 };
+use super::set_aside::is_set_aside;
 use super::store_types::StoreError;
 use crate::core::JobId;
 use crate::scheduler::Input;
@@ -53,6 +55,9 @@
 
 /// Returns the input for a job, or `None` if one of its values still cannot be decoded.
 async fn read_job(node: &Node, job: JobId) -> Result<Option<Input>, StoreError> {
+    if node.is_set_aside(job) && is_set_aside(node, job).await? {
+        return Ok(None);
+    }
     let progress = node.store.get(&progress_key(job)).await?;
     let Some(item) = node.store.get(&job_key(job)).await? else {
         return Ok(Some(Input::JobCancelled(job)));
--- a/src/events.rs
+++ b/src/events.rs
@@ -125,6 +125,8 @@
     TASK_CRASHES_WORKERS = 324, Warn, "a task crashes the workers that start it and is given up; its job fails", "inform the account; the E313 lines of the task name the workers";
     /// The end of a job is durable, so callers see it.
     JOB_END_SHOWN = 325, Info, "the end of a job is stored and shown to its caller", "none, unless wait_ms is long: then the store was slow or answered nobody, see E211";
+    /// A job was set aside.
+    JOB_SET_ASIDE = 326, Error, "a job is set aside, since several owners failed while they decided about it; nothing of it starts", "report the E106 of these owners; release the job with `fuchsiaslip fleet --release` once the cause is gone";
     /// A client account began or ceased to have waiting work beyond its share.
     SHARE_CHANGED = 327, Info, "accounts want more than the fleet has, and waiting work of one is beyond its share and ordered behind that of others; or it is within its share again", "none; docs/OPERATIONS.md says how shares are computed";
     /// The upkeep of a machine was ordered.
--- a/src/panics.rs
+++ b/src/panics.rs
@@ -25,7 +25,8 @@
     }));
 }
 
-fn message(payload: &(dyn Any + Send)) -> &str {
+/// Returns the message of a panic.
+pub fn message(payload: &(dyn Any + Send)) -> &str {
     let literal = payload.downcast_ref::<&str>().copied();
     let formatted = payload.downcast_ref::<String>().map(String::as_str);
     literal.or(formatted).unwrap_or("no message")
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -527,8 +527,10 @@
         };
         let suspects: Vec<RunName> = self.waiting_groups().flat_map(suspects_of).collect();
         for name in suspects {
+            self.set_deciding(Some(name.task.job));
             self.review_suspect_starts(name);
         }
+        self.set_deciding(None);
     }
 
     /// Returns how many crashes of a job's tasks this owner may not know of: a crash during a
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -345,3 +345,23 @@
     /// Time has passed.
     Tick,
 }
+
+impl Input {
+    /// Returns the job that the input is about, if it is about a single one.
+    pub fn job(&self) -> Option<JobId> {
+        match self {
+            Self::JobStored { id, .. }
+            | Self::JobReadable { id, .. }
+            | Self::JobUnreadable(id)
+            | Self::JobCancelled(id)
+            | Self::JobDeleted(id) => Some(*id),
+            Self::ProgressStored { job, .. } => Some(*job),
+            Self::StartResult { name, .. }
+            | Self::StopResult { name, .. }
+            | Self::ThrottleResult { name, .. } => Some(name.task.job),
+            Self::AdviceResult { step, .. } => Some(step.job),
+            Self::CrashCounted(crash) => Some(crash.name.task.job),
+            _ => None,
+        }
+    }
+}
--- a/src/scheduler/run_ends.rs
+++ b/src/scheduler/run_ends.rs
@@ -21,6 +21,7 @@
 impl Scheduler {
     /// Handles an end that a worker lists, and keeps it until it may be acknowledged.
     pub(super) fn handle_end(&mut self, key: WorkerKey, row: EndedRow) {
+        self.set_deciding(Some(row.name.task.job));
         let worker = self.worker(key).name();
         self.decided(Decision::Ended {
             name: row.name,
@@ -43,6 +44,7 @@
         let end = UnacknowledgedEnd { row, waits_for };
         self.worker_mut(key).unacknowledged_ends.push_back(end);
         self.workers_with_unacknowledged_ends.insert(key);
+        self.set_deciding(None);
     }
 
     /// Keeps the checkpoint of a run that ended without completing, for the next run of the
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -109,6 +109,7 @@
                 self.changed = true;
                 break;
             }
+            self.set_deciding(Some(ranked.key.job));
             let non_urgent = self.is_non_urgent(ranked.key);
             let accelerators = self.groups[&ranked.key].resources.accelerators;
             let limit = match non_urgent {
@@ -137,6 +138,7 @@
                 "an offer closes no group"
             );
         }
+        self.set_deciding(None);
         let is_short = failed_searches.is_short || reservations.gangs > 0;
         self.accounts.record_pass(is_short);
     }
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -170,6 +170,8 @@
     /// Number of scheduling passes so far.
     passes: u64,
     pub(super) roster_write_pending: bool,
+    /// The job that is being decided about, if it is a single one.
+    deciding: Option<JobId>,
     pub(super) actions: Vec<Action>,
 }
 
@@ -221,6 +223,7 @@
             changed: false,
             passes: 0,
             roster_write_pending: false,
+            deciding: None,
             actions: Vec::new(),
         }
     }
@@ -228,6 +231,7 @@
     /// Applies an input; the resulting actions are returned by [`Scheduler::decide`].
     pub fn handle(&mut self, input: Input, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
+        self.set_deciding(input.job());
         match input {
             Input::Configure(configuration) => self.configure(configuration),
             Input::EmptyingOrdersRead { orders, checked_ms } => {
@@ -327,6 +331,18 @@
             Input::EpochConfirmed(at_ms) => self.confirmed_ms = self.confirmed_ms.max(at_ms),
             Input::Tick => {}
         }
+        self.set_deciding(None);
+    }
+
+    /// Records which job is being decided about, if it is a single one, for the case that the
+    /// decision panics.
+    pub fn set_deciding(&mut self, job: Option<JobId>) {
+        self.deciding = job;
+    }
+
+    /// Returns the job that was being decided about when a method panicked.
+    pub fn deciding(&self) -> Option<JobId> {
+        self.deciding
     }
 
     /// Makes the decisions that follow from the handled inputs and the current time, and
@@ -384,8 +400,10 @@
                 break;
             }
             self.due.pop_first();
+            self.set_deciding(Some(id));
             self.open_occurrences(id);
         }
+        self.set_deciding(None);
     }
 
     /// Returns whether orders may be given: the epoch was confirmed recently, and after the
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -71,7 +71,7 @@
     let until = Instant::now() + TIMEOUT;
     while Instant::now() < until {
         match reports.try_recv() {
-            Ok(Report::Failed { epoch, dropped }) => return Some((epoch, dropped.len())),
+            Ok(Report::Failed { epoch, dropped, .. }) => return Some((epoch, dropped.len())),
             Ok(Report::Decided(_)) => {}
             Err(_) => std::thread::sleep(Duration::from_millis(1)),
         }
--- a/tests/owner_parts.rs
+++ b/tests/owner_parts.rs
@@ -21,8 +21,11 @@
 };
 use fuchsiaslip::cluster::{
     ClusterDaemon,
-    Decide, //
+    Decide,
+    inspect_fleet,
+    release_job, //
 };
+use fuchsiaslip::core::JobId;
 use fuchsiaslip::platform::read_settings;
 use fuchsiaslip::scheduler::Scheduler;
 use fuchsiaslip::timer::Timer;
@@ -33,6 +36,7 @@
     Daemon,
     is_ready_at,
     loopback,
+    request_at,
     settings_text, //
 };
 use std::net::Ipv4Addr;
@@ -41,13 +45,18 @@
     AtomicBool,
     Ordering, //
 };
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const JOB: u64 = 1;
+/// Time within which other jobs are done after a job has begun to end owners.
+const SERVED_WITHIN: Duration = Duration::from_secs(5);
 
 /// Starts a daemon in this process that decides with `decide`. It runs until the process ends.
-fn spawn_here(ip: Ipv4Addr, operator: &Operator, decide: Decide) {
-    let settings = settings_text("d0", ip, operator.store, "");
+fn spawn_here(name: &str, ip: Ipv4Addr, operator: &Operator, decide: Decide) {
+    let settings = settings_text(name, ip, operator.store, "");
     let settings = read_settings(&settings).expect("the settings are valid");
     let timer = Timer::spawn().expect("a timer");
     let metrics = PrometheusBuilder::new().build_recorder().handle();
@@ -82,7 +91,7 @@
             }
             scheduler.decide(now_ms)
         };
-        spawn_here(ip, &operator, Box::new(decide));
+        spawn_here("d0", ip, &operator, Box::new(decide));
         wait_until("the daemon in this process owns", || epoch(&operator) == 1);
         let others = (1..3u8).map(|at| {
             let name = format!("d{at}");
@@ -150,3 +159,106 @@
         "its control thread does not respond"
     );
 }
+
+/// Three daemons in this process of which each owner fails while it decides about the job
+/// [`JOB`], as long as `is_faulty` is set.
+struct FaultyJob {
+    operator: Operator,
+    ips: Vec<Ipv4Addr>,
+    is_faulty: Arc<AtomicBool>,
+}
+
+impl FaultyJob {
+    fn spawn(test: u8) -> Self {
+        let operator = Operator::spawn(3);
+        operator.world().configure(1, &[("q", 1)], 5);
+        let is_faulty = Arc::new(AtomicBool::new(true));
+        let ips: Vec<Ipv4Addr> = (0..3).map(|at| loopback(test, at)).collect();
+        for (at, &ip) in ips.iter().enumerate() {
+            let faulty = is_faulty.clone();
+            let decide = move |scheduler: &mut Scheduler, now_ms: u64| {
+                let id = JobId(JOB);
+                let mut jobs = scheduler.jobs();
+                let is_open = jobs.any(|job| job.id == id && !job.is_over());
+                if is_open && faulty.load(Ordering::Relaxed) {
+                    drop(jobs);
+                    scheduler.set_deciding(Some(id));
+                    panic!("a fault of the test");
+                }
+                drop(jobs);
+                scheduler.decide(now_ms)
+            };
+            spawn_here(&format!("d{at}"), ip, &operator, Box::new(decide));
+        }
+        wait_until("a daemon owns", || epoch(&operator) == 1);
+        wait_until("every daemon is ready", || {
+            ips.iter().all(|&ip| is_ready_at(ip))
+        });
+        Self {
+            operator,
+            ips,
+            is_faulty,
+        }
+    }
+
+    fn submit(&self, id: u64) {
+        let answer = request_at(self.ips[0], "POST", &path(id), &job(1, 100));
+        assert!(matches!(answer, Answer::Status(200, _)), "{answer:?}");
+    }
+
+    fn state(&self, id: u64) -> String {
+        match request_at(self.ips[1], "GET", &path(id), "") {
+            Answer::Status(200, body) => body,
+            other => format!("{other:?}"),
+        }
+    }
+
+    /// Number of marks of failed owners that the store has for the job.
+    fn marks(&self) -> usize {
+        let store = self.operator.store.to_string();
+        let report = actix_rt::System::new().block_on(async {
+            let timer = Timer::spawn().expect("a timer");
+            inspect_fleet(&store, timer)
+                .await
+                .expect("the store answers")
+        });
+        let marks = report.failures.get(&JobId(JOB).to_string());
+        marks.map_or(0, Vec::len)
+    }
+
+    fn release(&self) {
+        let store = self.operator.store.to_string();
+        actix_rt::System::new().block_on(async {
+            let timer = Timer::spawn().expect("a timer");
+            let released = release_job(&store, timer, JobId(JOB)).await;
+            released.expect("the store answers");
+        });
+    }
+}
+
+/// Guards against a stored job that ends one owner after the other, so that nothing is scheduled
+/// any more.
+#[test]
+fn a_job_that_ends_two_owners_is_set_aside_until_it_is_released() {
+    let fleet = FaultyJob::spawn(251);
+    let began = Instant::now();
+
+    fleet.submit(JOB);
+    fleet.submit(2);
+    wait_until("the other job is completed", || {
+        fleet.state(2) == r#"{"state":"completed"}"#
+    });
+    let served_after = began.elapsed();
+    let state_meanwhile = fleet.state(JOB);
+    let marks = fleet.marks();
+    fleet.is_faulty.store(false, Ordering::Relaxed);
+    fleet.release();
+    wait_until("the released job is completed", || {
+        fleet.state(JOB) == r#"{"state":"completed"}"#
+    });
+
+    assert!(served_after < SERVED_WITHIN, "{served_after:?}");
+    assert_eq!(epoch(&fleet.operator), 3, "two owners ended");
+    assert_eq!(state_meanwhile, r#"{"state":"queued"}"#);
+    assert_eq!((marks, fleet.marks()), (2, 0));
+}
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -58,7 +58,7 @@
 /// | 224 to 229 | `carriers.rs` |
 /// | 230 to 238 | `foreign/path.rs` |
 /// | 246 to 248 | `learned_state/whole_path.rs` |
-/// | 249, 250 | `owner_parts.rs` |
+/// | 249 to 251 | `owner_parts.rs` |
 ///
 /// Benches run alone and may use any number; 254 is the highest.
 pub fn loopback(test: u8, at: u8) -> Ipv4Addr {
@@ -79,6 +79,17 @@
     )
 }
 
+/// Makes a client's request to the daemon at `ip`.
+pub fn request_at(ip: Ipv4Addr, method: &str, path: &str, body: &str) -> Answer {
+    let address = SocketAddr::new(ip.into(), CLIENT_PORT);
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: h\r\nauthorization: Token key\r\nconnection: close\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    exchange(address, head.as_bytes())
+}
+
 /// Whether the daemon at `ip` reports that it is ready.
 pub fn is_ready_at(ip: Ipv4Addr) -> bool {
     let address = SocketAddr::new(ip.into(), READINESS_PORT);
@@ -154,13 +165,7 @@
 
     /// Makes a client's request.
     pub fn request(&self, method: &str, path: &str, body: &str) -> Answer {
-        let address = SocketAddr::new(self.ip.into(), CLIENT_PORT);
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nhost: h\r\nauthorization: Token key\r\nconnection: close\r\n\
-             content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        exchange(address, head.as_bytes())
+        request_at(self.ip, method, path, body)
     }
 
     /// Sends raw bytes to the daemon's client address.
