Count a request as in progress until its future is dropped

What callers saw (review, "a reset takes a request slot for good"): after 512 connections that were reset in the middle of a request, a daemon answered every request with 429 until it was restarted, reported that it was ready, and its drain waited for requests that were gone.

Cause: the number of requests in progress was raised before an await and lowered after it. When a connection is reset, the HTTP library drops the future in between. The count is now a guard that lowers it on drop, with a gauge, fuchsiaslip_requests_in_progress.

Looked for elsewhere: what is raised before an await and lowered after it in cluster/, daemon/, platform/ and backend/. Calls to the store and the requests of the trial's daemon are guards already; the flag of a fetched configuration and that of a takeover belong to tasks that no client drops; in-flight flags of the scheduler belong to calls of an ownership, which ends if one of them panics.

requests_whose_connections_are_reset_are_not_in_progress_any_more makes 1,000 resets with a real daemon: a new job is served, the gauge returns to 0, the drain ends. With the guard's drop taken out (scratch copy) it fails: 429 for the new job.

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -160,9 +160,9 @@
 /// Answers a client's request.
 pub async fn answer(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
     let received_ms = node.now_ms();
-    node.requests.set(node.requests.get() + 1);
+    let in_progress = InProgress::begin(&node);
     let outcome = respond(&node, &mut request, received_ms).await;
-    node.requests.set(node.requests.get() - 1);
+    drop(in_progress);
     let took_ms = node.now_ms() - received_ms;
     let (status, body, reason) = match &outcome {
         Ok((status, body)) => (*status, body.clone(), "done"),
@@ -200,6 +200,32 @@
     response.body(Bytes::from(body)).map_into_boxed_body()
 }
 
+/// Counts a request as in progress until it is dropped, which also happens when the connection
+/// of its client is reset.
+struct InProgress {
+    node: Rc<Node>,
+}
+
+impl InProgress {
+    fn begin(node: &Rc<Node>) -> Self {
+        let node = node.clone();
+        node.requests.set(node.requests.get() + 1);
+        set_request_gauge(&node);
+        Self { node }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.node.requests.set(self.node.requests.get() - 1);
+        set_request_gauge(&self.node);
+    }
+}
+
+fn set_request_gauge(node: &Node) {
+    metrics::gauge!("fuchsiaslip_requests_in_progress").set(node.requests.get() as f64);
+}
+
 type Answer = Result<(StatusCode, Vec<u8>), Refusal>;
 
 async fn respond(node: &Rc<Node>, request: &mut Request, received_ms: u64) -> Answer {
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -59,6 +59,7 @@
 /// | 230 to 238 | `foreign/path.rs` |
 /// | 246 to 248 | `learned_state/whole_path.rs` |
 /// | 249 to 251 | `owner_parts.rs` |
+/// | 252 | `client_resets.rs` |
 ///
 /// Benches run alone and may use any number; 254 is the highest.
 pub fn loopback(test: u8, at: u8) -> Ipv4Addr {
@@ -168,6 +169,12 @@
         request_at(self.ip, method, path, body)
     }
 
+    /// Opens a connection to the daemon's client address.
+    pub fn connect(&self) -> std::io::Result<TcpStream> {
+        let address = SocketAddr::new(self.ip.into(), CLIENT_PORT);
+        TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)
+    }
+
     /// Sends raw bytes to the daemon's client address.
     pub fn send_raw(&self, bytes: &[u8]) -> Answer {
         exchange(SocketAddr::new(self.ip.into(), CLIENT_PORT), bytes)
