Judge whether a run hangs by its pace

Cause: a run hung if its percentage had not changed for 2.6 s. Workers report whole percent, so that work of more than 260 s never passed.

Change: the allowed time follows from the pace of the run, else from that of other tasks of its step, else from the estimate with room for an error of 40 times; never under 2.6 s. It doubles after each stop of the task. A task causes one quarantine, a job those of a quarter of the workers. Moved from worker_health.rs to stalled_runs.rs.

--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -88,6 +88,8 @@
     pub avoid: Option<WorkerKey>,
     /// When it failed or hung there.
     pub avoided_ms: u64,
+    /// How often it was stopped for hanging under this owner.
+    pub hanging_stops: u32,
 }
 
 /// Number of failed runs that are remembered of a task. A queue may allow more attempts,
@@ -129,6 +131,7 @@
             checkpoint: None,
             avoid: None,
             avoided_ms: 0,
+            hanging_stops: 0,
         }
     }
 }
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -70,6 +70,8 @@
     pub first_step_accelerators: u32,
     /// Steps, shared with the groups.
     pub steps: Vec<Arc<StepSpec>>,
+    /// Number of quarantines of workers on which its runs hung, under this owner.
+    pub(super) quarantines: u32,
     /// The progress that an earlier owner stored, applied to occurrences as they open.
     pub(super) restored: Option<ProgressRecord>,
 }
@@ -166,6 +168,7 @@
             first_step_accelerators: first
                 .map_or(0, |step| step.count.saturating_mul(step.needs.accelerators)),
             steps,
+            quarantines: 0,
             record,
             restored: Some(progress),
         };
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -38,6 +38,7 @@
 mod run_time_model;
 mod scheduling_pass;
 mod spec;
+mod stalled_runs;
 mod state;
 mod throttling;
 mod timing;
--- a/src/scheduler/worker_health.rs
+++ b/src/scheduler/worker_health.rs
@@ -1,4 +1,4 @@
-//! Quarantines workers on which runs fail or hang.
+//! Quarantines workers on which runs fail; [`super::stalled_runs`] finds those that hang.
 //!
 //! A tenth of the workers may fail or stall all their runs for some seconds while they
 //! answer normally. A worker on which runs fail at once looks empty and attracts the next
@@ -8,18 +8,12 @@
 //! row, so one faulty job does not quarantine a worker. The first quarantine is short, so
 //! that a wrong one costs little; its length doubles while runs continue to fail.
 
-use super::action::{
-    Decision,
-    StopReason, //
-};
+use super::action::Decision;
 use super::state::Scheduler;
 use super::worker::Contact;
 use super::{
     Group,
-    GroupKey,
-    Run,
     RunName,
-    RunPhase,
     Task,
     TaskState,
     Worker, //
@@ -36,16 +30,6 @@
 const FIRST_QUARANTINE_MS: u64 = 2_000;
 /// Length of the longest quarantine.
 const MAX_QUARANTINE_MS: u64 = 8_000;
-/// Time without progress after which a run counts as hanging. Each poll reports progress
-/// in percent, so a run of 30 s advances every 300 ms, or every 2,400 ms on a worker that
-/// is eight times as slow.
-const STALL_MS: u64 = 2_600;
-/// Progress from which a run is not checked for hanging: it may be waiting for its end
-/// or for the end of its gang.
-const NEARLY_DONE_PERCENT: u32 = 98;
-/// How far a member of a gang without progress has to be behind the foremost member to
-/// count as hanging. The other members continue or wait at their ends.
-const BEHIND_PERCENT: u32 = 10;
 
 /// Time for which a task does not return to the worker where it failed, even if no other
 /// worker is free or could hold it. Without it, a worker that failed runs at once used up
@@ -153,7 +137,7 @@
     }
 
     /// Quarantines a worker, unless it is quarantined already.
-    fn quarantine(&mut self, key: WorkerKey, reason: &'static str) {
+    pub(super) fn quarantine(&mut self, key: WorkerKey, reason: &'static str) {
         let now_ms = self.now_ms;
         let worker = self.worker_mut(key);
         if now_ms < worker.quarantined_until_ms {
@@ -179,59 +163,4 @@
         worker.failures.clear();
         worker.quarantine_ms = 0;
     }
-
-    /// Stops runs that make no progress, and quarantines their workers.
-    pub(super) fn review_stalled_runs(&mut self) {
-        let now_ms = self.now_ms;
-        let mut stalled = Vec::new();
-        for worker in &self.workers {
-            if worker.failed_polls > 0 {
-                continue;
-            }
-            for (&name, run) in &worker.runs {
-                if self.is_hanging(worker.last_response_ms, name, run) {
-                    stalled.push((worker.key, name));
-                }
-            }
-        }
-        for (key, name) in stalled {
-            self.quarantine(key, "stalled");
-            if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) {
-                let task = &mut group.tasks[name.task.index as usize];
-                task.avoid = Some(key);
-                task.avoided_ms = now_ms;
-            }
-            self.stop_run(key, name, StopReason::Hanging);
-        }
-    }
-
-    /// Whether a run makes no progress because of its worker. A run on spare cores may get
-    /// no processor time for a while. A member of a gang waits for the others at its start
-    /// and at its end, so it hangs only if it is behind them.
-    fn is_hanging(&self, last_response_ms: u64, name: RunName, run: &Run) -> bool {
-        let is_exempt = run.phase != RunPhase::Running
-            || run.long_running
-            || run.fills
-            || run.percent >= NEARLY_DONE_PERCENT;
-        let without_progress_ms = last_response_ms.saturating_sub(run.advanced_ms);
-        if is_exempt || without_progress_ms < STALL_MS {
-            return false;
-        }
-        let Some(group) = self.groups.get(&GroupKey::of(name.task)) else {
-            return false;
-        };
-        if !group.step.gang || group.tasks.len() == 1 {
-            return true;
-        }
-        let members = (0u32..).zip(&group.tasks);
-        let member_percents = members.filter_map(|(index, task)| match task.state {
-            TaskState::Placed { worker, run } => {
-                let task = group.key.task(index);
-                let run = self.worker(worker).runs.get(&RunName { task, run })?;
-                Some(run.percent)
-            }
-            _ => None,
-        });
-        member_percents.max().unwrap_or(0) >= run.percent + BEHIND_PERCENT
-    }
 }
--- a/src/scheduler/worker_speed.rs
+++ b/src/scheduler/worker_speed.rs
@@ -120,6 +120,14 @@
         self.last = Some(point);
     }
 
+    /// Returns the time that a percent takes on its worker, once two reports differ.
+    pub(super) fn percent_ms(&self) -> Option<f64> {
+        let (first, last) = (self.first?, self.last?);
+        let percent = last.percent.saturating_sub(first.percent);
+        let elapsed_ms = last.clock_ms.saturating_sub(first.clock_ms);
+        (percent > 0).then(|| elapsed_ms as f64 / f64::from(percent))
+    }
+
     /// Returns the projected run time of the whole task on its worker, once enough
     /// progress was reported.
     fn projected_run_ms(&self) -> Option<f64> {
