Count an adopted run once, and clear its task when it goes on

Cause: an owner that adopted a run counted it as one more confirmed start of a suspect, although the count was stored by the owner that started it; and an adopted run counted as having survived its start, so that its task was never cleared. A task with one crash and three runs reached the limit of five starts (four for a job of an earlier owner).

Change: the run that was last counted is stored with the count and counts once; a count that was lost with its owner is still made up for when the run is adopted. A run that was adopted clears its task once this owner has seen it go on for a second. When a crash counts as one at the start is unchanged.

an_adopted_run_is_not_counted_as_another_start and an_adopted_run_that_ goes_on_clears_its_task fail before the change (Failed where Running is expected; one suspect left where none is).

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -443,7 +443,7 @@
         let Some(run) = self.worker_mut(key).runs.get_mut(&name) else {
             return;
         };
-        if run.survived_start || now_ms < run.ordered_ms + START_SURVIVAL_MS {
+        if run.survival_recorded || now_ms < run.ordered_ms + START_SURVIVAL_MS {
             return;
         }
         let may_be_waiting = run.percent == 0;
@@ -456,6 +456,7 @@
             return;
         };
         run.survived_start = true;
+        run.survival_recorded = true;
         let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) else {
             return;
         };
@@ -477,13 +478,16 @@
         }
     }
 
-    /// Counts a confirmed start of a suspect, and stores the count at once, since the next owner
-    /// does not know of a run that crashes its worker while this owner exits.
+    /// Counts a confirmed start of a suspect, unless an earlier owner counted it, and stores the
+    /// count at once, since the next owner does not know of a run that crashes its worker while
+    /// this owner exits.
     pub(super) fn count_suspect_start(&mut self, name: RunName) {
         if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task))
             && let Some(task) = group.tasks.get_mut(name.task.index as usize)
             && task.is_suspect()
+            && name.run > task.last_counted_start
         {
+            task.last_counted_start = name.run;
             task.suspect_starts += 1;
             self.job_changed(name.task.job);
         }
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -61,6 +61,7 @@
             ordered_ms: now_ms,
             confirmed: false,
             survived_start: false,
+            survival_recorded: false,
             gang_ended: false,
             possible_end_ms: None,
             suspected,
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -80,6 +80,8 @@
     pub crashes: Vec<CrashedRun>,
     /// Confirmed starts since it became a suspect, including the one that made it one.
     pub suspect_starts: u32,
+    /// The run that was last counted among them.
+    pub last_counted_start: u64,
     /// The highest number of any of its runs.
     pub last_run: u64,
     /// The checkpoint from which the next run resumes.
@@ -127,6 +129,7 @@
             earlier_failures: 0,
             crashes: Vec::new(),
             suspect_starts: 0,
+            last_counted_start: 0,
             last_run: 0,
             checkpoint: None,
             avoid: None,
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -70,6 +70,15 @@
     /// values that an older version of the program stored.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub starts: u32,
+    /// The run that was last counted among the starts, so that an owner that adopts it does not
+    /// count it again; 0 in values that an older version of the program stored.
+    #[serde(default, skip_serializing_if = "is_no_run")]
+    pub last_start: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_no_run(run: &u64) -> bool {
+    *run == 0
 }
 
 impl TaskCrashes {
@@ -84,6 +93,7 @@
             at_start: runs_where(|crash| crash.at_start),
             uncertain: runs_where(|crash| crash.uncertain),
             starts: task.suspect_starts,
+            last_start: task.last_counted_start,
         }
     }
 
@@ -181,6 +191,7 @@
                 let highest = row.runs.iter().copied().max().unwrap_or(0);
                 task.crashes = row.crashes();
                 task.suspect_starts = row.starts;
+                task.last_counted_start = row.last_start;
                 task.count_crashes_as_starts();
                 task.last_run = task.last_run.max(highest);
             }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -73,6 +73,9 @@
     /// The worker reported the run long enough after its start that the start did not crash
     /// the worker.
     pub survived_start: bool,
+    /// That it survived its start is recorded with its task. A run that was adopted counts as
+    /// having survived, but its task is cleared only once this owner sees it go on.
+    pub survival_recorded: bool,
     /// A member of its gang listed an end of its own, so the whole gang has ended.
     pub gang_ended: bool,
     /// When it may have ended for a reason other than its progress: when its stop was
@@ -159,6 +162,7 @@
             ordered_ms: now_ms,
             confirmed: true,
             survived_start: true,
+            survival_recorded: false,
             gang_ended: false,
             possible_end_ms: None,
             suspected: false,
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -955,3 +955,60 @@
 
     assert_eq!(starts_of(&fleet, task_of(later, 0)), 1);
 }
+
+/// Returns a fleet in which a task was lost with its worker once and has just started again on
+/// another one, with its job.
+fn fleet_with_a_suspect_that_runs() -> (Fleet, JobId, JobRecord) {
+    let mut fleet = Fleet::with_workers(8);
+    fleet.down_ms = LONG_DOWN_MS;
+    let job = record("plain", vec![step(1, 1)]);
+    let id = submit_crashing(&mut fleet, 1, job.clone());
+    while fleet.crashed.is_empty() {
+        fleet.advance(STEP_MS);
+    }
+    fleet.crashing.clear();
+    let until_ms = fleet.now_ms + LONG_ENOUGH_MS;
+    while fleet.running().is_empty() && fleet.now_ms < until_ms {
+        fleet.advance(STEP_MS);
+    }
+    fleet.advance(100);
+    (fleet, id, job)
+}
+
+/// Guards against a sound job that is shown as failed after changes of owner: each owner counted
+/// the run that it adopted as one more start of a suspect.
+#[test]
+fn an_adopted_run_is_not_counted_as_another_start() {
+    let (mut fleet, id, job) = fleet_with_a_suspect_that_runs();
+
+    for epoch in 2..7 {
+        fleet = fleet.next_owner(epoch, &[(id, job.clone())], true);
+        fleet.advance(500);
+    }
+    for (worker, name) in fleet.running() {
+        fleet.end_run(&worker, name, EndKind::LeaseExpired);
+    }
+    fleet.advance(LONG_ENOUGH_MS);
+
+    assert_eq!(status_of(&fleet, id), Some(JobStatus::Running));
+    assert_eq!(fleet.running().len(), 1, "it started again");
+}
+
+/// Guards against the same: a run that an owner had adopted never cleared its task, however long
+/// it went on.
+#[test]
+fn an_adopted_run_that_goes_on_clears_its_task() {
+    let (fleet, id, job) = fleet_with_a_suspect_that_runs();
+    let stored_suspects = |fleet: &Fleet| {
+        let (_, progress) = &fleet.stored[&id];
+        let crashes = progress.groups.iter().flat_map(|group| &group.crashes);
+        crashes.filter(|task| !task.at_start.is_empty()).count()
+    };
+    let before = stored_suspects(&fleet);
+
+    let mut next = fleet.next_owner(2, &[(id, job)], true);
+    next.advance(2_000);
+
+    assert_eq!((before, stored_suspects(&next)), (1, 0));
+    assert_eq!(next.running().len(), 1, "it goes on");
+}
