Keep a cancelled job from being stored by a late write

What callers saw: a submission was answered 504, since the store answered none of its writes. The client cancelled the job and was answered 410.

Cause: a cancellation that found no job answered 410 and stored nothing, and the write of a job required only that the job did not exist. What daemons tell each other of unknown outcomes comes too late, or is lost with its daemon, and a cancellation did not ask for it.

Evidence: E110 has outcome_unknown for the submission and no_such_job for the cancellation, E322 and E304 of the job follow 1 s after the latter; all writes arrive before the 504, and a query shows the job as running. A cancellation that was stored and missed would have left jobs/ID/cancelled and a query that shows cancelled; a write after the 410 or a peer that was behind are excluded by the order of the writes and by the reason.

Change: a cancellation of a job that is not stored writes a tombstone, on condition that the job does not exist, and the write of a job requires that it has none. The store carries out one of the two, so 410 holds for writes that are under way, whoever sent them. A submission that meets a tombstone is refused as cancelled: 503, without Retry-After. A tombstone binds the account that cancelled, or the public queue, and no other; each may have 1,024 at a daemon, and the owner removes them after the time for which ended jobs are remembered. A job that changed between the read and the write of its cancellation is read again, where 410 was answered. Peers are sent the submitter with a cancellation; one of an older version closes the connection, which leaves the outcome unknown.

--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -23,6 +23,7 @@
 };
 use crate::cluster::{
     StoreError,
+    has_tombstone,
     inspect_fleet,
     inspect_job,
     job_id,
@@ -283,11 +284,15 @@
         println!("{name}: {removed} marks of failed owners removed");
         return Ok(ExitCode::SUCCESS);
     }
-    match inspect_job(&command.store, timer, job).await? {
+    match inspect_job(&command.store, timer.clone(), job).await? {
         Some(stored) => {
             println!("{stored:#?}");
             Ok(ExitCode::SUCCESS)
         }
+        None if has_tombstone(&command.store, timer, job).await? => {
+            eprintln!("{name}: it was cancelled before it was stored, and never runs");
+            Ok(ExitCode::from(EXIT_NOT_FOUND))
+        }
         None => {
             eprintln!("{name}: nothing is stored; it was never accepted, or ended long ago");
             Ok(ExitCode::from(EXIT_NOT_FOUND))
--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -11,6 +11,7 @@
     self,
     StorageOutcome, //
 };
+use super::tombstones::Submitter;
 use crate::network_bytes::{
     BytePurpose,
     Direction,
@@ -89,6 +90,12 @@
     /// Too many requests are being served.
     #[error("too many requests; nothing was accepted or run, retry after the time given")]
     Overloaded,
+    /// The job was cancelled before it was stored; it never runs.
+    #[error("the job was cancelled before it was stored; submit it under another name")]
+    Cancelled,
+    /// Too many cancellations named jobs that do not exist.
+    #[error("too many cancellations of jobs that do not exist; retry after the time given")]
+    TooManyCancellations,
     /// It is not known whether the job was accepted.
     #[error("the store did not answer; retry with the same job name")]
     OutcomeUnknown,
@@ -112,12 +119,25 @@
             Self::NoSuchMethod => "no_such_method",
             Self::StoreRefuses => "store_refuses",
             Self::Overloaded => "overloaded",
+            Self::Cancelled => "cancelled",
+            Self::TooManyCancellations => "too_many_cancellations",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::NobodyAnswers => "nobody_answers",
             Self::NoSuchJob => "no_such_job",
         }
     }
 
+    /// Whether the same request may be answered otherwise a little later.
+    fn may_retry(self) -> bool {
+        let is_temporary = matches!(
+            self.status(),
+            StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::GATEWAY_TIMEOUT
+        );
+        is_temporary && self != Self::Cancelled
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Self::NoSuchQueue => StatusCode::NOT_FOUND,
@@ -125,8 +145,10 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoSuchMethod => StatusCode::METHOD_NOT_ALLOWED,
-            Self::NoConfiguration | Self::StoreRefuses => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoConfiguration | Self::StoreRefuses | Self::Cancelled => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Overloaded | Self::TooManyCancellations => StatusCode::TOO_MANY_REQUESTS,
             // A gateway timeout: the job is neither known to be accepted nor refused.
             Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::NobodyAnswers => StatusCode::GATEWAY_TIMEOUT,
@@ -147,6 +169,17 @@
     until_ms: u64,
 }
 
+impl ParsedRequest {
+    /// Whom a cancellation comes from. On a public queue clients need no key, and one may come
+    /// without it that was sent with the job.
+    fn submitter(&self) -> Submitter {
+        match &self.account {
+            Some(account) if !self.queue.public => Submitter::account(&account.name),
+            _ => Submitter::queue(&self.queue.name),
+        }
+    }
+}
+
 /// Answers the load balancer's check whether to send new connections here.
 pub fn readiness(node: &Node, path: &str) -> Response<BoxBody> {
     let status = match (path == READINESS_PATH, node.is_ready()) {
@@ -185,13 +218,7 @@
     );
     let mut response = Response::build(status);
     response.insert_header((CONTENT_TYPE, HeaderValue::from_static("application/json")));
-    let may_retry = matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::GATEWAY_TIMEOUT
-    );
-    if may_retry {
+    if outcome.is_err_and(Refusal::may_retry) {
         response.insert_header((RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S)));
     }
     if node.is_draining() {
@@ -265,11 +292,12 @@
         }
         Method::DELETE => {
             let job = job_id(&parsed.name).ok_or(Refusal::NoSuchJob)?;
-            match submit::cancel(node, job, parsed.until_ms).await {
+            match submit::cancel(node, job, parsed.submitter(), parsed.until_ms).await {
                 StorageOutcome::Done => Ok((StatusCode::OK, b"{}".to_vec())),
+                StorageOutcome::LimitReached => Err(Refusal::TooManyCancellations),
                 StorageOutcome::NoSuchJob => Err(Refusal::NoSuchJob),
                 StorageOutcome::Refused => Err(Refusal::StoreRefuses),
-                StorageOutcome::Unknown => Err(Refusal::OutcomeUnknown),
+                StorageOutcome::Unknown | StorageOutcome::Cancelled => Err(Refusal::OutcomeUnknown),
             }
         }
         _ => Err(Refusal::NoSuchMethod),
@@ -334,6 +362,9 @@
     match submit::accept(node, job, record, parsed.until_ms).await {
         StorageOutcome::Done => Ok((StatusCode::OK, b"{}".to_vec())),
         StorageOutcome::Refused => Err(Refusal::StoreRefuses),
-        StorageOutcome::Unknown | StorageOutcome::NoSuchJob => Err(Refusal::OutcomeUnknown),
+        StorageOutcome::Cancelled => Err(Refusal::Cancelled),
+        StorageOutcome::Unknown | StorageOutcome::NoSuchJob | StorageOutcome::LimitReached => {
+            Err(Refusal::OutcomeUnknown)
+        }
     }
 }
--- a/src/cluster/inspect.rs
+++ b/src/cluster/inspect.rs
@@ -35,6 +35,7 @@
     parse_job_key,
     parse_mark_key, //
     progress_key,
+    tombstones_prefix_of,
 };
 use super::store_types::{
     StoreError,
@@ -415,6 +416,17 @@
     Ok(())
 }
 
+/// Whether a job was cancelled before it was stored.
+///
+/// # Errors
+///
+/// The store refused or did not answer.
+pub async fn has_tombstone(address: &str, timer: Timer, job: JobId) -> Result<bool, StoreError> {
+    let store = StoreClient::new(HttpClient::new(timer), address);
+    let tombstones = store.range(&tombstones_prefix_of(job), false).await?;
+    Ok(!tombstones.items.is_empty())
+}
+
 /// Reads what is stored of one job; `None` if there is no such job.
 ///
 /// # Errors
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -46,6 +46,7 @@
 mod stored_inputs;
 mod submit;
 mod supervision;
+mod tombstones;
 mod unknown_outcomes;
 mod unreadable_jobs;
 mod worker_call;
@@ -95,6 +96,7 @@
     FleetReport,
     LearnedReport,
     StoredJob,
+    has_tombstone,
     inspect_fleet,
     inspect_job, //
 };
@@ -159,6 +161,11 @@
     Transaction,
     WatchResult, //
 };
+pub use tombstones::{
+    Submitter,
+    TombstoneAges,
+    TombstoneCounts, //
+};
 pub use unknown_outcomes::UnknownOutcomes;
 pub use worker_call::{
     AddressedCall,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -30,6 +30,7 @@
 use super::store_calls::StoreCalls;
 use super::store_types::StoredItem;
 use super::supervision::Failure;
+use super::tombstones::TombstoneCounts;
 use super::unknown_outcomes::UnknownOutcomes;
 use crate::core::JobId;
 use crate::events;
@@ -124,6 +125,7 @@
     heartbeat_requested: Notify,
     root_revision: Cell<u64>,
     pub(super) unknown_outcomes: RefCell<UnknownOutcomes>,
+    pub(super) tombstone_counts: RefCell<TombstoneCounts>,
     pub(super) counted_crashes: RefCell<CountedCrashes>,
     pub(super) kept_learned: RefCell<KeptLearned>,
     /// Daemons that keep what owners have learned, with their incarnations.
@@ -173,6 +175,7 @@
             heartbeat_requested: Notify::new(),
             root_revision: Cell::new(0),
             unknown_outcomes: RefCell::default(),
+            tombstone_counts: RefCell::default(),
             counted_crashes: RefCell::default(),
             kept_learned: RefCell::default(),
             learned_receivers: RefCell::default(),
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -46,6 +46,7 @@
     Part,
     spawn_for_epoch, //
 };
+use super::tombstones;
 use super::unreadable_jobs;
 use super::worker_calls;
 use crate::events;
@@ -304,6 +305,8 @@
     spawn_for_epoch(node, epoch, Part("workers"), task);
     let task = unreadable_jobs::reread_jobs(node.clone(), epoch);
     spawn_for_epoch(node, epoch, Part("unreadable_jobs"), task);
+    let task = tombstones::remove_old(node.clone(), epoch);
+    spawn_for_epoch(node, epoch, Part("tombstones"), task);
     let task = confirm(node.clone(), epoch);
     spawn_for_epoch(node, epoch, Part("confirmation"), task);
     Ok(())
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -19,7 +19,7 @@
     /// The content; absent if a request has no response.
     #[prost(
         oneof = "PeerBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 20"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 20, 21"
     )]
     pub body: Option<PeerBody>,
 }
@@ -48,9 +48,10 @@
     /// Asks a peer to store this job, since the store does not answer the sender.
     #[prost(message, tag = "8")]
     Submit(JobBytes),
-    /// Asks a peer to store this job's cancellation.
+    /// Asks a peer to store the cancellation of this job if it is stored, as older versions of
+    /// the program do.
     #[prost(fixed64, tag = "9")]
-    Cancel(u64),
+    CancelStored(u64),
     /// The outcome of storing a job or a cancellation, as a number of
     /// `submit::StorageOutcome`.
     #[prost(uint32, tag = "10")]
@@ -70,6 +71,9 @@
     /// Tells a likely successor what the owner has learned.
     #[prost(message, tag = "20")]
     Learned(LearnedMessage),
+    /// Asks a peer to store this job's cancellation.
+    #[prost(message, tag = "21")]
+    Cancel(CancellationMessage),
 }
 
 /// A job and its record, encoded as in the store.
@@ -83,6 +87,17 @@
     pub record: Vec<u8>,
 }
 
+/// A cancellation of a job.
+#[derive(Clone, PartialEq, Message)]
+pub struct CancellationMessage {
+    /// The job's id.
+    #[prost(fixed64, tag = "1")]
+    pub job: u64,
+    /// Whom the cancellation comes from, as in [`super::tombstones::Submitter`].
+    #[prost(fixed64, tag = "2")]
+    pub submitter: u64,
+}
+
 /// A heartbeat, sent as one datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -34,6 +34,9 @@
 pub const PROGRESS_PREFIX: &str = "progress/";
 /// Daemons, each under a lease.
 pub const MEMBERS_PREFIX: &str = "members/";
+/// Names of cancelled jobs that must not be stored later; the job and whom the tombstone belongs
+/// to follow.
+pub const TOMBSTONES_PREFIX: &str = "tombstones/";
 /// Workers that are closed to new starts, written by the owner.
 pub const CLOSED_PREFIX: &str = "closed/";
 /// What owners have learned; the number of the part follows.
@@ -235,6 +238,16 @@
     format!("{JOBS_PREFIX}{job}{CANCELLED_SUFFIX}")
 }
 
+/// The prefix of the tombstones of a job.
+pub fn tombstones_prefix_of(job: JobId) -> String {
+    format!("{TOMBSTONES_PREFIX}{job}/")
+}
+
+/// The key of the tombstone that a submitter has for a job.
+pub fn tombstone_key(job: JobId, submitter: u64) -> String {
+    format!("{}{submitter:016x}", tombstones_prefix_of(job))
+}
+
 /// The key of a job's progress.
 pub fn progress_key(job: JobId) -> String {
     format!("{PROGRESS_PREFIX}{job}")
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -6,6 +6,9 @@
 //! that is known not to answer, or if the store refused it before anything was done. If the
 //! store did not answer, the outcome is unknown, and the client retries with the same job
 //! name; until a request for that job is answered otherwise, its outcome stays unknown.
+//!
+//! A cancellation of a job that is not stored must hold for such a late write too: it leaves a
+//! tombstone, which excludes the job (see [`super::tombstones`]).
 
 use super::carried_connection::CarriedConnection;
 use super::carrier;
@@ -13,12 +16,14 @@
 use super::node::Node;
 use super::peer_connections::status_from_code;
 use super::peer_frame::{
+    CancellationMessage,
     JobBytes,
     PeerBody, //
 };
 use super::records::{
     ROOT_KEY,
     cancelled_key,
+    decode,
     decode_job_record,
     decode_progress,
     encode,
@@ -28,8 +33,13 @@
 use super::store_types::{
     CommitResult,
     StoreError,
+    StoredItem,
     Transaction, //
 };
+use super::tombstones::{
+    self,
+    Submitter, //
+};
 use crate::core::JobId;
 use crate::events;
 use crate::scheduler::{
@@ -62,8 +72,12 @@
     Refused,
     /// It may be stored, now or later.
     Unknown,
-    /// The job to be cancelled does not exist.
+    /// The job to be cancelled does not exist, and no earlier request will store it.
     NoSuchJob,
+    /// The job was cancelled before it was stored, and will not be.
+    Cancelled,
+    /// It is not stored and will not be, since its submitter has too many tombstones.
+    LimitReached,
 }
 
 impl StorageOutcome {
@@ -74,6 +88,8 @@
             Self::Refused => 2,
             Self::Unknown => 3,
             Self::NoSuchJob => 4,
+            Self::Cancelled => 5,
+            Self::LimitReached => 6,
         }
     }
 
@@ -83,6 +99,8 @@
             1 => Self::Done,
             2 => Self::Refused,
             4 => Self::NoSuchJob,
+            5 => Self::Cancelled,
+            6 => Self::LimitReached,
             _ => Self::Unknown,
         }
     }
@@ -96,7 +114,8 @@
     until_ms: u64,
 ) -> StorageOutcome {
     let bytes = encode(&record);
-    let mut outcome = store_job_if_answered(node, job, bytes.clone(), until_ms).await;
+    let submitters = Submitter::all_of(&record);
+    let mut outcome = store_job_if_answered(node, job, &submitters, bytes.clone(), until_ms).await;
     if outcome == StorageOutcome::Refused
         && let Some(peer) = node.peer_with_store(job)
     {
@@ -115,7 +134,7 @@
         StorageOutcome::Done => node.record_stored_job(job),
         StorageOutcome::Unknown => node.record_unknown_job(job),
         StorageOutcome::Refused => return earlier_outcome(node, job).await,
-        StorageOutcome::NoSuchJob => {}
+        StorageOutcome::Cancelled | StorageOutcome::NoSuchJob | StorageOutcome::LimitReached => {}
     }
     outcome
 }
@@ -141,11 +160,12 @@
 async fn store_job_if_answered(
     node: &Rc<Node>,
     job: JobId,
+    submitters: &[Submitter],
     record: Bytes,
     until_ms: u64,
 ) -> StorageOutcome {
     match node.confirm_store().await {
-        true => store_job(node, job, record, until_ms).await,
+        true => store_job(node, job, submitters, record, until_ms).await,
         false => StorageOutcome::Refused,
     }
 }
@@ -161,12 +181,19 @@
 }
 
 /// Writes a job to the store.
-async fn store_job(node: &Rc<Node>, job: JobId, record: Bytes, until_ms: u64) -> StorageOutcome {
-    let transaction = Transaction {
+async fn store_job(
+    node: &Rc<Node>,
+    job: JobId,
+    submitters: &[Submitter],
+    record: Bytes,
+    until_ms: u64,
+) -> StorageOutcome {
+    let mut transaction = Transaction {
         expected: vec![(job_key(job), 0)],
         puts: vec![(job_key(job), record)],
         ..Transaction::default()
     };
+    tombstones::expect_none(&mut transaction, job, submitters);
     // Whether a refusal means that no attempt has stored the job.
     let mut refusal_is_final = true;
     let mut timeout_ms = node.store_timeout_ms();
@@ -176,9 +203,11 @@
         // Allows for a slow store, and for a large job on a slow link.
         timeout_ms *= 2;
         match outcome {
-            // An existing key is that of the same job, sent again.
-            Ok(CommitResult::Done { .. } | CommitResult::Conflict(_)) => {
-                return StorageOutcome::Done;
+            Ok(CommitResult::Done { .. }) => return StorageOutcome::Done,
+            Ok(CommitResult::Conflict(items)) => {
+                if let Some(outcome) = outcome_of_conflict(job, &items) {
+                    return outcome;
+                }
             }
             Ok(CommitResult::LeaseExpired) => return StorageOutcome::Refused,
             Err(StoreError::Refused) if refusal_is_final => return StorageOutcome::Refused,
@@ -194,6 +223,16 @@
     }
 }
 
+/// The outcome of a job whose write conflicts with `items`; `None` if they do not show it.
+fn outcome_of_conflict(job: JobId, items: &[StoredItem]) -> Option<StorageOutcome> {
+    let key = job_key(job);
+    if items.iter().any(|item| item.key == key) {
+        // An existing key is that of the same job, sent again.
+        return Some(StorageOutcome::Done);
+    }
+    tombstones::is_any_tombstone(items).then_some(StorageOutcome::Cancelled)
+}
+
 /// The outcome that a peer answered.
 fn forwarded_outcome(answer: Option<PeerBody>) -> StorageOutcome {
     match answer {
@@ -242,15 +281,24 @@
     });
 }
 
-/// Cancels a job: stores the cancellation, from here or through a peer, and notifies the
-/// owner.
-pub async fn cancel(node: &Rc<Node>, job: JobId, until_ms: u64) -> StorageOutcome {
-    let mut outcome = store_cancellation_if_answered(node, job, until_ms).await;
+/// Cancels a job for `submitter`: stores the cancellation, from here or through a peer, and
+/// notifies the owner.
+pub async fn cancel(
+    node: &Rc<Node>,
+    job: JobId,
+    submitter: Submitter,
+    until_ms: u64,
+) -> StorageOutcome {
+    let mut outcome = store_cancellation_if_answered(node, job, Some(submitter), until_ms).await;
     if outcome == StorageOutcome::Refused
         && let Some(peer) = node.peer_with_store(job)
     {
         metrics::counter!("fuchsiaslip_forwarded_total", "call" => "cancel").increment(1);
-        let body = PeerBody::Cancel(job.0);
+        // A peer of an older version closes the connection, which leaves the outcome unknown.
+        let body = PeerBody::Cancel(CancellationMessage {
+            job: job.0,
+            submitter: submitter.0,
+        });
         outcome = forwarded_outcome(node.peers.request(peer, body, FORWARD_TIMEOUT_MS).await);
     } else if outcome == StorageOutcome::Done {
         notify_owner_of_cancellation(node, job);
@@ -272,46 +320,71 @@
 async fn store_cancellation_if_answered(
     node: &Rc<Node>,
     job: JobId,
+    submitter: Option<Submitter>,
     until_ms: u64,
 ) -> StorageOutcome {
     match node.confirm_store().await {
-        true => store_cancellation(node, job, until_ms).await,
+        true => store_cancellation(node, job, submitter, until_ms).await,
         false => StorageOutcome::Refused,
     }
 }
 
-/// Writes a job's cancellation to the store.
-async fn store_cancellation(node: &Rc<Node>, job: JobId, until_ms: u64) -> StorageOutcome {
+/// Writes a job's cancellation to the store, or the tombstone of a job that is not stored.
+async fn store_cancellation(
+    node: &Rc<Node>,
+    job: JobId,
+    submitter: Option<Submitter>,
+    until_ms: u64,
+) -> StorageOutcome {
+    let mut is_counted = false;
+    let mut timeout_ms = node.store_timeout_ms();
     loop {
-        let outcome = node.call_store(try_cancellation(node, job)).await;
+        let found = node.call_store(node.store.get(&job_key(job))).await;
+        let outcome = match (found, submitter) {
+            (Ok(Some(item)), _) => node.call_store(cancel_stored(node, job, item)).await,
+            // A daemon of an older version names no submitter.
+            (Ok(None), None) => return StorageOutcome::Unknown,
+            (Ok(None), Some(submitter)) => {
+                if !is_counted && !tombstones::admit(node, submitter) {
+                    return StorageOutcome::LimitReached;
+                }
+                is_counted = true;
+                let store = tombstones::store(node, job, submitter, timeout_ms);
+                let is_stored = node.call_store(store).await;
+                is_stored.map(|is_stored| is_stored.then_some(StorageOutcome::NoSuchJob))
+            }
+            (Err(error), _) => Err(error),
+        };
+        timeout_ms *= 2;
         match outcome {
-            Ok(stored) => return stored,
+            Ok(Some(outcome)) => return outcome,
+            // The job was stored or changed in between.
+            Ok(None) => {}
             // Cancelling twice does no harm, so a refusal is always final.
             Err(StoreError::Refused) => return StorageOutcome::Refused,
-            Err(StoreError::NoAnswer) if node.now_ms() + RETRY_MS >= until_ms => {
-                return StorageOutcome::Unknown;
-            }
-            Err(StoreError::NoAnswer) => {
-                node.timer.sleep(RETRY_MS).await;
-            }
+            Err(StoreError::NoAnswer) => {}
+        }
+        if node.now_ms() + RETRY_MS >= until_ms {
+            return StorageOutcome::Unknown;
         }
+        node.timer.sleep(RETRY_MS).await;
     }
 }
 
-async fn try_cancellation(node: &Node, job: JobId) -> Result<StorageOutcome, StoreError> {
-    let Some(item) = node.store.get(&job_key(job)).await? else {
-        return Ok(StorageOutcome::NoSuchJob);
-    };
+/// Cancels the stored job `item`. Returns `None` if it was changed or deleted in between.
+async fn cancel_stored(
+    node: &Node,
+    job: JobId,
+    item: StoredItem,
+) -> Result<Option<StorageOutcome>, StoreError> {
     let transaction = Transaction {
         expected: vec![(item.key, item.revision)],
         puts: vec![(cancelled_key(job), Bytes::from_static(b"{}"))],
         ..Transaction::default()
     };
-    match node.store.commit(&transaction).await? {
-        CommitResult::Done { .. } => Ok(StorageOutcome::Done),
-        // The job was deleted in between.
-        CommitResult::Conflict(_) | CommitResult::LeaseExpired => Ok(StorageOutcome::NoSuchJob),
-    }
+    let result = node.store.commit(&transaction).await?;
+    let is_stored = matches!(result, CommitResult::Done { .. });
+    Ok(is_stored.then_some(StorageOutcome::Done))
 }
 
 /// Returns the status of a job: `Some(None)` if there is no such job, `None` if neither
@@ -461,18 +534,24 @@
         }
         PeerBody::Submit(job) => {
             let (id, record) = (JobId(job.job), Bytes::from(job.record));
-            let outcome = store_job_if_answered(&node, id, record.clone(), until_ms).await;
+            // What cannot be decoded here, a newer version's, was not sent to the store.
+            let Ok(decoded) = decode::<JobRecord>(&record) else {
+                return Some(PeerBody::StorageOutcome(StorageOutcome::Refused.code()));
+            };
+            let submitters = Submitter::all_of(&decoded);
+            let outcome =
+                store_job_if_answered(&node, id, &submitters, record.clone(), until_ms).await;
             if outcome == StorageOutcome::Done {
                 notify_owner_of_job(&node, id, record);
             }
             Some(PeerBody::StorageOutcome(outcome.code()))
         }
-        PeerBody::Cancel(job) => {
-            let outcome = store_cancellation_if_answered(&node, JobId(job), until_ms).await;
-            if outcome == StorageOutcome::Done {
-                notify_owner_of_cancellation(&node, JobId(job));
-            }
-            Some(PeerBody::StorageOutcome(outcome.code()))
+        PeerBody::Cancel(message) => {
+            let (job, submitter) = (JobId(message.job), Submitter(message.submitter));
+            Some(answer_cancellation(&node, job, Some(submitter), until_ms).await)
+        }
+        PeerBody::CancelStored(job) => {
+            Some(answer_cancellation(&node, JobId(job), None, until_ms).await)
         }
         PeerBody::Learned(message) => {
             node.record_learned_of_owner(&message);
@@ -495,3 +574,16 @@
         }
     }
 }
+
+async fn answer_cancellation(
+    node: &Rc<Node>,
+    job: JobId,
+    submitter: Option<Submitter>,
+    until_ms: u64,
+) -> PeerBody {
+    let outcome = store_cancellation_if_answered(node, job, submitter, until_ms).await;
+    if outcome == StorageOutcome::Done {
+        notify_owner_of_cancellation(node, job);
+    }
+    PeerBody::StorageOutcome(outcome.code())
+}
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -204,6 +204,11 @@
     pub mode: StoreMode,
     /// A key or prefix whose reads get no answer; all other calls are served.
     pub withheld_key: Option<&'static str>,
+    /// A key whose writes get no answer and are carried out after this time, if their
+    /// conditions still hold then.
+    pub delayed_key: Option<(String, Duration)>,
+    /// Number of such writes whose time has come.
+    pub delayed_writes_done: u64,
     pub records: Vec<RunRecord>,
     items: BTreeMap<String, Item>,
     /// Changes with their revisions and keys.
@@ -572,6 +577,14 @@
         Some(events.into_values().collect())
     }
 
+    /// How much later a transaction is carried out that gets no answer for its key.
+    fn delay_of(&self, body: &Value) -> Option<Duration> {
+        let (key, delay) = self.delayed_key.as_ref()?;
+        let puts = body["puts"].as_array()?;
+        let is_delayed = puts.iter().any(|row| row["key"] == key.as_str());
+        is_delayed.then_some(*delay)
+    }
+
     fn transact(&mut self, body: &Value) -> (StatusCode, Value) {
         let rows = |field: &str| body[field].as_array().cloned().unwrap_or_default();
         let expected = rows("expected_revision");
@@ -894,6 +907,8 @@
         let world = World {
             mode: StoreMode::Serving,
             withheld_key: None,
+            delayed_key: None,
+            delayed_writes_done: 0,
             checks_capacity: true,
             keeps_names: false,
             late_starts: false,
@@ -1127,11 +1142,21 @@
 async fn transact(world: Arc<Mutex<World>>, mode: StoreMode, body: Value) -> Response<BoxBody> {
     const LATE_DELAY: Duration = Duration::from_millis(1_500);
     const UNANSWERED_ONE_IN: u64 = 3;
-    let is_unanswered = {
+    let (is_unanswered, delay) = {
         let mut world = lock(&world);
         world.writes += 1;
-        world.writes.is_multiple_of(UNANSWERED_ONE_IN)
+        let is_unanswered = world.writes.is_multiple_of(UNANSWERED_ONE_IN);
+        (is_unanswered, world.delay_of(&body))
     };
+    if let Some(delay) = delay {
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(delay).await;
+            let mut world = lock(&world);
+            world.transact(&body);
+            world.delayed_writes_done += 1;
+        });
+        return no_answer().await;
+    }
     match mode {
         StoreMode::LosingAnswers if is_unanswered => {
             lock(&world).transact(&body);
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -59,6 +59,7 @@
 /// | 230 to 238 | `foreign/path.rs` |
 /// | 246 to 248 | `learned_state/whole_path.rs` |
 /// | 249 to 251 | `owner_parts.rs` |
+/// | 240 to 245 | `tombstones.rs` |
 /// | 252 | `client_resets.rs` |
 ///
 /// Benches run alone and may use any number; 254 is the highest.
@@ -82,9 +83,14 @@
 
 /// Makes a client's request to the daemon at `ip`.
 pub fn request_at(ip: Ipv4Addr, method: &str, path: &str, body: &str) -> Answer {
+    request_with_key(ip, "key", method, path, body)
+}
+
+/// Makes a request to the daemon at `ip` with the key of a client account.
+pub fn request_with_key(ip: Ipv4Addr, key: &str, method: &str, path: &str, body: &str) -> Answer {
     let address = SocketAddr::new(ip.into(), CLIENT_PORT);
     let head = format!(
-        "{method} {path} HTTP/1.1\r\nhost: h\r\nauthorization: Token key\r\nconnection: close\r\n\
+        "{method} {path} HTTP/1.1\r\nhost: h\r\nauthorization: Token {key}\r\nconnection: close\r\n\
          content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
