Answer 504 to a cancellation that the store may still carry out

What callers saw: the store left the write of a cancellation without an answer and refused the next attempt. The client was told 503, that nothing was done, and the job was cancelled when the write was carried out. Found by reading the paths beside the cancelled job that ran: other answers that are final while a call may still be carried out.

Cause: a refusal was taken as final, since cancelling twice does no harm. That is a reason to repeat a cancellation, not to deny it.

Change: as for the write of a job, a refusal is final only if no attempt was left without an answer. Else the daemon goes on until the client's time is over, and answers 504. A read that was not answered changes nothing.

--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -337,9 +337,12 @@
     until_ms: u64,
 ) -> StorageOutcome {
     let mut is_counted = false;
+    // Whether a refusal means that no attempt has cancelled the job.
+    let mut refusal_is_final = true;
     let mut timeout_ms = node.store_timeout_ms();
     loop {
         let found = node.call_store(node.store.get(&job_key(job))).await;
+        let is_read = found.is_ok();
         let outcome = match (found, submitter) {
             (Ok(Some(item)), _) => node.call_store(cancel_stored(node, job, item)).await,
             // A daemon of an older version names no submitter.
@@ -360,9 +363,10 @@
             Ok(Some(outcome)) => return outcome,
             // The job was stored or changed in between.
             Ok(None) => {}
-            // Cancelling twice does no harm, so a refusal is always final.
-            Err(StoreError::Refused) => return StorageOutcome::Refused,
-            Err(StoreError::NoAnswer) => {}
+            Err(StoreError::Refused) if refusal_is_final => return StorageOutcome::Refused,
+            Err(StoreError::Refused) => {}
+            // A read that was not answered changes nothing.
+            Err(StoreError::NoAnswer) => refusal_is_final &= !is_read,
         }
         if node.now_ms() + RETRY_MS >= until_ms {
             return StorageOutcome::Unknown;
--- a/tests/store_outage.rs
+++ b/tests/store_outage.rs
@@ -15,6 +15,7 @@
 use daemons::{
     epoch,
     fleet,
+    fleet_from,
     fleet_with_stores,
     is_completed,
     job,
@@ -175,3 +176,31 @@
     assert_eq!(status(&answer), 200);
     wait_until("it is completed", || is_completed(&daemons[0], 1));
 }
+
+/// Guards against an untrue refusal: the store left a cancellation without an answer and then
+/// refused its repetition, and the job was cancelled after its client was told that it was not.
+#[test]
+fn a_cancellation_that_may_be_carried_out_is_not_refused() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons = fleet_from(223, 10, &[operator.store; 2]);
+    wait_until("an owner", || epoch(&operator) > 0);
+    assert_eq!(status(&submit(&daemons[0], 1)), 200);
+    let key = format!("jobs/{:016x}/cancelled", 1);
+    operator.world().delayed_key = Some((key.clone(), NOTICE_DELAY * 2));
+
+    let answer = std::thread::scope(|scope| {
+        let cancelling = scope.spawn(|| daemons[1].request("DELETE", &path(1), ""));
+        wait_until("the cancellation arrives", || {
+            operator.world().delayed_writes > 0
+        });
+        operator.world().mode = StoreMode::Refusing;
+        cancelling.join().expect("an answer")
+    });
+    operator.world().mode = StoreMode::Serving;
+
+    assert_eq!(status(&answer), 504);
+    wait_until("it is carried out", || {
+        operator.world().value(&key).is_some()
+    });
+}
--- a/tests/support/daemons.rs
+++ b/tests/support/daemons.rs
@@ -47,9 +47,15 @@
 
 /// Like [`fleet`], with one daemon for each address of the store.
 pub fn fleet_with_stores(test: u8, stores: &[SocketAddr]) -> Vec<Daemon> {
+    fleet_from(test, 0, stores)
+}
+
+/// Like [`fleet_with_stores`], with the addresses of `test` from `first` on, so that tests of one
+/// file can share a number.
+pub fn fleet_from(test: u8, first: u8, stores: &[SocketAddr]) -> Vec<Daemon> {
     let daemons: Vec<Daemon> = (0..)
         .zip(stores)
-        .map(|(at, store)| Daemon::spawn(&format!("d{at}"), loopback(test, at), *store))
+        .map(|(at, store)| Daemon::spawn(&format!("d{at}"), loopback(test, first + at), *store))
         .collect();
     wait_until("every daemon is ready", || {
         daemons.iter().all(Daemon::is_ready)
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -207,6 +207,8 @@
     /// A key whose writes get no answer and are carried out after this time, if their
     /// conditions still hold then.
     pub delayed_key: Option<(String, Duration)>,
+    /// Number of such writes that have arrived.
+    pub delayed_writes: u64,
     /// Number of such writes whose time has come.
     pub delayed_writes_done: u64,
     pub records: Vec<RunRecord>,
@@ -908,6 +910,7 @@
             mode: StoreMode::Serving,
             withheld_key: None,
             delayed_key: None,
+            delayed_writes: 0,
             delayed_writes_done: 0,
             checks_capacity: true,
             keeps_names: false,
@@ -1149,6 +1152,7 @@
         (is_unanswered, world.delay_of(&body))
     };
     if let Some(delay) = delay {
+        lock(&world).delayed_writes += 1;
         actix_rt::spawn(async move {
             actix_rt::time::sleep(delay).await;
             let mut world = lock(&world);
