Remember a job whose request is dropped before the store answers

What callers saw: a client reset its connection while the store had the write of its job and did not answer. The same job, sent again to another daemon in the outage, was refused with 503, which says that it never runs, although the store may carry out the first write. Found by reading the paths beside the cancelled job that ran.

Cause: the outcome was recorded as unknown after the last attempt, by the request itself. A request whose connection is reset is dropped before. A peer that stored the job for another daemon recorded nothing at all, so that it was forgotten with that daemon.

Change: the outcome is recorded when the attempt to store a job is dropped without one, on the daemon that made it.

That the peer records it too is by the same code; no test was made for it.

--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -124,7 +124,8 @@
             job: job.0,
             record: bytes.to_vec(),
         });
-        outcome = forwarded_outcome(node.peers.request(peer, body, FORWARD_TIMEOUT_MS).await);
+        let answer = node.peers.request(peer, body, FORWARD_TIMEOUT_MS);
+        outcome = recorded_if_unknown(node, job, async { forwarded_outcome(answer.await) }).await;
     } else if outcome == StorageOutcome::Done && node.owns() {
         send_job_input(node, job, record);
     } else if outcome == StorageOutcome::Done {
@@ -132,10 +133,44 @@
     }
     match outcome {
         StorageOutcome::Done => node.record_stored_job(job),
-        StorageOutcome::Unknown => node.record_unknown_job(job),
         StorageOutcome::Refused => return earlier_outcome(node, job).await,
-        StorageOutcome::Cancelled | StorageOutcome::NoSuchJob | StorageOutcome::LimitReached => {}
+        StorageOutcome::Unknown
+        | StorageOutcome::Cancelled
+        | StorageOutcome::NoSuchJob
+        | StorageOutcome::LimitReached => {}
+    }
+    outcome
+}
+
+/// Records that the outcome of storing a job is unknown unless it is settled before the value
+/// is dropped, which also happens when the connection of the job's client is reset.
+struct UnsettledJob<'a> {
+    node: &'a Node,
+    job: JobId,
+    is_settled: bool,
+}
+
+impl Drop for UnsettledJob<'_> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.node.record_unknown_job(self.job);
+        }
     }
+}
+
+/// Waits for the outcome of storing a job, and records it if it is or stays unknown.
+async fn recorded_if_unknown(
+    node: &Node,
+    job: JobId,
+    storing: impl Future<Output = StorageOutcome>,
+) -> StorageOutcome {
+    let mut unsettled = UnsettledJob {
+        node,
+        job,
+        is_settled: false,
+    };
+    let outcome = storing.await;
+    unsettled.is_settled = outcome != StorageOutcome::Unknown;
     outcome
 }
 
@@ -165,7 +200,10 @@
     until_ms: u64,
 ) -> StorageOutcome {
     match node.confirm_store().await {
-        true => store_job(node, job, submitters, record, until_ms).await,
+        true => {
+            let storing = store_job(node, job, submitters, record, until_ms);
+            recorded_if_unknown(node, job, storing).await
+        }
         false => StorageOutcome::Refused,
     }
 }
--- a/tests/client_resets.rs
+++ b/tests/client_resets.rs
@@ -13,12 +13,16 @@
 
 use daemons::{
     fleet,
+    fleet_from,
     is_completed,
     job,
     path,
     wait_until, //
 };
-use operator::Operator;
+use operator::{
+    Operator,
+    StoreMode, //
+};
 use processes::{
     Answer,
     Daemon, //
@@ -36,6 +40,8 @@
 const RESETS_AT_ONCE: usize = 100;
 /// Time in which a daemon reads what it was sent.
 const READ_DELAY: Duration = Duration::from_millis(150);
+/// Longer than daemons need to notice an outage of the store.
+const NOTICE_DELAY: Duration = Duration::from_millis(1_500);
 /// Longer than a daemon without requests takes to drain.
 const DRAIN: Duration = Duration::from_millis(4_000);
 
@@ -84,3 +90,39 @@
     assert!(daemons[0].wait());
     assert!(began.elapsed() < DRAIN, "{:?}", began.elapsed());
 }
+
+/// Sends a job, after a query whose answer is not read: a connection that is closed with unread
+/// bytes is reset.
+fn send_job(daemon: &Daemon, id: u64) -> std::io::Result<TcpStream> {
+    let mut stream = daemon.connect()?;
+    let body = job(1, 100);
+    let requests = format!(
+        "GET /q/1 HTTP/1.1\r\nhost: h\r\nauthorization: Token key\r\n\r\n\
+         POST {} HTTP/1.1\r\nhost: h\r\nauthorization: Token key\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        path(id),
+        body.len()
+    );
+    stream.write_all(requests.as_bytes())?;
+    Ok(stream)
+}
+
+/// Guards against an untrue refusal: a client reset its connection while the store had its job
+/// and did not answer, so that no daemon remembered the job, and its repetition was refused.
+#[test]
+fn a_job_whose_client_disconnected_before_the_store_answered_is_not_refused() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons = fleet_from(252, 10, &[operator.store; 2]);
+    operator.world().delayed_key = Some((format!("jobs/{:016x}", 7), NOTICE_DELAY * 3));
+    let connection = send_job(&daemons[0], 7).expect("it is sent");
+    wait_until("the job arrives", || operator.world().delayed_writes > 0);
+    operator.world().mode = StoreMode::Unresponsive;
+
+    drop(connection);
+    std::thread::sleep(NOTICE_DELAY);
+    let [repeated, other] = [7, 8].map(|id| daemons[1].request("POST", &path(id), &job(1, 100)));
+
+    assert!(matches!(repeated, Answer::Status(504, _)), "{repeated:?}");
+    assert!(matches!(other, Answer::Status(503, _)), "{other:?}");
+}
