Answer 504 to a job that may be stored where 429 or 503 would deny it

What callers saw: a submission was answered 504, since the store did not answer. The same job, sent again to a daemon with too many requests, was answered 429, and to one without a configuration 503: both say that the job never runs, although the store may carry out the first write. Found by reading the paths beside the cancelled job that ran.

Cause: only the refusal for the store's sake asked for what daemons know of earlier requests. The two others are decided before.

Change: these refusals of a submission become 504 if an earlier request for the job may have stored it, as far as this daemon was told. Neither asks the owner, which knows accepted jobs: a daemon with too many requests is not to make more.

The refusal without a configuration goes the same way; no test was made for it.

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -6,7 +6,10 @@
     RequestLine, //
 };
 use super::node::Node;
-use super::records::job_id;
+use super::records::{
+    JOB_ID_LENGTH,
+    job_id, //
+};
 use super::submit::{
     self,
     StorageOutcome, //
@@ -195,6 +198,7 @@
     let received_ms = node.now_ms();
     let in_progress = InProgress::begin(&node);
     let outcome = respond(&node, &mut request, received_ms).await;
+    let outcome = outcome.map_err(|refusal| unless_stored_earlier(&node, &request, refusal));
     drop(in_progress);
     let took_ms = node.now_ms() - received_ms;
     let (status, body, reason) = match &outcome {
@@ -304,6 +308,21 @@
     }
 }
 
+/// The refusal of a request, or that the outcome is unknown if the refusal would deny a job that
+/// an earlier request may have stored.
+fn unless_stored_earlier(node: &Node, request: &Request, refusal: Refusal) -> Refusal {
+    let is_submission = matches!(*request.method(), Method::POST | Method::PUT);
+    let denies_job = matches!(refusal, Refusal::NoConfiguration | Refusal::Overloaded);
+    // The queue, whose prefix the name follows, may not be known.
+    let path = request.path();
+    let name_start = path.len().checked_sub(JOB_ID_LENGTH);
+    let job = name_start.and_then(|at| path.get(at..)).and_then(job_id);
+    match job.is_some_and(|job| node.may_be_stored(job)) && is_submission && denies_job {
+        true => Refusal::OutcomeUnknown,
+        false => refusal,
+    }
+}
+
 async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, Refusal> {
     let mut body = BytesMut::new();
     let mut payload = request.take_payload();
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -285,9 +285,12 @@
     format!("{MEMBERS_PREFIX}{daemon}")
 }
 
-/// Parses the id of a job: 16 hexadecimal digits.
+/// Number of hexadecimal digits of a job's id.
+pub const JOB_ID_LENGTH: usize = 16;
+
+/// Parses the id of a job, [`JOB_ID_LENGTH`] hexadecimal digits.
 pub fn job_id(text: &str) -> Option<JobId> {
-    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let digits = text.len() == JOB_ID_LENGTH && text.bytes().all(|byte| byte.is_ascii_hexdigit());
     let value = digits.then(|| u64::from_str_radix(text, 16).ok()).flatten();
     value.map(JobId)
 }
--- a/tests/client_resets.rs
+++ b/tests/client_resets.rs
@@ -1,5 +1,5 @@
-//! Clients that reset their connections in the middle of a request, with a real daemon beside a
-//! stand-in of the platform.
+//! Clients that reset their connections in the middle of a request, or keep many requests open,
+//! with real daemons beside a stand-in of the platform.
 
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "support/daemons.rs"]
@@ -37,6 +37,8 @@
 
 /// Resets in all: more than a daemon serves requests at a time.
 const RESETS: usize = 1_000;
+/// More than the requests that a daemon serves at a time.
+const OPEN_REQUESTS: usize = 530;
 const RESETS_AT_ONCE: usize = 100;
 /// Time in which a daemon reads what it was sent.
 const READ_DELAY: Duration = Duration::from_millis(150);
@@ -126,3 +128,27 @@
     assert!(matches!(repeated, Answer::Status(504, _)), "{repeated:?}");
     assert!(matches!(other, Answer::Status(503, _)), "{other:?}");
 }
+
+/// Guards against an untrue refusal: a daemon with too many requests refused a job that an
+/// earlier request may have stored.
+#[test]
+fn a_job_that_may_be_stored_is_not_refused_by_an_overloaded_daemon() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons = fleet_from(252, 20, &[operator.store; 2]);
+    operator.world().delayed_key = Some((format!("jobs/{:016x}", 7), NOTICE_DELAY * 3));
+    let first = daemons[0].request("POST", &path(7), &job(1, 100));
+    let open: Vec<TcpStream> = (0..OPEN_REQUESTS)
+        .filter_map(|_| begin_request(&daemons[1]).ok())
+        .collect();
+    wait_until("the daemon is overloaded", || {
+        daemons[1].metric("fuchsiaslip_requests_in_progress") > 512.0
+    });
+
+    let [repeated, other] = [7, 8].map(|id| daemons[1].request("POST", &path(id), &job(1, 100)));
+
+    assert!(matches!(first, Answer::Status(504, _)), "{first:?}");
+    assert!(matches!(repeated, Answer::Status(504, _)), "{repeated:?}");
+    assert!(matches!(other, Answer::Status(429, _)), "{other:?}");
+    drop(open);
+}
