Do not deny a job to a query while its write may be carried out

What callers saw: a submission was answered 504. A query for the job was answered 410, there is no such job, and seconds later the store carried out the write and the job ran. A client that believed the first answer may have submitted the work under another name by then. Found by reading the paths beside the cancelled job that ran.

Cause: the query read the store, which says what is stored at that moment, and did not ask what daemons know of unknown outcomes.

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -290,9 +290,13 @@
         Method::GET => {
             let job = job_id(&parsed.name).ok_or(Refusal::NoSuchJob)?;
             let job_status = submit::job_status(node, job, parsed.until_ms).await;
-            let job_status = job_status.ok_or(Refusal::NobodyAnswers)?;
-            let job_status = job_status.ok_or(Refusal::NoSuchJob)?;
-            Ok((StatusCode::OK, encode_state(job_status)))
+            match job_status.ok_or(Refusal::NobodyAnswers)? {
+                Some(job_status) => Ok((StatusCode::OK, encode_state(job_status))),
+                None if submit::may_still_be_stored(node, job, parsed.submitter()).await => {
+                    Err(Refusal::OutcomeUnknown)
+                }
+                None => Err(Refusal::NoSuchJob),
+            }
         }
         Method::DELETE => {
             let job = job_id(&parsed.name).ok_or(Refusal::NoSuchJob)?;
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -447,6 +447,16 @@
     status_in_store(node, job).await.ok()
 }
 
+/// Whether a job that is not stored may be stored by a request whose outcome is unknown. A
+/// cancellation of its submitter excludes that.
+pub async fn may_still_be_stored(node: &Node, job: JobId, submitter: Submitter) -> bool {
+    if !node.may_be_stored(job) {
+        return false;
+    }
+    let tombstone = tombstones::is_stored(node, job, submitter).await;
+    !matches!(tombstone, Ok(true))
+}
+
 async fn ask_owner(node: &Rc<Node>, job: JobId) -> Option<Option<JobStatus>> {
     if node.owns() {
         return node.control.job_status(job).await;
--- a/src/cluster/tombstones.rs
+++ b/src/cluster/tombstones.rs
@@ -162,6 +162,17 @@
     Ok(is_stored)
 }
 
+/// Whether a submitter has a tombstone for a job.
+///
+/// # Errors
+///
+/// The store refused or did not answer.
+pub async fn is_stored(node: &Node, job: JobId, submitter: Submitter) -> Result<bool, StoreError> {
+    let key = tombstone_key(job, submitter.0);
+    let found = node.call_store(node.store.get(&key)).await?;
+    Ok(found.is_some())
+}
+
 /// Counts a tombstone that is to be stored for a submitter; returns `false` if it has as many as
 /// it may have.
 pub fn admit(node: &Node, submitter: Submitter) -> bool {
--- a/tests/tombstones.rs
+++ b/tests/tombstones.rs
@@ -17,6 +17,7 @@
 use daemons::{
     epoch,
     fleet,
+    fleet_from,
     fleet_with_stores,
     is_completed,
     job,
@@ -172,6 +173,29 @@
     assert_never_stored(&operator, &daemons[0]);
 }
 
+/// Guards against a client that takes a job for lost and submits its work under another name: a
+/// query was answered with 410 while the write of the job had no known outcome.
+#[test]
+fn a_query_does_not_deny_a_job_that_may_still_be_stored() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons = fleet_from(240, 10, &[operator.store; 2]);
+    delay_writes(&operator);
+    let query = |daemon: &Daemon| status(&daemon.request("GET", &path(JOB), ""));
+    let before = query(&daemons[1]);
+    let submitted = submit(&daemons[0]);
+    // The heartbeat that tells the other daemon.
+    std::thread::sleep(ARRIVAL_DELAY);
+
+    let [at_sender, at_other] = [0, 1].map(|at| query(&daemons[at]));
+    answer_writes(&operator);
+    wait_until("it is stored", || query(&daemons[1]) == 200);
+
+    assert_eq!((before, submitted), (410, 504));
+    assert_eq!((at_sender, at_other), (504, 504));
+    assert_eq!(query(&daemons[0]), 200);
+}
+
 /// Guards against a cancellation that is lost by being sent twice, or undone by the submission
 /// that arrives again.
 #[test]
