Soak: cancel jobs whose outcome is unknown

The soak drew its cancellations from the accepted jobs and took only 200 for an acknowledgement, so it could not see that a job ran after its cancellation was answered 410.

Half of the jobs whose submission had no outcome are cancelled at once, at a drawn daemon, and half of those answered 410 are sent again. None of the latter may be accepted or run; of those answered 200 nothing may be left. A generator of its own keeps the other faults of each seed unchanged.

Three of the seeds join the known ones.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -83,6 +83,11 @@
 /// Combined with a seed to get the seed of the generator of emptying orders. A separate
 /// generator keeps the faults of each seed unchanged.
 const ORDERS_STREAM: u64 = 0x0d0e_0a0c;
+/// The same for the generator of cancellations of jobs with an unknown outcome.
+const UNKNOWN_STREAM: u64 = 0x0c0a_0de1;
+/// One in this many jobs with an unknown outcome is cancelled at once, and one in this many of
+/// those is submitted again.
+const UNKNOWN_CANCELLED_ONE_IN: u32 = 2;
 /// An order is given or withdrawn in one of this many rounds.
 const ROUNDS_PER_ORDER: u32 = 3;
 
@@ -127,6 +132,8 @@
     cancelling: bool,
     /// The cancellation was acknowledged.
     cancelled: bool,
+    /// The cancellation was answered with 410.
+    excluded: bool,
 }
 
 struct Soak {
@@ -153,6 +160,8 @@
     /// Chooses the orders to empty data centres.
     order_random: StdRng,
     orders: Vec<Order>,
+    /// Chooses the jobs with an unknown outcome that are cancelled.
+    unknown_random: StdRng,
     sent: BTreeMap<u64, SentJob>,
 }
 
@@ -217,6 +226,7 @@
             terminating: Vec::new(),
             order_random: StdRng::seed_from_u64(seed ^ ORDERS_STREAM),
             orders: Vec::new(),
+            unknown_random: StdRng::seed_from_u64(seed ^ UNKNOWN_STREAM),
             sent: BTreeMap::new(),
         };
         soak.wait_until("every daemon is ready", || {
@@ -526,8 +536,43 @@
             crashing,
             cancelling: false,
             cancelled: false,
+            excluded: false,
         };
         self.sent.insert(job, sent);
+        if outcome == SubmitOutcome::Unknown
+            && self
+                .unknown_random
+                .random_range(0..UNKNOWN_CANCELLED_ONE_IN)
+                == 0
+        {
+            self.cancel_unknown_job(job);
+        }
+    }
+
+    /// Cancels a job whose submission may still be carried out.
+    fn cancel_unknown_job(&mut self, job: u64) {
+        let path = self.sent[&job].path.clone();
+        let index = self.unknown_random.random_range(0..self.clients.len());
+        let answer = self.clients[index].request("DELETE", &path, "");
+        let sent = self.sent.get_mut(&job).expect("it was sent");
+        sent.cancelling = true;
+        sent.cancelled = matches!(answer, Answer::Status(200, _));
+        sent.excluded = matches!(answer, Answer::Status(410, _));
+        let body = sent.body.to_string();
+        if sent.excluded
+            && self
+                .unknown_random
+                .random_range(0..UNKNOWN_CANCELLED_ONE_IN)
+                == 0
+        {
+            let index = self.unknown_random.random_range(0..self.clients.len());
+            let answer = self.clients[index].request("POST", &path, &body);
+            assert!(
+                !matches!(answer, Answer::Status(200, _)),
+                "seed {}: {path} was accepted after its cancellation",
+                self.seed
+            );
+        }
     }
 
     fn cancel_random_job(&mut self) {
@@ -582,6 +627,9 @@
     fn wait_for_job_ends(&mut self) {
         let jobs: Vec<(u64, SentJob)> = self.sent.clone().into_iter().collect();
         for (job, sent) in jobs {
+            if sent.outcome == SubmitOutcome::Unknown && sent.cancelled {
+                self.wait_until_nothing_runs(job);
+            }
             if sent.outcome != SubmitOutcome::Accepted {
                 continue;
             }
@@ -620,14 +668,17 @@
                 std::thread::sleep(CHECK_INTERVAL);
             }
             if sent.cancelled {
-                let world = || self.operator.world();
-                self.wait_until("no run of a cancelled job is left", || {
-                    world().runs_of(job) == 0
-                });
+                self.wait_until_nothing_runs(job);
             }
         }
     }
 
+    fn wait_until_nothing_runs(&self, job: u64) {
+        self.wait_until("no run of a cancelled job is left", || {
+            self.operator.world().runs_of(job) == 0
+        });
+    }
+
     /// Returns the records of all runs of a job.
     fn run_records(&self, job: u64) -> Vec<RunRecord> {
         let prefix = format!("{job:016x}.");
@@ -687,6 +738,7 @@
                 sent.outcome != SubmitOutcome::Refused,
                 "the job was refused: {what}"
             );
+            assert!(!sent.excluded, "the job was cancelled before: {what}");
             check_task(runs, &what);
             assert!(
                 !sent.crashing || runs.len() <= MAX_CRASHING_STARTS,
@@ -696,11 +748,13 @@
         }
         check_step_order(&by_task, &self.sent, self.seed);
         println!(
-            "seed {}: {} jobs, {} refused, {} unknown, {} runs, {} orders, epoch {}",
+            "seed {}: {} jobs, {} refused, {} unknown, {} of them cancelled before they were stored, \
+             {} runs, {} orders, epoch {}",
             self.seed,
             self.sent.len(),
             self.count(SubmitOutcome::Refused),
             self.count(SubmitOutcome::Unknown),
+            self.sent.values().filter(|sent| sent.excluded).count(),
             world.records.len(),
             self.orders.len(),
             world
@@ -797,7 +851,7 @@
 
 /// Seeds that failed before, with the fault that they found; `SOAK_SEEDS=known` runs them.
 /// A seed always gives the same faults and jobs, but the timing of the processes differs.
-const KNOWN_SEEDS: [(u64, &str); 25] = [
+const KNOWN_SEEDS: [(u64, &str); 28] = [
     (
         109,
         "a refused job ran: a closed connection was taken for an unsent call",
@@ -880,6 +934,15 @@
         1040,
         "run numbers fell: starts that a worker refused as late were repeated at once, until the epoch had no numbers left",
     ),
+    (
+        62003,
+        "a job ran after its cancellation was answered with 410: its write was carried out late",
+    ),
+    (
+        62005,
+        "a job was accepted after its cancellation was answered with 410",
+    ),
+    (62007, "same cause as 62003"),
 ];
 
 #[test]
