Part cancellations and the requests of peers from submissions

Cancellations are in cancel.rs, the answers to other daemons in peer_requests.rs, and the outcome that both share in storage_outcome.rs; a circle between submissions and cancellations is avoided. What they do is unchanged.

The owner lists the tombstones eight times in the time for which they are kept, instead of every 20 s, so that a short time is kept as well.

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -1,6 +1,7 @@
 //! Serves clients' HTTP requests: submits, cancels and queries jobs, and counts the
 //! pending jobs of a queue.
 
+use super::cancel;
 use super::log_lines::{
     self,
     RequestLine, //
@@ -10,10 +11,8 @@
     JOB_ID_LENGTH,
     job_id, //
 };
-use super::submit::{
-    self,
-    StorageOutcome, //
-};
+use super::storage_outcome::StorageOutcome;
+use super::submit;
 use super::tombstones::Submitter;
 use crate::network_bytes::{
     BytePurpose,
@@ -300,7 +299,7 @@
         }
         Method::DELETE => {
             let job = job_id(&parsed.name).ok_or(Refusal::NoSuchJob)?;
-            match submit::cancel(node, job, parsed.submitter(), parsed.until_ms).await {
+            match cancel::cancel(node, job, parsed.submitter(), parsed.until_ms).await {
                 StorageOutcome::Done => Ok((StatusCode::OK, b"{}".to_vec())),
                 StorageOutcome::LimitReached => Err(Refusal::TooManyCancellations),
                 StorageOutcome::NoSuchJob => Err(Refusal::NoSuchJob),
--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -10,10 +10,10 @@
 use super::log_lines::BoundedLines;
 use super::node::Node;
 use super::peer_connections::Peers;
+use super::peer_requests;
 use super::settings::ClusterSettings;
 use super::store_probe;
 use super::store_watch;
-use super::submit;
 use super::supervision::{
     self,
     Part,
@@ -249,7 +249,7 @@
         spawn_part(&node, "peers", move |node| {
             let listener = peer_listener.clone();
             Peers::serve(listener, move |connection, body| {
-                submit::answer(node.clone(), connection, body)
+                peer_requests::answer(node.clone(), connection, body)
             })
         });
         spawn_part(&node, "readiness", move |node| {
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 //! owner.
 
 mod actions;
+mod cancel;
 mod carried_connection;
 mod carrier;
 mod carrier_frame;
@@ -32,11 +33,13 @@
 mod ownership;
 mod peer_connections;
 mod peer_frame;
+mod peer_requests;
 mod peer_table;
 mod pending_writes;
 mod records;
 mod set_aside;
 mod settings;
+mod storage_outcome;
 mod store_access;
 mod store_calls;
 mod store_health;
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -53,7 +53,7 @@
     #[prost(fixed64, tag = "9")]
     CancelStored(u64),
     /// The outcome of storing a job or a cancellation, as a number of
-    /// `submit::StorageOutcome`.
+    /// [`super::storage_outcome::StorageOutcome`].
     #[prost(uint32, tag = "10")]
     StorageOutcome(u32),
     /// Asks for the configuration if its version is above this one.
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -1,27 +1,21 @@
-//! Stores accepted jobs and cancellations, and answers queries for jobs.
+//! Stores accepted jobs, and answers queries for jobs.
 //!
 //! Any daemon stores a job itself, so jobs are accepted while the owner changes. The
 //! outcome follows from the store's answer. A job is accepted if its commit was carried
 //! out or its key already exists. It is not accepted if it was not sent to the store, since
 //! that is known not to answer, or if the store refused it before anything was done. If the
 //! store did not answer, the outcome is unknown, and the client retries with the same job
-//! name; until a request for that job is answered otherwise, its outcome stays unknown.
-//!
-//! A cancellation of a job that is not stored must hold for such a late write too: it leaves a
-//! tombstone, which excludes the job (see [`super::tombstones`]).
+//! name; until a request for that job is answered otherwise, its outcome stays unknown. The
+//! store may carry out such a write later, unless the job is cancelled (see [`super::cancel`]).
 
-use super::carried_connection::CarriedConnection;
-use super::carrier;
 use super::invalid_values::StoredKind;
 use super::node::Node;
 use super::peer_connections::status_from_code;
 use super::peer_frame::{
-    CancellationMessage,
     JobBytes,
     PeerBody, //
 };
 use super::records::{
-    ROOT_KEY,
     cancelled_key,
     decode,
     decode_job_record,
@@ -30,6 +24,7 @@
     job_key,
     progress_key, //
 };
+use super::storage_outcome::StorageOutcome;
 use super::store_types::{
     CommitResult,
     StoreError,
@@ -41,7 +36,6 @@
     Submitter, //
 };
 use crate::core::JobId;
-use crate::events;
 use crate::scheduler::{
     Input,
     JobRecord,
@@ -52,9 +46,9 @@
 use std::sync::Arc;
 
 /// Delay before a call that got no answer is retried.
-const RETRY_MS: u64 = 40;
+pub const RETRY_MS: u64 = 40;
 /// Timeout of asking a peer to store a job or a cancellation for this daemon.
-const FORWARD_TIMEOUT_MS: u64 = 1_500;
+pub const FORWARD_TIMEOUT_MS: u64 = 1_500;
 /// Timeout of one query to the owner, which answers in a few milliseconds.
 const OWNER_TIMEOUT_MS: u64 = 350;
 /// How long a query for a job is sent to the owner, about the duration of a takeover;
@@ -63,49 +57,6 @@
 /// Delay before an unanswered query to the owner is retried.
 const OWNER_RETRY_MS: u64 = 60;
 
-/// The outcome of storing a job or a cancellation.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StorageOutcome {
-    /// It is stored.
-    Done,
-    /// It is not stored and will not be.
-    Refused,
-    /// It may be stored, now or later.
-    Unknown,
-    /// The job to be cancelled does not exist, and no earlier request will store it.
-    NoSuchJob,
-    /// The job was cancelled before it was stored, and will not be.
-    Cancelled,
-    /// It is not stored and will not be, since its submitter has too many tombstones.
-    LimitReached,
-}
-
-impl StorageOutcome {
-    /// The outcome's number in messages between daemons.
-    pub fn code(self) -> u32 {
-        match self {
-            Self::Done => 1,
-            Self::Refused => 2,
-            Self::Unknown => 3,
-            Self::NoSuchJob => 4,
-            Self::Cancelled => 5,
-            Self::LimitReached => 6,
-        }
-    }
-
-    /// The outcome with this number; `Unknown` for an unassigned one.
-    pub fn of_code(code: u32) -> Self {
-        match code {
-            1 => Self::Done,
-            2 => Self::Refused,
-            4 => Self::NoSuchJob,
-            5 => Self::Cancelled,
-            6 => Self::LimitReached,
-            _ => Self::Unknown,
-        }
-    }
-}
-
 /// Accepts a job: stores it, from here or through a peer, and notifies the owner.
 pub async fn accept(
     node: &Rc<Node>,
@@ -125,7 +76,8 @@
             record: bytes.to_vec(),
         });
         let answer = node.peers.request(peer, body, FORWARD_TIMEOUT_MS);
-        outcome = recorded_if_unknown(node, job, async { forwarded_outcome(answer.await) }).await;
+        outcome =
+            recorded_if_unknown(node, job, async { StorageOutcome::of_answer(answer.await) }).await;
     } else if outcome == StorageOutcome::Done && node.owns() {
         send_job_input(node, job, record);
     } else if outcome == StorageOutcome::Done {
@@ -271,12 +223,18 @@
     tombstones::is_any_tombstone(items).then_some(StorageOutcome::Cancelled)
 }
 
-/// The outcome that a peer answered.
-fn forwarded_outcome(answer: Option<PeerBody>) -> StorageOutcome {
-    match answer {
-        Some(PeerBody::StorageOutcome(code)) => StorageOutcome::of_code(code),
-        _ => StorageOutcome::Unknown,
+/// Stores a job for a peer that has lost the store.
+pub async fn answer_peer(node: &Rc<Node>, job: JobId, record: Bytes, until_ms: u64) -> PeerBody {
+    // What cannot be decoded here, a newer version's, was not sent to the store.
+    let Ok(decoded) = decode::<JobRecord>(&record) else {
+        return PeerBody::StorageOutcome(StorageOutcome::Refused.code());
+    };
+    let submitters = Submitter::all_of(&decoded);
+    let outcome = store_job_if_answered(node, job, &submitters, record.clone(), until_ms).await;
+    if outcome == StorageOutcome::Done {
+        notify_owner_of_job(node, job, record);
     }
+    PeerBody::StorageOutcome(outcome.code())
 }
 
 /// Notifies the owner of a stored job. The owner also watches the store, so a lost message
@@ -301,7 +259,8 @@
     notify_owner(node, body);
 }
 
-fn notify_owner(node: &Rc<Node>, body: PeerBody) {
+/// Sends the owner a message whose loss costs only time.
+pub fn notify_owner(node: &Rc<Node>, body: PeerBody) {
     let Some(owner) = node.owner() else {
         return;
     };
@@ -319,116 +278,6 @@
     });
 }
 
-/// Cancels a job for `submitter`: stores the cancellation, from here or through a peer, and
-/// notifies the owner.
-pub async fn cancel(
-    node: &Rc<Node>,
-    job: JobId,
-    submitter: Submitter,
-    until_ms: u64,
-) -> StorageOutcome {
-    let mut outcome = store_cancellation_if_answered(node, job, Some(submitter), until_ms).await;
-    if outcome == StorageOutcome::Refused
-        && let Some(peer) = node.peer_with_store(job)
-    {
-        metrics::counter!("fuchsiaslip_forwarded_total", "call" => "cancel").increment(1);
-        // A peer of an older version closes the connection, which leaves the outcome unknown.
-        let body = PeerBody::Cancel(CancellationMessage {
-            job: job.0,
-            submitter: submitter.0,
-        });
-        outcome = forwarded_outcome(node.peers.request(peer, body, FORWARD_TIMEOUT_MS).await);
-    } else if outcome == StorageOutcome::Done {
-        notify_owner_of_cancellation(node, job);
-    }
-    outcome
-}
-
-/// Notifies the owner of a stored cancellation.
-pub fn notify_owner_of_cancellation(node: &Rc<Node>, job: JobId) {
-    if node.owns() {
-        node.control
-            .send_input(node.epoch(), Input::JobCancelled(job));
-    } else {
-        notify_owner(node, PeerBody::Cancelled(job.0));
-    }
-}
-
-/// Writes a job's cancellation to the store unless that is known not to answer.
-async fn store_cancellation_if_answered(
-    node: &Rc<Node>,
-    job: JobId,
-    submitter: Option<Submitter>,
-    until_ms: u64,
-) -> StorageOutcome {
-    match node.confirm_store().await {
-        true => store_cancellation(node, job, submitter, until_ms).await,
-        false => StorageOutcome::Refused,
-    }
-}
-
-/// Writes a job's cancellation to the store, or the tombstone of a job that is not stored.
-async fn store_cancellation(
-    node: &Rc<Node>,
-    job: JobId,
-    submitter: Option<Submitter>,
-    until_ms: u64,
-) -> StorageOutcome {
-    let mut is_counted = false;
-    // Whether a refusal means that no attempt has cancelled the job.
-    let mut refusal_is_final = true;
-    let mut timeout_ms = node.store_timeout_ms();
-    loop {
-        let found = node.call_store(node.store.get(&job_key(job))).await;
-        let is_read = found.is_ok();
-        let outcome = match (found, submitter) {
-            (Ok(Some(item)), _) => node.call_store(cancel_stored(node, job, item)).await,
-            // A daemon of an older version names no submitter.
-            (Ok(None), None) => return StorageOutcome::Unknown,
-            (Ok(None), Some(submitter)) => {
-                if !is_counted && !tombstones::admit(node, submitter) {
-                    return StorageOutcome::LimitReached;
-                }
-                is_counted = true;
-                let store = tombstones::store(node, job, submitter, timeout_ms);
-                let is_stored = node.call_store(store).await;
-                is_stored.map(|is_stored| is_stored.then_some(StorageOutcome::NoSuchJob))
-            }
-            (Err(error), _) => Err(error),
-        };
-        timeout_ms *= 2;
-        match outcome {
-            Ok(Some(outcome)) => return outcome,
-            // The job was stored or changed in between.
-            Ok(None) => {}
-            Err(StoreError::Refused) if refusal_is_final => return StorageOutcome::Refused,
-            Err(StoreError::Refused) => {}
-            // A read that was not answered changes nothing.
-            Err(StoreError::NoAnswer) => refusal_is_final &= !is_read,
-        }
-        if node.now_ms() + RETRY_MS >= until_ms {
-            return StorageOutcome::Unknown;
-        }
-        node.timer.sleep(RETRY_MS).await;
-    }
-}
-
-/// Cancels the stored job `item`. Returns `None` if it was changed or deleted in between.
-async fn cancel_stored(
-    node: &Node,
-    job: JobId,
-    item: StoredItem,
-) -> Result<Option<StorageOutcome>, StoreError> {
-    let transaction = Transaction {
-        expected: vec![(item.key, item.revision)],
-        puts: vec![(cancelled_key(job), Bytes::from_static(b"{}"))],
-        ..Transaction::default()
-    };
-    let result = node.store.commit(&transaction).await?;
-    let is_stored = matches!(result, CommitResult::Done { .. });
-    Ok(is_stored.then_some(StorageOutcome::Done))
-}
-
 /// Returns the status of a job: `Some(None)` if there is no such job, `None` if neither
 /// the owner nor the store answers.
 pub async fn job_status(node: &Rc<Node>, job: JobId, until_ms: u64) -> Option<Option<JobStatus>> {
@@ -531,111 +380,3 @@
     }
     None
 }
-
-/// Answers a request of a peer. Returns `None` if the connection is of no use any more.
-pub fn answer(
-    node: Rc<Node>,
-    connection: Rc<CarriedConnection>,
-    body: PeerBody,
-) -> Option<impl Future<Output = Option<PeerBody>> + 'static> {
-    let call = match body {
-        PeerBody::WorkerCall(message) => match connection.decode(message) {
-            Ok((worker, call)) => Ok(carrier::carry_out(node, connection.clone(), worker, call)),
-            Err(error) => {
-                events::log(events::FRAME_BROKEN, format_args!("{error}"));
-                return None;
-            }
-        },
-        other => Err(answer_request(node, other)),
-    };
-    Some(async move {
-        match call {
-            Ok(carried) => Some(carried.await),
-            Err(answering) => answering.await,
-        }
-    })
-}
-
-async fn answer_request(node: Rc<Node>, body: PeerBody) -> Option<PeerBody> {
-    let until_ms = node.now_ms() + FORWARD_TIMEOUT_MS;
-    match body {
-        PeerBody::JobStatusOf(job) => {
-            let status = node.control.job_status(JobId(job)).await?;
-            Some(PeerBody::JobStatus(super::peer_connections::status_code(
-                status,
-            )))
-        }
-        PeerBody::PendingCountOf(queue) => node
-            .control
-            .pending(&queue)
-            .await
-            .map(PeerBody::PendingCount),
-        PeerBody::Accepted(job) => {
-            if !node.owns() {
-                return None;
-            }
-            notify_owner_of_job(&node, JobId(job.job), job.record.into());
-            Some(PeerBody::StorageOutcome(StorageOutcome::Done.code()))
-        }
-        PeerBody::Cancelled(job) => {
-            if !node.owns() {
-                return None;
-            }
-            notify_owner_of_cancellation(&node, JobId(job));
-            Some(PeerBody::StorageOutcome(StorageOutcome::Done.code()))
-        }
-        PeerBody::Submit(job) => {
-            let (id, record) = (JobId(job.job), Bytes::from(job.record));
-            // What cannot be decoded here, a newer version's, was not sent to the store.
-            let Ok(decoded) = decode::<JobRecord>(&record) else {
-                return Some(PeerBody::StorageOutcome(StorageOutcome::Refused.code()));
-            };
-            let submitters = Submitter::all_of(&decoded);
-            let outcome =
-                store_job_if_answered(&node, id, &submitters, record.clone(), until_ms).await;
-            if outcome == StorageOutcome::Done {
-                notify_owner_of_job(&node, id, record);
-            }
-            Some(PeerBody::StorageOutcome(outcome.code()))
-        }
-        PeerBody::Cancel(message) => {
-            let (job, submitter) = (JobId(message.job), Submitter(message.submitter));
-            Some(answer_cancellation(&node, job, Some(submitter), until_ms).await)
-        }
-        PeerBody::CancelStored(job) => {
-            Some(answer_cancellation(&node, JobId(job), None, until_ms).await)
-        }
-        PeerBody::Learned(message) => {
-            node.record_learned_of_owner(&message);
-            Some(PeerBody::StorageOutcome(StorageOutcome::Done.code()))
-        }
-        PeerBody::ConfigurationAbove(version) => {
-            let own = node.configuration();
-            let newer = own.version > version;
-            let bytes = if newer { encode(&*own) } else { Bytes::new() };
-            Some(PeerBody::Configuration(bytes.to_vec()))
-        }
-        PeerBody::WorkerCall(_)
-        | PeerBody::WorkerAnswer(_)
-        | PeerBody::JobStatus(_)
-        | PeerBody::PendingCount(_)
-        | PeerBody::StorageOutcome(_)
-        | PeerBody::Configuration(_) => {
-            log::debug!("a peer sent an answer as a request; the key {ROOT_KEY} names the owner");
-            None
-        }
-    }
-}
-
-async fn answer_cancellation(
-    node: &Rc<Node>,
-    job: JobId,
-    submitter: Option<Submitter>,
-    until_ms: u64,
-) -> PeerBody {
-    let outcome = store_cancellation_if_answered(node, job, submitter, until_ms).await;
-    if outcome == StorageOutcome::Done {
-        notify_owner_of_cancellation(node, job);
-    }
-    PeerBody::StorageOutcome(outcome.code())
-}
--- a/src/cluster/tombstones.rs
+++ b/src/cluster/tombstones.rs
@@ -37,8 +37,8 @@
 
 /// Most tombstones that one daemon stores for one submitter in the time for which it keeps them.
 const MAX_PER_SUBMITTER: usize = 1_024;
-/// How often the owner lists the tombstones. They stay for up to that much longer.
-const LIST_INTERVAL_MS: u64 = 20_000;
+/// How often the owner lists the tombstones in the time for which they are kept.
+const LISTS_PER_RETENTION: u64 = 8;
 /// Delay before a list or a removal that failed is retried.
 const RETRY_MS: u64 = 1_000;
 /// Tombstones that one transaction removes: each is required to be unchanged and is removed, and
@@ -188,15 +188,16 @@
 /// Removes old tombstones for as long as this daemon owns under `epoch`.
 pub async fn remove_old(node: Rc<Node>, epoch: u64) {
     let mut ages = TombstoneAges::default();
+    let interval_ms = node.settings.tuning.retention_ms / LISTS_PER_RETENTION;
     // A new owner has more urgent calls to make.
-    let mut delay_ms = LIST_INTERVAL_MS;
+    let mut delay_ms = interval_ms;
     loop {
         node.timer.sleep(delay_ms).await;
         if node.epoch() != epoch {
             return;
         }
         delay_ms = match list_and_remove(&node, &mut ages).await {
-            Ok(()) => LIST_INTERVAL_MS,
+            Ok(()) => interval_ms,
             Err(_) => RETRY_MS,
         };
     }
--- a/tests/tombstones.rs
+++ b/tests/tombstones.rs
@@ -34,6 +34,7 @@
 use processes::{
     Answer,
     Daemon,
+    loopback,
     request_with_key, //
 };
 use proxy::{
@@ -42,7 +43,10 @@
 };
 use serde_json::json;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const JOB: u64 = 0x5c0e_7a21_d94b_36f8;
 const RUN_MS: u64 = 60_000;
@@ -246,6 +250,31 @@
     assert_eq!(status(&on_public_queue), 503, "all its clients are alike");
 }
 
+/// Guards against names that are never free again, and a store that fills up with them.
+#[test]
+fn a_tombstone_leaves_the_store_and_its_name_is_free_again() {
+    // Ended jobs are remembered for 30 s more than this.
+    const SETTINGS: &str = "bounds.status_s=0.001\n";
+    const WAIT: Duration = Duration::from_secs(90);
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let ip = loopback(245, 10);
+    let daemon = Daemon::spawn_with_settings("d0", ip, operator.store, SETTINGS);
+    wait_until("the daemon is ready", || daemon.is_ready());
+    let cancelled = cancel(&daemon);
+    let at_once = submit(&daemon);
+    let began = Instant::now();
+
+    let mut later = at_once;
+    while later != 200 && began.elapsed() < WAIT {
+        std::thread::sleep(Duration::from_secs(1));
+        later = submit(&daemon);
+    }
+
+    assert_eq!((cancelled, at_once, later), (410, 503, 200));
+    assert!(began.elapsed() > Duration::from_secs(29));
+}
+
 /// Guards against a client that fills the store with names of jobs that do not exist.
 #[test]
 fn each_submitter_may_have_a_limited_number_of_tombstones() {
