Part the limits of tombstones from the calls that store them

Submitters, counts and ages are plain data in tombstone_limits.rs, so that the shared state of a daemon does not import what uses it.

--- a/src/cluster/cancel.rs
+++ b/src/cluster/cancel.rs
@@ -25,10 +25,8 @@
     RETRY_MS,
     notify_owner, //
 };
-use super::tombstones::{
-    self,
-    Submitter, //
-};
+use super::tombstone_limits::Submitter;
+use super::tombstones;
 use crate::core::JobId;
 use crate::scheduler::Input;
 use bytes::Bytes;
--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -13,7 +13,7 @@
 };
 use super::storage_outcome::StorageOutcome;
 use super::submit;
-use super::tombstones::Submitter;
+use super::tombstone_limits::Submitter;
 use crate::network_bytes::{
     BytePurpose,
     Direction,
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -49,6 +49,7 @@
 mod stored_inputs;
 mod submit;
 mod supervision;
+mod tombstone_limits;
 mod tombstones;
 mod unknown_outcomes;
 mod unreadable_jobs;
@@ -164,7 +165,7 @@
     Transaction,
     WatchResult, //
 };
-pub use tombstones::{
+pub use tombstone_limits::{
     Submitter,
     TombstoneAges,
     TombstoneCounts, //
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -30,7 +30,7 @@
 use super::store_calls::StoreCalls;
 use super::store_types::StoredItem;
 use super::supervision::Failure;
-use super::tombstones::TombstoneCounts;
+use super::tombstone_limits::TombstoneCounts;
 use super::unknown_outcomes::UnknownOutcomes;
 use crate::core::JobId;
 use crate::events;
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -93,7 +93,7 @@
     /// The job's id.
     #[prost(fixed64, tag = "1")]
     pub job: u64,
-    /// Whom the cancellation comes from, as in [`super::tombstones::Submitter`].
+    /// Whom the cancellation comes from, as in [`super::tombstone_limits::Submitter`].
     #[prost(fixed64, tag = "2")]
     pub submitter: u64,
 }
--- a/src/cluster/peer_requests.rs
+++ b/src/cluster/peer_requests.rs
@@ -15,7 +15,7 @@
     self,
     FORWARD_TIMEOUT_MS, //
 };
-use super::tombstones::Submitter;
+use super::tombstone_limits::Submitter;
 use crate::core::JobId;
 use crate::events;
 use bytes::Bytes;
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -31,10 +31,8 @@
     StoredItem,
     Transaction, //
 };
-use super::tombstones::{
-    self,
-    Submitter, //
-};
+use super::tombstone_limits::Submitter;
+use super::tombstones;
 use crate::core::JobId;
 use crate::scheduler::{
     Input,
