--- a/src/cluster/tombstones.rs
+++ b/src/cluster/tombstones.rs
@@ -7,8 +7,8 @@
 //! Whichever the store carries out first excludes the other.
 //!
 //! A tombstone belongs to the account that cancelled, or on a public queue to that queue, and
-//! binds no other. Daemons limit how many each may have, and the owner removes them after the time
-//! for which ended jobs are remembered.
+//! binds no other. Daemons limit how many each may have, and the owner removes them after some
+//! minutes.
 
 use super::node::Node;
 use super::records::{
@@ -32,12 +32,20 @@
 use bytes::Bytes;
 use std::rc::Rc;
 
+/// Longest time for which tombstones are kept, far longer than clients repeat requests and than
+/// the store carries out calls late.
+const MAX_RETENTION_MS: u64 = 300_000;
 /// How often the owner lists the tombstones in the time for which they are kept.
 const LISTS_PER_RETENTION: u64 = 8;
 /// Tombstones that one transaction removes: each is required to be unchanged and is removed, and
 /// the root is required as well.
 const REMOVED_PER_TRANSACTION: usize = (MAX_TRANSACTION_ENTRIES - 1) / 2;
 
+/// How long tombstones are kept, in milliseconds: as ended jobs are, within a limit.
+fn retention_ms(node: &Node) -> u64 {
+    node.settings.tuning.retention_ms.min(MAX_RETENTION_MS)
+}
+
 /// Requires that a job has none of the tombstones of its submitters.
 pub fn expect_none(transaction: &mut Transaction, job: JobId, submitters: &[Submitter]) {
     let keys = submitters
@@ -91,9 +99,8 @@
 /// Counts a tombstone that is to be stored for a submitter; returns `false` if it has as many as
 /// it may have.
 pub fn admit(node: &Node, submitter: Submitter) -> bool {
-    let retention_ms = node.settings.tuning.retention_ms;
     let mut counts = node.tombstone_counts.borrow_mut();
-    let admitted = counts.admit(submitter, node.now_ms(), retention_ms);
+    let admitted = counts.admit(submitter, node.now_ms(), retention_ms(node));
     if !admitted {
         count("refused", 1);
     }
@@ -103,7 +110,7 @@
 /// Removes old tombstones for as long as this daemon owns under `epoch`.
 pub async fn remove_old(node: Rc<Node>, epoch: u64) {
     let mut ages = TombstoneAges::default();
-    let interval_ms = node.settings.tuning.retention_ms / LISTS_PER_RETENTION;
+    let interval_ms = retention_ms(&node) / LISTS_PER_RETENTION;
     loop {
         // Also before the first list, since a new owner has more urgent calls to make.
         node.timer.sleep(interval_ms).await;
@@ -121,8 +128,7 @@
         .call_store(node.store.range(TOMBSTONES_PREFIX, true))
         .await?;
     metrics::gauge!("fuchsiaslip_kept", "what" => "tombstones").set(listed.items.len() as f64);
-    let retention_ms = node.settings.tuning.retention_ms;
-    let old = ages.record(&listed.items, node.now_ms(), retention_ms);
+    let old = ages.record(&listed.items, node.now_ms(), retention_ms(node));
     for removed in old.chunks(REMOVED_PER_TRANSACTION) {
         let root = (ROOT_KEY.to_owned(), node.root_revision());
         let transaction = Transaction {
--- a/tests/tombstones.rs
+++ b/tests/tombstones.rs
@@ -43,6 +43,7 @@
 };
 use serde_json::json;
 use std::net::SocketAddr;
+use std::process::Command;
 use std::time::{
     Duration,
     Instant, //
@@ -213,6 +214,13 @@
 
     assert_eq!((cancelled, submitted), (vec![410; 2], vec![503; 2]));
     assert_eq!(status(&daemons[0].request("GET", &path(JOB), "")), 410);
+    let shown = Command::new(env!("CARGO_BIN_EXE_fuchsiaslip"))
+        .args(["fleet", "--store", &operator.store.to_string()])
+        .arg(format!("{JOB:016x}"))
+        .output()
+        .expect("the command line runs");
+    let shown = String::from_utf8_lossy(&shown.stderr).into_owned();
+    assert!(shown.contains("cancelled before it was stored"), "{shown}");
     let other = daemons[0].request("POST", &path(1), &job(1, 100));
     assert_eq!(status(&other), 200, "another name is free");
 }
