Log how old the owner's confirmation is where it counts work as lost

The lines could not tell an owner that certainly still owned from one that another daemon had replaced, nor a lease that lasted longer than its owner computed. E309 and E206 now have confirmed_ago_ms, E201 says when the epoch was last confirmed, and E328 names a run that a worker still lists as running although this owner, which ordered it, had counted it as ended.

No decision changes. The tests of the documents, the scheduler, recovery, restarts, ends and the cluster pass.

--- a/src/cluster/commits.rs
+++ b/src/cluster/commits.rs
@@ -38,8 +38,7 @@
         match outcome {
             Ok(CommitResult::Done { revision }) => {
                 node.pending_writes.handle_commit(&batch, revision);
-                node.control
-                    .send_input(epoch, Input::EpochConfirmed(sent_ms));
+                node.record_confirmation(epoch, sent_ms);
                 report_stored(&node, epoch, batch);
                 node.timer.sleep(COLLECT_MS).await;
             }
--- a/src/cluster/decision_lines.rs
+++ b/src/cluster/decision_lines.rs
@@ -199,6 +199,7 @@
             waited_ms,
             groups,
             unresponsive,
+            confirmed_ago_ms,
         } => {
             metrics::histogram!("fuchsiaslip_recovery_ms").record(*waited_ms as f64);
             (
@@ -209,6 +210,7 @@
                     false => "leases_over",
                 },
                 json!({ "waited_ms": waited_ms, "groups": groups, "unheard": unresponsive.len(),
+                    "confirmed_ago_ms": confirmed_ago_ms,
                     "workers": unresponsive.iter().take(MAX_NAMED_WORKERS).map(|name| &**name).collect::<Vec<_>>() }),
             )
         }
@@ -342,6 +344,7 @@
             responded_after_ms,
             exited_within_ms,
             percent,
+            confirmed_ago_ms,
             reason,
         } => (
             events::RUN_LOST,
@@ -349,7 +352,14 @@
             *reason,
             json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker,
                 "ordered_ago_ms": ordered_ago_ms, "heard_after_ms": responded_after_ms,
-                "exited_within_ms": exited_within_ms, "percent": percent }),
+                "exited_within_ms": exited_within_ms, "percent": percent,
+                "confirmed_ago_ms": confirmed_ago_ms }),
+        ),
+        Decision::EndedRunListed { name, worker } => (
+            events::ENDED_RUN_LISTED,
+            "ended_run_listed",
+            "running",
+            json!({ "task": name.task.to_string(), "run": name.run, "worker": &**worker }),
         ),
         Decision::CrashCounted {
             crash,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -124,6 +124,8 @@
     takes_over: Cell<bool>,
     heartbeat_requested: Notify,
     root_revision: Cell<u64>,
+    /// When the last request was sent that confirmed the epoch of this daemon as the owner.
+    epoch_confirmed_ms: Cell<u64>,
     pub(super) unknown_outcomes: RefCell<UnknownOutcomes>,
     pub(super) tombstone_counts: RefCell<TombstoneCounts>,
     pub(super) counted_crashes: RefCell<CountedCrashes>,
@@ -174,6 +176,7 @@
             takes_over: Cell::new(false),
             heartbeat_requested: Notify::new(),
             root_revision: Cell::new(0),
+            epoch_confirmed_ms: Cell::new(0),
             unknown_outcomes: RefCell::default(),
             tombstone_counts: RefCell::default(),
             counted_crashes: RefCell::default(),
@@ -397,10 +400,11 @@
         self.root_revision.get()
     }
 
-    /// Makes this daemon the owner under `epoch`.
-    pub fn begin_owning(&self, epoch: u64, root_revision: u64) {
+    /// Makes this daemon the owner under `epoch`, which a request sent at `confirmed_ms` showed.
+    pub fn begin_owning(&self, epoch: u64, root_revision: u64, confirmed_ms: u64) {
         self.epoch.set(epoch);
         self.root_revision.set(root_revision);
+        self.epoch_confirmed_ms.set(confirmed_ms);
         self.request_heartbeat();
         self.unreadable_jobs.borrow_mut().clear();
         self.learn_owner(KnownOwner {
@@ -412,6 +416,13 @@
         });
     }
 
+    /// Records that a request sent at `sent_ms` showed that this daemon owns under `epoch`.
+    pub fn record_confirmation(&self, epoch: u64, sent_ms: u64) {
+        self.epoch_confirmed_ms.set(sent_ms);
+        self.control
+            .send_input(epoch, Input::EpochConfirmed(sent_ms));
+    }
+
     /// Records whether this daemon has taken an epoch and is reading the stored state. The others
     /// wait for it meanwhile only as long as they receive its heartbeats.
     pub fn set_takes_over(&self, takes_over: bool) {
@@ -447,8 +458,9 @@
             events::log(
                 events::OWNER_FENCED,
                 format_args!(
-                    "epoch {}, reason {reason}, latest known owner {owner_name} with epoch {owner_epoch}",
-                    self.epoch()
+                    "epoch {}, reason {reason}, latest known owner {owner_name} with epoch {owner_epoch}, last confirmed {} ms ago",
+                    self.epoch(),
+                    self.now_ms().saturating_sub(self.epoch_confirmed_ms.get())
                 ),
             );
             self.end_ownership(reason);
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -236,7 +236,7 @@
         return Err(StoreError::Refused);
     }
     node.pending_writes.clear();
-    node.begin_owning(epoch, taken.root_revision);
+    node.begin_owning(epoch, taken.root_revision, began_ms);
     let mut stored = vec![Input::Configure(node.configuration())];
     let mut roster_count = 0;
     if whole_roster.is_some() || !roster.items.is_empty() {
@@ -323,8 +323,7 @@
         }
         match root {
             Ok(Some(item)) if item.revision == node.root_revision() => {
-                node.control
-                    .send_input(epoch, Input::EpochConfirmed(sent_ms));
+                node.record_confirmation(epoch, sent_ms);
                 node.timer.sleep(CONFIRM_INTERVAL_MS).await;
             }
             Ok(_) => return node.stop_owning("root_changed"),
--- a/src/events.rs
+++ b/src/events.rs
@@ -129,6 +129,8 @@
     JOB_SET_ASIDE = 326, Error, "a job is set aside, since several owners failed while they decided about it; nothing of it starts", "report the E106 of these owners; release the job with `fuchsiaslip fleet --release` once the cause is gone";
     /// A client account began or ceased to have waiting work beyond its share.
     SHARE_CHANGED = 327, Info, "accounts want more than the fleet has, and waiting work of one is beyond its share and ordered behind that of others; or it is within its share again", "none; docs/OPERATIONS.md says how shares are computed";
+    /// A worker lists a run as running that its owner had counted as ended.
+    ENDED_RUN_LISTED = 328, Warn, "a worker lists a run as running that this owner had counted as ended", "report the line with the E309 and E307 of the run: its task may have run twice";
     /// The upkeep of a machine was ordered.
     UPKEEP_ORDERED = 330, Info, "the upkeep of a machine was ordered, with the outcome named", "none, unless it repeats: then check the platform's interface for machines";
     /// A data centre gets no new tasks.
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -242,6 +242,8 @@
         groups: usize,
         /// Workers that did not respond during the recovery.
         unresponsive: Vec<Arc<str>>,
+        /// Time since the owner sent the last request that confirmed its epoch.
+        confirmed_ago_ms: u64,
     },
     /// A worker is quarantined: it gets no work for a while.
     Quarantined {
@@ -361,9 +363,18 @@
         exited_within_ms: u64,
         /// The run's progress when its worker last listed it.
         percent: u32,
+        /// Time since the owner sent the last request that confirmed its epoch.
+        confirmed_ago_ms: u64,
         /// The evidence that the worker is lost.
         reason: &'static str,
     },
+    /// A worker lists a run as running that this owner ordered and had counted as ended.
+    EndedRunListed {
+        /// The run.
+        name: RunName,
+        /// The worker's name.
+        worker: Arc<str>,
+    },
     /// A worker crashed under a run.
     CrashCounted {
         /// The run and its crash.
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -353,6 +353,12 @@
         }
     }
 
+    /// Whether a run was ordered under the epoch of this owner.
+    pub(super) fn is_own_run(&self, name: RunName) -> bool {
+        let earlier_epochs = name.run.saturating_sub(1) / RUNS_PER_EPOCH;
+        earlier_epochs + 1 == self.epoch
+    }
+
     /// Returns the number of the next run of a task, or with no `index` of a whole gang,
     /// whose members share it.
     pub(super) fn next_run(&self, key: GroupKey, index: Option<u32>) -> u64 {
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -281,6 +281,7 @@
             responded_after_ms: worker.last_response_ms.saturating_sub(run.ordered_ms),
             exited_within_ms: exit_ms.saturating_sub(run.ordered_ms),
             percent: run.percent,
+            confirmed_ago_ms: self.confirmed_ago_ms(),
             reason: loss.name(),
         };
         self.decided(decision);
--- a/src/scheduler/poll_report.rs
+++ b/src/scheduler/poll_report.rs
@@ -3,7 +3,10 @@
 //! A run that a poll does not show is taken as gone only if the poll was sent late enough
 //! to show it and the worker listed all its ends; otherwise the run could be started twice.
 
-use super::action::StopReason;
+use super::action::{
+    Decision,
+    StopReason, //
+};
 use super::crashes::LossCause;
 use super::state::Scheduler;
 use super::worker::{
@@ -123,6 +126,13 @@
         self.drop_unseen_run(key, row.name);
         let worker = self.worker_mut(key);
         let Some(run) = worker.runs.get_mut(&row.name) else {
+            if self.is_own_run(row.name) {
+                let worker = self.worker(key).name();
+                self.decided(Decision::EndedRunListed {
+                    name: row.name,
+                    worker,
+                });
+            }
             self.adopt(key, &row);
             return;
         };
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -121,6 +121,7 @@
                 .filter(|group| group.recovering)
                 .count(),
             unresponsive,
+            confirmed_ago_ms: self.confirmed_ago_ms(),
         });
         let keys: Vec<GroupKey> = self.groups.keys().copied().collect();
         for key in keys {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -97,7 +97,7 @@
     pub(super) tuning: Tuning,
     pub(super) now_ms: u64,
     pub(super) started_ms: u64,
-    /// When this owner's epoch was last confirmed.
+    /// When the last request was sent that confirmed this owner's epoch.
     pub(super) confirmed_ms: u64,
     /// When this process last resumed after a pause.
     pub(super) resumed_ms: u64,
@@ -413,6 +413,11 @@
         recent && self.confirmed_ms >= self.resumed_ms
     }
 
+    /// Returns the time since the last request was sent that confirmed the epoch.
+    pub(super) fn confirmed_ago_ms(&self) -> u64 {
+        self.now_ms.saturating_sub(self.confirmed_ms)
+    }
+
     /// Returns the epoch under which orders are given.
     pub fn epoch(&self) -> u64 {
         self.epoch
