Tests: an owner partitioned from its successor starts tasks that run elsewhere

Real daemons with relays between them, and a stand-in of the platform whose workers can be cut off from the owners of some epochs alone. Each daemon sees the others at the addresses of its relays.

--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -36,6 +36,7 @@
     Ipv4Addr,
     SocketAddr, //
 };
+use std::ops::Range;
 use std::rc::Rc;
 use std::sync::{
     Arc,
@@ -80,6 +81,8 @@
     pub started_ms: u64,
     /// When and how it ended.
     pub ended: Option<(Instant, &'static str)>,
+    /// When its end was acknowledged.
+    pub acknowledged: Option<Instant>,
     /// The worker's lease expired before the end was acknowledged. The run does not count,
     /// and its task may be started again.
     pub discounted: bool,
@@ -138,6 +141,8 @@
     unacknowledged: BTreeMap<u64, usize>,
     last_end_number: u64,
     pub cut: bool,
+    /// The epochs of the owners that do not reach it.
+    unreached_epochs: Range<u64>,
     /// Whether all runs that it starts fail.
     failing: bool,
     /// Current number of accelerators.
@@ -239,12 +244,21 @@
     steps: HashMap<String, Vec<SubmittedStep>>,
 }
 
+/// The addresses at which one daemon reaches the others, by their names. Its store shows these
+/// addresses in place of those that the others stored.
+pub type PeerAddresses = BTreeMap<String, SocketAddr>;
+
 /// The running stand-in.
 pub struct Operator {
     pub store: SocketAddr,
     world: Arc<Mutex<World>>,
 }
 
+/// The epoch of the owner that makes a call to a worker.
+fn epoch_of(body: &Value) -> u64 {
+    body["fencing_token"].as_u64().unwrap_or(0)
+}
+
 fn unix_ms() -> u64 {
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
@@ -360,6 +374,11 @@
         self.workers[index].cut = cut;
     }
 
+    /// Cuts a worker off from the owners of these epochs alone, and reconnects it to all others.
+    pub fn cut_worker_from(&mut self, index: usize, epochs: Range<u64>) {
+        self.workers[index].unreached_epochs = epochs;
+    }
+
     /// Sets whether all runs that a worker starts fail.
     pub fn set_failing(&mut self, index: usize, failing: bool) {
         self.workers[index].failing = failing;
@@ -409,6 +428,7 @@
             address: worker.address.clone(),
             incarnation: worker.incarnation,
             cut: worker.cut,
+            unreached_epochs: worker.unreached_epochs.clone(),
             failing: worker.failing,
             accelerators: worker.accelerators,
             earlier_capacities: worker.earlier_capacities.clone(),
@@ -445,10 +465,11 @@
         }
     }
 
-    /// Returns whether a worker is down or cut off and therefore answers no calls.
-    fn is_out_of_reach(&self, index: usize) -> bool {
+    /// Returns whether a worker is down or cut off and therefore does not answer a call.
+    fn is_out_of_reach(&self, index: usize, body: &Value) -> bool {
         let worker = &self.workers[index];
-        worker.cut || worker.restarts_at.is_some()
+        let is_unreached = worker.unreached_epochs.contains(&epoch_of(body));
+        worker.cut || is_unreached || worker.restarts_at.is_some()
     }
 
     /// Processes the due events of every worker.
@@ -749,12 +770,13 @@
         self.records.push(RunRecord {
             task: task.clone(),
             run,
-            epoch: body["fencing_token"].as_u64().unwrap_or(0),
+            epoch: epoch_of(body),
             worker: index,
             call_arrived,
             started: now,
             started_ms: unix_ms(),
             ended: None,
+            acknowledged: None,
             discounted: false,
         });
         if step.gang {
@@ -780,7 +802,7 @@
     /// Returns whether the worker must refuse a call because its epoch is too low, and
     /// records a higher epoch.
     fn check_fence(&mut self, index: usize, body: &Value) -> bool {
-        let epoch = body["fencing_token"].as_u64().unwrap_or(0);
+        let epoch = epoch_of(body);
         let worker = &mut self.workers[index];
         let is_fenced = epoch < worker.highest_epoch;
         worker.highest_epoch = worker.highest_epoch.max(epoch);
@@ -798,7 +820,7 @@
     ) -> Option<(StatusCode, Value)> {
         self.process_due_events(index);
         let is_current = self.workers[index].incarnation == incarnation;
-        let can_answer = is_current && !self.is_out_of_reach(index);
+        let can_answer = is_current && !self.is_out_of_reach(index, body);
         can_answer.then(|| self.call_worker(index, call, body, arrived))
     }
 
@@ -867,7 +889,12 @@
                 let worker = &mut self.workers[index];
                 worker.lease_end_ms = worker.lease_end_ms.max(deadline_ms);
                 worker.ended.retain(|(number, ..)| *number > seen);
-                worker.unacknowledged.retain(|number, _| *number > seen);
+                let open = worker.unacknowledged.split_off(&(seen + 1));
+                let acknowledged = std::mem::replace(&mut worker.unacknowledged, open);
+                for &record in acknowledged.values() {
+                    self.records[record].acknowledged = Some(Instant::now());
+                }
+                let worker = &self.workers[index];
                 let running: Vec<Value> = worker
                     .running
                     .iter()
@@ -947,8 +974,10 @@
         std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let server_world = shared.clone();
+                let peers = Arc::new(PeerAddresses::new());
                 let (store, serving) =
-                    bind(move |request| answer_store(server_world.clone(), request)).await;
+                    bind(move |request| answer_store(server_world.clone(), peers.clone(), request))
+                        .await;
                 for index in 0..worker_count {
                     let server_world = shared.clone();
                     let (address, serving) =
@@ -979,6 +1008,22 @@
         Self { store, world }
     }
 
+    /// Serves the same store at a further address, for a daemon that reaches the others at
+    /// `peers`.
+    pub fn serve_store_with_peers(&self, peers: PeerAddresses) -> SocketAddr {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let (world, peers) = (self.world.clone(), Arc::new(peers));
+        std::thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let (store, serving) =
+                    bind(move |request| answer_store(world.clone(), peers.clone(), request)).await;
+                sender.send(store).expect("the test thread receives");
+                serving.await;
+            });
+        });
+        receiver.recv().expect("the store is served")
+    }
+
     /// Locks and returns the state of the stand-in.
     pub fn world(&self) -> MutexGuard<'_, World> {
         lock(&self.world)
@@ -1048,11 +1093,58 @@
     respond((StatusCode::OK, json!({})))
 }
 
-async fn answer_store(world: Arc<Mutex<World>>, mut request: Request) -> Response<BoxBody> {
+/// Replaces the addresses of daemons in a store's answer by those of `peers`.
+fn replace_peer_addresses(answer: &mut Value, peers: &PeerAddresses) {
+    for rows in ["items", "events"] {
+        let items = answer.get_mut(rows).and_then(Value::as_array_mut);
+        for item in items.into_iter().flatten() {
+            replace_peer_address(item, peers);
+        }
+    }
+    replace_peer_address(answer, peers);
+}
+
+fn replace_peer_address(item: &mut Value, peers: &PeerAddresses) {
+    let key = item["key"].as_str().unwrap_or_default();
+    let member = key.strip_prefix("members/").map(str::to_owned);
+    if member.is_none() && key != "owner" {
+        return;
+    }
+    let bytes = BASE64_STANDARD.decode(item["value"].as_str().unwrap_or_default());
+    let Ok(mut record) = serde_json::from_slice::<Value>(&bytes.unwrap_or_default()) else {
+        return;
+    };
+    let daemon = member.or_else(|| record["owner"].as_str().map(str::to_owned));
+    if let Some(address) = daemon.and_then(|daemon| peers.get(&daemon)) {
+        record["address"] = json!(address.to_string());
+        item["value"] = json!(BASE64_STANDARD.encode(record.to_string()));
+    }
+}
+
+/// Answers a call to the store as the daemon sees it that reaches the others at `peers`.
+async fn answer_store(
+    world: Arc<Mutex<World>>,
+    peers: Arc<PeerAddresses>,
+    request: Request,
+) -> Response<BoxBody> {
+    let Some((status, mut answer)) = store_answer(world, request).await else {
+        return no_answer().await;
+    };
+    if !peers.is_empty() {
+        replace_peer_addresses(&mut answer, &peers);
+    }
+    respond((status, answer))
+}
+
+/// Carries out a call to the store. Returns `None` if it gets no answer.
+async fn store_answer(
+    world: Arc<Mutex<World>>,
+    mut request: Request,
+) -> Option<(StatusCode, Value)> {
     let mode = lock(&world).mode;
     match mode {
-        StoreMode::Refusing => return respond((StatusCode::SERVICE_UNAVAILABLE, json!({}))),
-        StoreMode::Unresponsive => return no_answer().await,
+        StoreMode::Refusing => return Some((StatusCode::SERVICE_UNAVAILABLE, json!({}))),
+        StoreMode::Unresponsive => return None,
         _ => {}
     }
     let body = body_of(&mut request).await;
@@ -1073,12 +1165,12 @@
         _ => None,
     };
     if withheld.is_some() && read.map(String::as_str) == withheld {
-        return no_answer().await;
+        return None;
     }
     let mut world = lock(&world);
     world.expire_leases();
     world.calls += 1;
-    respond(match path.split_once('/').unwrap_or((&path, "")) {
+    Some(match path.split_once('/').unwrap_or((&path, "")) {
         ("kv-key", _) => match world.item_json(&query["key"]) {
             Some(item) => (StatusCode::OK, item),
             None => (StatusCode::NOT_FOUND, json!({})),
@@ -1117,7 +1209,10 @@
     })
 }
 
-async fn watch(world: &Arc<Mutex<World>>, query: &HashMap<String, String>) -> Response<BoxBody> {
+async fn watch(
+    world: &Arc<Mutex<World>>,
+    query: &HashMap<String, String>,
+) -> Option<(StatusCode, Value)> {
     const CHECK_INTERVAL: Duration = Duration::from_millis(5);
     let number = |field: &str| query[field].parse::<u64>().unwrap_or(0);
     let until = Instant::now() + Duration::from_millis(number("wait_ms"));
@@ -1125,24 +1220,28 @@
     loop {
         // A store that stops answering does not answer waiting watches either.
         if lock(world).mode == StoreMode::Unresponsive {
-            return no_answer().await;
+            return None;
         }
         {
             let mut world = lock(world);
             world.expire_leases();
             let Some(events) = world.events_after(&query["prefix"], number("after")) else {
-                return respond((StatusCode::GONE, json!({})));
+                return Some((StatusCode::GONE, json!({})));
             };
             if !events.is_empty() || Instant::now() >= until {
                 let answer = json!({ "events": events, "current_rev": world.revision });
-                return respond((StatusCode::OK, answer));
+                return Some((StatusCode::OK, answer));
             }
         }
         actix_rt::time::sleep(CHECK_INTERVAL).await;
     }
 }
 
-async fn transact(world: Arc<Mutex<World>>, mode: StoreMode, body: Value) -> Response<BoxBody> {
+async fn transact(
+    world: Arc<Mutex<World>>,
+    mode: StoreMode,
+    body: Value,
+) -> Option<(StatusCode, Value)> {
     const LATE_DELAY: Duration = Duration::from_millis(1_500);
     const UNANSWERED_ONE_IN: u64 = 3;
     let (is_unanswered, delay) = {
@@ -1159,21 +1258,21 @@
             world.transact(&body);
             world.delayed_writes_done += 1;
         });
-        return no_answer().await;
+        return None;
     }
     match mode {
         StoreMode::LosingAnswers if is_unanswered => {
             lock(&world).transact(&body);
-            no_answer().await
+            None
         }
         StoreMode::Late if is_unanswered => {
             actix_rt::spawn(async move {
                 actix_rt::time::sleep(LATE_DELAY).await;
                 lock(&world).transact(&body);
             });
-            no_answer().await
+            None
         }
-        _ => respond(lock(&world).transact(&body)),
+        _ => Some(lock(&world).transact(&body)),
     }
 }
 
@@ -1195,7 +1294,7 @@
         let worker = &world.workers[index];
         let is_expected = expected.as_deref() == Some(&*worker.id);
         let receiver = is_expected.then_some((index, worker.incarnation));
-        (!world.is_out_of_reach(index)).then_some(receiver)
+        (!world.is_out_of_reach(index, &body)).then_some(receiver)
     };
     let receiver = match receiver {
         None => return no_answer().await,
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -25,6 +25,8 @@
 const CLIENT_PORT: u16 = 18_521;
 const READINESS_PORT: u16 = 18_523;
 const FIRST_INTERNAL_PORT: u16 = 17_000;
+/// The port at which a daemon takes heartbeats and connections of the others.
+pub const PEER_PORT: u16 = FIRST_INTERNAL_PORT;
 
 /// A daemon's process. It is killed when the value is dropped.
 pub struct Daemon {
@@ -61,6 +63,7 @@
 /// | 249 to 251 | `owner_parts.rs` |
 /// | 240 to 245 | `tombstones.rs` |
 /// | 252 | `client_resets.rs` |
+/// | 253 | `partitioned_owners.rs` |
 ///
 /// Benches run alone and may use any number; 254 is the highest.
 pub fn loopback(test: u8, at: u8) -> Ipv4Addr {
