Tests: partition the owner when its leases end before its authority

The test that cuts everything at one moment now waits until the workers have held their calls for 0.85 s and the epoch was confirmed less than 0.25 s ago.

--- a/tests/partitioned_owners.rs
+++ b/tests/partitioned_owners.rs
@@ -20,7 +20,8 @@
     epoch,
     is_completed,
     path,
-    wait_until, //
+    wait_until,
+    wait_until_with_interval, //
 };
 use links::Links;
 use operator::{
@@ -58,6 +59,14 @@
 /// How long before the store and the other daemons the owner loses the workers on which tasks run.
 /// Their leases then expire for it while it still has its authority.
 const WORKER_LOSS_LEAD: Duration = Duration::from_millis(1_500);
+/// How often a test looks for the moment of a partition.
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// A worker holds a call for up to a second. A lease of 6 s that began this long before the
+/// partition counts as expired 5.4 s after it, since 0.25 s are added for a slow clock.
+const LONG_CALL: Duration = Duration::from_millis(850);
+/// The owner has confirmed its epoch within this time, so that its authority lasts for 5.75 s of the
+/// partition.
+const RECENT_CONFIRMATION: Duration = Duration::from_millis(250);
 /// Time in which the owner stores what it has started.
 const TIME_TO_STORE: Duration = Duration::from_millis(1_000);
 /// Time in which the owner of the whole fleet finds out what runs and stops what must not run.
@@ -121,13 +130,32 @@
         number.expect("the name is d and a number")
     }
 
+    /// The workers on which tasks run.
+    fn used_workers(&self) -> BTreeSet<usize> {
+        let running = self.records().into_iter();
+        let running = running.filter(|run| run.ended.is_none());
+        running.map(|run| run.worker).collect()
+    }
+
+    /// Waits until the owner has just confirmed its epoch, and all workers on which tasks run are
+    /// about to answer calls that they have held for long.
+    fn wait_until_leases_are_older_than_authority(&self) {
+        wait_until_with_interval(CHECK_INTERVAL, "long calls and a confirmation", || {
+            let used = self.used_workers();
+            let world = self.operator.world();
+            let is_long = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() >= LONG_CALL);
+            let is_confirmed = world
+                .root_read
+                .is_some_and(|at| at.elapsed() <= RECENT_CONFIRMATION);
+            is_confirmed && used.iter().all(|&worker| is_long(world.last_hold(worker)))
+        });
+    }
+
     /// Partitions the owner, with the workers on which nothing runs, from everything else. It
     /// loses the workers on which tasks run `lead` before the store and the other daemons.
     fn partition_owner(&self, lead: Duration) {
         let (owner, epoch) = (self.owner(), epoch(&self.operator));
-        let running = self.records().into_iter();
-        let running = running.filter(|run| run.ended.is_none());
-        let used: BTreeSet<usize> = running.map(|run| run.worker).collect();
+        let used = self.used_workers();
         let unused: Vec<usize> = (0..WORKERS).filter(|at| !used.contains(at)).collect();
         assert!(!used.is_empty() && !unused.is_empty(), "{used:?}");
         for &worker in &used {
@@ -223,22 +251,20 @@
     assert!(doubled.is_empty(), "{doubled:#?}");
 }
 
-/// Guards against the same fault when the owner loses everything at one moment. It then shows only
-/// if the last answer of a worker is older than the last confirmation of the epoch.
+/// Guards against the same fault when the owner loses everything at one moment, shortly before the
+/// workers would have answered.
 #[test]
 fn an_owner_that_loses_store_peers_and_workers_at_once_starts_no_task_that_its_successor_keeps_running()
  {
     const JOB: u64 = 1;
-    const PARTITIONS: u32 = 3;
     let fleet = spawn_fleet(40);
-    fleet.run_job(JOB, Duration::from_secs(60));
+    fleet.run_job(JOB, Duration::from_secs(25));
     std::thread::sleep(TIME_TO_STORE);
+    fleet.wait_until_leases_are_older_than_authority();
 
-    for _ in 0..PARTITIONS {
-        fleet.partition_owner(Duration::ZERO);
-        std::thread::sleep(SETTLE_TIME);
-    }
+    fleet.partition_owner(Duration::ZERO);
 
+    std::thread::sleep(SETTLE_TIME);
     let doubled = fleet.doubled_runs();
     assert!(doubled.is_empty(), "{doubled:#?}");
 }
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -143,6 +143,8 @@
     pub cut: bool,
     /// The epochs of the owners that do not reach it.
     unreached_epochs: Range<u64>,
+    /// When the last call arrived that asks for its runs and ends.
+    last_hold: Option<Instant>,
     /// Whether all runs that it starts fail.
     failing: bool,
     /// Current number of accelerators.
@@ -239,6 +241,8 @@
     pub calls: u64,
     /// Watches of the workers' entries.
     pub worker_watches: u64,
+    /// When the root record was last read.
+    pub root_read: Option<Instant>,
     writes: u64,
     workers: Vec<FakeWorker>,
     steps: HashMap<String, Vec<SubmittedStep>>,
@@ -379,6 +383,11 @@
         self.workers[index].unreached_epochs = epochs;
     }
 
+    /// When the last call arrived at a worker that asks for its runs and ends.
+    pub fn last_hold(&self, index: usize) -> Option<Instant> {
+        self.workers[index].last_hold
+    }
+
     /// Sets whether all runs that a worker starts fail.
     pub fn set_failing(&mut self, index: usize, failing: bool) {
         self.workers[index].failing = failing;
@@ -953,6 +962,7 @@
             next_lease: 1,
             calls: 0,
             worker_watches: 0,
+            root_read: None,
             writes: 0,
             workers: (0..worker_count)
                 .map(|index| {
@@ -1170,6 +1180,9 @@
     let mut world = lock(&world);
     world.expire_leases();
     world.calls += 1;
+    if read.is_some_and(|key| key == "owner") {
+        world.root_read = Some(Instant::now());
+    }
     Some(match path.split_once('/').unwrap_or((&path, "")) {
         ("kv-key", _) => match world.item_json(&query["key"]) {
             Some(item) => (StatusCode::OK, item),
@@ -1302,6 +1315,9 @@
         Some(Some(receiver)) => receiver,
     };
     let arrived = Instant::now();
+    if call == "hold" {
+        lock(&world).workers[index].last_hold = Some(arrived);
+    }
     if call == "run-start" && lock(&world).is_late_start() {
         actix_rt::spawn(async move {
             actix_rt::time::sleep(LATE_START_DELAY).await;
