Count a lease as expired only once the epoch is confirmed after it

Cause: an owner goes by the leases that it gave itself. It gives orders for 6 s after it last confirmed its epoch, so it may overlap with its successor, which polls the workers that it reaches, extends their leases and acknowledges their ends. Where only the successor reaches a worker, the earlier owner counted that worker's lease as expired and started its tasks elsewhere, on workers that the successor had not reached.

Change: a lease, and the recovery of a new owner, count as over only once the epoch is confirmed by a request sent after that time. Then no other daemon owned before, so nobody extended the lease. The owner asks for the confirmation at once, one read of the store, instead of waiting for the next of its regular ones. A worker that never answered this owner had passed without any check; it now waits like the others.

Ruled out: keeping the successor from extending leases until the earlier owner's authority is over, since work would then end at each failover; a shorter authority, since work would end in short outages of the store.

--- a/src/cluster/actions.rs
+++ b/src/cluster/actions.rs
@@ -184,6 +184,7 @@
                 emptied.push((data_centre.to_string(), record));
             }
             Action::DeleteJob { job } => deleted_jobs.push(job),
+            Action::ConfirmEpoch => node.request_confirmation(),
             Action::OwnershipLost => {
                 node.stop_owning("worker_fenced");
                 return;
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -123,6 +123,7 @@
     epoch: Cell<u64>,
     takes_over: Cell<bool>,
     heartbeat_requested: Notify,
+    confirmation_requested: Notify,
     root_revision: Cell<u64>,
     /// When the last request was sent that confirmed the epoch of this daemon as the owner.
     epoch_confirmed_ms: Cell<u64>,
@@ -175,6 +176,7 @@
             epoch: Cell::new(0),
             takes_over: Cell::new(false),
             heartbeat_requested: Notify::new(),
+            confirmation_requested: Notify::new(),
             root_revision: Cell::new(0),
             epoch_confirmed_ms: Cell::new(0),
             unknown_outcomes: RefCell::default(),
@@ -423,6 +425,16 @@
             .send_input(epoch, Input::EpochConfirmed(sent_ms));
     }
 
+    /// Requests that the epoch is confirmed at once.
+    pub fn request_confirmation(&self) {
+        self.confirmation_requested.notify_one();
+    }
+
+    /// Waits until a confirmation of the epoch is requested.
+    pub async fn until_confirmation_requested(&self) {
+        self.confirmation_requested.notified().await;
+    }
+
     /// Records whether this daemon has taken an epoch and is reading the stored state. The others
     /// wait for it meanwhile only as long as they receive its heartbeats.
     pub fn set_takes_over(&self, takes_over: bool) {
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -324,7 +324,10 @@
         match root {
             Ok(Some(item)) if item.revision == node.root_revision() => {
                 node.record_confirmation(epoch, sent_ms);
-                node.timer.sleep(CONFIRM_INTERVAL_MS).await;
+                tokio::select! {
+                    _ = node.timer.sleep(CONFIRM_INTERVAL_MS) => {}
+                    () = node.until_confirmation_requested() => {}
+                }
             }
             Ok(_) => return node.stop_owning("root_changed"),
             Err(_) => {
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -121,6 +121,8 @@
         /// The job.
         job: JobId,
     },
+    /// Confirm the epoch as soon as possible.
+    ConfirmEpoch,
     /// This owner is fenced: a worker has seen a higher epoch.
     OwnershipLost,
     /// A decision, for the log and the metrics.
--- /dev/null
+++ b/src/scheduler/authority.rs
@@ -0,0 +1,48 @@
+//! Decides what an owner may do by when its epoch was last confirmed.
+//!
+//! An owner that is cut off from the store and from its successor cannot know that it was
+//! replaced. It goes on giving orders for `authority_ms`, so that work survives outages of the
+//! store, while the successor polls the workers that it reaches, extends their leases and
+//! acknowledges their ends. So **what an owner concludes from the leases that it gave itself
+//! counts only once its epoch is confirmed by a request sent after these leases expired**: no
+//! other daemon owned until then, and all leases had ended.
+
+use super::action::Action;
+use super::state::Scheduler;
+
+impl Scheduler {
+    /// Returns whether orders may be given: the epoch was confirmed recently, and after the
+    /// last pause of this process, during which another owner may have taken over.
+    pub fn has_authority(&self) -> bool {
+        let recent = self.now_ms < self.confirmed_ms + self.tuning.authority_ms;
+        recent && self.confirmed_ms >= self.resumed_ms
+    }
+
+    /// Whether the epoch was confirmed by a request sent at `at_ms` or later. If it was not and
+    /// `at_ms` is over, a confirmation is requested.
+    pub(super) fn is_confirmed_since(&mut self, at_ms: u64) -> bool {
+        if self.confirmed_ms >= at_ms {
+            return true;
+        }
+        if self.now_ms >= at_ms && self.confirmation_requested_ms < at_ms {
+            self.confirmation_requested_ms = self.now_ms;
+            self.actions.push(Action::ConfirmEpoch);
+        }
+        false
+    }
+
+    /// Handles the confirmation of the epoch by a request sent at `sent_ms`.
+    pub(super) fn handle_epoch_confirmed(&mut self, sent_ms: u64) {
+        let was_awaited = self.confirmed_ms < self.confirmation_requested_ms;
+        self.confirmed_ms = self.confirmed_ms.max(sent_ms);
+        if was_awaited && self.confirmed_ms >= self.confirmation_requested_ms {
+            self.review_at_ms = self.now_ms;
+            self.changed = true;
+        }
+    }
+
+    /// Returns the time since the last request was sent that confirmed the epoch.
+    pub(super) fn confirmed_ago_ms(&self) -> u64 {
+        self.now_ms.saturating_sub(self.confirmed_ms)
+    }
+}
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -225,17 +225,19 @@
         // Nothing runs on a worker that this owner has polled and on which every run
         // ordered since has ended.
         let empty = worker.contact == Contact::Unresponsive && worker.runs.is_empty();
-        let never_used = worker.clock.is_none() && now_ms >= self.earlier_leases_expired_ms;
-        // Runs found there may hold a lease of an earlier owner. It ends before any lease
-        // that this owner gave.
-        let expired_ms = match (empty || never_used, worker.lease_end_ms) {
+        let expired_ms = match (empty, worker.lease_end_ms) {
             (true, _) => Some(0),
+            // It has not answered this owner.
             (false, 0) => Some(self.earlier_leases_expired_ms),
             (false, _) => worker.leases_expired_ms(),
         };
-        if !unreachable || expired_ms.is_none_or(|expired_ms| now_ms < expired_ms) {
+        let Some(expired_ms) = expired_ms.filter(|&expired_ms| now_ms >= expired_ms) else {
+            return;
+        };
+        if !unreachable || !self.is_confirmed_since(expired_ms) {
             return;
         }
+        let worker = self.worker(key);
         let listed = worker.listed;
         if !worker.runs.is_empty() {
             self.lose_runs(key, LossCause::LeaseExpired, now_ms);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod accounts;
 mod acknowledgement;
 mod action;
+mod authority;
 mod closed_workers;
 mod configuration;
 mod crashes;
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -8,6 +8,9 @@
 //! until every worker of the roster has answered, tasks of jobs that the
 //! earlier owner knew are not started again: they could run twice.
 //!
+//! Meanwhile yet another daemon may have taken over and extended the leases of these workers,
+//! so the wait ends only once the epoch is confirmed (see [`super::authority`]).
+//!
 //! A roster that cannot be decoded may name any worker. The recovery then ends only with
 //! the longest lease.
 //!
@@ -105,7 +108,8 @@
         // This runs after each poll, so the search stops at the first worker that has not
         // answered.
         let any_unanswered = || self.workers.iter().any(|worker| has_not_answered(&worker));
-        if self.now_ms < until_ms && (self.roster_unreadable || any_unanswered()) {
+        let all_answered = !self.roster_unreadable && !any_unanswered();
+        if !all_answered && (self.now_ms < until_ms || !self.is_confirmed_since(until_ms)) {
             return;
         }
         let workers = self.workers.iter().filter(has_not_answered);
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -99,6 +99,8 @@
     pub(super) started_ms: u64,
     /// When the last request was sent that confirmed this owner's epoch.
     pub(super) confirmed_ms: u64,
+    /// When a confirmation of the epoch was last requested.
+    pub(super) confirmation_requested_ms: u64,
     /// When this process last resumed after a pause.
     pub(super) resumed_ms: u64,
     /// When [`Scheduler::decide`] was last called.
@@ -184,6 +186,7 @@
             now_ms,
             started_ms: now_ms,
             confirmed_ms: now_ms,
+            confirmation_requested_ms: 0,
             resumed_ms: 0,
             last_decision_ms: now_ms,
             mean_gap_ms: 0.0,
@@ -328,7 +331,7 @@
             Input::JobDeleted(job) => {
                 self.deleting_jobs.insert(job, Some(self.now_ms));
             }
-            Input::EpochConfirmed(at_ms) => self.confirmed_ms = self.confirmed_ms.max(at_ms),
+            Input::EpochConfirmed(sent_ms) => self.handle_epoch_confirmed(sent_ms),
             Input::Tick => {}
         }
         self.set_deciding(None);
@@ -406,18 +409,6 @@
         self.set_deciding(None);
     }
 
-    /// Returns whether orders may be given: the epoch was confirmed recently, and after the
-    /// last pause of this process, during which another owner may have taken over.
-    pub fn has_authority(&self) -> bool {
-        let recent = self.now_ms < self.confirmed_ms + self.tuning.authority_ms;
-        recent && self.confirmed_ms >= self.resumed_ms
-    }
-
-    /// Returns the time since the last request was sent that confirmed the epoch.
-    pub(super) fn confirmed_ago_ms(&self) -> u64 {
-        self.now_ms.saturating_sub(self.confirmed_ms)
-    }
-
     /// Returns the epoch under which orders are given.
     pub fn epoch(&self) -> u64 {
         self.epoch
