Count the earlier owner's lease on a worker that answers a new owner

Cause: after a change of owner a run that is found on a worker holds the lease that the earlier owner gave. The new owner counted only its own leases there. The first one may be that of a start, 1.5 s: if the owner is then paused, and the worker does not answer afterwards, its runs counted as lost after 1.7 s while they went on for up to 7 s, and their tasks started elsewhere.

Change: the first answer of a worker to an owner counts as a lease of full length from then on, since earlier owners are refused there from then on.

Evidence: a_run_found_on_a_worker_may_go_on_under_the_lease_of_the_earlier_owner failed before, with a start 1.7 s after the takeover.

--- a/src/scheduler/poll_report.rs
+++ b/src/scheduler/poll_report.rs
@@ -58,7 +58,12 @@
         if is_reconnected {
             self.end_replaced_workers(key);
         }
+        let lease_ms = self.tuning.lease_ms;
         let worker = self.worker_mut(key);
+        if worker.contact == Contact::Unfenced {
+            // Runs found there may hold a lease that an earlier owner gave until now.
+            worker.lease_end_ms = worker.lease_end_ms.max(report.clock_ms + lease_ms);
+        }
         worker.contact = Contact::Answering;
         worker.lost.clear();
         worker.failed_polls = 0;
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -801,3 +801,35 @@
     }
     assert_eq!(answered.len(), WORKERS);
 }
+
+/// Guards against a task that runs twice: an owner that was paused just after its first order to a
+/// worker went by the short lease of that order, while a run that it had found there still held the
+/// longer lease of the earlier owner.
+#[test]
+fn a_run_found_on_a_worker_may_go_on_under_the_lease_of_the_earlier_owner() {
+    const PAUSE_MS: u64 = 1_500;
+    let mut fleet = Fleet::with_workers(1);
+    let [long, ended] = [1, 2].map(|id| (JobId(id), record("plain", vec![step(1, 1)])));
+    fleet.submit(1, long.1.clone());
+    fleet.submit(2, ended.1.clone());
+    fleet.advance(50);
+    fleet.end_all(ended.0, EndKind::Done);
+    let mut next = fleet.next_owner(2, &[long.clone(), ended], true);
+    // The end waits for the store, and the next poll, which would give a lease, for the end.
+    next.defers_progress = true;
+    next.settle();
+    next.submit(3, record("plain", vec![step(1, 1)]));
+    next.settle();
+    assert_eq!(next.starts.len(), 1, "the worker got an order");
+
+    next.unresponsive.push("w0".to_owned());
+    next.add_worker("w1", "r1");
+    next.now_ms += PAUSE_MS;
+    next.settle();
+    while !next.workers["w0"].has_expired_lease(next.now_ms) {
+        next.advance(10);
+
+        let of_long = |(name, ..): &&(RunName, String, u64)| name.task.job == long.0;
+        assert_eq!(next.starts.iter().find(of_long), None);
+    }
+}
