--- a/tests/overlapping_owners.rs
+++ b/tests/overlapping_owners.rs
@@ -38,8 +38,9 @@
 
 /// A kind of job with a single task.
 const SINGLE_TASK: u8 = 0;
-/// The set of owners that is cut off.
-const NEWEST_OWNER: u8 = 0b10;
+/// The newest owner, counted back from the next one, and the set of it alone.
+const NEWEST: usize = 1;
+const NEWEST_OWNER: u8 = 1 << NEWEST;
 
 fn link() -> impl Strategy<Value = Link> {
     prop_oneof![
@@ -97,7 +98,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: number_from_env("OVERLAP_CASES", 48) as u32,
+        cases: number_from_env("OVERLAP_CASES", 256) as u32,
         failure_persistence: None,
         rng_seed: prop::test_runner::RngSeed::Fixed(number_from_env("OVERLAP_SEED", 20_261_205)),
         ..ProptestConfig::default()
@@ -122,17 +123,21 @@
     lines.join("\n")
 }
 
-/// Begins with short leases and one task that runs for 20 s. Returns its worker, and the one
-/// on which it would be started again.
-fn with_long_task() -> (Simulation, usize, usize) {
-    let mut simulation = Simulation::begin(&Plan {
+/// Short leases, and runs of 20 s.
+fn one_long_run() -> Plan {
+    Plan {
         has_short_leases: true,
         clocks: vec![(1_000, 0); WORKERS],
         takeover_ms: 1_000,
         runs: vec![(20_000, false)],
         lost_calls: vec![None],
         events: Vec::new(),
-    });
+    }
+}
+
+/// Begins with a task that runs. Returns its worker, and another one.
+fn with_long_task() -> (Simulation, usize, usize) {
+    let mut simulation = Simulation::begin(&one_long_run());
     simulation.apply(&Event::Submit(SINGLE_TASK));
     simulation.advance(1_000);
     let worker = simulation.worker_of(JobId(1));
@@ -145,7 +150,7 @@
 fn a_cut_off_owner_leaves_the_run_to_its_successor_that_reaches_the_worker() {
     let (mut simulation, worker, other) = with_long_task();
 
-    simulation.apply(&Event::SetLink(1, worker, Link::Down));
+    simulation.apply(&Event::SetLink(NEWEST, worker, Link::Down));
     simulation.advance(1_000);
     simulation.apply(&Event::Split(NEWEST_OWNER, 1 << other));
     simulation.advance(7_000);
@@ -154,17 +159,53 @@
     assert_eq!(simulation.record.len(), 1, "{}", lines(&simulation));
 }
 
+/// Lets the first owner extend the lease of `worker` while it is cut off from the store, the
+/// second one not reach that worker, and the third one reach it before the second one's
+/// recovery ends, beside which the second one reaches only `other`.
+fn change_owner_twice(simulation: &mut Simulation, worker: usize, other: usize) {
+    simulation.apply(&Event::Split(NEWEST_OWNER, 1 << worker));
+    simulation.advance(8_000);
+    simulation.apply(&Event::Split(NEWEST_OWNER, 1 << other));
+    simulation.advance(7_000);
+    simulation.run();
+}
+
 /// Guards against a task that runs twice after two changes of owner: the second owner waited
 /// out the leases of the first, while the third one had extended them already.
 #[test]
 fn a_cut_off_owner_does_not_end_its_recovery_beside_its_successor() {
     let (mut simulation, worker, other) = with_long_task();
 
-    // The first owner goes on extending the lease, cut off from the store.
-    simulation.apply(&Event::Split(NEWEST_OWNER, 1 << worker));
-    simulation.advance(8_000);
-    simulation.apply(&Event::Split(NEWEST_OWNER, 1 << other));
-    simulation.advance(7_000);
+    change_owner_twice(&mut simulation, worker, other);
+
+    assert_eq!(simulation.record.len(), 1, "{}", lines(&simulation));
+}
+
+/// As above, for the runs that are stored of a worker that the first owner had closed.
+#[test]
+fn a_cut_off_owner_does_not_lose_the_runs_of_a_closed_worker_beside_its_successor() {
+    let (mut simulation, worker, other) = with_long_task();
+
+    simulation.apply(&Event::SetLink(NEWEST, worker, Link::Down));
+    simulation.advance(2_000);
+    change_owner_twice(&mut simulation, worker, other);
+
+    assert_eq!(simulation.record.len(), 1, "{}", lines(&simulation));
+}
+
+/// Guards against a new job that runs twice: its owner was cut off and replaced, reached the
+/// store again, and learned of the job before it learned of its successor, which took the job
+/// for one that nobody else had started.
+#[test]
+fn an_owner_that_reaches_the_store_again_starts_no_new_job_before_it_confirms_its_epoch() {
+    let mut simulation = Simulation::begin(&one_long_run());
+
+    // The successor reaches only the worker that the first owner does not reach.
+    simulation.apply(&Event::Split(NEWEST_OWNER, 0b110));
+    simulation.advance(3_000);
+    simulation.apply(&Event::Submit(SINGLE_TASK));
+    simulation.advance(300);
+    simulation.apply(&Event::Repair);
     simulation.run();
 
     assert_eq!(simulation.record.len(), 1, "{}", lines(&simulation));
--- a/tests/support/overlap_simulation.rs
+++ b/tests/support/overlap_simulation.rs
@@ -52,7 +52,7 @@
 const STEP_MS: u64 = 10;
 const CALL_TIMEOUT_MS: u64 = 500;
 const CONFIRM_INTERVAL_MS: u64 = 600;
-const CONFIRM_RETRY_MS: u64 = 120;
+const CONFIRM_RETRY_MS: u64 = 200;
 /// Time after which an owner has heard of a later one that it can reach.
 const HEARTBEAT_MS: u64 = 250;
 /// Time for which members of a gang wait for the others.
