Simulation: an answer that is lost stays lost when the link is repaired

A worker's answer was made when it could be delivered, not when the worker gave it, so it could show neither a run nor its end.

--- a/tests/support/overlap_simulation.rs
+++ b/tests/support/overlap_simulation.rs
@@ -170,6 +170,8 @@
     key: WorkerKey,
     sent_ms: u64,
     wait_ms: u64,
+    /// It or its answer is lost, even if the link is repaired meanwhile.
+    is_lost: bool,
 }
 
 pub struct Simulation {
@@ -635,30 +637,31 @@
             worker,
             key: callee.worker,
             sent_ms: self.now_ms,
-            // A poll that was lost is not answered, even if the link is repaired.
-            wait_ms: if is_up { wait_ms } else { u64::MAX },
+            wait_ms,
+            is_lost: !is_up,
         });
     }
 
     fn answer_polls(&mut self) {
         let now_ms = self.now_ms;
-        for poll in std::mem::take(&mut self.polls) {
-            let worker = &self.workers[poll.worker];
-            let is_lost = poll.wait_ms == u64::MAX;
+        for mut poll in std::mem::take(&mut self.polls) {
             let waited_ms = now_ms - poll.sent_ms;
-            let has_answer = !worker.ended.is_empty() || waited_ms >= poll.wait_ms;
-            let key = poll.key;
-            if !is_lost && has_answer && self.links[poll.owner][poll.worker] == Link::Up {
+            let has_ends = !self.workers[poll.worker].ended.is_empty();
+            let is_answered = !poll.is_lost && (has_ends || waited_ms >= poll.wait_ms);
+            let worker = poll.key;
+            if is_answered && self.links[poll.owner][poll.worker] == Link::Up {
                 let report = self.report(poll.worker);
                 let input = Input::PollAnswered {
-                    worker: key,
+                    worker,
                     sent_ms: poll.sent_ms,
                     report,
                 };
                 self.reply(poll.owner, input);
-            } else if waited_ms >= CALL_TIMEOUT_MS + if is_lost { 0 } else { poll.wait_ms } {
+                continue;
+            }
+            poll.is_lost |= is_answered;
+            if waited_ms >= CALL_TIMEOUT_MS + poll.wait_ms {
                 let outcome = CallOutcome::NoAnswer;
-                let worker = key;
                 self.reply(poll.owner, Input::PollFailed { worker, outcome });
             } else {
                 self.polls.push(poll);
