Start a new job only if the epoch was confirmed shortly before

Cause: a new owner takes jobs that are stored over 1 s after its takeover for jobs that nobody else has started, on the ground that an earlier owner that is cut off from the store learns of none. An owner that reaches the store or a peer again within the 6 s of its authority does learn of new jobs, before its next confirmation and before it hears of its successor, and started them a second time. Same cause as the tasks that ran twice: a conclusion from an old confirmation.

Change: an owner starts a job only if its epoch was confirmed less than 1 s before it learned of the job, which is what its successor goes by; otherwise it asks for a confirmation first. Confirmations come every 600 ms, so on a calm store no job waits.

--- a/src/scheduler/authority.rs
+++ b/src/scheduler/authority.rs
@@ -6,8 +6,14 @@
 //! acknowledges their ends. So **what an owner concludes from the leases that it gave itself
 //! counts only once its epoch is confirmed by a request sent after these leases expired**: no
 //! other daemon owned until then, and all leases had ended.
+//!
+//! For the same reason an owner starts a job only if its epoch was confirmed less than
+//! `OWNERSHIP_LOSS_NOTICE_MS` before it learned of the job: the successor takes jobs that are
+//! stored later than that after its takeover for jobs that nobody else has started.
 
+use super::GraphJob;
 use super::action::Action;
+use super::recovery::OWNERSHIP_LOSS_NOTICE_MS;
 use super::state::Scheduler;
 
 impl Scheduler {
@@ -31,6 +37,21 @@
         false
     }
 
+    /// Whether a later owner, if there is one, knows that this owner may have started the job.
+    pub(super) fn is_known_to_successors(&self, job: &GraphJob) -> bool {
+        job.known_ms < self.confirmed_ms + OWNERSHIP_LOSS_NOTICE_MS
+    }
+
+    /// Requests a confirmation if a waiting group needs one before it may start.
+    pub(super) fn review_new_jobs(&mut self) {
+        let ready = self.groups.values();
+        let ready = ready.filter(|group| group.is_ready(self.now_ms));
+        let newest_ms = ready.map(|group| self.jobs[&group.key.job].known_ms).max();
+        if let Some(newest_ms) = newest_ms {
+            self.is_confirmed_since((newest_ms + 1).saturating_sub(OWNERSHIP_LOSS_NOTICE_MS));
+        }
+    }
+
     /// Handles the confirmation of the epoch by a request sent at `sent_ms`.
     pub(super) fn handle_epoch_confirmed(&mut self, sent_ms: u64) {
         let was_awaited = self.confirmed_ms < self.confirmation_requested_ms;
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -17,11 +17,10 @@
 //! The runs on a worker that an earlier owner closed are stored, so only their tasks wait
 //! for such a worker.
 //!
-//! An earlier owner whose process has ended gives no more leases. One that is cut off from
-//! the store learns of no new jobs, one that was paused confirms its epoch before it sends
-//! orders again, and any other learns of its successor within one or two heartbeats. So a
-//! job that is stored later than `OWNERSHIP_LOSS_NOTICE_MS` after the takeover starts at
-//! once, provided that all jobs stored until then have been read.
+//! An earlier owner whose process has ended gives no more leases, and any other starts no job
+//! that is stored later than `OWNERSHIP_LOSS_NOTICE_MS` after the takeover (see
+//! [`super::authority`]). So such a job starts at once, provided that all jobs stored until then
+//! have been read.
 
 use super::action::{
     Decision,
@@ -43,7 +42,7 @@
 
 /// Time after the end of a lease in which workers kill their runs.
 const KILL_MARGIN_MS: u64 = 100;
-/// Time after a takeover in which an earlier owner may still learn of new jobs: four
+/// Time after a takeover in which an earlier owner may still learn of jobs that it starts: four
 /// heartbeats.
 pub(super) const OWNERSHIP_LOSS_NOTICE_MS: u64 = 1_000;
 
--- a/tests/support/overlap_simulation.rs
+++ b/tests/support/overlap_simulation.rs
@@ -580,6 +580,7 @@
             Action::StoreClosedWorker { worker } => {
                 self.queue(at, Write::ClosedWorker(worker));
             }
+            Action::ConfirmEpoch => self.confirm(at),
             Action::OwnershipLost => self.owners[at].acting = false,
             _ => {}
         }
