Test: daemons beside very deep entries, numbers too large and ports out of range

Another operator's machines ended again and again beside such an entry. The test writes the three kinds before the start and beside a watch, then kills the owner: a worker that registers later and one whose entry changes get work from both owners, the processes go on, and each owner reports each entry once (E205).

--- a/tests/foreign/path.rs
+++ b/tests/foreign/path.rs
@@ -188,6 +188,120 @@
     assert!(reported >= count, "{reported} lines of {count} entries");
 }
 
+/// Entries that are nested very deep, have a number too large, or a port out of range.
+fn odd_entries() -> Vec<Vec<u8>> {
+    let good = entry("127.0.0.1:1").to_string();
+    let with = |from: &str, to: &str| {
+        assert!(good.contains(from), "{from} in {good}");
+        good.replace(from, to).into_bytes()
+    };
+    let more = |field: &str| format!("{{\"introduced_later\":{field},\"address\"");
+    let arrays = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    let objects = format!("{}0{}", "{\"a\":".repeat(100_000), "}".repeat(100_000));
+    vec![
+        with("{\"address\"", &more(&arrays)),
+        with("{\"address\"", &more(&objects)),
+        with("\"sequence\":1", "\"sequence\":1e400"),
+        with("\"cpu\":32000", "\"cpu\":18446744073709551616"),
+        with("127.0.0.1:1", "127.0.0.1:65536"),
+        with("127.0.0.1:1", "127.0.0.1:99999999999"),
+    ]
+}
+
+/// Writes the odd entries and returns their keys.
+fn write_odd_entries(operator: &Operator, name: &str) -> Vec<String> {
+    let keys = odd_entries().into_iter().enumerate().map(|(at, value)| {
+        let key = format!("servers/{name}-{at}");
+        operator.world().put_bytes(&key, &value);
+        key
+    });
+    keys.collect()
+}
+
+/// How often the log of a daemon reports the value under a key as invalid.
+fn reports_of(daemon: &Daemon, key: &str) -> usize {
+    let log = std::fs::read_to_string(daemon.log()).expect("a log");
+    let lines = log.lines();
+    let lines = lines.filter_map(|line| serde_json::from_str(line).ok());
+    let is_report = |line: &Value| line["event"] == 205 && line["key"] == key;
+    lines.filter(is_report).count()
+}
+
+/// Asserts that a job fills all the workers, of which one registers only now and the entry of
+/// another changes.
+fn assert_list_is_followed(
+    operator: &Operator,
+    daemon: &Daemon,
+    (new_worker, changed_worker): (usize, usize),
+    job_id: u64,
+) {
+    const TASKS_PER_WORKER: u32 = 8;
+    let before = operator.world().records.len();
+    operator.world().register(changed_worker, "draining");
+    std::thread::sleep(NOTICE_DELAY);
+    operator.world().register(changed_worker, "ready");
+    operator.world().register(new_worker, "ready");
+
+    let workers = operator.world().roster().len() as u32 + 1;
+    submit(daemon, job_id, &job(&[workers * TASKS_PER_WORKER], 3_000));
+
+    for worker in [new_worker, changed_worker] {
+        wait_until(&format!("work on worker {worker}"), || {
+            let world = operator.world();
+            let mut starts = world.records[before..].iter();
+            starts.any(|record| record.worker == worker)
+        });
+    }
+    wait_until("completed", || is_completed(daemon, job_id));
+}
+
+/// Guards against daemons that end again and again, or stop following the list of workers, beside
+/// an entry that is nested very deep, has a number too large or a port out of range.
+#[test]
+fn odd_entries_neither_end_a_daemon_nor_stop_it_from_following_the_list() {
+    const LATE_WORKERS: [usize; 2] = [2, 3];
+    let operator = Operator::spawn(4);
+    for late in LATE_WORKERS {
+        let key = operator.world().worker_key(late);
+        operator.world().remove_value(&key);
+    }
+    let mut keys = write_odd_entries(&operator, "listed");
+    operator.world().configure(1, &[("q", 1)], 5);
+    let stores = [operator.store; 3];
+    let mut daemons = daemons::fleet_from(FOREIGN + 8, 10, &stores);
+
+    wait_until("an owner has read the list", || {
+        operator.world().roster().len() == 2
+    });
+    keys.extend(write_odd_entries(&operator, "watched"));
+    assert_list_is_followed(&operator, &daemons[0], (LATE_WORKERS[0], 1), 1);
+    let root = operator.world().value("owner").expect("a root");
+    let owner_at = (0..daemons.len()).find(|at| root["owner"] == format!("d{at}"));
+    let owner_at = owner_at.expect("the owner is one of the daemons");
+    let mut first_owner = daemons.swap_remove(owner_at);
+    first_owner.kill();
+    wait_until("another daemon owns", || {
+        daemons::epoch(&operator) > root["epoch"].as_u64().expect("an epoch")
+    });
+    assert_list_is_followed(&operator, &daemons[0], (LATE_WORKERS[1], 1), 2);
+
+    for daemon in &mut daemons {
+        assert!(daemon.is_running(), "its process goes on");
+    }
+    for key in &keys {
+        let later: Vec<usize> = daemons
+            .iter()
+            .map(|daemon| reports_of(daemon, key))
+            .collect();
+        assert_eq!(reports_of(&first_owner, key), 1, "{key}");
+        assert_eq!(later.iter().sum::<usize>(), 1, "{key}: {later:?}");
+    }
+    assert_eq!(
+        daemons::epoch(&operator),
+        root["epoch"].as_u64().unwrap_or(0) + 1
+    );
+}
+
 /// A worker's entry is overwritten while a task runs there. The owner went on giving the
 /// worker tasks from the last entry that it had been able to decode.
 #[test]
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -163,6 +163,12 @@
         }
     }
 
+    /// Whether the process that was started last still runs.
+    pub fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Waits until the process exits by itself. Returns whether it exited with
     /// success.
     pub fn wait(&mut self) -> bool {
