Refuse a worker's answer to a poll whose numbers no sum can hold

Cause: clock_ms and the numbers of runs were taken as they came. With clock_ms = 2^64-1 the end of a lease overflowed (worker.rs:439), with run 2^64-1 the number of the task's next run (dispatch.rs:365). With overflow checks (debug builds) the control thread panicked (E106), the owner gave up (E208), and the next one polled the same worker: 8 owners in 40 s, none of which placed the task. Without overflow checks (release builds) the sums wrap; that was read, not run.

Change: times and numbers of ends above 2^53 and runs above the bound that stored progress has make the answer unreadable, as a malformed row does; the worker counts as one that does not answer.

Ruled out: percent 1e308 and usage 1e308 (conversion saturates, runs near their end are exempt from the sum), clock_ms 1e300 and -1 (refused as another type).

--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -6,6 +6,7 @@
     ClosedRuns,
     ConfirmedRun,
     JobRecord,
+    MAX_RUN,
     ProgressRecord,
     RunName, //
 };
@@ -53,8 +54,6 @@
 /// Highest valid epoch, reached after 30,000 years with one owner a second. Each epoch
 /// has its own range of run numbers, which must not overflow.
 const MAX_EPOCH: u64 = 1 << 40;
-/// Highest valid run number, far above those of any real epoch.
-const MAX_RUN: u64 = 1 << 52;
 
 /// After this time a superseded owner gives no more leases, and every lease it gave has
 /// expired. The two together take 13.3 s; this is four times as long, since the
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -13,6 +13,7 @@
     EndKind,
     EndedRow,
     GroupKey,
+    MAX_RUN,
     PollReport,
     RunName,
     RunningRow,
@@ -29,6 +30,8 @@
 
 /// Timeout of a request to the external policy.
 const ADVICE_TIMEOUT_MS: u64 = 3_000;
+/// Largest time and largest number of an end in an answer; sums with it stay in range.
+const MAX_NUMBER: u64 = 1 << 53;
 const INCARNATION_HEADER: &str = "Expected-Instance";
 
 #[derive(Serialize)]
@@ -272,8 +275,9 @@
         .ok()?;
     let name = |task: &str, run| {
         let task: TaskId = task.parse().ok()?;
-        Some(RunName { task, run })
+        (run <= MAX_RUN).then_some(RunName { task, run })
     };
+    let in_range = |number| (number <= MAX_NUMBER).then_some(number);
     let running = answer.running.into_iter().map(|row| {
         Some(RunningRow {
             name: name(&row.0, row.1)?,
@@ -284,15 +288,18 @@
     });
     let ended = answer.finished.into_iter().map(|row| {
         Some(EndedRow {
-            number: row.0,
+            number: in_range(row.0)?,
             name: name(&row.1, row.2)?,
             kind: end_kind(&row.3)?,
             checkpoint: row.4.unwrap_or_default().into(),
         })
     });
     Some(PollReport {
-        clock_ms: answer.clock_ms,
-        incarnation_start_ms: answer.born,
+        clock_ms: in_range(answer.clock_ms)?,
+        incarnation_start_ms: match answer.born {
+            Some(born) => Some(in_range(born)?),
+            None => None,
+        },
         running: running.collect::<Option<_>>()?,
         ended: ended.collect::<Option<_>>()?,
     })
--- a/src/scheduler/id.rs
+++ b/src/scheduler/id.rs
@@ -18,6 +18,9 @@
     pub index: u32,
 }
 
+/// Highest valid run number, far above those of any real epoch.
+pub const MAX_RUN: u64 = 1 << 52;
+
 /// Identifies one run of a task. A later run of a task has a higher number.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RunName {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -108,6 +108,7 @@
     TaskLimit, //
 };
 pub use id::{
+    MAX_RUN,
     RunName,
     TaskId, //
 };
--- a/tests/foreign/path.rs
+++ b/tests/foreign/path.rs
@@ -302,6 +302,60 @@
     );
 }
 
+/// Guards against owners that fail one after the other, or lose count of leases, on a worker that
+/// answers polls with numbers that no sum can hold.
+#[test]
+fn a_worker_that_answers_with_numbers_out_of_range_ends_no_ownership() {
+    let operator = Operator::spawn(2);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let mut daemons = daemons::fleet_from(FOREIGN + 8, 20, &[operator.store; 2]);
+    submit(&daemons[0], 1, &job(&[16], 300));
+    wait_until("completed", || is_completed(&daemons[1], 1));
+    let epoch = daemons::epoch(&operator);
+    let answers = |task: &str| {
+        [
+            json!({ "clock_ms": u64::MAX }),
+            json!({ "clock_ms": 1e300 }),
+            json!({ "clock_ms": -1 }),
+            json!({ "born": u64::MAX }),
+            json!({ "running": [[task, u64::MAX, "", 1e308, 1e308]] }),
+            json!({ "finished": [[99, task, u64::MAX, "failed", ""]] }),
+            json!({ "finished": [[u64::MAX, task, 1, "stopped", ""]] }),
+        ]
+    };
+    let jobs = 2..2 + answers("").len() as u64;
+
+    for job_id in jobs.clone() {
+        let task = format!("{job_id:016x}.0.0.0");
+        let answer = &answers(&task)[(job_id - jobs.start) as usize];
+        operator.world().replace_poll_fields(1, answer);
+        std::thread::sleep(NOTICE_DELAY);
+        submit(&daemons[0], job_id, &job(&[4], 300));
+        std::thread::sleep(NOTICE_DELAY);
+        operator.world().replace_poll_fields(1, &json!({}));
+        wait_until(&format!("completed beside {answer}"), || {
+            is_completed(&daemons[1], job_id)
+        });
+        assert_eq!(daemons::epoch(&operator), epoch, "beside {answer}");
+    }
+    for daemon in &mut daemons {
+        daemon.kill();
+        daemon.start();
+    }
+    wait_until("every daemon is ready", || {
+        daemons.iter().all(Daemon::is_ready)
+    });
+    for job_id in jobs {
+        wait_until("the next owner knows the job", || {
+            is_completed(&daemons[0], job_id)
+        });
+    }
+    for daemon in &daemons {
+        let log = std::fs::read_to_string(daemon.log()).expect("a log");
+        assert!(!log.contains("E106"), "a thread panicked: {log}");
+    }
+}
+
 /// A worker's entry is overwritten while a task runs there. The owner went on giving the
 /// worker tasks from the last entry that it had been able to decode.
 #[test]
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -138,6 +138,8 @@
     unacknowledged: BTreeMap<u64, usize>,
     last_end_number: u64,
     pub cut: bool,
+    /// Fields that replace those of its answers to polls.
+    pub poll_fields: serde_json::Map<String, Value>,
     /// Whether all runs that it starts fail.
     failing: bool,
     /// Current number of accelerators.
@@ -365,6 +367,11 @@
         self.workers[index].failing = failing;
     }
 
+    /// Replaces fields of a worker's answers to polls.
+    pub fn replace_poll_fields(&mut self, index: usize, fields: &Value) {
+        self.workers[index].poll_fields = fields.as_object().cloned().unwrap_or_default();
+    }
+
     /// Changes a worker's accelerators and its entry.
     pub fn resize_worker(&mut self, index: usize, accelerators: u64) {
         let worker = &mut self.workers[index];
@@ -885,8 +892,11 @@
                     .iter()
                     .map(|(number, task, run, end_kind)| json!([number, task, run, end_kind, ""]))
                     .collect();
-                let answer = json!({ "clock_ms": clock_ms, "born": worker.incarnation_start_ms,
+                let mut answer = json!({ "clock_ms": clock_ms, "born": worker.incarnation_start_ms,
                     "running": running, "finished": finished });
+                for (field, value) in &worker.poll_fields {
+                    answer[field] = value.clone();
+                }
                 return (StatusCode::OK, answer);
             }
         }
