Keep a client's estimate within times that sums can hold

Cause: a job whose estimated_ms is 1e300 is valid, its objective became 2^64-1 ms, and adding the queue's target latency overflowed in the decision about it. One request of a client thus failed the owner's decisions. Change: a prediction is at most e^30 ms (300 years), an objective at most 2^53. Ruled out by the second test, which passed before: schedules of 2^32-1 occurrences, start_at_ms and interval_ms of 1e300 and -1e300, target_ms, max_unavailable and anti_affinity at their largest. The first test was seen failing (attempt to add with overflow), passes now. Effect shown with overflow checks (tests build with them); release builds wrap, which was not run.

--- a/src/scheduler/occurrence.rs
+++ b/src/scheduler/occurrence.rs
@@ -22,6 +22,8 @@
 
 /// Most open occurrences of one job at a time, to bound memory; later ones wait.
 const MAX_OPEN_OCCURRENCES: usize = 64;
+/// Longest objective, 300,000 years, which sets no real one.
+const MAX_OBJECTIVE_LENGTH_MS: u64 = 1 << 53;
 /// Share of the fleet's capacity that one step is assumed to get; a wider step runs in
 /// waves.
 const WAVE_SHARE: f64 = 0.25;
@@ -224,7 +226,8 @@
         let (stretch, extra_ms) = job.terms().map_or((1.0, 0), |terms| {
             (terms.stretch_factor.max(1.0), terms.target_latency_ms)
         });
-        (stretch * critical_path_ms) as u64 + extra_ms
+        let length_ms = ((stretch * critical_path_ms) as u64).saturating_add(extra_ms);
+        length_ms.min(MAX_OBJECTIVE_LENGTH_MS)
     }
 
     /// Recomputes the objective of an occurrence after the run times of its tasks became
--- a/src/scheduler/run_time_model.rs
+++ b/src/scheduler/run_time_model.rs
@@ -19,6 +19,9 @@
 /// Added to the variance of every prediction, however well estimates fitted so far.
 const LEAST_RESIDUAL: f64 = 0.01;
 
+/// Largest logarithm of a prediction in milliseconds: 300 years. An estimate may be any number,
+/// and sums with the prediction have to stay in range.
+const MAX_PREDICTED_LN_MS: f64 = 30.0;
 /// Most run times in a model that was stored.
 const MAX_RUNS: f64 = 1e9;
 /// Largest logarithm of a time in milliseconds: a million years.
@@ -137,7 +140,8 @@
             _ => self.mean_estimate,
         };
         LogEstimate {
-            mean: mean_estimate + bias + slope * (estimate - mean_estimate),
+            mean: (mean_estimate + bias + slope * (estimate - mean_estimate))
+                .min(MAX_PREDICTED_LN_MS),
             variance: (residual + PRIOR_RUNS * PRIOR_RESIDUAL) / runs + LEAST_RESIDUAL,
         }
     }
--- a/tests/foreign/scheduler.rs
+++ b/tests/foreign/scheduler.rs
@@ -8,14 +8,20 @@
     worker_info, //
 };
 use fuchsiaslip::core::JobId;
+use fuchsiaslip::platform::decode_job;
 use fuchsiaslip::scheduler::{
     Action,
     EndKind,
     Input,
+    JobRecord,
     JobStatus,
     RunName,
     WorkerInfo, //
 };
+use serde_json::{
+    Value,
+    json, //
+};
 use std::sync::Arc;
 
 /// Longer than any lease lasts.
@@ -406,3 +412,70 @@
     assert_eq!(next.starts.len(), 2, "the longest lease has expired");
     assert!(roster_stored(&next));
 }
+
+/// A job of the queue as a client submits it, with one step of these fields beside the usual ones.
+fn job_with(queue: &str, job_fields: &Value, step_fields: &Value) -> JobRecord {
+    let mut step = json!({ "count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1,
+        "estimated_ms": 2000 });
+    for (field, value) in step_fields.as_object().expect("an object") {
+        step[field] = value.clone();
+    }
+    let mut job = job_fields.clone();
+    job["steps"] = json!([step]);
+    let spec = decode_job(job.to_string().as_bytes()).expect("a job");
+    JobRecord {
+        spec,
+        ..record(queue, Vec::new())
+    }
+}
+
+/// Asserts that another job runs beside the given ones.
+fn assert_another_job_runs_beside(jobs: &[JobRecord]) {
+    const OTHER_JOB: u64 = 99;
+    let mut fleet = Fleet::with_workers(2);
+    for (id, job) in (1..).zip(jobs) {
+        fleet.submit(id, job.clone());
+    }
+    work_for(&mut fleet, 2_000);
+
+    let other = fleet.submit(OTHER_JOB, record("urgent", vec![step(1, 1)]));
+    work_for(&mut fleet, 2_000);
+    fleet.end_all(other, EndKind::Done);
+    work_for(&mut fleet, 2_000);
+
+    let shown = fleet.scheduler.job_status(other);
+    assert_eq!(shown, Some(JobStatus::Completed), "beside {jobs:?}");
+}
+
+/// Guards against owners that fail one after the other on a job whose times exceed the range of
+/// the sums that they are part of.
+#[test]
+fn a_job_with_times_out_of_range_does_not_stop_another() {
+    let none = json!({});
+    for queue in ["urgent", "plain"] {
+        for estimated_ms in [json!(1e300), json!(u64::MAX), json!(-1e300), json!(1e17)] {
+            let fields = json!({ "estimated_ms": estimated_ms });
+            assert_another_job_runs_beside(&[job_with(queue, &none, &fields)]);
+            // Its tasks fit on no worker, so that the other job has room.
+            let wide = json!({ "estimated_ms": estimated_ms, "count": 90_000, "gpu": 9 });
+            assert_another_job_runs_beside(&[job_with(queue, &none, &wide)]);
+        }
+    }
+}
+
+/// Guards against the same for the times of a schedule, the number of occurrences and bounds.
+#[test]
+fn a_job_with_a_schedule_or_bounds_out_of_range_does_not_stop_another() {
+    for start_at_ms in [json!(0), json!(1e300), json!(-1e300)] {
+        for interval_ms in [json!(1), json!(1e300)] {
+            let fields = json!({ "repetitions": u32::MAX, "start_at_ms": start_at_ms,
+                "interval_ms": interval_ms });
+            // Its work does not fit, so that the other job has room.
+            let large = json!({ "gpu": 9 });
+            assert_another_job_runs_beside(&[job_with("plain", &fields, &large)]);
+        }
+    }
+    let bounds = json!({ "target_ms": 1e300, "long_running": true, "max_unavailable": u32::MAX,
+        "anti_affinity": u32::MAX });
+    assert_another_job_runs_beside(&[job_with("plain", &json!({}), &bounds)]);
+}
