Add up the needs of urgent jobs without overflow

Cause: an urgent job's first step may need 2^32-1 accelerators, and a second such job of the account overflowed the sum that decides what is guaranteed (ordering.rs:329). Change: the sum saturates, as the need of a single job did. The test was seen failing, passes now. Effect shown with overflow checks (tests build with them); release builds wrap, which was not run.

--- a/src/scheduler/ordering.rs
+++ b/src/scheduler/ordering.rs
@@ -326,7 +326,8 @@
                 .filter(|job| job.is_urgent() && !job.is_over())
         };
         for job in open() {
-            *needs.entry(&job.record.account).or_default() += job.first_step_accelerators;
+            let need = needs.entry(&job.record.account).or_default();
+            *need = need.saturating_add(job.first_step_accelerators);
         }
         let within = |account: &str| {
             let declared = self.configuration.accounts.iter();
--- a/tests/foreign/scheduler.rs
+++ b/tests/foreign/scheduler.rs
@@ -479,3 +479,13 @@
         "anti_affinity": u32::MAX });
     assert_another_job_runs_beside(&[job_with("plain", &json!({}), &bounds)]);
 }
+
+/// Guards against the same for urgent jobs of one account that together need more accelerators
+/// than a sum can hold.
+#[test]
+fn jobs_that_need_more_than_a_sum_can_hold_do_not_stop_another() {
+    let huge = json!({ "gpu": u32::MAX, "cpu": u32::MAX, "mem_mb": u32::MAX, "count": 90_000 });
+    let jobs = [1, 2, 3].map(|_| job_with("urgent", &json!({}), &huge));
+
+    assert_another_job_runs_beside(&jobs);
+}
