Open an occurrence that is never due without overflow

Cause: the end of a run may name an occurrence that this owner has not opened. Of a job with start_at_ms 1e300 it is due at 2^64-1, and adding the objective overflowed (occurrence.rs:340). Change: an occurrence is due at 2^62 at the latest, 100 million years from now. The test was seen failing, passes now. Effect shown with overflow checks (tests build with them); release builds wrap, which was not run.

--- a/src/scheduler/occurrence.rs
+++ b/src/scheduler/occurrence.rs
@@ -22,6 +22,8 @@
 
 /// Most open occurrences of one job at a time, to bound memory; later ones wait.
 const MAX_OPEN_OCCURRENCES: usize = 64;
+/// A time at which nothing is due, 100 million years from now; sums with it stay in range.
+const NEVER_MS: u64 = 1 << 62;
 /// Longest objective, 300,000 years, which sets no real one.
 const MAX_OBJECTIVE_LENGTH_MS: u64 = 1 << 53;
 /// Share of the fleet's capacity that one step is assumed to get; a wider step runs in
@@ -63,7 +65,7 @@
     /// Returns when an occurrence is due.
     fn due_ms(&self, occurrence: u32, now_ms: u64) -> u64 {
         match &self.record.spec.schedule {
-            Some(schedule) => schedule.due_ms(occurrence),
+            Some(schedule) => schedule.due_ms(occurrence).min(NEVER_MS),
             None => self.record.received_ms.min(now_ms),
         }
     }
--- a/tests/foreign/scheduler.rs
+++ b/tests/foreign/scheduler.rs
@@ -489,3 +489,23 @@
 
     assert_another_job_runs_beside(&jobs);
 }
+
+/// Guards against the same for an end of an occurrence that is never due.
+#[test]
+fn an_end_of_an_occurrence_that_is_never_due_does_not_stop_another_job() {
+    let (mut fleet, _, worker, run) = with_one_run();
+    let never = json!({ "repetitions": 9, "start_at_ms": 1e300, "interval_ms": 1e300 });
+    let job = fleet.submit(2, job_with("plain", &never, &json!({})));
+    let mut stray = run;
+    stray.task.job = job;
+    stray.task.occurrence = 3;
+
+    let reporter = fleet.workers.get_mut(&worker).expect("a worker");
+    reporter.running.insert(stray, 1);
+    reporter.end(stray, EndKind::Failed);
+    work_for(&mut fleet, 2_000);
+    let other = fleet.submit(3, record("plain", vec![step(1, 1)]));
+    work_for(&mut fleet, 1_000);
+
+    assert!(fleet.running().iter().any(|(_, run)| run.task.job == other));
+}
