Accept a ticket's validity of any length

Cause: validity_ms of a route, 2^64-1, overflowed when the policy approved a worker (scheduling_pass.rs:498). Change: the sum saturates; such a ticket does not expire. Ruled out by the same test, which passes now: the largest priority, attempts, latency, stretch and guarantees, and a wave of the largest number, cap and duration. It was seen failing. Effect shown with overflow checks (tests build with them); release builds wrap, which was not run.

--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -495,7 +495,7 @@
             // A ticket is valid only for the incarnation that the request named.
             let worker = index.get(&name).filter(|worker| asked.contains(worker));
             if let Some(&worker) = worker {
-                let until_ms = now_ms + validity_ms;
+                let until_ms = now_ms.saturating_add(validity_ms);
                 let ticket = super::group::Ticket { ticket, until_ms };
                 group.advice.tickets.insert(worker, ticket);
             }
--- a/tests/foreign/scheduler.rs
+++ b/tests/foreign/scheduler.rs
@@ -8,7 +8,11 @@
     worker_info, //
 };
 use fuchsiaslip::core::JobId;
-use fuchsiaslip::platform::decode_job;
+use fuchsiaslip::platform::{
+    decode_configuration,
+    decode_job,
+    decode_wave, //
+};
 use fuchsiaslip::scheduler::{
     Action,
     EndKind,
@@ -509,3 +513,45 @@
 
     assert!(fleet.running().iter().any(|(_, run)| run.task.job == other));
 }
+
+/// Guards against the same for a configuration whose external policy approves workers for longer
+/// than a sum can hold, and for a wave with the largest numbers.
+#[test]
+fn a_configuration_or_wave_with_the_largest_numbers_does_not_stop_a_job() {
+    let advice = json!({ "decision_ms": u64::MAX, "per_worker_ms": u64::MAX,
+        "validity_ms": u64::MAX });
+    let route = json!({ "name": "plain", "host": "h", "prefix": "/plain/", "service": "s",
+        "priority": u32::MAX, "max_attempts": u32::MAX, "stretch_factor": 1e6,
+        "target_latency_ms": 1e12, "recommendation": advice });
+    let configuration = json!({ "version": 9, "routes": [route], "tenants": [
+        { "name": "a", "guaranteed": { "gpu": u32::MAX } },
+        { "name": "b", "guaranteed": { "gpu": u32::MAX } } ] });
+    let wave = json!({ "wave": u64::MAX, "machines": ["m1", "m1", "m2"], "duration_s": 1e9,
+        "cap": u32::MAX });
+    let mut fleet = Fleet::with_workers(2);
+    let wave = decode_wave(wave.to_string().as_bytes()).expect("a wave");
+    fleet.send_input(Input::UpkeepWave(wave));
+    // A configuration that is refused changes nothing.
+    if let Ok(decoded) = decode_configuration(configuration.to_string().as_bytes()) {
+        fleet.send_input(Input::Configure(Arc::new(decoded)));
+    }
+
+    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(200);
+    let asked = fleet.actions.iter().find_map(|action| match action {
+        Action::Advise { step, workers } => Some((*step, workers.clone())),
+        _ => None,
+    });
+    if let Some((step, workers)) = asked {
+        let approved = workers.iter();
+        let approved = approved.map(|(_, name)| (name.to_string(), "ticket".into()));
+        fleet.send_input(Input::AdviceResult {
+            step,
+            asked: workers.iter().map(|(key, _)| *key).collect(),
+            approved: Some(approved.collect()),
+        });
+    }
+    fleet.advance(1_000);
+
+    assert!(fleet.running().iter().any(|(_, run)| run.task.job == job));
+}
