Take over beside a root that names an earlier owner in the far future

Cause: followed_ms of an earlier owner in the root, 2^64-1, overflowed at each takeover (records.rs:110, 8 panics in 40 s with two daemons, no owner). A time far ahead that does not overflow would have kept its owner in the root as long, and each takeover would have waited for its leases. Change: a time after the takeover counts as that of the takeover. The test was seen failing, passes now. Effect shown with overflow checks (tests build with them); release builds wrap, which was not run.

--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -105,7 +105,12 @@
             boot: self.boot,
             followed_ms: now_ms,
         };
-        let known = self.earlier.iter().cloned().chain([last]);
+        // A time after this one would keep its owner in the root for as long.
+        let earlier = self.earlier.iter().map(|earlier| EarlierOwner {
+            followed_ms: earlier.followed_ms.min(now_ms),
+            ..earlier.clone()
+        });
+        let known = earlier.chain([last]);
         known
             .filter(|earlier| now_ms < earlier.followed_ms + EARLIER_OWNER_MS)
             .filter(|earlier| !is_incarnation_over(&earlier.owner, earlier.boot))
--- a/tests/foreign/path.rs
+++ b/tests/foreign/path.rs
@@ -356,6 +356,33 @@
     }
 }
 
+/// Guards against daemons that fail at each takeover on a root that names an earlier owner with a
+/// time that no sum can hold.
+#[test]
+fn a_root_with_a_time_out_of_range_does_not_prevent_a_takeover() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let mut daemons = daemons::fleet_from(FOREIGN + 8, 30, &[operator.store; 2]);
+    submit(&daemons[0], 1, &job(&[1], 100));
+    wait_until("completed", || is_completed(&daemons[0], 1));
+    daemons.iter_mut().for_each(Daemon::kill);
+    let mut root = operator.world().value("owner").expect("a root");
+    root["earlier"] = json!([{ "owner": "d9", "boot": 1, "followed_ms": u64::MAX }]);
+
+    operator.world().put("owner", &root);
+    daemons.iter_mut().for_each(Daemon::start);
+    wait_until("every daemon is ready", || {
+        daemons.iter().all(Daemon::is_ready)
+    });
+    submit(&daemons[0], 2, &job(&[1], 100));
+    wait_until("completed", || is_completed(&daemons[1], 2));
+
+    let root = operator.world().value("owner").expect("a root");
+    let followed = root["earlier"].as_array().into_iter().flatten();
+    let mut followed = followed.filter_map(|earlier| earlier["followed_ms"].as_u64());
+    assert!(followed.all(|at_ms| at_ms < u64::MAX / 2), "{root}");
+}
+
 /// A worker's entry is overwritten while a task runs there. The owner went on giving the
 /// worker tasks from the last entry that it had been able to decode.
 #[test]
