Answer a client that says it waits without end

Cause: Deadline-Ms of 2^64-1 overflowed in the request's deadline (client_requests.rs:366, thread main), and the client got no answer. Change: the sum saturates. The test was seen failing, passes now. Effect shown with overflow checks (tests build with them); release builds wrap, which was not run.

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -363,7 +363,7 @@
         terms: queue.terms_in(configuration.version),
         queue,
         account,
-        until_ms: received_ms + deadline_ms.saturating_sub(ANSWER_RESERVE_MS),
+        until_ms: received_ms.saturating_add(deadline_ms.saturating_sub(ANSWER_RESERVE_MS)),
     })
 }
 
--- a/tests/foreign/path.rs
+++ b/tests/foreign/path.rs
@@ -383,6 +383,31 @@
     assert!(followed.all(|at_ms| at_ms < u64::MAX / 2), "{root}");
 }
 
+/// Guards against a client without an answer that says it waits longer than a sum can hold.
+#[test]
+fn a_client_that_waits_without_end_is_answered() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons = daemons::fleet_from(FOREIGN + 8, 40, &[operator.store]);
+    let body = job(&[1], 100);
+    let request = |wait_ms: u64| {
+        format!(
+            "POST {} HTTP/1.1\r\nhost: h\r\nauthorization: Token key\r\nconnection: close\r\n\
+             deadline-ms: {wait_ms}\r\ncontent-length: {}\r\n\r\n{body}",
+            path(1),
+            body.len()
+        )
+    };
+
+    for wait_ms in [2_000, u64::MAX / 2, u64::MAX] {
+        let answer = daemons[0].send_raw(request(wait_ms).as_bytes());
+        assert!(
+            matches!(answer, Answer::Status(200, _)),
+            "{wait_ms}: {answer:?}"
+        );
+    }
+}
+
 /// A worker's entry is overwritten while a task runs there. The owner went on giving the
 /// worker tasks from the last entry that it had been able to decode.
 #[test]
