Refuse a closed worker's record that names a run beyond all numbers

Cause: run 2^64-1 in a record under closed/ became the task's last run, and the number of its next run overflowed in each decision of the new owner (dispatch.rs:365). Change: the bound that stored progress and workers' answers have; such a worker counts as one that may run anything, as with any run that cannot be decoded. The test was seen failing, passes now. Effect shown with overflow checks (tests build with them); release builds wrap, which was not run.

--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -169,7 +169,7 @@
 
 fn parse_run(task: &str, run: u64) -> Option<RunName> {
     let task = task.parse().ok()?;
-    Some(RunName { task, run })
+    (run <= MAX_RUN).then_some(RunName { task, run })
 }
 
 impl ClosedRecord {
--- a/tests/foreign/scheduler.rs
+++ b/tests/foreign/scheduler.rs
@@ -7,6 +7,7 @@
     step,
     worker_info, //
 };
+use fuchsiaslip::cluster::ClosedRecord;
 use fuchsiaslip::core::JobId;
 use fuchsiaslip::platform::{
     decode_configuration,
@@ -555,3 +556,30 @@
 
     assert!(fleet.running().iter().any(|(_, run)| run.task.job == job));
 }
+
+/// Guards against the same for a stored record of a closed worker that names a run beyond all
+/// numbers.
+#[test]
+fn a_closed_worker_with_a_run_out_of_range_does_not_stop_its_task() {
+    let spec = record("plain", vec![step(1, 1)]);
+    let fleet = Fleet::with_workers(2);
+    let closed = json!({ "closed": true, "runs": [["0000000000000001.0.0.0", u64::MAX]] });
+    let closed: ClosedRecord = serde_json::from_value(closed).expect("a record");
+    let mut next = fleet.next_owner_with_inputs(2, false, |next| {
+        next.send_input(Input::RosterWorker {
+            worker_name: "w0".to_owned(),
+            address: address_of("w0"),
+            closed_runs: closed.closed_runs(),
+        });
+        next.send_input(Input::WorkerRegistered(worker_info("w0", "r1")));
+        next.send_input(Input::JobStored {
+            id: JobId(1),
+            record: Arc::new(spec.clone()),
+            progress: None,
+        });
+    });
+
+    work_for(&mut next, LEASES_EXPIRED_MS);
+
+    assert_eq!(next.starts.len(), 1, "it starts");
+}
