Tests: very deep values and numbers out of range in entries, answers and progress

Entries: up to 5,000,000 levels of arrays and objects, also unclosed, alone, in ignored and used fields, labels and capacity, decoded on a stack of 128 KB; 1e400, -1e400, 1e308, 2^64 and more, and negative numbers in each numeric field; more forms of addresses. Progress: the largest counts of failures and starts.

--- a/tests/foreign/decoder.rs
+++ b/tests/foreign/decoder.rs
@@ -213,6 +213,14 @@
         "10.128.0.9:",
         "10.128.0.9:0",
         "10.128.0.9:65536",
+        "10.128.0.9:99999",
+        "10.128.0.9:99999999999",
+        "10.128.0.9:8080:8080",
+        "[fd00::9]",
+        "[fd00::9]:",
+        "[fd00::9]:0",
+        "[fd00::9]:65536",
+        "fd00::9:8080",
         "10.128.0.9:-1",
         "10.128.0.256:80",
         "0.0.0.0:8080",
@@ -307,6 +315,84 @@
     );
 }
 
+/// Guards against a stack that overflows on entries nested as deep as their length allows, and
+/// deeper, in any place.
+#[test]
+fn a_very_deep_entry_is_invalid_in_any_place() {
+    const SMALL_STACK_BYTES: usize = 128 << 10;
+    let text = entry().to_string();
+    let places = [
+        ("{\"address\"", "{\"introduced_later\":?,\"address\""),
+        ("\"zone\":", "\"zone\":?,\"x\":"),
+        ("\"labels\":[", "\"labels\":[?,"),
+        ("\"cpu\":16000", "\"cpu\":?"),
+        ("\"cpu\":16000", "\"cpu\":16000,\"introduced_later\":?"),
+        ("\"sequence\":4", "\"sequence\":?"),
+    ];
+    let check = move || {
+        for levels in [17, 5_000, 100_000, 5_000_000] {
+            for (open, close) in [("[", "]"), ("{\"a\":", "}"), ("[", "")] {
+                let nested = format!("{}0{}", open.repeat(levels), close.repeat(levels));
+                assert_eq!(
+                    decode_bytes(nested.as_bytes()),
+                    None,
+                    "{levels} levels alone"
+                );
+                for (from, to) in places {
+                    assert!(text.contains(from), "{from}");
+                    let deep = text.replace(from, &to.replace('?', &nested));
+                    assert_eq!(decode_bytes(deep.as_bytes()), None, "{levels} levels, {to}");
+                }
+            }
+        }
+        let key = format!("{{\"{}\":1,{}", "[{".repeat(20_000), &text[1..]);
+        assert_eq!(decode_bytes(key.as_bytes()), decode(&entry()), "in a key");
+    };
+
+    let thread = std::thread::Builder::new().stack_size(SMALL_STACK_BYTES);
+    let checked = thread.spawn(check).expect("a thread").join();
+
+    assert!(checked.is_ok());
+}
+
+#[test]
+fn a_number_out_of_range_is_invalid_in_every_field() {
+    let mut entry = entry();
+    entry["remaining_ms"] = json!(5);
+    entry["born"] = json!(6);
+    let text = entry.to_string();
+    assert!(decode_bytes(text.as_bytes()).is_some(), "{text}");
+    let fields = [
+        "\"cpu\":16000",
+        "\"mem_mb\":32768",
+        "\"gpu\":0",
+        "\"slots\":8",
+        "\"sequence\":4",
+        "\"cold_remaining_ms\":0",
+        "\"remaining_ms\":5",
+        "\"born\":6",
+    ];
+    for field in fields {
+        let (name, _) = field.split_once(':').expect("a field");
+        for number in [
+            "1e400",
+            "-1e400",
+            "1e308",
+            "18446744073709551615",
+            "18446744073709551616",
+            "99999999999999999999999999",
+            "-1",
+            "-9223372036854775809",
+        ] {
+            assert!(text.contains(field), "{field} in {text}");
+            let wrong = text.replace(field, &format!("{name}:{number}"));
+            assert_eq!(decode_bytes(wrong.as_bytes()), None, "{name}: {number}");
+        }
+    }
+    let ignored = text.replace("\"clock_ms\":482113", "\"clock_ms\":1e400");
+    assert_eq!(decode_bytes(ignored.as_bytes()), decode(&entry));
+}
+
 #[test]
 fn an_entry_under_an_invalid_name_is_invalid() {
     let value = entry().to_string();
--- a/tests/foreign/scheduler.rs
+++ b/tests/foreign/scheduler.rs
@@ -20,6 +20,7 @@
     Input,
     JobRecord,
     JobStatus,
+    ProgressRecord,
     RunName,
     WorkerInfo, //
 };
@@ -583,3 +584,37 @@
 
     assert_eq!(next.starts.len(), 1, "it starts");
 }
+
+/// Guards against the same for stored progress with the largest numbers.
+#[test]
+fn progress_with_the_largest_numbers_does_not_stop_another_job() {
+    let suspect = json!({ "index": 0, "runs": [1], "at_start": [1], "starts": u32::MAX,
+        "last_start": u64::MAX });
+    let failures = json!({ "index": 0, "runs": [1], "earlier": u32::MAX });
+    let mut other = JobId(20);
+    for (field, row) in [("crashes", suspect), ("failures", failures)] {
+        let mut group = json!({ "occurrence": 0, "step": 0, "done": [], "failures": [],
+            "crashes": [] });
+        group[field] = json!([row]);
+        let progress = json!({ "ended": null, "done_occurrences": [],
+            "groups": [group] });
+        let progress: ProgressRecord = serde_json::from_value(progress).expect("progress");
+        let mut fleet = Fleet::with_workers(2);
+        fleet.send_input(Input::JobStored {
+            id: JobId(1),
+            record: Arc::new(record("patient", vec![step(1, 1)])),
+            progress: Some(progress),
+        });
+        work_for(&mut fleet, 2_000);
+        fleet.end_all(JobId(1), EndKind::Failed);
+        work_for(&mut fleet, 2_000);
+        fleet.crash("w0");
+        work_for(&mut fleet, 2_000);
+
+        other = fleet.submit(other.0 + 1, record("plain", vec![step(1, 1)]));
+        work_for(&mut fleet, 2_000);
+
+        let is_running = fleet.running().iter().any(|(_, run)| run.task.job == other);
+        assert!(is_running, "beside {field}");
+    }
+}
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -5,6 +5,8 @@
 //! To generate more entries and more scenarios, run
 //! `FOREIGN_CASES=100000 cargo test --release --test foreign_entries drawn`.
 
+#[path = "foreign/answers.rs"]
+mod answers;
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "support/daemons.rs"]
 mod daemons;
