--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -6,6 +6,7 @@
     ClosedRuns,
     ConfirmedRun,
     JobRecord,
+    MAX_RUN,
     ProgressRecord,
     RunName, //
 };
@@ -53,8 +54,6 @@
 /// Highest valid epoch, reached after 30,000 years with one owner a second. Each epoch
 /// has its own range of run numbers, which must not overflow.
 const MAX_EPOCH: u64 = 1 << 40;
-/// Highest valid run number, far above those of any real epoch.
-const MAX_RUN: u64 = 1 << 52;
 
 /// After this time a superseded owner gives no more leases, and every lease it gave has
 /// expired. The two together take 13.3 s; this is four times as long, since the
@@ -106,7 +105,12 @@
             boot: self.boot,
             followed_ms: now_ms,
         };
-        let known = self.earlier.iter().cloned().chain([last]);
+        // A time after this one would keep its owner in the root for as long.
+        let earlier = self.earlier.iter().map(|earlier| EarlierOwner {
+            followed_ms: earlier.followed_ms.min(now_ms),
+            ..earlier.clone()
+        });
+        let known = earlier.chain([last]);
         known
             .filter(|earlier| now_ms < earlier.followed_ms + EARLIER_OWNER_MS)
             .filter(|earlier| !is_incarnation_over(&earlier.owner, earlier.boot))
@@ -165,7 +169,7 @@
 
 fn parse_run(task: &str, run: u64) -> Option<RunName> {
     let task = task.parse().ok()?;
-    Some(RunName { task, run })
+    (run <= MAX_RUN).then_some(RunName { task, run })
 }
 
 impl ClosedRecord {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -109,6 +109,7 @@
     TaskLimit, //
 };
 pub use id::{
+    MAX_RUN,
     RunName,
     TaskId, //
 };
--- a/tests/foreign/path.rs
+++ b/tests/foreign/path.rs
@@ -188,6 +188,226 @@
     assert!(reported >= count, "{reported} lines of {count} entries");
 }
 
+/// Entries that are nested very deep, have a number too large, or a port out of range.
+fn odd_entries() -> Vec<Vec<u8>> {
+    let good = entry("127.0.0.1:1").to_string();
+    let with = |from: &str, to: &str| {
+        assert!(good.contains(from), "{from} in {good}");
+        good.replace(from, to).into_bytes()
+    };
+    let more = |field: &str| format!("{{\"introduced_later\":{field},\"address\"");
+    let arrays = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    let objects = format!("{}0{}", "{\"a\":".repeat(100_000), "}".repeat(100_000));
+    vec![
+        with("{\"address\"", &more(&arrays)),
+        with("{\"address\"", &more(&objects)),
+        with("\"sequence\":1", "\"sequence\":1e400"),
+        with("\"cpu\":32000", "\"cpu\":18446744073709551616"),
+        with("127.0.0.1:1", "127.0.0.1:65536"),
+        with("127.0.0.1:1", "127.0.0.1:99999999999"),
+    ]
+}
+
+/// Writes the odd entries and returns their keys.
+fn write_odd_entries(operator: &Operator, name: &str) -> Vec<String> {
+    let keys = odd_entries().into_iter().enumerate().map(|(at, value)| {
+        let key = format!("servers/{name}-{at}");
+        operator.world().put_bytes(&key, &value);
+        key
+    });
+    keys.collect()
+}
+
+/// How often the log of a daemon reports the value under a key as invalid.
+fn reports_of(daemon: &Daemon, key: &str) -> usize {
+    let log = std::fs::read_to_string(daemon.log()).expect("a log");
+    let lines = log.lines();
+    let lines = lines.filter_map(|line| serde_json::from_str(line).ok());
+    let is_report = |line: &Value| line["event"] == 205 && line["key"] == key;
+    lines.filter(is_report).count()
+}
+
+/// Asserts that a job fills all the workers, of which one registers only now and the entry of
+/// another changes.
+fn assert_list_is_followed(
+    operator: &Operator,
+    daemon: &Daemon,
+    (new_worker, changed_worker): (usize, usize),
+    job_id: u64,
+) {
+    const TASKS_PER_WORKER: u32 = 8;
+    let before = operator.world().records.len();
+    operator.world().register(changed_worker, "draining");
+    std::thread::sleep(NOTICE_DELAY);
+    operator.world().register(changed_worker, "ready");
+    operator.world().register(new_worker, "ready");
+
+    let workers = operator.world().roster().len() as u32 + 1;
+    submit(daemon, job_id, &job(&[workers * TASKS_PER_WORKER], 3_000));
+
+    for worker in [new_worker, changed_worker] {
+        wait_until(&format!("work on worker {worker}"), || {
+            let world = operator.world();
+            let mut starts = world.records[before..].iter();
+            starts.any(|record| record.worker == worker)
+        });
+    }
+    wait_until("completed", || is_completed(daemon, job_id));
+}
+
+/// Guards against daemons that end again and again, or stop following the list of workers, beside
+/// an entry that is nested very deep, has a number too large or a port out of range.
+#[test]
+fn odd_entries_neither_end_a_daemon_nor_stop_it_from_following_the_list() {
+    const LATE_WORKERS: [usize; 2] = [2, 3];
+    let operator = Operator::spawn(4);
+    for late in LATE_WORKERS {
+        let key = operator.world().worker_key(late);
+        operator.world().remove_value(&key);
+    }
+    let mut keys = write_odd_entries(&operator, "listed");
+    operator.world().configure(1, &[("q", 1)], 5);
+    let stores = [operator.store; 3];
+    let mut daemons = daemons::fleet_from(FOREIGN + 8, 10, &stores);
+
+    wait_until("an owner has read the list", || {
+        operator.world().roster().len() == 2
+    });
+    keys.extend(write_odd_entries(&operator, "watched"));
+    assert_list_is_followed(&operator, &daemons[0], (LATE_WORKERS[0], 1), 1);
+    let root = operator.world().value("owner").expect("a root");
+    let owner_at = (0..daemons.len()).find(|at| root["owner"] == format!("d{at}"));
+    let owner_at = owner_at.expect("the owner is one of the daemons");
+    let mut first_owner = daemons.swap_remove(owner_at);
+    first_owner.kill();
+    wait_until("another daemon owns", || {
+        daemons::epoch(&operator) > root["epoch"].as_u64().expect("an epoch")
+    });
+    assert_list_is_followed(&operator, &daemons[0], (LATE_WORKERS[1], 1), 2);
+
+    for daemon in &mut daemons {
+        assert!(daemon.is_running(), "its process goes on");
+    }
+    for key in &keys {
+        let later: Vec<usize> = daemons
+            .iter()
+            .map(|daemon| reports_of(daemon, key))
+            .collect();
+        assert_eq!(reports_of(&first_owner, key), 1, "{key}");
+        assert_eq!(later.iter().sum::<usize>(), 1, "{key}: {later:?}");
+    }
+    assert_eq!(
+        daemons::epoch(&operator),
+        root["epoch"].as_u64().unwrap_or(0) + 1
+    );
+}
+
+/// Guards against owners that fail one after the other, or lose count of leases, on a worker that
+/// answers polls with numbers that no sum can hold.
+#[test]
+fn a_worker_that_answers_with_numbers_out_of_range_ends_no_ownership() {
+    let operator = Operator::spawn(2);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let mut daemons = daemons::fleet_from(FOREIGN + 8, 20, &[operator.store; 2]);
+    submit(&daemons[0], 1, &job(&[16], 300));
+    wait_until("completed", || is_completed(&daemons[1], 1));
+    let epoch = daemons::epoch(&operator);
+    let answers = |task: &str| {
+        [
+            json!({ "clock_ms": u64::MAX }),
+            json!({ "clock_ms": 1e300 }),
+            json!({ "clock_ms": -1 }),
+            json!({ "born": u64::MAX }),
+            json!({ "running": [[task, u64::MAX, "", 1e308, 1e308]] }),
+            json!({ "finished": [[99, task, u64::MAX, "failed", ""]] }),
+            json!({ "finished": [[u64::MAX, task, 1, "stopped", ""]] }),
+        ]
+    };
+    let jobs = 2..2 + answers("").len() as u64;
+
+    for job_id in jobs.clone() {
+        let task = format!("{job_id:016x}.0.0.0");
+        let answer = &answers(&task)[(job_id - jobs.start) as usize];
+        operator.world().replace_poll_fields(1, answer);
+        std::thread::sleep(NOTICE_DELAY);
+        submit(&daemons[0], job_id, &job(&[4], 300));
+        std::thread::sleep(NOTICE_DELAY);
+        operator.world().replace_poll_fields(1, &json!({}));
+        wait_until(&format!("completed beside {answer}"), || {
+            is_completed(&daemons[1], job_id)
+        });
+        assert_eq!(daemons::epoch(&operator), epoch, "beside {answer}");
+    }
+    for daemon in &mut daemons {
+        daemon.kill();
+        daemon.start();
+    }
+    wait_until("every daemon is ready", || {
+        daemons.iter().all(Daemon::is_ready)
+    });
+    for job_id in jobs {
+        wait_until("the next owner knows the job", || {
+            is_completed(&daemons[0], job_id)
+        });
+    }
+    for daemon in &daemons {
+        let log = std::fs::read_to_string(daemon.log()).expect("a log");
+        assert!(!log.contains("E106"), "a thread panicked: {log}");
+    }
+}
+
+/// Guards against daemons that fail at each takeover on a root that names an earlier owner with a
+/// time that no sum can hold.
+#[test]
+fn a_root_with_a_time_out_of_range_does_not_prevent_a_takeover() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let mut daemons = daemons::fleet_from(FOREIGN + 8, 30, &[operator.store; 2]);
+    submit(&daemons[0], 1, &job(&[1], 100));
+    wait_until("completed", || is_completed(&daemons[0], 1));
+    daemons.iter_mut().for_each(Daemon::kill);
+    let mut root = operator.world().value("owner").expect("a root");
+    root["earlier"] = json!([{ "owner": "d9", "boot": 1, "followed_ms": u64::MAX }]);
+
+    operator.world().put("owner", &root);
+    daemons.iter_mut().for_each(Daemon::start);
+    wait_until("every daemon is ready", || {
+        daemons.iter().all(Daemon::is_ready)
+    });
+    submit(&daemons[0], 2, &job(&[1], 100));
+    wait_until("completed", || is_completed(&daemons[1], 2));
+
+    let root = operator.world().value("owner").expect("a root");
+    let followed = root["earlier"].as_array().into_iter().flatten();
+    let mut followed = followed.filter_map(|earlier| earlier["followed_ms"].as_u64());
+    assert!(followed.all(|at_ms| at_ms < u64::MAX / 2), "{root}");
+}
+
+/// Guards against a client without an answer that says it waits longer than a sum can hold.
+#[test]
+fn a_client_that_waits_without_end_is_answered() {
+    let operator = Operator::spawn(1);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemons = daemons::fleet_from(FOREIGN + 8, 40, &[operator.store]);
+    let body = job(&[1], 100);
+    let request = |wait_ms: u64| {
+        format!(
+            "POST {} HTTP/1.1\r\nhost: h\r\nauthorization: Token key\r\nconnection: close\r\n\
+             deadline-ms: {wait_ms}\r\ncontent-length: {}\r\n\r\n{body}",
+            path(1),
+            body.len()
+        )
+    };
+
+    for wait_ms in [2_000, u64::MAX / 2, u64::MAX] {
+        let answer = daemons[0].send_raw(request(wait_ms).as_bytes());
+        assert!(
+            matches!(answer, Answer::Status(200, _)),
+            "{wait_ms}: {answer:?}"
+        );
+    }
+}
+
 /// A worker's entry is overwritten while a task runs there. The owner went on giving the
 /// worker tasks from the last entry that it had been able to decode.
 #[test]
--- a/tests/foreign/scheduler.rs
+++ b/tests/foreign/scheduler.rs
@@ -7,15 +7,27 @@
     step,
     worker_info, //
 };
+use fuchsiaslip::cluster::ClosedRecord;
 use fuchsiaslip::core::JobId;
+use fuchsiaslip::platform::{
+    decode_configuration,
+    decode_job,
+    decode_wave, //
+};
 use fuchsiaslip::scheduler::{
     Action,
     EndKind,
     Input,
+    JobRecord,
     JobStatus,
+    ProgressRecord,
     RunName,
     WorkerInfo, //
 };
+use serde_json::{
+    Value,
+    json, //
+};
 use std::sync::Arc;
 
 /// Longer than any lease lasts.
@@ -406,3 +418,203 @@
     assert_eq!(next.starts.len(), 2, "the longest lease has expired");
     assert!(roster_stored(&next));
 }
+
+/// A job of the queue as a client submits it, with one step of these fields beside the usual ones.
+fn job_with(queue: &str, job_fields: &Value, step_fields: &Value) -> JobRecord {
+    let mut step = json!({ "count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1,
+        "estimated_ms": 2000 });
+    for (field, value) in step_fields.as_object().expect("an object") {
+        step[field] = value.clone();
+    }
+    let mut job = job_fields.clone();
+    job["steps"] = json!([step]);
+    let spec = decode_job(job.to_string().as_bytes()).expect("a job");
+    JobRecord {
+        spec,
+        ..record(queue, Vec::new())
+    }
+}
+
+/// Asserts that another job runs beside the given ones.
+fn assert_another_job_runs_beside(jobs: &[JobRecord]) {
+    const OTHER_JOB: u64 = 99;
+    let mut fleet = Fleet::with_workers(2);
+    for (id, job) in (1..).zip(jobs) {
+        fleet.submit(id, job.clone());
+    }
+    work_for(&mut fleet, 2_000);
+
+    let other = fleet.submit(OTHER_JOB, record("urgent", vec![step(1, 1)]));
+    work_for(&mut fleet, 2_000);
+    fleet.end_all(other, EndKind::Done);
+    work_for(&mut fleet, 2_000);
+
+    let shown = fleet.scheduler.job_status(other);
+    assert_eq!(shown, Some(JobStatus::Completed), "beside {jobs:?}");
+}
+
+/// Guards against owners that fail one after the other on a job whose times exceed the range of
+/// the sums that they are part of.
+#[test]
+fn a_job_with_times_out_of_range_does_not_stop_another() {
+    let none = json!({});
+    for queue in ["urgent", "plain"] {
+        for estimated_ms in [json!(1e300), json!(u64::MAX), json!(-1e300), json!(1e17)] {
+            let fields = json!({ "estimated_ms": estimated_ms });
+            assert_another_job_runs_beside(&[job_with(queue, &none, &fields)]);
+            // Its tasks fit on no worker, so that the other job has room.
+            let wide = json!({ "estimated_ms": estimated_ms, "count": 90_000, "gpu": 9 });
+            assert_another_job_runs_beside(&[job_with(queue, &none, &wide)]);
+        }
+    }
+}
+
+/// Guards against the same for the times of a schedule, the number of occurrences and bounds.
+#[test]
+fn a_job_with_a_schedule_or_bounds_out_of_range_does_not_stop_another() {
+    for start_at_ms in [json!(0), json!(1e300), json!(-1e300)] {
+        for interval_ms in [json!(1), json!(1e300)] {
+            let fields = json!({ "repetitions": u32::MAX, "start_at_ms": start_at_ms,
+                "interval_ms": interval_ms });
+            // Its work does not fit, so that the other job has room.
+            let large = json!({ "gpu": 9 });
+            assert_another_job_runs_beside(&[job_with("plain", &fields, &large)]);
+        }
+    }
+    let bounds = json!({ "target_ms": 1e300, "long_running": true, "max_unavailable": u32::MAX,
+        "anti_affinity": u32::MAX });
+    assert_another_job_runs_beside(&[job_with("plain", &json!({}), &bounds)]);
+}
+
+/// Guards against the same for urgent jobs of one account that together need more accelerators
+/// than a sum can hold.
+#[test]
+fn jobs_that_need_more_than_a_sum_can_hold_do_not_stop_another() {
+    let huge = json!({ "gpu": u32::MAX, "cpu": u32::MAX, "mem_mb": u32::MAX, "count": 90_000 });
+    let jobs = [1, 2, 3].map(|_| job_with("urgent", &json!({}), &huge));
+
+    assert_another_job_runs_beside(&jobs);
+}
+
+/// Guards against the same for an end of an occurrence that is never due.
+#[test]
+fn an_end_of_an_occurrence_that_is_never_due_does_not_stop_another_job() {
+    let (mut fleet, _, worker, run) = with_one_run();
+    let never = json!({ "repetitions": 9, "start_at_ms": 1e300, "interval_ms": 1e300 });
+    let job = fleet.submit(2, job_with("plain", &never, &json!({})));
+    let mut stray = run;
+    stray.task.job = job;
+    stray.task.occurrence = 3;
+
+    let reporter = fleet.workers.get_mut(&worker).expect("a worker");
+    reporter.running.insert(stray, 1);
+    reporter.end(stray, EndKind::Failed);
+    work_for(&mut fleet, 2_000);
+    let other = fleet.submit(3, record("plain", vec![step(1, 1)]));
+    work_for(&mut fleet, 1_000);
+
+    assert!(fleet.running().iter().any(|(_, run)| run.task.job == other));
+}
+
+/// Guards against the same for a configuration whose external policy approves workers for longer
+/// than a sum can hold, and for a wave with the largest numbers.
+#[test]
+fn a_configuration_or_wave_with_the_largest_numbers_does_not_stop_a_job() {
+    let advice = json!({ "decision_ms": u64::MAX, "per_worker_ms": u64::MAX,
+        "validity_ms": u64::MAX });
+    let route = json!({ "name": "plain", "host": "h", "prefix": "/plain/", "service": "s",
+        "priority": u32::MAX, "max_attempts": u32::MAX, "stretch_factor": 1e6,
+        "target_latency_ms": 1e12, "recommendation": advice });
+    let configuration = json!({ "version": 9, "routes": [route], "tenants": [
+        { "name": "a", "guaranteed": { "gpu": u32::MAX } },
+        { "name": "b", "guaranteed": { "gpu": u32::MAX } } ] });
+    let wave = json!({ "wave": u64::MAX, "machines": ["m1", "m1", "m2"], "duration_s": 1e9,
+        "cap": u32::MAX });
+    let mut fleet = Fleet::with_workers(2);
+    let wave = decode_wave(wave.to_string().as_bytes()).expect("a wave");
+    fleet.send_input(Input::UpkeepWave(wave));
+    // A configuration that is refused changes nothing.
+    if let Ok(decoded) = decode_configuration(configuration.to_string().as_bytes()) {
+        fleet.send_input(Input::Configure(Arc::new(decoded)));
+    }
+
+    let job = fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(200);
+    let asked = fleet.actions.iter().find_map(|action| match action {
+        Action::Advise { step, workers } => Some((*step, workers.clone())),
+        _ => None,
+    });
+    if let Some((step, workers)) = asked {
+        let approved = workers.iter();
+        let approved = approved.map(|(_, name)| (name.to_string(), "ticket".into()));
+        fleet.send_input(Input::AdviceResult {
+            step,
+            asked: workers.iter().map(|(key, _)| *key).collect(),
+            approved: Some(approved.collect()),
+        });
+    }
+    fleet.advance(1_000);
+
+    assert!(fleet.running().iter().any(|(_, run)| run.task.job == job));
+}
+
+/// Guards against the same for a stored record of a closed worker that names a run beyond all
+/// numbers.
+#[test]
+fn a_closed_worker_with_a_run_out_of_range_does_not_stop_its_task() {
+    let spec = record("plain", vec![step(1, 1)]);
+    let fleet = Fleet::with_workers(2);
+    let closed = json!({ "closed": true, "runs": [["0000000000000001.0.0.0", u64::MAX]] });
+    let closed: ClosedRecord = serde_json::from_value(closed).expect("a record");
+    let mut next = fleet.next_owner_with_inputs(2, false, |next| {
+        next.send_input(Input::RosterWorker {
+            worker_name: "w0".to_owned(),
+            address: address_of("w0"),
+            closed_runs: closed.closed_runs(),
+        });
+        next.send_input(Input::WorkerRegistered(worker_info("w0", "r1")));
+        next.send_input(Input::JobStored {
+            id: JobId(1),
+            record: Arc::new(spec.clone()),
+            progress: None,
+        });
+    });
+
+    work_for(&mut next, LEASES_EXPIRED_MS);
+
+    assert_eq!(next.starts.len(), 1, "it starts");
+}
+
+/// Guards against the same for stored progress with the largest numbers.
+#[test]
+fn progress_with_the_largest_numbers_does_not_stop_another_job() {
+    let suspect = json!({ "index": 0, "runs": [1], "at_start": [1], "starts": u32::MAX,
+        "last_start": u64::MAX });
+    let failures = json!({ "index": 0, "runs": [1], "earlier": u32::MAX });
+    let mut other = JobId(20);
+    for (field, row) in [("crashes", suspect), ("failures", failures)] {
+        let mut group = json!({ "occurrence": 0, "step": 0, "done": [], "failures": [],
+            "crashes": [] });
+        group[field] = json!([row]);
+        let progress = json!({ "ended": null, "done_occurrences": [],
+            "groups": [group] });
+        let progress: ProgressRecord = serde_json::from_value(progress).expect("progress");
+        let mut fleet = Fleet::with_workers(2);
+        fleet.send_input(Input::JobStored {
+            id: JobId(1),
+            record: Arc::new(record("patient", vec![step(1, 1)])),
+            progress: Some(progress),
+        });
+        work_for(&mut fleet, 2_000);
+        fleet.end_all(JobId(1), EndKind::Failed);
+        work_for(&mut fleet, 2_000);
+        fleet.crash("w0");
+        work_for(&mut fleet, 2_000);
+
+        other = fleet.submit(other.0 + 1, record("plain", vec![step(1, 1)]));
+        work_for(&mut fleet, 2_000);
+
+        let is_running = fleet.running().iter().any(|(_, run)| run.task.job == other);
+        assert!(is_running, "beside {field}");
+    }
+}
