--- a/tests/partitioned_owners.rs
+++ b/tests/partitioned_owners.rs
@@ -268,3 +268,34 @@
     let doubled = fleet.doubled_runs();
     assert!(doubled.is_empty(), "{doubled:#?}");
 }
+
+/// Guards against a task that is started again after its end was acknowledged: its worker then
+/// crashed, and the owner, which learned only of the crash, counted the run as lost.
+#[test]
+fn an_owner_that_is_partitioned_from_its_successor_starts_no_acknowledged_task_after_a_crash() {
+    const JOB: u64 = 1;
+    /// The tasks end once the successor has taken over.
+    const RUN_TIME: Duration = Duration::from_millis(4_000);
+    let fleet = spawn_fleet(60);
+    fleet.run_job(JOB, RUN_TIME);
+    std::thread::sleep(TIME_TO_STORE);
+    let used: Vec<usize> = fleet.used_workers().into_iter().collect();
+
+    std::thread::scope(|scope| {
+        scope.spawn(|| fleet.partition_owner(Duration::ZERO));
+        wait_until_with_interval(CHECK_INTERVAL, "all ends are acknowledged", || {
+            let records = fleet.records();
+            records.iter().all(|run| run.acknowledged.is_some())
+        });
+        let mut world = fleet.operator.world();
+        world.crash_workers(&used);
+        for &worker in &used {
+            world.cut_worker_from(worker, 0..0);
+        }
+    });
+
+    std::thread::sleep(SETTLE_TIME);
+    assert!(is_completed(&fleet.daemons[0], JOB));
+    let doubled = fleet.doubled_runs();
+    assert!(doubled.is_empty(), "{doubled:#?}");
+}
--- a/tests/replaced_owner.rs
+++ b/tests/replaced_owner.rs
@@ -95,6 +95,27 @@
     assert_eq!(again, None);
 }
 
+/// Guards against a recovery that ends by the clock alone: yet another owner may have extended the
+/// leases of the workers that do not answer.
+#[test]
+fn a_recovery_ends_only_once_the_epoch_is_confirmed_after_the_longest_lease() {
+    let (fleet, job, record) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
+    let mut next = fleet.next_owner(2, &[(job, record)], false);
+    next.unresponsive.push(fleet.running()[0].0.clone());
+    let Tuning {
+        authority_ms,
+        lease_ms,
+        ..
+    } = Tuning::default();
+    next.advance(authority_ms + lease_ms);
+
+    advance_unconfirmed(&mut next, UNCONFIRMED_MS);
+    assert_eq!(next.starts, []);
+    next.advance(100);
+
+    assert_eq!(next.starts.len(), 1);
+}
+
 /// Guards against an authority that counts from the end of the takeover: the stored state may be
 /// read for seconds after the store confirmed the epoch, and yet another daemon may own by then.
 #[test]
