Start lost tasks again after a worker exited only once the epoch is confirmed

Cause: a run counted as lost as soon as its worker was known to have restarted or to have been replaced. That proves that it does not run any more, not that it had not ended: while this owner did not reach the worker, its successor may have stored and acknowledged the end. A replaced owner that learned only of the crash started such tasks again, on workers that its successor had not reached.

Change: a group with runs that were lost in this way starts tasks again only once the epoch is confirmed by a request sent after that became known; the confirmation is asked for at once. The runs themselves count as lost immediately, so that capacity and gangs do not wait.

--- a/src/scheduler/authority.rs
+++ b/src/scheduler/authority.rs
@@ -7,14 +7,22 @@
 //! counts only once its epoch is confirmed by a request sent after these leases expired**: no
 //! other daemon owned until then, and all leases had ended.
 //!
-//! For the same reason an owner starts a job only if its epoch was confirmed less than
-//! `OWNERSHIP_LOSS_NOTICE_MS` before it learned of the job: the successor takes jobs that are
-//! stored later than that after its takeover for jobs that nobody else has started.
+//! For the same reason tasks start
+//!
+//! - again after their worker exited, only once the epoch is confirmed by a request sent after
+//!   that became known: the successor may have acknowledged their ends before;
+//! - of a job that this owner has learned of, only if its epoch was confirmed less than
+//!   `OWNERSHIP_LOSS_NOTICE_MS` before: the successor takes jobs that are stored later than that
+//!   after its takeover for jobs that nobody else has started.
 
-use super::GraphJob;
 use super::action::Action;
 use super::recovery::OWNERSHIP_LOSS_NOTICE_MS;
 use super::state::Scheduler;
+use super::{
+    Group,
+    GroupKey,
+    RunName, //
+};
 
 impl Scheduler {
     /// Returns whether orders may be given: the epoch was confirmed recently, and after the
@@ -37,18 +45,34 @@
         false
     }
 
-    /// Whether a later owner, if there is one, knows that this owner may have started the job.
-    pub(super) fn is_known_to_successors(&self, job: &GraphJob) -> bool {
-        job.known_ms < self.confirmed_ms + OWNERSHIP_LOSS_NOTICE_MS
+    /// Records that runs count as gone because their worker exited.
+    pub(super) fn record_lost_groups(&mut self, names: &[RunName]) {
+        for name in names {
+            if let Some(group) = self.groups.get_mut(&GroupKey::of(name.task)) {
+                group.lost_ms = self.now_ms;
+            }
+        }
+    }
+
+    /// Returns since when the epoch has to be confirmed before tasks of a group may start.
+    fn confirmation_needed_ms(&self, group: &Group) -> u64 {
+        let known_ms = self.jobs[&group.key.job].known_ms;
+        let new_job_ms = (known_ms + 1).saturating_sub(OWNERSHIP_LOSS_NOTICE_MS);
+        new_job_ms.max(group.lost_ms)
+    }
+
+    /// Whether the epoch was confirmed late enough that tasks of a group may start.
+    pub(super) fn is_confirmed_for(&self, group: &Group) -> bool {
+        self.confirmed_ms >= self.confirmation_needed_ms(group)
     }
 
-    /// Requests a confirmation if a waiting group needs one before it may start.
-    pub(super) fn review_new_jobs(&mut self) {
-        let ready = self.groups.values();
-        let ready = ready.filter(|group| group.is_ready(self.now_ms));
-        let newest_ms = ready.map(|group| self.jobs[&group.key.job].known_ms).max();
-        if let Some(newest_ms) = newest_ms {
-            self.is_confirmed_since((newest_ms + 1).saturating_sub(OWNERSHIP_LOSS_NOTICE_MS));
+    /// Requests a confirmation if a waiting group needs one.
+    pub(super) fn review_waiting_groups(&mut self) {
+        let groups = self.groups.values();
+        let ready = groups.filter(|group| group.is_ready(self.now_ms));
+        let needed_ms = ready.map(|group| self.confirmation_needed_ms(group)).max();
+        if let Some(needed_ms) = needed_ms {
+            self.is_confirmed_since(needed_ms);
         }
     }
 
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -189,7 +189,7 @@
     }
 
     /// Whether the incarnation has certainly exited.
-    fn is_exit(self) -> bool {
+    pub(super) fn is_exit(self) -> bool {
         matches!(
             self,
             Self::OtherIncarnation | Self::Replaced | Self::Restarted
--- a/src/scheduler/group.rs
+++ b/src/scheduler/group.rs
@@ -194,6 +194,8 @@
     /// Whether tasks that an earlier owner started may still run on workers that this
     /// owner has not reached.
     pub recovering: bool,
+    /// When runs of it last counted as gone without a listed end, since their worker had exited.
+    pub lost_ms: u64,
     /// The change of its job that stores the last crash at the start of one of its tasks;
     /// 0 for none.
     pub crash_change: u64,
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -262,6 +262,9 @@
             runs: names.len(),
             reason: loss.name(),
         });
+        if loss.is_exit() {
+            self.record_lost_groups(&names);
+        }
         for name in names {
             self.log_run_lost(key, name, loss, exit_ms);
             self.handle_run_gone(key, name, StopReason::GangBroken);
--- a/src/scheduler/occurrence.rs
+++ b/src/scheduler/occurrence.rs
@@ -349,6 +349,7 @@
         gang_run: None,
         gang_ending: false,
         recovering: opening.recovering,
+        lost_ms: 0,
         crash_change: 0,
         advice: Default::default(),
         preempted: 0,
--- a/src/scheduler/ordering.rs
+++ b/src/scheduler/ordering.rs
@@ -164,16 +164,12 @@
 }
 
 impl Scheduler {
-    /// Returns the groups that wait for capacity, of jobs that may start and whose terms are
-    /// known.
+    /// Returns the groups that wait for capacity and may start, of jobs whose terms are known.
     pub(super) fn waiting_groups(&self) -> impl Iterator<Item = &Group> {
         let groups = self.groups.values();
         groups
-            .filter(|group| group.is_ready(self.now_ms))
-            .filter(|group| {
-                let job = &self.jobs[&group.key.job];
-                job.terms.is_some() && self.is_known_to_successors(job)
-            })
+            .filter(|group| group.is_ready(self.now_ms) && self.is_confirmed_for(group))
+            .filter(|group| self.jobs[&group.key.job].terms.is_some())
     }
 
     /// Returns the groups that wait for capacity, in the order in which it is offered.
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -98,7 +98,7 @@
             return;
         }
         self.report_stale_entries();
-        self.review_new_jobs();
+        self.review_waiting_groups();
         self.review_suspects();
         let mut candidates = self.candidates();
         let mut failed_searches = FailedSearches::default();
--- a/src/scheduler/worker_restart.rs
+++ b/src/scheduler/worker_restart.rs
@@ -143,6 +143,8 @@
         };
         let moved = before.runs_on_next_incarnation(&listed, sent_ms, now_ms);
         self.decided(decision);
+        let moved_names: Vec<RunName> = moved.keys().copied().collect();
+        self.record_lost_groups(&moved_names);
 
         let key = self.add_next_incarnation(old, incarnation_start_ms);
         // A lease that an earlier poll gave may hold on the new clock, for as long as workers
