--- a/tests/replaced_owner.rs
+++ b/tests/replaced_owner.rs
@@ -95,6 +95,37 @@
     assert_eq!(again, None);
 }
 
+/// Guards against a lease that counts as expired by a confirmation from before its end, and against
+/// a wait for the next regular confirmation: it is requested at once, and its answer acted on at once.
+#[test]
+fn a_lease_counts_as_expired_as_soon_as_a_requested_confirmation_is_answered() {
+    let (mut fleet, ..) = Fleet::with_job(2, record("plain", vec![step(1, 1)]));
+    fleet.advance(200);
+    let (worker, name) = fleet.running()[0].clone();
+    fleet.unresponsive.push(worker.clone());
+    fleet.advance(500);
+    let workers = fleet.scheduler.workers().iter();
+    let mut own = workers.filter(|known| *known.name() == *worker);
+    let expired_ms = own.next().and_then(|known| known.leases_expired_ms());
+    let expired_ms = expired_ms.expect("its clock was read");
+    fleet.starts.clear();
+    fleet.advance(expired_ms - 20 - fleet.now_ms);
+    fleet.send_input(Input::EpochConfirmed(expired_ms - 1));
+    fleet.actions.clear();
+
+    advance_unconfirmed(&mut fleet, 500);
+    assert_eq!(fleet.starts, []);
+    let requests = fleet.actions.iter();
+    let requests = requests.filter(|action| matches!(action, Action::ConfirmEpoch));
+    assert_eq!(requests.count(), 1);
+    let confirmed_ms = fleet.now_ms;
+    fleet.send_input(Input::EpochConfirmed(confirmed_ms));
+    fleet.settle();
+
+    assert_eq!(fleet.starts.len(), 1);
+    assert_eq!(fleet.starts[0].0.task, name.task);
+}
+
 /// Guards against a recovery that ends by the clock alone: yet another owner may have extended the
 /// leases of the workers that do not answer.
 #[test]
