Count the authority of a new owner from the confirmation of its epoch

Cause: the scheduler of a new owner took its own start for a confirmation. It starts once the stored state has been read, which may take seconds on a slow store after the epoch was written, so the owner had its authority for that much longer than its successors assume.

Change: there is no confirmation before the first one, which is the time at which the takeover began. The fixtures of the tests give it as the daemon does.

--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -97,7 +97,7 @@
     pub(super) tuning: Tuning,
     pub(super) now_ms: u64,
     pub(super) started_ms: u64,
-    /// When the last request was sent that confirmed this owner's epoch.
+    /// When the last request was sent that confirmed this owner's epoch; 0 before the first one.
     pub(super) confirmed_ms: u64,
     /// When a confirmation of the epoch was last requested.
     pub(super) confirmation_requested_ms: u64,
@@ -185,7 +185,7 @@
             tuning,
             now_ms,
             started_ms: now_ms,
-            confirmed_ms: now_ms,
+            confirmed_ms: 0,
             confirmation_requested_ms: 0,
             resumed_ms: 0,
             last_decision_ms: now_ms,
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -48,6 +48,7 @@
         };
         scheduler.handle(roster_worker, BEGIN_MS);
     }
+    scheduler.handle(Input::EpochConfirmed(BEGIN_MS), BEGIN_MS);
     let state_read = Input::StoredStateRead {
         earlier_owner_exited: true,
     };
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -456,6 +456,7 @@
         next.closed = self.closed.clone();
         next.deleted_jobs = self.deleted_jobs.clone();
         send_inputs(&mut next);
+        next.send_input(Input::EpochConfirmed(self.now_ms));
         next.send_input(Input::StoredStateRead {
             earlier_owner_exited,
         });
