Order upkeep only while the epoch was confirmed within the last second

Cause: a new owner orders no upkeep for lease_ms and a margin of 1 s, so that two owners do not give orders for one machine in turn. A replaced owner that the platform still reaches repeated an order without an answer for as long as its authority, 6 s, so a lower fence could follow a higher one where the platform does not check them.

Evidence: a_replaced_owner_orders_no_upkeep_after_the_first_order_of_the_next_owner failed before, with the replaced owner's last order 1.15 s after the first one of its successor. Found by the review.

--- a/src/scheduler/upkeep.rs
+++ b/src/scheduler/upkeep.rs
@@ -16,6 +16,7 @@
     Decision,
     StopReason, //
 };
+use super::recovery::OWNERSHIP_LOSS_NOTICE_MS;
 use super::state::Scheduler;
 use super::worker::Contact;
 use super::{
@@ -285,7 +286,10 @@
             self.upkeep.list_at_ms = self.now_ms + LIST_INTERVAL_MS;
             self.actions.push(Action::ListMachines);
         }
-        let may_order = self.now_ms >= self.started_ms + self.tuning.holder_gap_ms;
+        // An earlier owner that cannot confirm its epoch stops well before the next one orders.
+        let confirmed_since_ms = (self.now_ms + 1).saturating_sub(OWNERSHIP_LOSS_NOTICE_MS);
+        let may_order = self.now_ms >= self.started_ms + self.tuning.holder_gap_ms
+            && self.is_confirmed_since(confirmed_since_ms);
         let numbers: Vec<u64> = self.upkeep.waves.keys().copied().collect();
         for number in numbers {
             if may_order && self.upkeep.listed {
