Soak: daemons cut off from each other, and partitioned owners

The daemons reach each other through relays, which end with their test, so that two seeds can use the same addresses after each other. New faults come from a generator of their own, and the other draws of each seed stay as they were.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -6,6 +6,8 @@
 //! `SOAK_SEEDS=known` runs those that failed before; `SOAK_DAEMONS` and `SOAK_WORKERS` set
 //! the size of the fleet.
 
+#[path = "support/links.rs"]
+mod links;
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "support/operator.rs"]
 mod operator;
@@ -15,6 +17,7 @@
 #[path = "support/proxy.rs"]
 mod proxy;
 
+use links::Links;
 use operator::{
     Operator,
     RunRecord,
@@ -40,7 +43,11 @@
     Value,
     json, //
 };
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+use std::ops::Range;
 use std::time::{
     Duration,
     Instant,
@@ -74,6 +81,13 @@
 const ACCELERATORS: u64 = 8;
 /// One in this many rounds starts with the owner cut off from the store.
 const OWNER_CUT_ONE_IN: u32 = 4;
+/// In one of this many rounds the owner is partitioned.
+const ROUNDS_PER_PARTITION: u32 = 4;
+/// How long before the store and its peers a partitioned owner loses the workers on which tasks
+/// run.
+const WORKER_LOSS_LEAD_MS: Range<u64> = 0..2_000;
+/// How long a partition lasts at least: shorter and longer than an owner's authority.
+const PARTITION_TIME_MS: Range<u64> = 2_000..9_000;
 
 /// Time within which an order to empty a data centre must be in force under any faults;
 /// the daemons' settings have the same bound.
@@ -85,6 +99,8 @@
 const ORDERS_STREAM: u64 = 0x0d0e_0a0c;
 /// The same for the generator of cancellations of jobs with an unknown outcome.
 const UNKNOWN_STREAM: u64 = 0x0c0a_0de1;
+/// The same for the generator of cuts between daemons and of partitions.
+const LINKS_STREAM: u64 = 0x0d1a_0c75;
 /// One in this many jobs with an unknown outcome is cancelled at once, and one in this many of
 /// those is submitted again.
 const UNKNOWN_CANCELLED_ONE_IN: u32 = 2;
@@ -148,6 +164,10 @@
     crash_random: StdRng,
     /// Chooses the workers that restart and whether they keep their names.
     restart_random: StdRng,
+    /// Chooses the daemons that are cut off from each other, the workers that some owners do not
+    /// reach, and when an owner is partitioned.
+    link_random: StdRng,
+    links: Links,
     operator: Operator,
     store_links: Vec<Proxy>,
     worker_links: Vec<Proxy>,
@@ -197,10 +217,11 @@
         // Workers accept every start, so that starts beyond their capacity are recorded.
         operator.world().checks_capacity = false;
         operator.world().configure(1, &queues, MAX_ATTEMPTS);
-        let store_links: Vec<Proxy> = (0..daemon_count)
-            .map(|_| Proxy::spawn(operator.store))
-            .collect();
         let test = 10 + (seed % 200) as u8;
+        let links = links::spawn(test, 0, daemon_count as u8);
+        let store_links: Vec<Proxy> = (0..daemon_count as u8)
+            .map(|at| Proxy::spawn(operator.serve_store_with_peers(links.peers_of(at))))
+            .collect();
         let daemons: Vec<Daemon> = (0..daemon_count)
             .map(|index| {
                 let ip = loopback(test, index as u8);
@@ -217,6 +238,8 @@
             other_writer_random: StdRng::seed_from_u64(seed.rotate_left(32)),
             crash_random: StdRng::seed_from_u64(seed.rotate_left(16)),
             restart_random: StdRng::seed_from_u64(seed.rotate_left(48)),
+            link_random: StdRng::seed_from_u64(seed ^ LINKS_STREAM),
+            links,
             operator,
             store_links,
             worker_links,
@@ -282,14 +305,70 @@
         if self.owner_cut_random.random_range(0..OWNER_CUT_ONE_IN) != 0 {
             return;
         }
-        let root = self.operator.world().value("owner");
-        let name = root.and_then(|root| Some(root["owner"].as_str()?.to_owned()));
-        let number = name.and_then(|name| name.strip_prefix('d')?.parse::<usize>().ok());
-        if let Some(link) = number.and_then(|number| self.store_links.get(number)) {
-            link.set_mode(LinkMode::Cut);
+        if let Some((owner, _)) = self.owner() {
+            self.store_links[owner].set_mode(LinkMode::Cut);
+        }
+    }
+
+    /// Returns the number of the daemon that the store names as the owner, and its epoch.
+    fn owner(&self) -> Option<(usize, u64)> {
+        let root = self.operator.world().value("owner")?;
+        let number: usize = root["owner"].as_str()?.strip_prefix('d')?.parse().ok()?;
+        Some((number, root["epoch"].as_u64()?)).filter(|_| number < self.daemons.len())
+    }
+
+    /// Sometimes cuts daemons off from each other, or some workers from the present owner alone
+    /// or from all later ones.
+    fn cut_links(&mut self) {
+        let random = &mut self.link_random;
+        let from = random.random_range(0..self.daemons.len());
+        let to = random.random_range(0..self.daemons.len());
+        let workers = 0..self.worker_links.len();
+        let workers: Vec<usize> = workers.filter(|_| random.random_bool(0.5)).collect();
+        let fault = random.random_range(0..10u32);
+        let epoch = self.owner().map_or(0, |(_, epoch)| epoch);
+        match fault {
+            0 | 1 => {
+                self.links.set_cut(from, to, true);
+                self.links.set_cut(to, from, fault == 0);
+            }
+            2 => self.links.isolate(from, true),
+            3 => self.cut_workers_from(workers, epoch..epoch + 1),
+            4 => self.cut_workers_from(workers, epoch + 1..u64::MAX),
+            _ => {}
+        }
+    }
+
+    fn cut_workers_from(&self, workers: impl IntoIterator<Item = usize>, epochs: Range<u64>) {
+        let mut world = self.operator.world();
+        for worker in workers {
+            world.cut_worker_from(worker, epochs.clone());
         }
     }
 
+    /// Sometimes partitions the owner, with the workers on which nothing runs, from everything
+    /// else. It loses the other workers first.
+    fn partition_owner(&mut self) {
+        let random = &mut self.link_random;
+        let is_partitioned =
+            random.random_range(0..ROUNDS_PER_PARTITION) == 0 && !SEEDS.contains(&self.seed);
+        let lead = Duration::from_millis(random.random_range(WORKER_LOSS_LEAD_MS));
+        let time = Duration::from_millis(random.random_range(PARTITION_TIME_MS));
+        let Some((owner, epoch)) = self.owner().filter(|_| is_partitioned) else {
+            return;
+        };
+        let records = self.operator.world().records.clone();
+        let running = records.iter().filter(|run| run.ended.is_none());
+        let used: BTreeSet<usize> = running.map(|run| run.worker).collect();
+        let unused = (0..self.worker_links.len()).filter(|worker| !used.contains(worker));
+        self.cut_workers_from(used.iter().copied(), epoch..epoch + 1);
+        std::thread::sleep(lead);
+        self.cut_workers_from(unused, epoch + 1..u64::MAX);
+        self.links.isolate(owner, true);
+        self.store_links[owner].set_mode(LinkMode::Cut);
+        std::thread::sleep(time);
+    }
+
     /// Writes a wrong value to the store as another writer may, over an existing key or under
     /// a new one. Entries of workers are repaired with the other faults, and the owner
     /// repairs its own records.
@@ -471,11 +550,15 @@
             // Bytes that a fault held back are lost with their connection.
             link.reset_open();
         }
+        for index in 0..self.daemons.len() {
+            self.links.isolate(index, false);
+        }
         let mut world = self.operator.world();
         world.mode = StoreMode::Serving;
         world.late_starts = false;
         for index in 0..self.worker_links.len() {
             world.cut_worker(index, false);
+            world.cut_worker_from(index, 0..0);
             world.set_failing(index, false);
             world.register(index, "ready");
         }
@@ -600,6 +683,7 @@
                 self.inject_fault();
             }
             self.cut_owner_off();
+            self.cut_links();
             self.write_as_other_writer();
             self.resize_random_worker();
             self.restart_random_workers();
@@ -611,6 +695,7 @@
             if self.random.random_range(0..3u32) == 0 {
                 self.cancel_random_job();
             }
+            self.partition_owner();
             std::thread::sleep(ROUND_LENGTH);
             if round % ROUNDS_PER_REPAIR == ROUNDS_PER_REPAIR - 1 {
                 self.repair_faults();
@@ -846,7 +931,8 @@
     }
 }
 
-/// The seeds that CI runs.
+/// The seeds that CI runs. The owner is not partitioned in these, since that takes up to 11 s in
+/// one round of four.
 const SEEDS: [u64; 3] = [1, 4, 109];
 
 /// Seeds that failed before, with the fault that they found; `SOAK_SEEDS=known` runs them.
--- a/tests/support/links.rs
+++ b/tests/support/links.rs
@@ -33,10 +33,12 @@
 const CHUNK_BYTES: usize = 16 << 10;
 const DATAGRAM_BYTES: usize = 2_048;
 
-/// The running relays between the daemons `d0`, `d1`, ... of a test.
+/// The running relays between the daemons `d0`, `d1`, ... of a test. They end, and their addresses
+/// become free, when the value is dropped.
 pub struct Links {
     addresses: Addresses,
     cuts: Arc<Cuts>,
+    _running: tokio::sync::oneshot::Sender<()>,
 }
 
 /// The addresses of the daemons, and of the relays between them.
@@ -64,6 +66,7 @@
     });
     let shared = cuts.clone();
     let (sender, receiver) = std::sync::mpsc::channel();
+    let (running, dropped) = tokio::sync::oneshot::channel();
     std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -73,11 +76,15 @@
         tasks.block_on(&runtime, async move {
             relay_all(addresses, &shared).await;
             sender.send(()).expect("the test thread receives");
-            std::future::pending::<()>().await;
+            dropped.await.ok();
         });
     });
     receiver.recv().expect("the relays start");
-    Links { addresses, cuts }
+    Links {
+        addresses,
+        cuts,
+        _running: running,
+    }
 }
 
 impl Links {
