--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -167,6 +167,7 @@
     /// Chooses the daemons that are cut off from each other, the workers that some owners do not
     /// reach, and when an owner is partitioned.
     link_random: StdRng,
+    partitions: usize,
     links: Links,
     operator: Operator,
     store_links: Vec<Proxy>,
@@ -239,6 +240,7 @@
             crash_random: StdRng::seed_from_u64(seed.rotate_left(16)),
             restart_random: StdRng::seed_from_u64(seed.rotate_left(48)),
             link_random: StdRng::seed_from_u64(seed ^ LINKS_STREAM),
+            partitions: 0,
             links,
             operator,
             store_links,
@@ -357,6 +359,7 @@
         let Some((owner, epoch)) = self.owner().filter(|_| is_partitioned) else {
             return;
         };
+        self.partitions += 1;
         let records = self.operator.world().records.clone();
         let running = records.iter().filter(|run| run.ended.is_none());
         let used: BTreeSet<usize> = running.map(|run| run.worker).collect();
@@ -834,7 +837,7 @@
         check_step_order(&by_task, &self.sent, self.seed);
         println!(
             "seed {}: {} jobs, {} refused, {} unknown, {} of them cancelled before they were stored, \
-             {} runs, {} orders, epoch {}",
+             {} runs, {} orders, {} partitions, epoch {}",
             self.seed,
             self.sent.len(),
             self.count(SubmitOutcome::Refused),
@@ -842,6 +845,7 @@
             self.sent.values().filter(|sent| sent.excluded).count(),
             world.records.len(),
             self.orders.len(),
+            self.partitions,
             world
                 .value("owner")
                 .map_or(Value::Null, |root| root["epoch"].clone()),
