--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -420,7 +420,8 @@
 
     /// Records that a request sent at `sent_ms` showed that this daemon owns under `epoch`.
     pub fn record_confirmation(&self, epoch: u64, sent_ms: u64) {
-        self.epoch_confirmed_ms.set(sent_ms);
+        let confirmed_ms = self.epoch_confirmed_ms.get().max(sent_ms);
+        self.epoch_confirmed_ms.set(confirmed_ms);
         self.control
             .send_input(epoch, Input::EpochConfirmed(sent_ms));
     }
