Tests: crowds of clients that stop short of the end of their requests

600 clients at a daemon whose settings have 64 MB and 600 descriptors (200 of them for files): bodies of legal size that stop short, whole or in pieces, in large chunks and in chunks of a byte; whole bodies that decode to many times their size; whole legal jobs; heads without an end; idle connections; pipelined queries whose answers are not read; crowds at each listener and at both daemons at a time. Each checks that the process lives, that its peak memory and its sockets stay below the limits in its settings, and that an ordinary job is accepted and done while the crowd is connected. The largest body in chunks of a byte, with pauses, is served in calm, and a drain does not wait for bodies that never arrive.

The bounds are the limits in the settings.

--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -35,6 +35,15 @@
     child: Option<Child>,
 }
 
+/// What a daemon listens for at one of its ports.
+#[derive(Clone, Copy, Debug)]
+pub enum Listener {
+    Clients,
+    Readiness,
+    Peers,
+    Metrics,
+}
+
 /// The answer that a client received.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Answer {
@@ -64,6 +73,7 @@
 /// | 240 to 245 | `tombstones.rs` |
 /// | 252 | `client_resets.rs` |
 /// | 253 | `partitioned_owners.rs` |
+/// | 254 | `stalled_clients.rs` |
 ///
 /// Benches run alone and may use any number; 254 is the highest.
 pub fn loopback(test: u8, at: u8) -> Ipv4Addr {
@@ -179,6 +189,40 @@
         ended.is_some_and(|status| status.success())
     }
 
+    /// The address of one of the daemon's listeners.
+    pub fn address(&self, listener: Listener) -> SocketAddr {
+        let port = match listener {
+            Listener::Clients => CLIENT_PORT,
+            Listener::Readiness => READINESS_PORT,
+            Listener::Peers => PEER_PORT,
+            Listener::Metrics => FIRST_INTERNAL_PORT + 1,
+        };
+        SocketAddr::new(self.ip.into(), port)
+    }
+
+    /// The most memory that the process has had resident, in bytes; panics if it has ended.
+    pub fn peak_memory_bytes(&self) -> usize {
+        let status = std::fs::read_to_string(self.proc("status")).expect("the process lives");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        let kilobytes = kilobytes.and_then(|number| number.parse::<usize>().ok());
+        kilobytes.expect("a peak") << 10
+    }
+
+    /// The number of sockets that the process has open; panics if it has ended.
+    pub fn open_sockets(&self) -> usize {
+        let descriptors = std::fs::read_dir(self.proc("fd")).expect("the process lives");
+        let targets = descriptors.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
+        targets
+            .filter(|target| target.to_string_lossy().starts_with("socket:"))
+            .count()
+    }
+
+    fn proc(&self, file: &str) -> PathBuf {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        PathBuf::from(format!("/proc/{id}/{file}"))
+    }
+
     /// Makes a client's request.
     pub fn request(&self, method: &str, path: &str, body: &str) -> Answer {
         request_at(self.ip, method, path, body)
