Bound what clients' connections, heads and bodies hold

Callers saw: a crowd of clients that sent most of a request and stopped ended a process for want of memory, and beside it an ordinary caller was refused with 429 for as long as the crowd stayed.

Cause: every body was collected whole before anything was known of it, for any time and in any number; only its own length was bounded. A connection's buffers grew to 128 KB, and a chunk that was kept held the buffer that it was read into. A request took one of 512 places from its head on. The number of connections had no bound, and out of descriptors accept was tried again at once, in a loop.

Change: src/intake, which knows nothing of jobs. A connection takes a place; what is kept of its request beyond 8 KB takes bytes of a budget, before the buffer grows, until the request is answered. Both follow from limits.memory_mb and limits.file_descriptors. ConnectionTable is pure and decides who has to go when they run out: those that make no progress, before those that arrive; if all make progress, the request that needs more is refused. A stream reads 8 KB before that is parsed, and nothing while a request is answered. Requests beyond 8 KB get half of the places, and answers close their connections while others wait, so that an ordinary caller gets in. A large body is not read for a request that cannot be accepted. A request takes one of the 512 places once it is whole. A refused client gets its answer and 300 ms to read it before the connection is closed. The refusals keep their promise: a job that an earlier request may have stored is answered 504, not 429 or 503.

No client within the platform's limits meets the bounds in calm: the largest body, in chunks of a byte and with pauses, is served (a test).

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -14,6 +14,10 @@
 use super::storage_outcome::StorageOutcome;
 use super::submit;
 use super::tombstone_limits::Submitter;
+use crate::intake::{
+    self,
+    BodyError, //
+};
 use crate::network_bytes::{
     BytePurpose,
     Direction,
@@ -48,11 +52,8 @@
     Response,
     StatusCode, //
 };
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-use futures_util::StreamExt;
+use bytes::Bytes;
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// How long a client waits if its request names no deadline.
@@ -62,7 +63,7 @@
 /// When a client may retry after a refusal: by then the store has usually recovered,
 /// or a takeover is complete.
 const RETRY_AFTER_S: u64 = 1;
-/// Requests served concurrently; further ones are refused immediately.
+/// Whole requests served concurrently; further ones are refused immediately.
 const MAX_REQUESTS: usize = 512;
 
 /// Why a request is refused; every refusal is counted under its name.
@@ -89,6 +90,18 @@
     /// The store refuses writes; the job was not accepted and never runs.
     #[error("the store refuses writes; nothing was accepted or run, retry after the time given")]
     StoreRefuses,
+    /// The memory for requests is in use.
+    #[error("the memory for requests is in use; nothing was accepted, retry after the time given")]
+    NoMemory,
+    /// The body arrived too slowly while others waited for its memory or its place.
+    #[error("the body arrived too slowly; nothing was accepted, retry after the time given")]
+    BodyTooSlow,
+    /// The body paused for too long.
+    #[error("the body paused for too long; send it without pauses")]
+    BodyPaused,
+    /// The daemon is about to exit, and the body was not whole.
+    #[error("this daemon is being stopped; nothing was accepted, retry at another one")]
+    Draining,
     /// Too many requests are being served.
     #[error("too many requests; nothing was accepted or run, retry after the time given")]
     Overloaded,
@@ -120,6 +133,10 @@
             Self::TooLarge => "too_large",
             Self::NoSuchMethod => "no_such_method",
             Self::StoreRefuses => "store_refuses",
+            Self::NoMemory => "no_memory",
+            Self::BodyTooSlow => "body_too_slow",
+            Self::BodyPaused => "body_paused",
+            Self::Draining => "draining",
             Self::Overloaded => "overloaded",
             Self::Cancelled => "cancelled",
             Self::TooManyCancellations => "too_many_cancellations",
@@ -147,10 +164,13 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoSuchMethod => StatusCode::METHOD_NOT_ALLOWED,
-            Self::NoConfiguration | Self::StoreRefuses | Self::Cancelled => {
+            Self::NoConfiguration | Self::StoreRefuses | Self::Cancelled | Self::Draining => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::Overloaded | Self::TooManyCancellations => StatusCode::TOO_MANY_REQUESTS,
+            Self::Overloaded | Self::TooManyCancellations | Self::NoMemory | Self::BodyTooSlow => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
+            Self::BodyPaused => StatusCode::REQUEST_TIMEOUT,
             // A gateway timeout: the job is neither known to be accepted nor refused.
             Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::NobodyAnswers => StatusCode::GATEWAY_TIMEOUT,
@@ -159,6 +179,19 @@
     }
 }
 
+impl From<BodyError> for Refusal {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::Broken => Self::Malformed,
+            BodyError::TooLarge => Self::TooLarge,
+            BodyError::Exhausted => Self::NoMemory,
+            BodyError::TooSlow => Self::BodyTooSlow,
+            BodyError::Paused => Self::BodyPaused,
+            BodyError::Draining => Self::Draining,
+        }
+    }
+}
+
 /// A client's request whose queue, account and deadline are known.
 struct ParsedRequest {
     queue: Queue,
@@ -195,7 +228,7 @@
 /// Answers a client's request.
 pub async fn answer(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
     let received_ms = node.now_ms();
-    let in_progress = InProgress::begin(&node);
+    let in_progress = CountedRequest::begin(&node, |node| &node.requests);
     let outcome = respond(&node, &mut request, received_ms).await;
     let outcome = outcome.map_err(|refusal| unless_stored_earlier(&node, &request, refusal));
     drop(in_progress);
@@ -230,24 +263,27 @@
     response.body(Bytes::from(body)).map_into_boxed_body()
 }
 
-/// Counts a request as in progress until it is dropped, which also happens when the connection
-/// of its client is reset.
-struct InProgress {
+/// Counts a request until it is dropped, which also happens when the connection of its client is
+/// reset.
+struct CountedRequest {
     node: Rc<Node>,
+    counter: fn(&Node) -> &Cell<usize>,
 }
 
-impl InProgress {
-    fn begin(node: &Rc<Node>) -> Self {
-        let node = node.clone();
-        node.requests.set(node.requests.get() + 1);
-        set_request_gauge(&node);
-        Self { node }
+impl CountedRequest {
+    fn begin(node: &Rc<Node>, counter: fn(&Node) -> &Cell<usize>) -> Self {
+        counter(node).update(|requests| requests + 1);
+        set_request_gauge(node);
+        Self {
+            node: node.clone(),
+            counter,
+        }
     }
 }
 
-impl Drop for InProgress {
+impl Drop for CountedRequest {
     fn drop(&mut self) {
-        self.node.requests.set(self.node.requests.get() - 1);
+        (self.counter)(&self.node).update(|requests| requests - 1);
         set_request_gauge(&self.node);
     }
 }
@@ -256,28 +292,40 @@
     metrics::gauge!("fuchsiaslip_requests_in_progress").set(node.requests.get() as f64);
 }
 
+/// Checks whether this daemon serves requests at all.
+fn check_served(node: &Node) -> Result<(), Refusal> {
+    if node.configuration().version == 0 {
+        return Err(Refusal::NoConfiguration);
+    }
+    match node.whole_requests.get() >= MAX_REQUESTS {
+        true => Err(Refusal::Overloaded),
+        false => Ok(()),
+    }
+}
+
 type Answer = Result<(StatusCode, Vec<u8>), Refusal>;
 
 async fn respond(node: &Rc<Node>, request: &mut Request, received_ms: u64) -> Answer {
-    // The body is read even if the request is refused: closing with unread
-    // bytes would reset the connection and lose the answer.
-    let configuration = node.configuration();
-    let body = read_body(request, configuration.limits.max_body_bytes).await;
+    if !intake::is_small(request) {
+        // Nothing is kept of a large body that cannot be accepted.
+        check_served(node)?;
+        parse_request(node, request, received_ms)?;
+    }
+    let limit_bytes = node.configuration().limits.max_body_bytes;
+    // Small bodies are read even if the request is refused: closing with unread bytes would
+    // reset the connection and may lose the answer.
+    let body = intake::read_body(request, limit_bytes).await;
     let body_bytes = body.as_ref().map_or(0, Bytes::len);
     record_bytes(
         BytePurpose::Client,
         Direction::In,
         body_bytes + HTTP_HEAD_BYTES,
     );
-    if configuration.version == 0 {
-        // Nor is the limit of a body known: one that is too large for the default may
-        // be allowed.
-        return Err(Refusal::NoConfiguration);
-    }
+    // Also if the body was not read: what is too large for the default limit may be allowed.
+    check_served(node)?;
     let body = body?;
-    if node.requests.get() > MAX_REQUESTS {
-        return Err(Refusal::Overloaded);
-    }
+    let _whole = CountedRequest::begin(node, |node| &node.whole_requests);
+    // The configuration may have changed while the body arrived.
     let parsed = parse_request(node, request, received_ms)?;
     match *request.method() {
         Method::POST | Method::PUT => submit(node, &parsed, &body, received_ms).await,
@@ -315,7 +363,14 @@
 /// an earlier request may have stored.
 fn unless_stored_earlier(node: &Node, request: &Request, refusal: Refusal) -> Refusal {
     let is_submission = matches!(*request.method(), Method::POST | Method::PUT);
-    let denies_job = matches!(refusal, Refusal::NoConfiguration | Refusal::Overloaded);
+    let denies_job = matches!(
+        refusal,
+        Refusal::NoConfiguration
+            | Refusal::Overloaded
+            | Refusal::NoMemory
+            | Refusal::BodyTooSlow
+            | Refusal::Draining
+    );
     // The queue, whose prefix the name follows, may not be known.
     let path = request.path();
     let name_start = path.len().checked_sub(JOB_ID_LENGTH);
@@ -326,19 +381,6 @@
     }
 }
 
-async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, Refusal> {
-    let mut body = BytesMut::new();
-    let mut payload = request.take_payload();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Refusal::Malformed)?;
-        if body.len() + chunk.len() > limit {
-            return Err(Refusal::TooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
-
 fn parse_request(
     node: &Node,
     request: &Request,
--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -20,6 +20,12 @@
     spawn_lasting, //
 };
 use crate::events;
+use crate::intake::{
+    self,
+    HttpTimeouts,
+    Intake,
+    IntakeLimits, //
+};
 use crate::panics;
 use crate::platform::{
     HttpClient,
@@ -34,19 +40,13 @@
 use crate::timer::Timer;
 use actix_http::body::BoxBody;
 use actix_http::{
-    HttpService,
     Request,
     Response, //
 };
-use actix_service::{
-    Service,
-    ServiceFactory, //
-};
 use metrics_exporter_prometheus::{
     PrometheusBuilder,
     PrometheusHandle, //
 };
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -64,10 +64,11 @@
     mpsc, //
 };
 
-/// How long the head of a request may take to arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long an idle connection is kept open.
-const KEEP_ALIVE: Duration = Duration::from_secs(15);
+/// How long clients may take between their requests.
+const TIMEOUTS: HttpTimeouts = HttpTimeouts {
+    head: Duration::from_secs(3),
+    keep_alive: Duration::from_secs(15),
+};
 /// Shortest drain. The balancer stops sending new connections after two failed
 /// readiness checks, one second apart, and open connections are served until then.
 const MIN_DRAIN_MS: u64 = 2_600;
@@ -216,10 +217,13 @@
             .as_ref()
             .map(|address| MachineClient::new(http, address, &settings.daemon));
         let boot = rand::random();
-        let client_listener = listen(settings.client_address).await?;
-        let readiness_listener = listen(settings.readiness_address).await?;
-        let peer_listener = listen(settings.peer_address).await?;
-        let metrics_listener = listen(settings.metrics_address).await?;
+        let client_listener = listen(settings.client_address)?;
+        let readiness_listener = listen(settings.readiness_address)?;
+        let peer_listener = listen(settings.peer_address)?;
+        let metrics_listener = listen(settings.metrics_address)?;
+        let clients = Intake::open("clients", settings.client_limits, &timer);
+        let readiness = Intake::open("readiness", IntakeLimits::for_tools(), &timer);
+        let scrapes = Intake::open("metrics", IntakeLimits::for_tools(), &timer);
         let heartbeat_socket = UdpSocket::bind(settings.peer_address).await;
         let heartbeat_socket = Rc::new(heartbeat_socket.map_err(|source| Error::Listen {
             address: settings.peer_address,
@@ -253,22 +257,26 @@
             })
         });
         spawn_part(&node, "readiness", move |node| {
-            serve(readiness_listener.clone(), move |request: Request| {
+            let (readiness, listener) = (readiness.clone(), readiness_listener.clone());
+            let answer = move |request: Request| {
                 let node = node.clone();
                 async move { client_requests::readiness(&node, request.path()) }
-            })
+            };
+            async move { readiness.serve(listener, TIMEOUTS, answer).await }
         });
         spawn_part(&node, "metrics", move |_| {
+            let (scrapes, listener) = (scrapes.clone(), metrics_listener.clone());
             let metrics = metrics.clone();
-            serve(metrics_listener.clone(), move |_| {
+            let answer = move |_| {
                 let text = metrics.render();
                 async move { Response::ok().set_body(BoxBody::new(text)) }
-            })
+            };
+            async move { scrapes.serve(listener, TIMEOUTS, answer).await }
         });
         spawn_part(&node, "clients", move |node| {
-            serve(client_listener.clone(), move |request| {
-                client_requests::answer(node.clone(), request)
-            })
+            let (clients, listener) = (clients.clone(), client_listener.clone());
+            let answer = move |request| client_requests::answer(node.clone(), request);
+            async move { clients.serve(listener, TIMEOUTS, answer).await }
         });
         events::log(
             events::DAEMON_STARTED,
@@ -347,50 +355,8 @@
     spawn_lasting(node, Part(part), move || start(shared.clone()));
 }
 
-async fn listen(address: SocketAddr) -> Result<Rc<TcpListener>, Error> {
-    let listener = TcpListener::bind(address).await;
+fn listen(address: SocketAddr) -> Result<Rc<TcpListener>, Error> {
+    let listener = intake::listen(address);
     let listener = listener.map_err(|source| Error::Listen { address, source })?;
     Ok(Rc::new(listener))
 }
-
-/// Serves HTTP on `listener`, with `answer` for each request.
-async fn serve<F, A>(listener: Rc<TcpListener>, answer: F)
-where
-    F: Fn(Request) -> A + Clone + 'static,
-    A: Future<Output = Response<BoxBody>> + 'static,
-{
-    let factory = HttpService::build()
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(HEAD_TIMEOUT)
-        .h1(move |request: Request| {
-            let response = answer(request);
-            async move { Ok::<_, Infallible>(response.await) }
-        })
-        .tcp();
-    let Ok(service) = factory.new_service(()).await else {
-        log::error!("the HTTP service cannot be built");
-        return;
-    };
-    let service = Rc::new(service);
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(error) = stream.set_nodelay(true) {
-                    log::debug!("cannot set TCP_NODELAY: {error}");
-                }
-                let service = service.clone();
-                actix_rt::spawn(async move {
-                    if let Err(error) = service.call(stream).await {
-                        log::debug!("a connection ended with an error: {error}");
-                    }
-                });
-            }
-            Err(error) => {
-                // For example, out of file descriptors. The open connections are not
-                // affected.
-                log::debug!("cannot accept a connection: {error}");
-                tokio::task::yield_now().await;
-            }
-        }
-    }
-}
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -112,8 +112,10 @@
     pub boot: u64,
     /// When this process started.
     pub started_ms: u64,
-    /// Number of client requests in progress.
+    /// Number of client requests in progress, also of those that did not arrive whole.
     pub requests: Cell<usize>,
+    /// Number of client requests that arrived whole and are being served.
+    pub whole_requests: Cell<usize>,
     configuration: RefCell<Arc<ClusterConfiguration>>,
     configuration_checked_ms: Cell<u64>,
     emptying_orders: RefCell<EmptyingOrders>,
@@ -167,6 +169,7 @@
             boot,
             started_ms,
             requests: Cell::new(0),
+            whole_requests: Cell::new(0),
             configuration: RefCell::default(),
             configuration_checked_ms: Cell::new(0),
             emptying_orders: RefCell::default(),
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of one daemon on an operator's platform.
 
 use super::carrier_plan::VmResources;
+use crate::intake::IntakeLimits;
 use crate::scheduler::Tuning;
 use std::net::{
     IpAddr,
@@ -35,6 +36,8 @@
     pub cpu_millis: u64,
     /// What its VM has for calls to workers.
     pub resources: VmResources,
+    /// What clients can make it hold.
+    pub client_limits: IntakeLimits,
     /// Time within which a configuration has to be in force, counted from its storage.
     pub configuration_bound_ms: u64,
     /// Grace period of a drain, after which the platform kills the process.
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -1,5 +1,6 @@
 //! Keys of the objects of a cell, and the identity of a job.
 
+use super::arena::ArenaKey;
 use std::fmt;
 
 /// Identity of a job within its cell: the epoch of the owner that accepted it
@@ -25,8 +26,22 @@
 /// Key of a job in the cell's arena. Becomes stale when the job is deleted.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct JobKey {
-    pub(super) index: u32,
-    pub(super) generation: u32,
+    index: u32,
+    generation: u32,
+}
+
+impl ArenaKey for JobKey {
+    fn new(index: u32, generation: u32) -> Self {
+        Self { index, generation }
+    }
+
+    fn index(self) -> u32 {
+        self.index
+    }
+
+    fn generation(self) -> u32 {
+        self.generation
+    }
 }
 
 /// Index of a worker in the fleet.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -36,7 +36,10 @@
 mod worker;
 
 pub use account::Account;
-pub use arena::Arena;
+pub use arena::{
+    Arena,
+    ArenaKey, //
+};
 pub use bitset::BitSet;
 pub use cell::{
     Cell,
--- a/src/events.rs
+++ b/src/events.rs
@@ -47,6 +47,8 @@
     THREAD_PANICKED = 106, Error, "a thread or a task of this daemon panicked at the place named", "report the line, and those with dropped true after it; an owner that failed is followed by E208";
     /// A client's request was answered.
     REQUEST_ANSWERED = 110, Info, "a request was answered", "docs/OPERATIONS.md explains how to find the cause of a refusal";
+    /// Connections were closed, or their requests refused, for others.
+    CONNECTIONS_EVICTED = 111, Warn, "connections that made no progress were closed, or their requests refused, for others or because they paused", "none, unless it repeats: then find out who opens so many connections or sends so many large requests";
     /// This daemon became the owner.
     OWNER_STARTED = 200, Info, "this daemon owns the data centre's ledger", "none, unless it repeats: the end of the line says why the daemon took over";
     /// Another owner has fenced this daemon.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod core;
 pub mod daemon;
 pub mod events;
+pub mod intake;
 pub mod ledger;
 pub mod network_bytes;
 pub mod owner;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -4,6 +4,7 @@
     ClusterSettings,
     VmResources, //
 };
+use crate::intake::IntakeLimits;
 use crate::scheduler::Tuning;
 use std::collections::HashMap;
 use std::net::{
@@ -34,6 +35,10 @@
 /// Lower limit of the maximum age of emptying orders. An owner reads them once a second
 /// where nothing changes, so with less it would start nothing between two reads.
 const MIN_ORDERS_MAX_AGE_MS: u64 = 1_500;
+/// Memory of a VM whose settings do not tell it.
+const DEFAULT_MEMORY_BYTES: u64 = 256 << 20;
+/// Bytes in a megabyte of memory.
+const BYTES_PER_MB: f64 = (1 << 20) as f64;
 /// Bytes in a megabit.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// Lower limit of the maximum age of workers' entries. They are known as of the time when
@@ -183,6 +188,7 @@
         descriptors: fields.bound_ms("limits.file_descriptors", 1.0, u64::MAX)?,
         cpu_millis,
     };
+    let memory_bytes = fields.bound_ms("limits.memory_mb", BYTES_PER_MB, DEFAULT_MEMORY_BYTES)?;
     Ok(ClusterSettings {
         daemon: fields.text("node_name")?.to_owned(),
         data_centre: fields.text("zone")?.to_owned(),
@@ -196,6 +202,7 @@
         machines_address: fields.text("cloud_api.address").ok().map(str::to_owned),
         cpu_millis,
         resources,
+        client_limits: IntakeLimits::of_machine(memory_bytes, resources.descriptors),
         configuration_bound_ms: fields.bound_ms("bounds.config_apply_ms", 1.0, 2_000)?,
         grace_ms: fields.bound_ms("bounds.grace_period_s", 1_000.0, 6_000)?,
         tuning,
