Bound the connections of peers

Whoever reached the listener for peers could take all descriptors of a daemon, and with them those of its own calls: connections were accepted in any number and stayed open without a frame.

The listener uses the table of connections. Peers have a quarter of the descriptors that are left beside those for files; a connection that has sent no whole frame is closed for one that arrives, and one that has is kept.

--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -222,6 +222,8 @@
         let peer_listener = listen(settings.peer_address)?;
         let metrics_listener = listen(settings.metrics_address)?;
         let clients = Intake::open("clients", settings.client_limits, &timer);
+        let peer_limits = IntakeLimits::for_peers(settings.resources.descriptors);
+        let peers = Intake::open("peers", peer_limits, &timer);
         let readiness = Intake::open("readiness", IntakeLimits::for_tools(), &timer);
         let scrapes = Intake::open("metrics", IntakeLimits::for_tools(), &timer);
         let heartbeat_socket = UdpSocket::bind(settings.peer_address).await;
@@ -251,8 +253,8 @@
             heartbeat::receive(node, heartbeat_socket.clone())
         });
         spawn_part(&node, "peers", move |node| {
-            let listener = peer_listener.clone();
-            Peers::serve(listener, move |connection, body| {
+            let (peers, listener) = (peers.clone(), peer_listener.clone());
+            Peers::serve(peers, listener, move |connection, body| {
                 peer_requests::answer(node.clone(), connection, body)
             })
         });
--- a/src/cluster/peer_connections.rs
+++ b/src/cluster/peer_connections.rs
@@ -11,6 +11,10 @@
     WorkerAnswer, //
 };
 use crate::events;
+use crate::intake::{
+    ConnectionHandle,
+    Intake, //
+};
 use crate::network_bytes::{
     BytePurpose,
     Direction,
@@ -288,23 +292,21 @@
 
     /// Accepts connections on `listener` and responds to requests with `answer`, which returns
     /// `None` if a connection is of no use any more.
-    pub async fn serve<F, A>(listener: Rc<TcpListener>, answer: F)
+    pub async fn serve<F, A>(intake: Intake, listener: Rc<TcpListener>, answer: F)
     where
         F: Fn(Rc<CarriedConnection>, PeerBody) -> Option<A> + Clone + 'static,
         A: Future<Output = Option<PeerBody>> + 'static,
     {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    actix_rt::spawn(serve_connection(stream, answer.clone()));
-                }
-                // For example, out of file descriptors. The open connections are not
-                // affected.
-                Err(error) => {
-                    log::debug!("cannot accept a peer's connection: {error}");
-                    tokio::task::yield_now().await;
-                }
-            }
+            let stream = intake.accept(&listener).await;
+            let admission = intake.admit().await;
+            let answer = answer.clone();
+            actix_rt::spawn(async move {
+                let connection = admission.connection().clone();
+                admission
+                    .run(serve_connection(stream, connection, answer))
+                    .await;
+            });
         }
     }
 }
@@ -371,14 +373,14 @@
     }
 }
 
-async fn serve_connection<F, A>(stream: TcpStream, answer: F)
+/// Responds to the requests on a connection. From its first frame on, it is not closed for
+/// others.
+async fn serve_connection<F, A>(stream: TcpStream, handle: ConnectionHandle, answer: F)
 where
     F: Fn(Rc<CarriedConnection>, PeerBody) -> Option<A> + Clone + 'static,
     A: Future<Output = Option<PeerBody>> + 'static,
 {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("cannot set TCP_NODELAY: {error}");
-    }
+    let mut in_use = None;
     let connection = Rc::new(CarriedConnection::default());
     let (mut sink, mut frames) = framed(stream).split();
     let (answers, mut answered) = mpsc::unbounded_channel::<PeerFrame>();
@@ -398,6 +400,7 @@
         else {
             return;
         };
+        in_use.get_or_insert_with(|| handle.begin_request(None));
         let Some(answering) = answer(connection.clone(), body) else {
             return;
         };
