Refuse bodies that are not whole at the end of a drain

A daemon with one client that had stopped short of the end of its body drained until its grace period was over, and then cut that client off without an answer.

A drain waited for all requests in progress; a body that never ends is one. Once the shortest drain is over, bodies that are not whole are refused with 503 (reason draining): nothing was promised to them. Whole requests are waited for as before.

--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -193,6 +193,7 @@
 /// on the control thread.
 pub struct ClusterDaemon {
     node: Rc<Node>,
+    clients: Intake,
 }
 
 impl ClusterDaemon {
@@ -275,8 +276,9 @@
             };
             async move { scrapes.serve(listener, TIMEOUTS, answer).await }
         });
+        let served = clients.clone();
         spawn_part(&node, "clients", move |node| {
-            let (clients, listener) = (clients.clone(), client_listener.clone());
+            let (clients, listener) = (served.clone(), client_listener.clone());
             let answer = move |request| client_requests::answer(node.clone(), request);
             async move { clients.serve(listener, TIMEOUTS, answer).await }
         });
@@ -287,7 +289,7 @@
                 node.settings.daemon, node.settings.client_address
             ),
         );
-        Ok(Self { node })
+        Ok(Self { node, clients })
     }
 
     /// Waits for the signal that ends the daemon, then drains it.
@@ -336,8 +338,14 @@
         loop {
             node.timer.sleep(DRAIN_CHECK_INTERVAL_MS).await;
             let now_ms = node.now_ms();
-            let served = now_ms >= began_ms + MIN_DRAIN_MS && node.requests.get() == 0;
-            if served || now_ms >= last_ms {
+            if now_ms >= began_ms + MIN_DRAIN_MS {
+                if node.requests.get() == 0 {
+                    break;
+                }
+                // Nothing was promised to a client whose request is not whole.
+                self.clients.refuse_bodies();
+            }
+            if now_ms >= last_ms {
                 break;
             }
         }
