Stop decoding at the limits of a job, and hold what it decodes to

A body was decoded whole before anything was checked: 87,000 empty steps became (computed) some 30 MB, were encoded again as 33 MB, and sent to a store that takes values of 1 MB. Nothing counted what a body was decoded to. A legal job of 2,800 steps or more was refused by the store again and again, since its record named all values of each step, also those by default.

Decoding stops at the first step that is not valid, and at 24,576 steps; the largest body holds 21,844 that name their number of tasks. A record leaves out values by default, which decoding supplied already, so that every job in a body of the largest size fits into a value; one that does not is refused at once as too_large. While it is stored, a job holds its decoded size and five times its record in the memory for requests, in place of its body.

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -9,6 +9,7 @@
 use super::node::Node;
 use super::records::{
     JOB_ID_LENGTH,
+    encode,
     job_id, //
 };
 use super::storage_outcome::StorageOutcome;
@@ -63,6 +64,9 @@
 /// When a client may retry after a refusal: by then the store has usually recovered,
 /// or a takeover is complete.
 const RETRY_AFTER_S: u64 = 1;
+/// Copies of a job's record while it is stored: itself, in the encoding of the store, in the
+/// call to the store and in the buffer of its connection.
+const RECORD_COPIES: usize = 5;
 /// Whole requests served concurrently; further ones are refused immediately.
 const MAX_REQUESTS: usize = 512;
 
@@ -328,7 +332,7 @@
     // The configuration may have changed while the body arrived.
     let parsed = parse_request(node, request, received_ms)?;
     match *request.method() {
-        Method::POST | Method::PUT => submit(node, &parsed, &body, received_ms).await,
+        Method::POST | Method::PUT => submit(node, request, &parsed, body, received_ms).await,
         Method::GET if parsed.name.is_empty() => {
             let pending = submit::pending(node, &parsed.queue.name, parsed.until_ms).await;
             let pending = pending.ok_or(Refusal::NobodyAnswers)?;
@@ -409,9 +413,16 @@
     })
 }
 
-async fn submit(node: &Rc<Node>, parsed: &ParsedRequest, body: &Bytes, received_ms: u64) -> Answer {
+async fn submit(
+    node: &Rc<Node>,
+    request: &Request,
+    parsed: &ParsedRequest,
+    body: Bytes,
+    received_ms: u64,
+) -> Answer {
     let job = job_id(&parsed.name).ok_or(Refusal::Malformed)?;
-    let spec = decode_job(body).map_err(|_| Refusal::Malformed)?;
+    let spec = decode_job(&body).map_err(|_| Refusal::Malformed)?;
+    drop(body);
     if spec.validation_error().is_some() {
         return Err(Refusal::Malformed);
     }
@@ -423,7 +434,15 @@
         accepted_under: Some(parsed.terms.clone()),
         spec,
     };
-    match submit::accept(node, job, record, parsed.until_ms).await {
+    let encoded = encode(&record);
+    if encoded.len() > node.settings.value_bytes {
+        return Err(Refusal::TooLarge);
+    }
+    if let Some(connection) = intake::connection_of(request) {
+        let held_bytes = record.spec.memory_bytes() + encoded.len() * RECORD_COPIES;
+        connection.hold(held_bytes).map_err(|_| Refusal::NoMemory)?;
+    }
+    match submit::accept(node, job, record, encoded, parsed.until_ms).await {
         StorageOutcome::Done => Ok((StatusCode::OK, b"{}".to_vec())),
         StorageOutcome::Refused => Err(Refusal::StoreRefuses),
         StorageOutcome::Cancelled => Err(Refusal::Cancelled),
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -36,6 +36,8 @@
     pub cpu_millis: u64,
     /// What its VM has for calls to workers.
     pub resources: VmResources,
+    /// Largest value that the store takes, in bytes.
+    pub value_bytes: usize,
     /// What clients can make it hold.
     pub client_limits: IntakeLimits,
     /// Time within which a configuration has to be in force, counted from its storage.
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -20,7 +20,6 @@
     decode,
     decode_job_record,
     decode_progress,
-    encode,
     job_key,
     progress_key, //
 };
@@ -55,14 +54,15 @@
 /// Delay before an unanswered query to the owner is retried.
 const OWNER_RETRY_MS: u64 = 60;
 
-/// Accepts a job: stores it, from here or through a peer, and notifies the owner.
+/// Accepts a job, whose encoded record is `bytes`: stores it, from here or through a peer, and
+/// notifies the owner.
 pub async fn accept(
     node: &Rc<Node>,
     job: JobId,
     record: JobRecord,
+    bytes: Bytes,
     until_ms: u64,
 ) -> StorageOutcome {
-    let bytes = encode(&record);
     let submitters = Submitter::all_of(&record);
     let mut outcome = store_job_if_answered(node, job, &submitters, bytes.clone(), until_ms).await;
     if outcome == StorageOutcome::Refused
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -8,10 +8,17 @@
     StepSpec, //
 };
 use awc::http::header::HeaderMap;
+use serde::de::{
+    Error,
+    SeqAccess,
+    Visitor, //
+};
 use serde::{
     Deserialize,
+    Deserializer,
     Serialize, //
 };
+use std::fmt;
 
 /// Path of the load balancer's readiness check.
 pub const READINESS_PATH: &str = "/-/readiness";
@@ -20,7 +27,8 @@
 struct JobBody {
     #[serde(default)]
     spec: String,
-    steps: Vec<StepBody>,
+    #[serde(deserialize_with = "steps_within_limit")]
+    steps: Vec<StepSpec>,
     #[serde(default)]
     repetitions: u32,
     #[serde(default)]
@@ -71,6 +79,42 @@
     max_unavailable: Option<u32>,
 }
 
+/// Most steps of a job: no body of the largest size that is allowed by default holds more steps
+/// that name a number of tasks.
+const MAX_STEPS: usize = 24_576;
+
+/// Decodes steps, and stops at the first beyond the limit.
+fn steps_within_limit<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<StepSpec>, D::Error> {
+    struct Steps;
+
+    impl<'de> Visitor<'de> for Steps {
+        type Value = Vec<StepSpec>;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+            write!(formatter, "at most {MAX_STEPS} steps")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Self::Value, A::Error> {
+            let mut steps = Vec::new();
+            while let Some(step) = sequence.next_element::<StepBody>()? {
+                if steps.len() == MAX_STEPS {
+                    return Err(A::Error::invalid_length(steps.len() + 1, &self));
+                }
+                let step = step_of(step);
+                if let Some(problem) = step.validation_error(steps.len()) {
+                    return Err(A::Error::custom(problem));
+                }
+                steps.push(step);
+            }
+            Ok(steps)
+        }
+    }
+
+    deserializer.deserialize_seq(Steps)
+}
+
 fn one_task() -> u32 {
     1
 }
@@ -89,7 +133,7 @@
     });
     Ok(JobSpec {
         payload: body.spec,
-        steps: body.steps.into_iter().map(step_of).collect(),
+        steps: body.steps,
         schedule,
     })
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -37,6 +37,8 @@
 const MIN_ORDERS_MAX_AGE_MS: u64 = 1_500;
 /// Memory of a VM whose settings do not tell it.
 const DEFAULT_MEMORY_BYTES: u64 = 256 << 20;
+/// Largest value of a store whose settings do not tell it.
+const DEFAULT_VALUE_BYTES: u64 = 1 << 20;
 /// Bytes in a megabyte of memory.
 const BYTES_PER_MB: f64 = (1 << 20) as f64;
 /// Bytes in a megabit.
@@ -202,6 +204,7 @@
         machines_address: fields.text("cloud_api.address").ok().map(str::to_owned),
         cpu_millis,
         resources,
+        value_bytes: fields.bound_ms("platform.value_bytes", 1.0, DEFAULT_VALUE_BYTES)? as usize,
         client_limits: IntakeLimits::of_machine(memory_bytes, resources.descriptors),
         configuration_bound_ms: fields.bound_ms("bounds.config_apply_ms", 1.0, 2_000)?,
         grace_ms: fields.bound_ms("bounds.grace_period_s", 1_000.0, 6_000)?,
--- a/src/scheduler/spec.rs
+++ b/src/scheduler/spec.rs
@@ -63,42 +63,64 @@
     }
 }
 
+/// Whether a value is left out of a record: a job may have thousands of steps, of which most
+/// values are those by default.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// One step: `count` tasks of the same kind.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct StepSpec {
     /// Number of tasks.
+    #[serde(skip_serializing_if = "is_default")]
     pub count: u32,
     /// Resources that each task needs.
+    #[serde(skip_serializing_if = "is_default")]
     pub needs: Resources,
     /// The caller's rough estimate of a task's run time.
+    #[serde(skip_serializing_if = "is_default")]
     pub estimated_ms: u64,
     /// Indexes of the earlier steps that have to be done first.
+    #[serde(skip_serializing_if = "is_default")]
     pub after: Vec<u32>,
     /// Tasks checkpoint their progress.
+    #[serde(skip_serializing_if = "is_default")]
     pub checkpoints: bool,
     /// Tasks form a gang: they run only all at the same time.
+    #[serde(skip_serializing_if = "is_default")]
     pub gang: bool,
     /// Tasks are slow when they run on more than one rack.
+    #[serde(skip_serializing_if = "is_default")]
     pub same_rack: bool,
     /// A label that the worker must have; empty for none.
+    #[serde(skip_serializing_if = "is_default")]
     pub required_label: String,
     /// The rack that holds the input data; empty for none.
+    #[serde(skip_serializing_if = "is_default")]
     pub data_rack: String,
     /// Most tasks of the step on one worker; 0 for no bound.
+    #[serde(skip_serializing_if = "is_default")]
     pub max_per_worker: u32,
     /// Copies of a task may run in parallel.
+    #[serde(skip_serializing_if = "is_default")]
     pub allow_duplicates: bool,
     /// Tasks run until the job is cancelled.
+    #[serde(skip_serializing_if = "is_default")]
     pub long_running: bool,
     /// The image that the tasks run; tasks with the same image behave alike.
+    #[serde(skip_serializing_if = "is_default")]
     pub image: String,
     /// Bound on the tail of response times of a task that serves requests; 0 for none.
+    #[serde(skip_serializing_if = "is_default")]
     pub tail_target_ms: u64,
     /// The tasks use only CPU that the others on the worker leave idle, so their cores
     /// are not counted.
+    #[serde(skip_serializing_if = "is_default")]
     pub fills: bool,
     /// Tasks of a long-running step that the scheduler may make unavailable at a time.
+    #[serde(skip_serializing_if = "is_default")]
     pub max_unavailable: Option<u32>,
 }
 
@@ -111,6 +133,22 @@
         }
     }
 
+    /// Returns why the step is invalid as the one with index `at`; `None` if it is valid.
+    pub fn validation_error(&self, at: usize) -> Option<&'static str> {
+        if self.count == 0 {
+            return Some("a step needs at least one task");
+        }
+        let follows_later = self.after.iter().any(|&before| before as usize >= at);
+        follows_later.then_some("a step may only follow earlier steps")
+    }
+
+    /// Returns the memory that the step takes, in bytes.
+    fn memory_bytes(&self) -> usize {
+        let texts = [&self.required_label, &self.data_rack, &self.image];
+        let text_bytes: usize = texts.iter().map(|text| text.len()).sum();
+        size_of::<Self>() + size_of_val(self.after.as_slice()) + text_bytes
+    }
+
     /// Returns whether the tasks serve requests and have a bound on their response times.
     pub fn serves(&self) -> bool {
         self.long_running && self.tail_target_ms > 0
@@ -144,6 +182,12 @@
 }
 
 impl JobSpec {
+    /// Returns the memory that the specification takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(StepSpec::memory_bytes);
+        self.payload.len() + steps.sum::<usize>()
+    }
+
     /// Returns why the specification is invalid; `None` if it is valid.
     pub fn validation_error(&self) -> Option<&'static str> {
         if self.steps.is_empty() {
@@ -153,15 +197,8 @@
         if tasks.fold(0, u64::saturating_add) > MAX_TASKS {
             return Some("a job has at most 100,000 tasks; submit several");
         }
-        for (at, step) in self.steps.iter().enumerate() {
-            if step.count == 0 {
-                return Some("a step needs at least one task");
-            }
-            if step.after.iter().any(|&before| before as usize >= at) {
-                return Some("a step may only follow earlier steps");
-            }
-        }
-        None
+        let mut steps = self.steps.iter().enumerate();
+        steps.find_map(|(at, step)| step.validation_error(at))
     }
 }
 
