Scheduling passes: compute the work left of an occurrence once

With eight jobs of 1,000 steps each that cannot run, an owner decided so rarely that starts reached their workers too late (debug build, two starts in 24 s, both refused as late), and an ordinary job was not done in 40 s.

For each waiting group a pass summed the work of all steps of its job, and opening an occurrence looked at all its steps once for each step: both cost the square of the number of steps.

The groups of an occurrence follow each other, so the sum is kept from one group to the next; opening releases the steps that are ready once. The sums are the same, term by term.

--- a/src/scheduler/occurrence.rs
+++ b/src/scheduler/occurrence.rs
@@ -143,9 +143,7 @@
                 self.handle_counted_crash(crash);
             }
         }
-        for key in keys {
-            self.release_ready_steps(key);
-        }
+        self.release_ready_steps(id, occurrence);
         self.end_occurrence_if_done(id, occurrence);
         // An owner without the terms of the queue may have counted failures without
         // ending the job.
@@ -273,12 +271,16 @@
         ends.into_iter().fold(0.0, f64::max)
     }
 
-    /// Releases the steps of the occurrence of `key` whose dependencies are all done.
-    fn release_ready_steps(&mut self, key: GroupKey) {
-        let Some(job) = self.jobs.get(&key.job) else {
+    /// Releases the steps of an occurrence whose dependencies are all done.
+    fn release_ready_steps(&mut self, id: JobId, occurrence: u32) {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let key_of = |step: u32| GroupKey { step, ..key };
+        let key_of = |step: u32| GroupKey {
+            job: id,
+            occurrence,
+            step,
+        };
         let is_done = |step: u32| self.groups.get(&key_of(step)).is_none_or(Group::is_done);
         let ready: Vec<u32> = (0..job.steps.len() as u32)
             .filter(|&step| {
@@ -299,7 +301,7 @@
     /// Releases the next steps, and ends the occurrence and the job if they are done, after
     /// the last task of a group is done.
     pub(super) fn group_done(&mut self, key: GroupKey) {
-        self.release_ready_steps(key);
+        self.release_ready_steps(key.job, key.occurrence);
         self.end_occurrence_if_done(key.job, key.occurrence);
     }
 
--- a/src/scheduler/ordering.rs
+++ b/src/scheduler/ordering.rs
@@ -157,6 +157,27 @@
     }
 }
 
+/// The work left of the occurrence that was asked for last: groups of the same occurrence follow
+/// each other, and a job may have thousands of them.
+#[derive(Debug, Default)]
+struct WorkLeft {
+    last: Option<(JobId, u32, f64)>,
+}
+
+impl WorkLeft {
+    fn of(&mut self, scheduler: &Scheduler, group: &Group) -> f64 {
+        let (job, occurrence) = (group.key.job, group.key.occurrence);
+        match self.last {
+            Some((last_job, last, work)) if (last_job, last) == (job, occurrence) => work,
+            _ => {
+                let work = scheduler.work_left(job, occurrence);
+                self.last = Some((job, occurrence, work));
+                work
+            }
+        }
+    }
+}
+
 /// Returns the utility of a job by the priority of its queue.
 pub fn utility_of_priority(priority: u32) -> f64 {
     let known = UTILITY_BY_PRIORITY.get(priority as usize);
@@ -175,9 +196,10 @@
     /// Returns the groups that wait for capacity, in the order in which it is offered.
     pub(super) fn ranked(&mut self) -> Vec<Ranked> {
         self.guaranteed = self.guaranteed_jobs();
+        let mut work_left = WorkLeft::default();
         let mut ranked: Vec<Ranked> = self
             .waiting_groups()
-            .map(|group| self.rank(group))
+            .map(|group| self.rank(group, work_left.of(self, group)))
             .collect();
         ranked.sort_by(Ranked::compare);
         self.apply_shares(&mut ranked);
@@ -277,7 +299,25 @@
         if work > 0.0 { utility / work } else { 0.0 }
     }
 
-    fn rank(&self, group: &Group) -> Ranked {
+    /// The work that an occurrence of a job still takes, in thousandths of a core times
+    /// milliseconds.
+    fn work_left(&self, job: JobId, occurrence: u32) -> f64 {
+        let mut work_left = 0.0;
+        for step in 0..self.jobs[&job].steps.len() as u32 {
+            let key = GroupKey {
+                job,
+                occurrence,
+                step,
+            };
+            if let Some(group) = self.groups.get(&key) {
+                let left = f64::from(group.tasks.len() as u32 - group.done);
+                work_left += left * group.step.needs.weight() as f64 * group.run_time.value();
+            }
+        }
+        work_left
+    }
+
+    fn rank(&self, group: &Group, work_left: f64) -> Ranked {
         let job = &self.jobs[&group.key.job];
         let baseline = self.tuning.order != OrderingPolicy::Utility;
         let tier = if group.step.long_running {
@@ -289,13 +329,6 @@
         } else {
             Tier::Other
         };
-        let mut work_left = 0.0;
-        for step in 0..job.steps.len() as u32 {
-            if let Some(other) = self.groups.get(&GroupKey { step, ..group.key }) {
-                let left = f64::from(other.tasks.len() as u32 - other.done);
-                work_left += left * other.step.needs.weight() as f64 * other.run_time.value();
-            }
-        }
         let utility_estimate = UtilityEstimate {
             utility: utility_of_priority(job.priority),
             utility_ratio: utility_ratio(job.work, self.mean_work(&job.record.queue)),
