Refuse jobs for which the owner has no memory

Jobs of legal size that cannot run, 1,000 steps each, were accepted in any number; the owner kept all of them, lost the ownership again and again (epoch 11 after 40 s, in a debug build), and an ordinary job was not done.

Any daemon stores jobs, and nothing told it what the owner had left. A job of a few hundred bytes may have 100,000 tasks.

The scheduler adds up an estimate of each: its record, its steps and its tasks. The owner's heartbeats tell how much is in use, and JobRoom, which is pure, decides on every daemon whether a job fits, counting what it accepted since. A job that is known already is not denied: the owner is asked first, and one of which it cannot tell is answered 504.

Daemons may together accept somewhat more than is left between two heartbeats. The memory is not divided among the accounts.

--- a/src/cluster/actions.rs
+++ b/src/cluster/actions.rs
@@ -12,6 +12,7 @@
     log_decision,
     log_dropped_decision, //
 };
+use super::job_room::JobRoom;
 use super::node::Node;
 use super::pending_writes::Changes;
 use super::records::EmptiedRecord;
@@ -91,6 +92,10 @@
     if let Some(counts) = output.worker_counts {
         record_worker_counts(node, counts);
     }
+    if let Some(job_bytes) = output.job_bytes {
+        let limit_bytes = JobRoom::of_machine(node.settings.memory_bytes).limit_bytes();
+        node.job_room.borrow_mut().update(limit_bytes, job_bytes);
+    }
     let mut deleted_jobs: Vec<JobId> = Vec::new();
     let mut waves = Vec::new();
     let mut emptied = Vec::new();
--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -112,6 +112,11 @@
     /// The job was cancelled before it was stored; it never runs.
     #[error("the job was cancelled before it was stored; submit it under another name")]
     Cancelled,
+    /// The owner has no memory left for the job.
+    #[error(
+        "the memory for jobs is in use; nothing was accepted or run, retry after the time given"
+    )]
+    NoJobMemory,
     /// Too many cancellations named jobs that do not exist.
     #[error("too many cancellations of jobs that do not exist; retry after the time given")]
     TooManyCancellations,
@@ -138,6 +143,7 @@
             Self::NoSuchMethod => "no_such_method",
             Self::StoreRefuses => "store_refuses",
             Self::NoMemory => "no_memory",
+            Self::NoJobMemory => "no_job_memory",
             Self::BodyTooSlow => "body_too_slow",
             Self::BodyPaused => "body_paused",
             Self::Draining => "draining",
@@ -171,9 +177,11 @@
             Self::NoConfiguration | Self::StoreRefuses | Self::Cancelled | Self::Draining => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::Overloaded | Self::TooManyCancellations | Self::NoMemory | Self::BodyTooSlow => {
-                StatusCode::TOO_MANY_REQUESTS
-            }
+            Self::Overloaded
+            | Self::TooManyCancellations
+            | Self::NoMemory
+            | Self::NoJobMemory
+            | Self::BodyTooSlow => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyPaused => StatusCode::REQUEST_TIMEOUT,
             // A gateway timeout: the job is neither known to be accepted nor refused.
             Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
@@ -442,8 +450,14 @@
         let held_bytes = record.spec.memory_bytes() + encoded.len() * RECORD_COPIES;
         connection.hold(held_bytes).map_err(|_| Refusal::NoMemory)?;
     }
-    match submit::accept(node, job, record, encoded, parsed.until_ms).await {
+    let is_admitted = node.job_room.borrow_mut().admit(record.memory_bytes());
+    let outcome = match is_admitted {
+        true => submit::accept(node, job, record, encoded, parsed.until_ms).await,
+        false => submit::earlier_outcome(node, job).await,
+    };
+    match outcome {
         StorageOutcome::Done => Ok((StatusCode::OK, b"{}".to_vec())),
+        StorageOutcome::Refused if !is_admitted => Err(Refusal::NoJobMemory),
         StorageOutcome::Refused => Err(Refusal::StoreRefuses),
         StorageOutcome::Cancelled => Err(Refusal::Cancelled),
         StorageOutcome::Unknown | StorageOutcome::NoSuchJob | StorageOutcome::LimitReached => {
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -113,6 +113,8 @@
     pub closed: Vec<(String, Option<ClosedRecord>)>,
     /// Number of workers in each data centre, if it changed.
     pub worker_counts: Option<BTreeMap<String, usize>>,
+    /// Memory that the jobs take, in bytes, if it changed.
+    pub job_bytes: Option<u64>,
 }
 
 /// What the control thread tells the traffic thread.
@@ -164,6 +166,7 @@
             scheduler: None,
             next_gauges_ms: 0,
             reported_counts: ReportedCounts::default(),
+            reported_job_bytes: None,
             rounds: rounds.clone(),
         };
         std::thread::Builder::new()
@@ -222,6 +225,8 @@
     scheduler: Option<Scheduler>,
     next_gauges_ms: u64,
     reported_counts: ReportedCounts,
+    /// The memory of the jobs that was reported last, and under which epoch.
+    reported_job_bytes: Option<(u64, u64)>,
     rounds: Arc<AtomicU64>,
 }
 
@@ -267,7 +272,14 @@
         let actions = (self.decide)(scheduler, self.timer.now_ms());
         let mut output = collect_output(scheduler, actions);
         output.worker_counts = self.reported_counts.changed(scheduler, now_ms);
-        let is_empty = output.actions.is_empty() && output.worker_counts.is_none();
+        let job_bytes = scheduler.job_bytes();
+        if self.reported_job_bytes != Some((scheduler.epoch(), job_bytes)) {
+            self.reported_job_bytes = Some((scheduler.epoch(), job_bytes));
+            output.job_bytes = Some(job_bytes);
+        }
+        let is_empty = output.actions.is_empty()
+            && output.worker_counts.is_none()
+            && output.job_bytes.is_none();
         if !is_empty && self.reports.send(Report::Decided(output)).is_err() {
             return ControlFlow::Break(());
         }
@@ -424,6 +436,7 @@
         roster: roster.then(|| roster_change(scheduler)),
         closed: closed.into_iter().collect(),
         worker_counts: None,
+        job_bytes: None,
         actions,
     }
 }
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -58,6 +58,7 @@
         };
         let (store, now_ms) = (node.store_contact(), node.now_ms());
         let ago_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
+        let job_room = *node.job_room.borrow();
         let heartbeat = Heartbeat {
             daemon: node.settings.daemon.clone(),
             boot: node.boot,
@@ -76,6 +77,8 @@
             carried_workers: node.settings.resources.carried_workers(),
             keeps_learned: true,
             failed: node.has_failed(),
+            job_limit_bytes: node.owns().then_some(job_room.limit_bytes()),
+            job_bytes: job_room.used_bytes(),
         }
         .encode_to_vec();
         for (_, peer) in &others {
@@ -163,6 +166,10 @@
             learned_ms: now_ms,
         });
         node.record_owner_claim(heartbeat.epoch);
+        if let Some(limit_bytes) = heartbeat.job_limit_bytes {
+            let mut job_room = node.job_room.borrow_mut();
+            job_room.update(limit_bytes, heartbeat.job_bytes);
+        }
     }
     if node.should_fetch_configuration(heartbeat.configuration_version) {
         actix_rt::spawn(fetch_configuration(node.clone(), address));
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -23,6 +23,7 @@
 mod heartbeat;
 mod inspect;
 mod invalid_values;
+mod job_room;
 mod kept_learned;
 mod learned_changes;
 mod learned_frame;
@@ -109,6 +110,7 @@
     InvalidValueReporter, //
     StoredKind,
 };
+pub use job_room::JobRoom;
 pub use kept_learned::{
     KeptLearned,
     LearnedSource,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -18,6 +18,7 @@
     InvalidValueReporter, //
     StoredKind,
 };
+use super::job_room::JobRoom;
 use super::kept_learned::KeptLearned;
 use super::peer_connections::Peers;
 use super::peer_frame::CrashMessage;
@@ -114,6 +115,8 @@
     pub started_ms: u64,
     /// Number of client requests in progress, also of those that did not arrive whole.
     pub requests: Cell<usize>,
+    /// The owner's memory for jobs.
+    pub job_room: RefCell<JobRoom>,
     /// Number of client requests that arrived whole and are being served.
     pub whole_requests: Cell<usize>,
     configuration: RefCell<Arc<ClusterConfiguration>>,
@@ -161,6 +164,7 @@
         Rc::new(Self {
             peers: Peers::open(timer.clone()),
             pending_writes: PendingWrites::default(),
+            job_room: RefCell::new(JobRoom::of_machine(settings.memory_bytes)),
             settings,
             store,
             workers,
--- a/src/cluster/peer_frame.rs
+++ b/src/cluster/peer_frame.rs
@@ -155,6 +155,12 @@
     /// Whether a failure of the sender's own keeps it from owning.
     #[prost(bool, tag = "21")]
     pub failed: bool,
+    /// Memory that jobs may take on the sender, in bytes; absent if it does not own.
+    #[prost(uint64, optional, tag = "22")]
+    pub job_limit_bytes: Option<u64>,
+    /// Memory that jobs take on the sender, in bytes.
+    #[prost(uint64, tag = "23")]
+    pub job_bytes: u64,
 }
 
 /// A worker that crashed at the start of a run.
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -36,6 +36,8 @@
     pub cpu_millis: u64,
     /// What its VM has for calls to workers.
     pub resources: VmResources,
+    /// Memory of its VM, in bytes.
+    pub memory_bytes: u64,
     /// Largest value that the store takes, in bytes.
     pub value_bytes: usize,
     /// What clients can make it hold.
--- a/src/cluster/submit.rs
+++ b/src/cluster/submit.rs
@@ -127,7 +127,7 @@
 /// The outcome of an earlier request for a job of which this request is refused, since a refusal
 /// says that the job never runs; `Refused` if no earlier request is known. An owner knows all
 /// stored jobs; one without recent heartbeats is not asked.
-async fn earlier_outcome(node: &Rc<Node>, job: JobId) -> StorageOutcome {
+pub async fn earlier_outcome(node: &Rc<Node>, job: JobId) -> StorageOutcome {
     let has_owner = node.owns() || node.is_owner_alive();
     let known = match has_owner {
         true => ask_owner(node, job).await,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -204,6 +204,7 @@
         machines_address: fields.text("cloud_api.address").ok().map(str::to_owned),
         cpu_millis,
         resources,
+        memory_bytes,
         value_bytes: fields.bound_ms("platform.value_bytes", 1.0, DEFAULT_VALUE_BYTES)? as usize,
         client_limits: IntakeLimits::of_machine(memory_bytes, resources.descriptors),
         configuration_bound_ms: fields.bound_ms("bounds.config_apply_ms", 1.0, 2_000)?,
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -127,6 +127,11 @@
 }
 
 impl Scheduler {
+    /// Returns an estimate of the memory that the jobs take, in bytes.
+    pub fn job_bytes(&self) -> u64 {
+        self.job_bytes
+    }
+
     /// Adds a stored job. A job that is known already stays as it is.
     pub(super) fn handle_job_stored(
         &mut self,
@@ -174,6 +179,7 @@
         };
         let over = job.is_over();
         let known = job.terms.is_some();
+        self.job_bytes += job.record.memory_bytes();
         self.jobs.insert(id, job);
         if !over {
             if !known {
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -141,6 +141,8 @@
     /// How recently the registration entries of the workers were read.
     pub(super) entries_freshness: Freshness,
     pub(super) jobs: BTreeMap<JobId, GraphJob>,
+    /// Memory that the jobs take, in bytes.
+    pub(super) job_bytes: u64,
     /// Jobs with a stored value that cannot be decoded.
     pub(super) unreadable_jobs: BTreeSet<JobId>,
     /// The stored roster cannot be decoded.
@@ -208,6 +210,7 @@
             jobs_read_ms: 0,
             entries_freshness: Freshness::of(now_ms),
             jobs: BTreeMap::new(),
+            job_bytes: 0,
             unreadable_jobs: BTreeSet::new(),
             roster_unreadable: false,
             closed_without_roster: HashMap::new(),
@@ -558,7 +561,9 @@
             .map(|job| job.id)
             .collect();
         for id in old {
-            self.jobs.remove(&id);
+            if let Some(job) = self.jobs.remove(&id) {
+                self.job_bytes -= job.record.memory_bytes();
+            }
             self.deleting_jobs.insert(id, None);
             self.actions.push(Action::DeleteJob { job: id });
         }
