Trial daemon: bound what callers' connections and bodies hold

Its HTTP threads use src/intake; the bounds follow from the new settings memory_mb and descriptors and are divided among the threads. What cannot be kept is refused as overloaded with not_run false, a body that pauses for 30 s as paused_body (408).

tests/stalled_callers.rs passes: memory and sockets below the bounds, and an ordinary job is done while the crowd is connected.

--- a/src/daemon/entry/body.rs
+++ b/src/daemon/entry/body.rs
@@ -1,10 +1,17 @@
 //! Reads requests and writes responses.
 
-use super::ApiError;
+use super::{
+    ApiError,
+    error, //
+};
 use crate::core::{
     Adjacency,
     Shape, //
 };
+use crate::intake::{
+    self,
+    BodyError, //
+};
 use crate::ledger::Submission;
 use actix_http::body::BoxBody;
 use actix_http::{
@@ -12,11 +19,7 @@
     Response,
     StatusCode, //
 };
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{
     Deserialize,
@@ -85,18 +88,17 @@
 ///
 /// # Errors
 ///
-/// The body is too long or ended early.
+/// The body is too long, ended early or paused, or there is no memory for it.
 pub async fn read(request: &mut Request, limit_bytes: usize) -> Result<Bytes, ApiError> {
-    let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| ApiError::TruncatedBody)?;
-        if body.len() + chunk.len() > limit_bytes {
-            return Err(ApiError::OversizedBody { limit_bytes });
+    let body = intake::read_body(request, limit_bytes).await;
+    body.map_err(|error| match error {
+        BodyError::Broken => ApiError::TruncatedBody,
+        BodyError::TooLarge => ApiError::OversizedBody { limit_bytes },
+        BodyError::Paused => ApiError::PausedBody,
+        BodyError::Exhausted | BodyError::TooSlow | BodyError::Draining => {
+            ApiError::Refused(error::overloaded())
         }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
+    })
 }
 
 /// Reads and decodes a JSON body.
--- a/src/daemon/entry/error.rs
+++ b/src/daemon/entry/error.rs
@@ -42,6 +42,9 @@
         /// Maximum length of the body.
         limit_bytes: usize,
     },
+    /// The body paused for too long.
+    #[error("the body paused for too long; send it without pauses")]
+    PausedBody,
     /// The body or the query string cannot be decoded.
     #[error("the body cannot be read: {detail}")]
     BadBody {
@@ -103,6 +106,7 @@
             Self::NoSuchMethod => "no_such_method",
             Self::TruncatedBody => "truncated_body",
             Self::OversizedBody { .. } => "oversized_body",
+            Self::PausedBody => "paused_body",
             Self::BadBody { .. } => "bad_body",
             Self::NoKey => "no_idempotency_key",
             Self::NoSuchJob => "no_such_job",
@@ -122,6 +126,7 @@
             Self::NoSuchPath | Self::NoSuchJob => StatusCode::NOT_FOUND,
             Self::NoSuchMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::OversizedBody { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::PausedBody => StatusCode::REQUEST_TIMEOUT,
             Self::TruncatedBody | Self::BadBody { .. } | Self::NoKey => StatusCode::BAD_REQUEST,
             Self::NotEnded | Self::PatchRefused(_) => StatusCode::CONFLICT,
             Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,6 +11,7 @@
 mod control;
 mod directory;
 mod entry;
+mod http_server;
 mod kill;
 mod patch;
 mod peer;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -7,12 +7,11 @@
 };
 use super::directory::Directory;
 use super::entry::{
-    Api,
     ApiCommand,
     Shared, //
 };
+use super::http_server;
 use super::kill::{
-    ShutdownReceiver,
     ShutdownSignal,
     spawn_thread, //
 };
@@ -42,16 +41,11 @@
 };
 use crate::panics;
 use crate::timer::Timer;
-use actix_http::{
-    HttpService,
-    Request, //
-};
 use argh::FromArgs;
 use metrics_exporter_prometheus::{
     PrometheusBuilder,
     PrometheusHandle, //
 };
-use std::convert::Infallible;
 use std::net::{
     SocketAddr,
     TcpListener, //
@@ -61,7 +55,6 @@
     Arc,
     OnceLock, //
 };
-use std::time::Duration;
 use tokio::signal::unix::{
     SignalKind,
     signal, //
@@ -69,8 +62,6 @@
 use tokio::sync::mpsc;
 
 const COMMAND_QUEUE_LENGTH: usize = 4_096;
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 const DRAIN_CHECK_INTERVAL_MS: u64 = 50;
 /// The list of the daemons of all data centres is read this many times less often than
 /// the list of the VMs of this data centre.
@@ -306,7 +297,7 @@
         })?;
         let until_shutdown = shutdown.subscribe();
         spawn_thread("http", &shutdown, move || {
-            serve_http(http, shared, until_shutdown);
+            http_server::serve(http, shared, until_shutdown);
         })?;
         events::log(
             events::DAEMON_STARTED,
@@ -412,34 +403,6 @@
     owner
 }
 
-fn serve_http(listener: TcpListener, shared: Shared, shutdown: ShutdownReceiver) {
-    let threads = shared.settings.http_threads;
-    let factory = move || {
-        let api = Api::open(shared.clone());
-        HttpService::build()
-            .keep_alive(KEEP_ALIVE)
-            .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-            .finish(move |request: Request| {
-                let api = api.clone();
-                async move { Ok::<_, Infallible>(api.answer(request).await) }
-            })
-            .tcp()
-    };
-    actix_rt::System::new().block_on(async move {
-        let server = actix_server::Server::build()
-            .workers(threads)
-            .disable_signals()
-            .listen("http", listener, factory);
-        if let Ok(server) = server {
-            // Serves until the shutdown signal. `drain_on_signal` handles the drain.
-            let running = server.run();
-            let handle = running.handle();
-            shutdown.run_until(async { drop(running.await) }).await;
-            handle.stop(false).await;
-        }
-    });
-}
-
 /// The state of the traffic thread, which exchanges data with the platform and peers.
 struct TrafficThread {
     settings: Arc<Settings>,
--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -1,5 +1,6 @@
 //! The daemon's settings, which are read from a TOML file once, at start.
 
+use crate::intake::IntakeLimits;
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
@@ -55,6 +56,12 @@
     /// Interval at which the platform's list of VMs is read, in ms.
     #[serde(default = "default_list_ms")]
     pub list_ms: u64,
+    /// Memory of the VM, in MB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// Descriptors that the process may open.
+    #[serde(default = "default_descriptors")]
+    pub descriptors: u64,
     /// Maximum size of a submission's payload.
     #[serde(default = "default_max_payload_bytes")]
     pub max_payload_bytes: usize,
@@ -88,6 +95,14 @@
     5_000
 }
 
+fn default_memory_mb() -> u64 {
+    256
+}
+
+fn default_descriptors() -> u64 {
+    8_192
+}
+
 fn default_max_payload_bytes() -> usize {
     64 << 10
 }
@@ -150,6 +165,11 @@
         }
     }
 
+    /// What clients can make the process hold.
+    pub fn client_limits(&self) -> IntakeLimits {
+        IntakeLimits::of_machine(self.memory_mb << 20, self.descriptors)
+    }
+
     fn problems(&self, text: &str) -> Vec<SettingsProblem> {
         let digest_is_wrong = self
             .bootstrap_operator_sha256
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -21,6 +21,10 @@
     TaskSpec, //
 };
 use fuchsiaslip::timer::Timer;
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
+};
 
 pub const OPERATOR_TOKEN: &str = "operator-token";
 pub const JADRAN_TOKEN: &str = "jadran-token";
@@ -40,12 +44,24 @@
 
 /// Settings of a daemon on free ports.
 pub fn settings(name: &str, platform: &Platform) -> Settings {
-    let text = format!(
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let text = settings_text(name, platform, any, any);
+    Settings::parse(&text).expect("the settings are right")
+}
+
+/// The settings file of a daemon with an address for callers and one for peers.
+pub fn settings_text(
+    name: &str,
+    platform: &Platform,
+    http: SocketAddr,
+    peer: SocketAddr,
+) -> String {
+    format!(
         r#"
 daemon = "{name}"
 data_centre = "{DATA_CENTRE}"
-http_address = "127.0.0.1:0"
-peer_address = "127.0.0.1:0"
+http_address = "{http}"
+peer_address = "{peer}"
 platform_address = "{}"
 peer_token = "a-shared-peer-token"
 bootstrap_operator_sha256 = "{}"
@@ -55,8 +71,7 @@
 "#,
         platform.address(),
         token_digest(OPERATOR_TOKEN)
-    );
-    Settings::parse(&text).expect("the settings are right")
+    )
 }
 
 /// Starts a daemon and adds it to the platform's list.
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -32,6 +32,7 @@
 pub struct Daemon {
     pub ip: Ipv4Addr,
     settings: PathBuf,
+    is_trial: bool,
     child: Option<Child>,
 }
 
@@ -73,7 +74,7 @@
 /// | 240 to 245 | `tombstones.rs` |
 /// | 252 | `client_resets.rs` |
 /// | 253 | `partitioned_owners.rs` |
-/// | 254 | `stalled_clients.rs` |
+/// | 254 | `stalled_clients.rs`, `stalled_callers.rs` |
 ///
 /// Benches run alone and may use any number; 254 is the highest.
 pub fn loopback(test: u8, at: u8) -> Ipv4Addr {
@@ -125,13 +126,22 @@
 
     /// Starts a daemon at `ip` with further lines in its settings.
     pub fn spawn_with_settings(name: &str, ip: Ipv4Addr, store: SocketAddr, further: &str) -> Self {
-        let text = settings_text(name, ip, store, further);
+        Self::spawn_with_file(ip, &settings_text(name, ip, store, further), false)
+    }
+
+    /// Starts a daemon of the trial's deployment, which listens at `ip`.
+    pub fn spawn_trial(ip: Ipv4Addr, settings: &str) -> Self {
+        Self::spawn_with_file(ip, settings, true)
+    }
+
+    fn spawn_with_file(ip: Ipv4Addr, text: &str, is_trial: bool) -> Self {
         let settings =
             std::env::temp_dir().join(format!("fuchsiaslip-{}-{ip}.settings", std::process::id()));
         std::fs::write(&settings, text).expect("settings are written");
         let mut daemon = Self {
             ip,
             settings,
+            is_trial,
             child: None,
         };
         daemon.start();
@@ -145,12 +155,14 @@
             .create(true)
             .open(self.log())
             .expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_fuchsiaslipd"))
-            .arg("--platform")
-            .env("FUCHSIASLIP_BOOT", &self.settings)
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fuchsiaslipd"));
+        match self.is_trial {
+            true => command.arg("--settings").arg(&self.settings),
+            false => command
+                .arg("--platform")
+                .env("FUCHSIASLIP_BOOT", &self.settings),
+        };
+        let child = command.stdout(log).stderr(Stdio::null()).spawn();
         self.child = Some(child.expect("the daemon starts"));
     }
 
