Settings: name the reader of numbers for what it does

scaled() multiplies a field by a unit; it was called bound_ms, and read megabits, descriptors and megabytes as well. No change of behaviour.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -106,15 +106,10 @@
         })
     }
 
-    /// Returns the value of a field times `unit_ms`, or `default_ms` if the field is absent.
-    fn bound_ms(
-        &self,
-        field: &'static str,
-        unit_ms: f64,
-        default_ms: u64,
-    ) -> Result<u64, SettingsError> {
+    /// Returns the value of a field times `unit`, or `default` if the field is absent.
+    fn scaled(&self, field: &'static str, unit: f64, default: u64) -> Result<u64, SettingsError> {
         if !self.0.contains_key(field) {
-            return Ok(default_ms);
+            return Ok(default);
         }
         let value: f64 = self.parsed(field, "a number of at least 0")?;
         if !(value.is_finite() && value >= 0.0) {
@@ -124,7 +119,7 @@
                 expected: "a number of at least 0",
             });
         }
-        Ok((value * unit_ms) as u64)
+        Ok((value * unit) as u64)
     }
 }
 
@@ -157,20 +152,20 @@
         .filter(|&port| port <= last_port)
         .ok_or_else(|| bad_ports("at least two ports, for peers and for metrics"))?;
     let default = Tuning::default();
-    let max_lease_ms = fields.bound_ms("bounds.max_hold_ms", 1.0, default.max_lease_ms)?;
-    let shrink_effective_ms = fields.bound_ms(CONTACT_BOUND, 1.0, 3_000)?
-        + fields.bound_ms("heartbeat_interval_ms", 1.0, 1_500)?;
+    let max_lease_ms = fields.scaled("bounds.max_hold_ms", 1.0, default.max_lease_ms)?;
+    let shrink_effective_ms = fields.scaled(CONTACT_BOUND, 1.0, 3_000)?
+        + fields.scaled("heartbeat_interval_ms", 1.0, 1_500)?;
     let tuning = Tuning {
-        stop_ms: fields.bound_ms("bounds.stop_timeout_ms", 1.0, default.stop_ms)?,
-        reclaim_ms: fields.bound_ms("bounds.reclaim_ms", 1.0, default.reclaim_ms)?,
+        stop_ms: fields.scaled("bounds.stop_timeout_ms", 1.0, default.stop_ms)?,
+        reclaim_ms: fields.scaled("bounds.reclaim_ms", 1.0, default.reclaim_ms)?,
         lease_ms: default.lease_ms.min(max_lease_ms),
         max_lease_ms,
-        retention_ms: fields.bound_ms("bounds.status_s", 1_000.0, default.retention_ms)? + 30_000,
-        remote_factor: fields.bound_ms("bounds.remote_factor", 1_000.0, 3_000)? as f64 / 1_000.0,
-        restore_ms: fields.bound_ms("bounds.restore_ms", 1.0, default.restore_ms)?,
-        checkpoint_ms: fields.bound_ms("bounds.checkpoint_s", 1_000.0, default.checkpoint_ms)?,
-        upkeep_ms: fields.bound_ms("bounds.maintenance_s", 1_000.0, default.upkeep_ms)?,
-        orders_max_age_ms: match fields.bound_ms(EMPTYING_BOUND, 1.0, u64::MAX)? {
+        retention_ms: fields.scaled("bounds.status_s", 1_000.0, default.retention_ms)? + 30_000,
+        remote_factor: fields.scaled("bounds.remote_factor", 1_000.0, 3_000)? as f64 / 1_000.0,
+        restore_ms: fields.scaled("bounds.restore_ms", 1.0, default.restore_ms)?,
+        checkpoint_ms: fields.scaled("bounds.checkpoint_s", 1_000.0, default.checkpoint_ms)?,
+        upkeep_ms: fields.scaled("bounds.maintenance_s", 1_000.0, default.upkeep_ms)?,
+        orders_max_age_ms: match fields.scaled(EMPTYING_BOUND, 1.0, u64::MAX)? {
             // The platform sets no bound.
             u64::MAX => default.orders_max_age_ms,
             bound_ms => max_age_ms(bound_ms, default.start_window_ms, MIN_ORDERS_MAX_AGE_MS),
@@ -180,17 +175,17 @@
             default.start_window_ms,
             MIN_ENTRIES_MAX_AGE_MS,
         ),
-        holder_gap_ms: fields.bound_ms("bounds.lease_ms", 1.0, 3_000)? + HOLDER_MARGIN_MS,
+        holder_gap_ms: fields.scaled("bounds.lease_ms", 1.0, 3_000)? + HOLDER_MARGIN_MS,
         ..default
     };
-    let cpu_millis = fields.bound_ms("limits.cpu_share", 1_000.0, 1_000)?
-        * fields.bound_ms("limits.cores", 1.0, 1)?.max(1);
+    let cpu_millis = fields.scaled("limits.cpu_share", 1_000.0, 1_000)?
+        * fields.scaled("limits.cores", 1.0, 1)?.max(1);
     let resources = VmResources {
-        link_bytes_per_s: fields.bound_ms("limits.link_mbps", BYTES_PER_MBIT, u64::MAX)?,
-        descriptors: fields.bound_ms("limits.file_descriptors", 1.0, u64::MAX)?,
+        link_bytes_per_s: fields.scaled("limits.link_mbps", BYTES_PER_MBIT, u64::MAX)?,
+        descriptors: fields.scaled("limits.file_descriptors", 1.0, u64::MAX)?,
         cpu_millis,
     };
-    let memory_bytes = fields.bound_ms("limits.memory_mb", BYTES_PER_MB, DEFAULT_MEMORY_BYTES)?;
+    let memory_bytes = fields.scaled("limits.memory_mb", BYTES_PER_MB, DEFAULT_MEMORY_BYTES)?;
     Ok(ClusterSettings {
         daemon: fields.text("node_name")?.to_owned(),
         data_centre: fields.text("zone")?.to_owned(),
@@ -205,10 +200,10 @@
         cpu_millis,
         resources,
         memory_bytes,
-        value_bytes: fields.bound_ms("platform.value_bytes", 1.0, DEFAULT_VALUE_BYTES)? as usize,
+        value_bytes: fields.scaled("platform.value_bytes", 1.0, DEFAULT_VALUE_BYTES)? as usize,
         client_limits: IntakeLimits::of_machine(memory_bytes, resources.descriptors),
-        configuration_bound_ms: fields.bound_ms("bounds.config_apply_ms", 1.0, 2_000)?,
-        grace_ms: fields.bound_ms("bounds.grace_period_s", 1_000.0, 6_000)?,
+        configuration_bound_ms: fields.scaled("bounds.config_apply_ms", 1.0, 2_000)?,
+        grace_ms: fields.scaled("bounds.grace_period_s", 1_000.0, 6_000)?,
         tuning,
     })
 }
