--- a/src/cluster/election.rs
+++ b/src/cluster/election.rs
@@ -10,6 +10,7 @@
 //! receives heartbeats from few of the listed daemons is probably cut off itself and
 //! waits longest.
 
+use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time without a heartbeat after which the owner counts as dead: two and a half heartbeat
@@ -55,6 +56,21 @@
     last_heartbeat_ms.min(claimed_ms + CLAIM_TIMEOUT_MS)
 }
 
+/// The owner, as far as this daemon knows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KnownOwner {
+    /// Its epoch.
+    pub epoch: u64,
+    /// Its name.
+    pub name: String,
+    /// Where other daemons reach it.
+    pub address: SocketAddr,
+    /// The incarnation of its process.
+    pub boot: u64,
+    /// When this daemon learned of its ownership.
+    pub learned_ms: u64,
+}
+
 /// A daemon that may become the owner.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
--- a/src/cluster/heartbeat.rs
+++ b/src/cluster/heartbeat.rs
@@ -1,10 +1,10 @@
 //! Exchanges heartbeats with the other daemons, and takes over when that is due.
 
-use super::election::takeover;
-use super::node::{
+use super::election::{
     KnownOwner,
-    Node, //
+    takeover, //
 };
+use super::node::Node;
 use super::ownership;
 use super::peer_frame::{
     Heartbeat,
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -9,6 +9,7 @@
 use super::election::{
     Candidate,
     ElectionView,
+    KnownOwner,
     OwnerStatus,
     effective_heartbeat_ms, //
 };
@@ -54,7 +55,6 @@
     BTreeMap,
     BTreeSet, //
 };
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::Notify;
@@ -76,21 +76,6 @@
 /// force.
 const CONFIGURATION_LAG_MS: u64 = 700;
 
-/// The owner, as far as this daemon knows.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct KnownOwner {
-    /// Its epoch.
-    pub epoch: u64,
-    /// Its name.
-    pub name: String,
-    /// Where other daemons reach it.
-    pub address: SocketAddr,
-    /// The incarnation of its process.
-    pub boot: u64,
-    /// When this daemon learned of its ownership.
-    pub learned_ms: u64,
-}
-
 /// State that the tasks of a daemon share.
 pub struct Node {
     /// The daemon's settings.
--- a/src/cluster/ownership.rs
+++ b/src/cluster/ownership.rs
@@ -4,14 +4,14 @@
 //! a conditional write that raises the epoch, so each epoch has one owner.
 
 use super::commits;
-use super::election::is_overtaken;
+use super::election::{
+    KnownOwner,
+    is_overtaken, //
+};
 use super::emptying;
 use super::invalid_values::StoredKind;
 use super::learned_state;
-use super::node::{
-    KnownOwner,
-    Node, //
-};
+use super::node::Node;
 use super::records::{
     CLOSED_PREFIX,
     EMPTIED_PREFIX,
--- a/src/cluster/store_watch.rs
+++ b/src/cluster/store_watch.rs
@@ -1,14 +1,12 @@
 //! Watches the store for changes and passes them to this daemon and its scheduler.
 
+use super::election::KnownOwner;
 use super::emptying;
 use super::invalid_values::{
     InvalidReason, //
     StoredKind,
 };
-use super::node::{
-    KnownOwner,
-    Node, //
-};
+use super::node::Node;
 use super::peer_table::Peer;
 use super::records::{
     JOBS_PREFIX,
