--- a/src/intake/connection_table.rs
+++ b/src/intake/connection_table.rs
@@ -25,7 +25,7 @@
 const IDLE_MS: u64 = 2_000;
 /// How long a refused client has to read its answer.
 pub(super) const LINGER_MS: u64 = 300;
-/// How long a body may pause when nobody else needs what it holds.
+/// How long nothing of a body may arrive when nobody else needs what it holds.
 const BODY_PAUSE_MS: u64 = 30_000;
 
 /// Key of a connection.
@@ -102,6 +102,8 @@
     /// When it last made progress, and the bytes received since.
     progress_ms: u64,
     bytes_since_progress: usize,
+    /// When bytes last arrived.
+    received_ms: u64,
     /// Whether a request was answered on it.
     was_used: bool,
     /// Whether its request or itself is being given up.
@@ -118,6 +120,7 @@
             charged_bytes: 0,
             progress_ms: now_ms,
             bytes_since_progress: 0,
+            received_ms: now_ms,
             was_used: false,
             is_evicted: false,
         }
@@ -258,6 +261,7 @@
         let Some(connection) = self.connections.get_mut(key) else {
             return Ok(());
         };
+        connection.received_ms = now_ms;
         if connection.phase != Phase::Head {
             return Ok(());
         }
@@ -267,7 +271,7 @@
         connection.record_progress(bytes, now_ms);
         connection.head_bytes += bytes;
         connection.unparsed_bytes += bytes;
-        self.charge(key, 0, now_ms)
+        self.hold(key, 0, now_ms)
     }
 
     /// Records that all bytes of a connection were read. If it waits for a head, all earlier
@@ -309,15 +313,6 @@
         }
     }
 
-    /// Sets how many bytes are held for a connection's request, beside its head.
-    ///
-    /// # Errors
-    ///
-    /// There are not that many bytes left. Nothing is changed then.
-    pub fn hold(&mut self, key: ConnectionKey, bytes: usize, now_ms: u64) -> Result<(), Exhausted> {
-        self.charge(key, bytes, now_ms)
-    }
-
     /// Records that a request was answered. A connection with an unread body is closed, since
     /// what follows on it cannot be told from the body.
     pub fn end_request(&mut self, key: ConnectionKey, has_unread_body: bool, now_ms: u64) {
@@ -347,7 +342,7 @@
     /// clients have had the time to read their answers.
     pub fn sweep(&mut self, now_ms: u64) {
         let paused = self.keys_where(|connection| {
-            connection.phase == Phase::Body && now_ms >= connection.progress_ms + BODY_PAUSE_MS
+            connection.phase == Phase::Body && now_ms >= connection.received_ms + BODY_PAUSE_MS
         });
         for key in paused {
             self.evict(key, Eviction::Paused);
@@ -369,13 +364,12 @@
             .collect()
     }
 
-    /// Charges the budget for a request, of which `body_bytes` are held beside its head.
-    fn charge(
-        &mut self,
-        key: ConnectionKey,
-        body_bytes: usize,
-        now_ms: u64,
-    ) -> Result<(), Exhausted> {
+    /// Sets how many bytes are held for a connection's request, beside its head.
+    ///
+    /// # Errors
+    ///
+    /// There are not that many bytes left. Nothing is changed then.
+    pub fn hold(&mut self, key: ConnectionKey, bytes: usize, now_ms: u64) -> Result<(), Exhausted> {
         loop {
             let Some(connection) = self.connections.get(key) else {
                 return Ok(());
@@ -383,7 +377,7 @@
             if connection.is_evicted {
                 return Err(Exhausted);
             }
-            let held_bytes = connection.unparsed_bytes + body_bytes;
+            let held_bytes = connection.unparsed_bytes + bytes;
             let charged_bytes = held_bytes.saturating_sub(REQUEST_ALLOWANCE_BYTES);
             let charged_before = connection.charged_bytes;
             let others = self.charged_bytes - charged_before;
--- a/src/intake/limits.rs
+++ b/src/intake/limits.rs
@@ -16,7 +16,6 @@
 const MIN_CONNECTIONS: u64 = 16;
 /// Connections of a listener that only the operators' tools use.
 const TOOL_CONNECTIONS: usize = 32;
-
 /// Most connections of peers where the descriptors are not bounded.
 const MAX_PEERS: u64 = 16 << 10;
 
--- a/src/intake/server.rs
+++ b/src/intake/server.rs
@@ -75,7 +75,7 @@
 
 type Serving = Pin<Box<dyn Future<Output = ()>>>;
 
-/// Answers the HTTP requests on one connection at a time.
+/// Answers the HTTP requests that come on connections.
 #[derive(Clone)]
 pub struct HttpAnswerer {
     serve: Rc<dyn Fn(MeteredStream) -> Serving>,
