--- a/review/9/main.rs
+++ b/review/9/main.rs
@@ -10,6 +10,11 @@
     };
     let broken = match number.as_str() {
         "9" => cases::hidden_ends(folder),
+        "10" => cases::kept_connections(folder),
+        "11" => cases::overlapping_occurrences(folder),
+        "12" => cases::large_progress(folder),
+        "13" => cases::upkeep_of_two(folder),
+        "limit" => cases::upkeep_answer_lost(folder),
         _ => world::cannot_run("there is no such case"),
     };
     std::process::exit(i32::from(broken));
