--- a/review/9/world.rs
+++ b/review/9/world.rs
@@ -1328,7 +1328,10 @@
             .stderr(output)
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                RUNNING.lock().unwrap().push(child.id());
+                self.child = Some(child);
+            }
             Err(error) => cannot_run(&format!("the daemon cannot be started: {error}")),
         }
         self.log.line(&format!("{} started", self.name));
@@ -1337,6 +1340,7 @@
         if let Some(mut child) = self.child.take() {
             child.kill().ok();
             child.wait().ok();
+            RUNNING.lock().unwrap().retain(|&process| process != child.id());
             self.log.line(&format!("{} killed: {why}", self.name));
         }
     }
@@ -1394,9 +1398,15 @@
     );
 }
 
-/// Ends a case that could not run.
+/// The daemons that run, by their process numbers.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends a case that could not run, with the daemons that it started.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    for process in RUNNING.lock().unwrap().iter() {
+        Command::new("kill").args(["-9", &process.to_string()]).status().ok();
+    }
     std::process::exit(2);
 }
 
