Bound the connections to a worker and close idle ones

Callers saw: after the store turned the owner away for 7 s and another daemon took over, nothing ran any more.

Cause: the owner opened a connection for each start in flight, up to all 64 that a worker has, and closed them only with another call to the same worker. A replaced owner makes none, so its successor reached no worker. The record shows 64 connections of each worker open to the earlier owner 17 s after the traffic, and no call of that owner.

Change: at most four connections to a worker, one for the poll, three for orders, of which starts take at most two. Idle connections are closed after 15 s by a task, and at the end of an ownership. Calls that fail are counted by reason.

paused_owners_leave_the_next_owner_connections_to_the_workers failed on the code of (timed out) and passes.

--- a/benches/entries.rs
+++ b/benches/entries.rs
@@ -173,7 +173,7 @@
     let address = operator.store.to_string();
     let store = system.block_on(async move {
         let timer = Timer::spawn().expect("a timer");
-        StoreClient::new(HttpClient::new(timer), &address)
+        StoreClient::new(HttpClient::open(timer), &address)
     });
     let pairs = measure_pairs(READ_PAIRS, |is_bad| {
         let prefix = if is_bad { "tenth/" } else { "clean/" };
--- a/src/cluster/actions.rs
+++ b/src/cluster/actions.rs
@@ -283,6 +283,7 @@
         CallOutcome::Refused(refusal) => refusal.name(),
         CallOutcome::OtherIncarnation => "other_incarnation",
         CallOutcome::NoAnswer => "no_answer",
+        CallOutcome::NotSent => "not_sent",
     };
     let took_ms = (node.now_ms() - sent_ms) as f64;
     metrics::histogram!("fuchsiaslip_order_ms", "order" => order).record(took_ms);
--- a/src/cluster/carrier_session.rs
+++ b/src/cluster/carrier_session.rs
@@ -432,7 +432,7 @@
 }
 
 /// The outcomes of calls, by their numbers in messages.
-const OUTCOMES: [CallOutcome; 10] = [
+const OUTCOMES: [CallOutcome; 11] = [
     CallOutcome::NoAnswer,
     CallOutcome::Done,
     CallOutcome::OtherIncarnation,
@@ -443,6 +443,7 @@
     CallOutcome::Refused(StartRefusal::NoTicket),
     CallOutcome::Refused(StartRefusal::Malformed),
     CallOutcome::Refused(StartRefusal::Unhealthy),
+    CallOutcome::NotSent,
 ];
 
 fn outcome_code(outcome: CallOutcome) -> u32 {
--- a/src/cluster/daemon.rs
+++ b/src/cluster/daemon.rs
@@ -210,13 +210,12 @@
     ) -> Result<Self, Error> {
         let (sender, reports) = mpsc::unbounded_channel();
         let control = Control::spawn(timer.clone(), sender, decide)?;
-        let http = HttpClient::new(timer.clone());
-        let store = StoreClient::new(http.clone(), &settings.store_address);
-        let workers = WorkerClient::new(http.clone());
-        let machines = settings
-            .machines_address
-            .as_ref()
-            .map(|address| MachineClient::new(http, address, &settings.daemon));
+        let store = StoreClient::new(HttpClient::open(timer.clone()), &settings.store_address);
+        let workers = WorkerClient::open(timer.clone());
+        let machines = settings.machines_address.as_ref().map(|address| {
+            let http = HttpClient::open(timer.clone());
+            MachineClient::new(http, address, &settings.daemon)
+        });
         let boot = rand::random();
         let client_listener = listen(settings.client_address)?;
         let readiness_listener = listen(settings.readiness_address)?;
--- a/src/cluster/inspect.rs
+++ b/src/cluster/inspect.rs
@@ -203,7 +203,7 @@
 ///
 /// The store refused or did not answer.
 pub async fn inspect_fleet(address: &str, timer: Timer) -> Result<FleetReport, StoreError> {
-    let store = StoreClient::new(HttpClient::new(timer.clone()), address);
+    let store = StoreClient::new(HttpClient::open(timer.clone()), address);
     let mut report = FleetReport::default();
     if let Some(item) = store.get(ROOT_KEY).await? {
         let root = report.valid_value(StoredKind::Root, &item, decode_root(&item.value));
@@ -422,7 +422,7 @@
 ///
 /// The store refused or did not answer.
 pub async fn has_tombstone(address: &str, timer: Timer, job: JobId) -> Result<bool, StoreError> {
-    let store = StoreClient::new(HttpClient::new(timer), address);
+    let store = StoreClient::new(HttpClient::open(timer), address);
     let tombstones = store.range(&tombstones_prefix_of(job), false).await?;
     Ok(!tombstones.items.is_empty())
 }
@@ -437,7 +437,7 @@
     timer: Timer,
     job: JobId,
 ) -> Result<Option<StoredJob>, StoreError> {
-    let store = StoreClient::new(HttpClient::new(timer.clone()), address);
+    let store = StoreClient::new(HttpClient::open(timer.clone()), address);
     let mut report = FleetReport::default();
     read_emptied(&store, timer.now_ms(), &mut report).await?;
     let key = progress_key(job);
--- a/src/cluster/node.rs
+++ b/src/cluster/node.rs
@@ -478,6 +478,11 @@
         self.epoch.set(0);
         self.pending_writes.clear();
         self.control.send(Command::End);
+        // The next owner needs them, and a worker has few.
+        self.workers.close_connections();
+        if let Some(machines) = &self.machines {
+            machines.close_connections();
+        }
     }
 
     /// Records an owner. One whose epoch is not higher than the known owner's is
--- a/src/cluster/set_aside.rs
+++ b/src/cluster/set_aside.rs
@@ -136,7 +136,7 @@
 ///
 /// The store refused or did not answer.
 pub async fn release_job(address: &str, timer: Timer, job: JobId) -> Result<usize, StoreError> {
-    let store = StoreClient::new(HttpClient::new(timer), address);
+    let store = StoreClient::new(HttpClient::open(timer), address);
     let marks = store.range(&marks_prefix_of(job), false).await?;
     let keys: Vec<String> = marks.items.into_iter().map(|item| item.key).collect();
     remove_keys(&store, &keys).await?;
--- a/src/network_bytes.rs
+++ b/src/network_bytes.rs
@@ -36,7 +36,8 @@
 pub const HTTP_HEAD_BYTES: usize = 120;
 
 impl BytePurpose {
-    fn name(self) -> &'static str {
+    /// Returns its name, which is a label value of metrics.
+    pub fn name(self) -> &'static str {
         match self {
             Self::StoreRead => "store_read",
             Self::StoreWatch => "store_watch",
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,6 +1,12 @@
 //! HTTP client with separate timeouts for the start of a response and for pauses in its
 //! body.
 
+use super::connections::{
+    ConnectionLimits,
+    NoConnection,
+    Origins,
+    Priority, //
+};
 use crate::network_bytes::{
     BytePurpose,
     Direction,
@@ -9,7 +15,10 @@
 };
 use crate::timer::Timer;
 use crate::unsent::was_never_sent;
-use awc::Client;
+use awc::error::{
+    ConnectError,
+    SendRequestError, //
+};
 use awc::http::{
     Method,
     StatusCode, //
@@ -20,6 +29,7 @@
 };
 use futures_util::StreamExt;
 use serde::Serialize;
+use std::rc::Rc;
 
 /// Largest response body that is read. A page of the store takes about a megabyte as
 /// base64 in JSON.
@@ -32,6 +42,8 @@
 /// Why a call got no complete response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallFailure {
+    /// All connections to the server were in use, so nothing was sent.
+    NoConnection,
     /// The connection was never opened, so nothing was sent.
     NotSent,
     /// The request was sent, at least in part, and its outcome is unknown.
@@ -40,33 +52,51 @@
     TooLarge,
 }
 
+/// A request to a server.
+#[derive(Clone, Debug)]
+pub struct HttpRequest<'a> {
+    /// What its bytes are counted as.
+    pub kind: BytePurpose,
+    /// Its method.
+    pub method: Method,
+    /// Its `http` URL.
+    pub url: String,
+    /// Its headers.
+    pub headers: &'a [(&'static str, &'a str)],
+    /// Its JSON body, if it has one.
+    pub body: Option<Vec<u8>>,
+    /// Time within which its response has to begin.
+    pub timeout_ms: u64,
+}
+
 /// A client that reuses its connections. It stays on one thread.
 #[derive(Clone)]
 pub struct HttpClient {
-    client: Client,
+    origins: Rc<Origins>,
     timer: Timer,
 }
 
 impl HttpClient {
-    /// Creates a client.
-    pub fn new(timer: Timer) -> Self {
-        // The library's limit of 100 connections is lifted, because the open poll of each
-        // worker occupies one. Callers bound the number of calls in flight.
-        let connector = awc::Connector::new().limit(0);
-        let client = Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish();
-        Self { client, timer }
+    /// Opens a client with any number of connections; its callers bound the number of calls in
+    /// flight.
+    pub fn open(timer: Timer) -> Self {
+        Self::open_with_limits(timer, ConnectionLimits::UNLIMITED)
     }
 
-    /// Makes a call whose response has to begin within `timeout_ms`; `kind` is what its bytes
-    /// are counted as. The body may take
-    /// longer as long as parts of it keep arriving: a configuration of a thousand queues
-    /// takes seconds on the links of small VMs. An unresponsive connection is dropped
-    /// with its call, so that the next call opens another.
+    /// Opens a client with bounds of its connections to each server.
+    pub fn open_with_limits(timer: Timer, limits: ConnectionLimits) -> Self {
+        Self {
+            origins: Origins::open(timer.clone(), limits),
+            timer,
+        }
+    }
+
+    /// Closes all idle connections now, and the others when their calls have ended.
+    pub fn close_connections(&self) {
+        self.origins.close();
+    }
+
+    /// Makes a call of [`Priority::Normal`]; otherwise like [`HttpClient::call_with_priority`].
     ///
     /// # Errors
     ///
@@ -80,9 +110,62 @@
         body: Option<Vec<u8>>,
         timeout_ms: u64,
     ) -> Result<(StatusCode, Bytes), CallFailure> {
+        let request = HttpRequest {
+            kind,
+            method,
+            url,
+            headers,
+            body,
+            timeout_ms,
+        };
+        self.call_with_priority(request, Priority::Normal).await
+    }
+
+    /// Makes a call. Its body may take longer than its timeout as long as parts of it keep
+    /// arriving: a configuration of a thousand queues takes seconds on the links of small VMs.
+    /// An unresponsive connection is dropped with its call, so that the next call opens another.
+    ///
+    /// # Errors
+    ///
+    /// No complete response came.
+    pub async fn call_with_priority(
+        &self,
+        request: HttpRequest<'_>,
+        priority: Priority,
+    ) -> Result<(StatusCode, Bytes), CallFailure> {
+        let kind = request.kind;
+        let answer = self.exchange(request, priority).await;
+        if let Err((_, reason)) = answer {
+            metrics::counter!(
+                "fuchsiaslip_call_failures_total",
+                "purpose" => kind.name(), "reason" => reason
+            )
+            .increment(1);
+        }
+        answer.map_err(|(failure, _)| failure)
+    }
+
+    /// The string of an error is a label value of `fuchsiaslip_call_failures_total`.
+    async fn exchange(
+        &self,
+        request: HttpRequest<'_>,
+        priority: Priority,
+    ) -> Result<(StatusCode, Bytes), (CallFailure, &'static str)> {
+        let HttpRequest {
+            kind,
+            method,
+            url,
+            headers,
+            body,
+            timeout_ms,
+        } = request;
+        let call = self.origins.begin(&url);
+        let permit = call.permit(priority).await;
+        let _permit =
+            permit.map_err(|NoConnection| (CallFailure::NoConnection, "no_connection"))?;
         let sent = url.len() + body.as_ref().map_or(0, Vec::len) + HTTP_HEAD_BYTES;
         record_bytes(kind, Direction::Out, sent);
-        let mut request = self.client.request(method, url);
+        let mut request = call.client().request(method, &url);
         for &(name, value) in headers {
             request = request.insert_header((name, value));
         }
@@ -94,13 +177,12 @@
                 }
                 None => request.send().await,
             };
-            sent.map_err(|error| match was_never_sent(&error) {
-                true => CallFailure::NotSent,
-                false => CallFailure::NoAnswer,
-            })
+            sent.map_err(|error| failure_of(&error))
         };
+        const NO_ANSWER: (CallFailure, &str) = (CallFailure::NoAnswer, "no_answer");
         let head = self.timer.timeout(timeout_ms, sending).await;
-        let mut response = head.unwrap_or(Err(CallFailure::NoAnswer))?;
+        let mut response = head.unwrap_or(Err(NO_ANSWER))?;
+        call.record_answer();
         let status = response.status();
         let mut body = BytesMut::new();
         while let Ok(chunk) = self.timer.timeout(STALL_TIMEOUT_MS, response.next()).await {
@@ -108,13 +190,13 @@
                 record_bytes(kind, Direction::In, body.len() + HTTP_HEAD_BYTES);
                 return Ok((status, body.freeze()));
             };
-            let chunk = chunk.map_err(|_| CallFailure::NoAnswer)?;
+            let chunk = chunk.map_err(|_| NO_ANSWER)?;
             if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
-                return Err(CallFailure::TooLarge);
+                return Err((CallFailure::TooLarge, "too_large"));
             }
             body.extend_from_slice(&chunk);
         }
-        Err(CallFailure::NoAnswer)
+        Err(NO_ANSWER)
     }
 
     /// Posts a JSON body; otherwise like [`HttpClient::call`].
@@ -130,8 +212,41 @@
         body: &T,
         timeout_ms: u64,
     ) -> Result<(StatusCode, Bytes), CallFailure> {
-        let body = serde_json::to_vec(body).map_err(|_| CallFailure::NotSent)?;
-        self.call(kind, Method::POST, url, headers, Some(body), timeout_ms)
+        self.post_with_priority(kind, url, headers, body, timeout_ms, Priority::Normal)
             .await
     }
+
+    /// Like [`HttpClient::post`] with a priority.
+    ///
+    /// # Errors
+    ///
+    /// No complete response came.
+    pub async fn post_with_priority<T: Serialize>(
+        &self,
+        kind: BytePurpose,
+        url: String,
+        headers: &[(&'static str, &str)],
+        body: &T,
+        timeout_ms: u64,
+        priority: Priority,
+    ) -> Result<(StatusCode, Bytes), CallFailure> {
+        let body = serde_json::to_vec(body).map_err(|_| CallFailure::NotSent)?;
+        let request = HttpRequest {
+            kind,
+            method: Method::POST,
+            url,
+            headers,
+            body: Some(body),
+            timeout_ms,
+        };
+        self.call_with_priority(request, priority).await
+    }
+}
+
+fn failure_of(error: &SendRequestError) -> (CallFailure, &'static str) {
+    match error {
+        error if was_never_sent(error) => (CallFailure::NotSent, "not_connected"),
+        SendRequestError::Connect(ConnectError::Disconnected) => (CallFailure::NoAnswer, "closed"),
+        _ => (CallFailure::NoAnswer, "no_answer"),
+    }
 }
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Closes all idle connections now, and the others when their calls have ended.
+    pub fn close_connections(&self) {
+        self.http.close_connections();
+    }
+
     /// Lists all machines.
     ///
     /// # Errors
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! scheduler and the cluster. No other module knows the platform's paths and fields.
 
 mod configuration;
+mod connections;
 mod http;
 mod ingress;
 mod machines;
@@ -11,9 +12,14 @@
 mod workers;
 
 pub use configuration::decode_configuration;
+pub use connections::{
+    ConnectionLimits,
+    Priority, //
+};
 pub use http::{
     CallFailure,
-    HttpClient, //
+    HttpClient,
+    HttpRequest, //
 };
 pub use ingress::{
     READINESS_PATH,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -510,7 +510,7 @@
     answer: Result<(StatusCode, Bytes), CallFailure>,
 ) -> Result<(StatusCode, Bytes), StoreError> {
     answer.map_err(|failure| match failure {
-        CallFailure::NotSent => StoreError::Refused,
+        CallFailure::NoConnection | CallFailure::NotSent => StoreError::Refused,
         CallFailure::NoAnswer | CallFailure::TooLarge => StoreError::NoAnswer,
     })
 }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -1,6 +1,13 @@
 //! Client of the workers and of the external placement policy.
 
-use super::http::HttpClient;
+use super::connections::{
+    ConnectionLimits,
+    Priority, //
+};
+use super::http::{
+    CallFailure,
+    HttpClient, //
+};
 use crate::cluster::{
     AddressedCall,
     StartOrder,
@@ -20,6 +27,7 @@
     StartRefusal,
     TaskId, //
 };
+use crate::timer::Timer;
 use awc::http::StatusCode;
 use bytes::Bytes;
 use serde::{
@@ -32,6 +40,12 @@
 const ADVICE_TIMEOUT_MS: u64 = 3_000;
 /// Largest time and largest number of an end in an answer; sums with it stay in range.
 const MAX_NUMBER: u64 = 1 << 53;
+/// Connections to a worker. The scheduler has at most one poll of a worker in flight.
+const POLL_CONNECTIONS: usize = 1;
+const ORDER_CONNECTIONS: usize = 3;
+/// How many of the latter starts may take; the others are left for stops.
+const START_CONNECTIONS: usize = 2;
+const IDLE_CONNECTION_MS: u64 = 15_000;
 const INCARNATION_HEADER: &str = "Expected-Instance";
 
 #[derive(Serialize)]
@@ -115,16 +129,39 @@
     approved: Vec<(String, String)>,
 }
 
-/// Client of the workers. It stays on one thread.
+/// Client of the workers and of the external placement policy. It stays on one thread.
 #[derive(Clone)]
 pub struct WorkerClient {
-    http: HttpClient,
+    polls: HttpClient,
+    orders: HttpClient,
+    advice: HttpClient,
 }
 
 impl WorkerClient {
-    /// Creates a client.
-    pub fn new(http: HttpClient) -> Self {
-        Self { http }
+    /// Opens a client.
+    pub fn open(timer: Timer) -> Self {
+        let poll_limits = ConnectionLimits {
+            connections: POLL_CONNECTIONS,
+            bulk_connections: 0,
+            idle_ms: IDLE_CONNECTION_MS,
+        };
+        let order_limits = ConnectionLimits {
+            connections: ORDER_CONNECTIONS,
+            bulk_connections: START_CONNECTIONS,
+            idle_ms: IDLE_CONNECTION_MS,
+        };
+        Self {
+            polls: HttpClient::open_with_limits(timer.clone(), poll_limits),
+            orders: HttpClient::open_with_limits(timer.clone(), order_limits),
+            advice: HttpClient::open(timer),
+        }
+    }
+
+    /// Closes all idle connections now, and the others when their calls have ended.
+    pub fn close_connections(&self) {
+        self.polls.close_connections();
+        self.orders.close_connections();
+        self.advice.close_connections();
     }
 
     /// Makes a call to a worker.
@@ -137,7 +174,7 @@
             }
             WorkerCall::Start(order) => {
                 let body = start_body(epoch, order);
-                self.order(call, "run-start", &body).await
+                self.order(call, "run-start", &body, Priority::Bulk).await
             }
             WorkerCall::Stop(name) => {
                 let body = StopBody {
@@ -145,7 +182,7 @@
                     run_id: name.run,
                     fencing_token: epoch,
                 };
-                self.order(call, "run-stop", &body).await
+                self.order(call, "run-stop", &body, Priority::Normal).await
             }
             &WorkerCall::Throttle { name, percent } => {
                 let body = ThrottleBody {
@@ -154,20 +191,29 @@
                     percent,
                     fencing_token: epoch,
                 };
-                self.order(call, "pace", &body).await
+                self.order(call, "pace", &body, Priority::Normal).await
             }
         };
         WorkerAnswer::Outcome(outcome)
     }
 
-    async fn order<T: Serialize>(&self, call: &AddressedCall, path: &str, body: &T) -> CallOutcome {
+    async fn order<T: Serialize>(
+        &self,
+        call: &AddressedCall,
+        path: &str,
+        body: &T,
+        priority: Priority,
+    ) -> CallOutcome {
         let url = format!("http://{}/-/{path}", call.address);
         let headers = [(INCARNATION_HEADER, &*call.worker_name)];
         let kind = BytePurpose::WorkerOrder;
         let timeout_ms = call.call.timeout_ms();
-        let answer = self.http.post(kind, url, &headers, body, timeout_ms);
+        let answer = self
+            .orders
+            .post_with_priority(kind, url, &headers, body, timeout_ms, priority);
         match answer.await {
             Ok((status, body)) => outcome_of(status, &body),
+            Err(CallFailure::NoConnection) => CallOutcome::NotSent,
             // `NotSent` counts as no answer too: nothing of the order was sent, but the
             // packet that opens the connection may still be in flight.
             Err(_) => CallOutcome::NoAnswer,
@@ -194,9 +240,12 @@
         let headers = [(INCARNATION_HEADER, &*call.worker_name)];
         let timeout_ms = call.call.timeout_ms();
         let answer = self
-            .http
+            .polls
             .post(BytePurpose::WorkerPoll, url, &headers, &body, timeout_ms);
-        let (status, body) = answer.await.map_err(|_| CallOutcome::NoAnswer)?;
+        let (status, body) = answer.await.map_err(|failure| match failure {
+            CallFailure::NoConnection => CallOutcome::NotSent,
+            _ => CallOutcome::NoAnswer,
+        })?;
         if status != StatusCode::OK {
             return Err(outcome_of(status, &body));
         }
@@ -220,7 +269,7 @@
         };
         let url = format!("http://{address}/-/advise");
         let answer = self
-            .http
+            .advice
             .post(BytePurpose::Other, url, &[], &body, ADVICE_TIMEOUT_MS);
         let answer = answer.await;
         let (status, body) = answer.ok()?;
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -34,6 +34,11 @@
 /// owner would be refused. Refused starts use a number too, and a long-running task is
 /// started again and again for months.
 const RUNS_PER_EPOCH: u64 = 100_000;
+/// Wait before a start without an answer is sent again.
+const START_RESEND_MS: u64 = 30;
+/// Time for which a worker that refused a start gets none. Without the wait, a worker that refuses
+/// for a lasting reason gets thousands of starts a second.
+const REFUSAL_BACKOFF_MS: u64 = 150;
 
 impl Scheduler {
     /// Starts a run on a worker. The caller has checked that its resources are free.
@@ -172,8 +177,6 @@
         outcome: CallOutcome,
     ) {
         let effective_outcome = self.effective_outcome(key, outcome);
-        /// Wait before a start without an answer is sent again.
-        const RESEND_MS: u64 = 30;
         let now_ms = self.now_ms;
         let Some(run) = self.worker_mut(key).runs.get_mut(&name) else {
             return;
@@ -189,7 +192,7 @@
             }
             CallOutcome::Done => {}
             CallOutcome::NoAnswer => {
-                run.resend_ms = now_ms + RESEND_MS;
+                run.resend_ms = now_ms + START_RESEND_MS;
                 let (phase, resources) = (run.phase, run.resources);
                 self.worker_mut(key)
                     .record_late_start(name, resources, now_ms);
@@ -197,16 +200,34 @@
                     self.report_retry(key, name, "no_answer");
                 }
             }
+            CallOutcome::NotSent => self.handle_unsent_start(key, name),
             CallOutcome::OtherIncarnation => self.worker_gone(key, LossCause::OtherIncarnation),
             CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::OwnershipLost),
             CallOutcome::Refused(refusal) => self.handle_start_refusal(key, name, refusal),
         }
     }
 
+    /// Handles a start that was not sent: its task may start elsewhere at once, unless an earlier
+    /// copy of the start may have been carried out.
+    fn handle_unsent_start(&mut self, key: WorkerKey, name: RunName) {
+        let now_ms = self.now_ms;
+        self.report_retry(key, name, "not_sent");
+        let worker = self.worker_mut(key);
+        let Some(run) = worker.runs.get_mut(&name) else {
+            return;
+        };
+        if run.phase != RunPhase::Starting {
+            return;
+        }
+        if run.sends > 1 {
+            run.resend_ms = now_ms + START_RESEND_MS;
+            return;
+        }
+        worker.full_until_ms = now_ms + REFUSAL_BACKOFF_MS;
+        self.handle_run_gone(key, name, StopReason::GangBroken);
+    }
+
     fn handle_start_refusal(&mut self, key: WorkerKey, name: RunName, refusal: StartRefusal) {
-        /// Time for which a worker that refused a start gets none. Without the wait, a
-        /// worker that refuses for a lasting reason gets thousands of starts a second.
-        const REFUSAL_BACKOFF_MS: u64 = 150;
         let now_ms = self.now_ms;
         self.report_retry(key, name, refusal.name());
         let worker = self.worker_mut(key);
@@ -326,7 +347,9 @@
             }
             CallOutcome::OtherIncarnation => self.worker_gone(key, LossCause::OtherIncarnation),
             CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::OwnershipLost),
-            CallOutcome::Refused(_) | CallOutcome::NoAnswer => run.resend_ms = now_ms + RESEND_MS,
+            CallOutcome::Refused(_) | CallOutcome::NoAnswer | CallOutcome::NotSent => {
+                run.resend_ms = now_ms + RESEND_MS;
+            }
         }
     }
 
--- a/src/scheduler/input.rs
+++ b/src/scheduler/input.rs
@@ -161,6 +161,8 @@
     OtherIncarnation,
     /// No answer came: the call may have been carried out, or may be later.
     NoAnswer,
+    /// Nothing was sent, since no connection to the worker was free.
+    NotSent,
 }
 
 /// An input of the scheduler.
--- a/src/scheduler/poll_report.rs
+++ b/src/scheduler/poll_report.rs
@@ -272,7 +272,9 @@
             CallOutcome::OtherIncarnation => self.worker_gone(key, LossCause::OtherIncarnation),
             CallOutcome::Refused(StartRefusal::Fenced) => self.actions.push(Action::OwnershipLost),
             // The limit in force is unknown: the next review sends the throttle order again.
-            CallOutcome::Refused(_) | CallOutcome::NoAnswer => run.throttle_percent = u32::MAX,
+            CallOutcome::Refused(_) | CallOutcome::NoAnswer | CallOutcome::NotSent => {
+                run.throttle_percent = u32::MAX;
+            }
         }
     }
 }
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -60,7 +60,7 @@
 fn answer_of(url: String) -> Result<(StatusCode, Bytes), CallFailure> {
     let timer = Timer::spawn().expect("a timer");
     actix_rt::System::new().block_on(async move {
-        let client = HttpClient::new(timer);
+        let client = HttpClient::open(timer);
         let kind = BytePurpose::StoreRead;
         let call = client.call(kind, Method::GET, url, &[], None, TIMEOUT_MS);
         call.await
--- a/tests/carrier_session.rs
+++ b/tests/carrier_session.rs
@@ -178,6 +178,7 @@
     outcomes.extend([
         CallOutcome::Done,
         CallOutcome::NoAnswer,
+        CallOutcome::NotSent,
         CallOutcome::OtherIncarnation,
     ]);
 
--- a/tests/foreign/answers.rs
+++ b/tests/foreign/answers.rs
@@ -46,7 +46,7 @@
     let address = server(body.to_owned()).to_string();
     actix_rt::System::new().block_on(async move {
         let timer = Timer::spawn().expect("a timer");
-        call(HttpClient::new(timer), address).await
+        call(HttpClient::open(timer), address).await
     })
 }
 
@@ -70,7 +70,8 @@
     let machines = answered(&with("\"state\":0"), async |http, address| {
         MachineClient::new(http, &address, "d0").list().await
     });
-    let poll = answered(&with("\"clock_ms\":7"), async |http, address| {
+    let poll = answered(&with("\"clock_ms\":7"), async |_, address| {
+        let timer = Timer::spawn().expect("a timer");
         let call = AddressedCall {
             epoch: 1,
             address: address.into(),
@@ -81,7 +82,7 @@
                 wait_ms: 0,
             },
         };
-        WorkerClient::new(http).call(&call).await
+        WorkerClient::open(timer).call(&call).await
     });
     let watched = matches!(watch, Ok(WatchResult::Changes { .. }));
     let polled = match poll {
--- a/tests/foreign/path.rs
+++ b/tests/foreign/path.rs
@@ -677,7 +677,7 @@
     let address = operator.store.to_string();
     let result = actix_rt::System::new().block_on(async move {
         let timer = Timer::spawn().expect("a timer");
-        call(StoreClient::new(HttpClient::new(timer), &address)).await
+        call(StoreClient::new(HttpClient::open(timer), &address)).await
     });
     result.expect("the store answers")
 }
--- a/tests/owner_cut_off.rs
+++ b/tests/owner_cut_off.rs
@@ -16,6 +16,7 @@
 use daemons::{
     epoch,
     fleet,
+    fleet_from,
     fleet_with_stores,
     is_completed,
     job,
@@ -237,6 +238,47 @@
     );
 }
 
+/// Guards against a worker whose connections are all held by daemons that no longer own. They are
+/// paused and cannot close them, and the next owner reached no worker: nothing ran any more.
+#[test]
+fn paused_owners_leave_the_next_owner_connections_to_the_workers() {
+    /// Enough for an owner of a few connections after two others, and no more.
+    const WORKER_CONNECTIONS: usize = 12;
+    /// Twice as many tasks as the workers have accelerators.
+    const TASKS: u32 = 32;
+    const RUN_MS: u64 = 400;
+    const FIRST_ADDRESS: u8 = 20;
+    let operator = Operator::spawn(2);
+    operator.world().configure(1, &[("q", 1)], 5);
+    operator.world().worker_connections = WORKER_CONNECTIONS;
+    let daemons = fleet_from(217, FIRST_ADDRESS, &[operator.store; 3]);
+    wait_until("an owner", || !operator.world().roster().is_empty());
+    let mut paused = Vec::new();
+    for _ in 0..2 {
+        let (owner, owner_epoch) = (owner(&operator), epoch(&operator));
+        let started = operator.world().records.len();
+        let own_job = paused.len() as u64 + 1;
+        let answer = daemons[owner].request("POST", &path(own_job), &job(TASKS, RUN_MS));
+        assert!(matches!(answer, Answer::Status(200, _)), "{answer:?}");
+        wait_until("the workers are busy", || {
+            operator.world().records.len() >= started + TASKS as usize / 2
+        });
+
+        daemons[owner].signal(Signal::STOP);
+        paused.push(owner);
+        wait_until("another owner", || epoch(&operator) > owner_epoch);
+    }
+
+    let last = (0..daemons.len()).find(|at| !paused.contains(at));
+    let last = &daemons[last.expect("a third daemon")];
+    wait_until("all jobs are completed", || {
+        is_completed(last, 1) && is_completed(last, 2)
+    });
+    for owner in paused {
+        daemons[owner].signal(Signal::CONT);
+    }
+}
+
 /// The number of the daemon that the store names as the owner.
 fn owner(operator: &Operator) -> usize {
     let root = operator.world().value("owner").expect("an owner");
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -356,6 +356,45 @@
     assert!(!fleet.running().iter().any(|row| row.0 == bad));
 }
 
+/// Guards against a task that waits for a worker to which no connection is free, as if its start
+/// might have arrived.
+#[test]
+fn a_task_whose_start_was_not_sent_starts_elsewhere_at_once() {
+    const WITHIN_MS: u64 = 20;
+    let mut fleet = Fleet::with_workers(2);
+    fleet.without_connection = vec!["w0".to_owned()];
+
+    let job = fleet.submit(1, record("plain", vec![step(8, 2)]));
+    fleet.advance(WITHIN_MS);
+
+    let running = fleet.running();
+    assert_eq!(running.len(), 4, "w1 has room for four: {running:?}");
+    assert!(running.iter().all(|(worker, _)| worker == "w1"));
+    let unsent = fleet.starts.iter().filter(|(_, worker, _)| worker == "w0");
+    assert!(unsent.count() > 0, "w0 was tried");
+    fleet.end_all(job, EndKind::Done);
+    fleet.advance(RETRY_DELAY_MS);
+    assert_eq!(fleet.running().len(), 4, "the rest of the job runs");
+}
+
+/// Guards against a task that runs twice at a time: an earlier copy of the start was lost, and may
+/// be carried out, when the next one is not sent.
+#[test]
+fn a_task_whose_second_start_was_not_sent_stays_with_its_worker() {
+    let mut fleet = Fleet::with_workers(2);
+    fleet.loses_starts = true;
+    fleet.submit(1, record("plain", vec![step(1, 1)]));
+    fleet.advance(10);
+    let first = fleet.starts[0].clone();
+    fleet.without_connection = vec![first.1.clone()];
+    fleet.loses_starts = false;
+
+    fleet.advance(60);
+
+    let elsewhere = fleet.starts.iter().find(|start| start.1 != first.1);
+    assert_eq!(elsewhere, None);
+}
+
 /// The answer to a start order is lost. The order is sent again under the same run number,
 /// by which the worker recognizes it as the same start.
 #[test]
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -144,6 +144,8 @@
     pub refusal: Option<StartRefusal>,
     /// Whether starts are lost before they arrive.
     pub loses_starts: bool,
+    /// Workers to which the owner has no free connection for starts.
+    pub without_connection: Vec<String>,
     /// The usage of runs that workers report.
     pub usage: HashMap<RunName, f64>,
     /// Every throttle call, with its percentage.
@@ -485,6 +487,7 @@
             highest_acknowledged: HashMap::new(),
             refusal: None,
             loses_starts: false,
+            without_connection: Vec::new(),
             usage: HashMap::new(),
             throttles: Vec::new(),
             places: HashMap::new(),
@@ -977,6 +980,9 @@
     }
 
     fn start(&mut self, worker: &str, name: RunName) -> CallOutcome {
+        if self.without_connection.iter().any(|name| name == worker) {
+            return CallOutcome::NotSent;
+        }
         if self.loses_starts || self.unresponsive.iter().any(|name| name == worker) {
             return CallOutcome::NoAnswer;
         }
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -158,6 +158,10 @@
     data_centre: String,
 }
 
+/// Connections that a worker keeps open.
+const WORKER_CONNECTIONS: usize = 64;
+/// Time without a request after which a connection is closed.
+const IDLE_CONNECTION_TIME: Duration = Duration::from_secs(60);
 /// Initial number of accelerators of a worker.
 const ACCELERATORS: u64 = 8;
 /// Time after which daemons must respect a worker's reduced capacity: the contact bound and
@@ -236,6 +240,8 @@
     pub keeps_names: bool,
     /// Whether one start in three gets no answer and is carried out late.
     pub late_starts: bool,
+    /// Number of connections that each worker keeps open; it closes further ones at once.
+    pub worker_connections: usize,
     starts: u64,
     /// Descriptions of starts that exceeded the effective capacity of their worker.
     pub overcommitted_starts: Vec<String>,
@@ -961,6 +967,7 @@
             checks_capacity: true,
             keeps_names: false,
             late_starts: false,
+            worker_connections: WORKER_CONNECTIONS,
             starts: 0,
             overcommitted_starts: Vec::new(),
             records: Vec::new(),
@@ -995,14 +1002,18 @@
             actix_rt::System::new().block_on(async move {
                 let server_world = shared.clone();
                 let peers = Arc::new(PeerAddresses::new());
-                let (store, serving) =
-                    bind(move |request| answer_store(server_world.clone(), peers.clone(), request))
-                        .await;
+                let (store, serving) = bind(any_number, move |request| {
+                    answer_store(server_world.clone(), peers.clone(), request)
+                })
+                .await;
                 for index in 0..worker_count {
                     let server_world = shared.clone();
-                    let (address, serving) =
-                        bind(move |request| answer_worker(server_world.clone(), index, request))
-                            .await;
+                    let limit_world = shared.clone();
+                    let max_connections = move || lock(&limit_world).worker_connections;
+                    let (address, serving) = bind(max_connections, move |request| {
+                        answer_worker(server_world.clone(), index, request)
+                    })
+                    .await;
                     actix_rt::spawn(serving);
                     worker_sender
                         .send((index, address))
@@ -1035,8 +1046,10 @@
         let (world, peers) = (self.world.clone(), Arc::new(peers));
         std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
-                let (store, serving) =
-                    bind(move |request| answer_store(world.clone(), peers.clone(), request)).await;
+                let (store, serving) = bind(any_number, move |request| {
+                    answer_store(world.clone(), peers.clone(), request)
+                })
+                .await;
                 sender.send(store).expect("the test thread receives");
                 serving.await;
             });
@@ -1069,7 +1082,12 @@
     )
 }
 
-async fn bind<F, A>(answer: F) -> (SocketAddr, impl Future<Output = ()>)
+/// Serves `answer` at a free port. A connection that is opened beside as many as `max_connections`
+/// returns is closed at once.
+async fn bind<F, A>(
+    max_connections: impl Fn() -> usize,
+    answer: F,
+) -> (SocketAddr, impl Future<Output = ()>)
 where
     F: Fn(Request) -> A + Clone + 'static,
     A: Future<Output = Response<BoxBody>> + 'static,
@@ -1079,6 +1097,7 @@
         .expect("a free port");
     let address = listener.local_addr().expect("an address");
     let service = HttpService::build()
+        .keep_alive(IDLE_CONNECTION_TIME)
         .h1(move |request: Request| {
             let answering = answer(request);
             async move { Ok::<_, Infallible>(answering.await) }
@@ -1086,14 +1105,25 @@
         .tcp();
     let service = Rc::new(service.new_service(()).await.expect("a service"));
     let serving = async move {
+        let open = Rc::new(());
         while let Ok((stream, _)) = listener.accept().await {
-            let service = service.clone();
-            actix_rt::spawn(async move { service.call(stream).await });
+            if Rc::strong_count(&open) > max_connections() {
+                continue;
+            }
+            let (service, open) = (service.clone(), open.clone());
+            actix_rt::spawn(async move {
+                service.call(stream).await.ok();
+                drop(open);
+            });
         }
     };
     (address, serving)
 }
 
+fn any_number() -> usize {
+    usize::MAX
+}
+
 async fn body_of(request: &mut Request) -> Value {
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
