Open occurrences only while the owner has memory for them

Callers saw: one accepted job of 150 bytes, 40,000 tasks repeated 64 times every 250 ms, brings one owner after the other over its memory.

Cause: a job was admitted with two open occurrences and up to 64 were opened whatever memory was left: 2.1 million tasks of 120 bytes at 260 MB. A new owner opened all of them at once. With one occurrence the memory stays, so nothing else grows with the job.

Change: one rule for admission and opening. A job has one occurrence reserved; further ones open while everything takes less than half of the memory for jobs, and wait beyond it (E329), opened as others end, the account with the least of such memory first. A new owner opens first occurrences while it reads, others once it knows all jobs. Ends of an occurrence that waits count in its stored progress, and that progress is stored again with each change. A job that no owner can hold is refused for good.

--- a/src/cluster/client_requests.rs
+++ b/src/cluster/client_requests.rs
@@ -35,6 +35,7 @@
 };
 use crate::scheduler::{
     AccountDeclaration,
+    JobBytes,
     JobRecord,
     Queue, //
     VersionedTerms,
@@ -450,13 +451,16 @@
         let held_bytes = record.spec.memory_bytes() + encoded.len() * RECORD_COPIES;
         connection.hold(held_bytes).map_err(|_| Refusal::NoMemory)?;
     }
-    let is_admitted = node.job_room.borrow_mut().admit(record.memory_bytes());
+    let job_bytes = JobBytes::of(&record).needed();
+    let can_be_held = node.job_room.borrow().can_hold(job_bytes);
+    let is_admitted = node.job_room.borrow_mut().admit(job_bytes);
     let outcome = match is_admitted {
         true => submit::accept(node, job, record, encoded, parsed.until_ms).await,
         false => submit::earlier_outcome(node, job).await,
     };
     match outcome {
         StorageOutcome::Done => Ok((StatusCode::OK, b"{}".to_vec())),
+        StorageOutcome::Refused if !can_be_held => Err(Refusal::TooLarge),
         StorageOutcome::Refused if !is_admitted => Err(Refusal::NoJobMemory),
         StorageOutcome::Refused => Err(Refusal::StoreRefuses),
         StorageOutcome::Cancelled => Err(Refusal::Cancelled),
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -344,6 +344,7 @@
         ("queues", sizes.queues),
         ("unread_jobs", sizes.unreadable_jobs),
         ("accounts_beyond_share", sizes.accounts_beyond_share),
+        ("waiting_occurrences", sizes.waiting_occurrences),
     ];
     for (what, count) in kept {
         set_kept_gauge(what, count);
--- a/src/cluster/decision_lines.rs
+++ b/src/cluster/decision_lines.rs
@@ -147,6 +147,22 @@
                 "configuration_version": configuration_version,
                 "steps": record.spec.steps.iter().map(step_text).collect::<Vec<_>>() }),
         ),
+        Decision::OccurrenceWaits {
+            job,
+            occurrence,
+            reason,
+            open,
+            needed_bytes,
+            used_bytes,
+            limit_bytes,
+        } => (
+            events::OCCURRENCE_WAITS,
+            "occurrence_waits",
+            *reason,
+            json!({ "job": job.to_string(), "occurrence": occurrence, "open": open,
+                "needed_bytes": needed_bytes, "used_bytes": used_bytes,
+                "limit_bytes": limit_bytes }),
+        ),
         Decision::TermsUnknown {
             job,
             record,
--- a/src/cluster/job_room.rs
+++ b/src/cluster/job_room.rs
@@ -4,12 +4,13 @@
 //! few hundred bytes may have a hundred thousand tasks, and one of the largest size thousands of
 //! steps. So the owner tells the daemons with its heartbeats how much it has left, and they
 //! refuse what does not fit. Large jobs get half of the memory, so that they leave the others
-//! room.
+//! room. The owner opens no more occurrences than the same memory holds
+//! (`scheduler/job_memory.rs`).
+
+use crate::scheduler::LARGE_JOB_SHARE;
 
 /// Part of a machine's memory that jobs may take on the owner.
 const JOB_SHARE: u64 = 4;
-/// Part of that memory that large jobs may take.
-const LARGE_JOB_SHARE: u64 = 2;
 /// A job that takes more than this is large.
 const LARGE_JOB_BYTES: u64 = 64 << 10;
 
@@ -52,17 +53,27 @@
         self.accepted_bytes = 0;
     }
 
+    /// Whether an owner without any other job would have memory for a job of `job_bytes`.
+    pub fn can_hold(&self, job_bytes: u64) -> bool {
+        job_bytes <= self.most_bytes(job_bytes)
+    }
+
     /// Whether the owner has memory for a job of `job_bytes`. If so, the job counts from now on.
     pub fn admit(&mut self, job_bytes: u64) -> bool {
-        let most_bytes = match job_bytes > LARGE_JOB_BYTES {
-            true => self.limit_bytes / LARGE_JOB_SHARE,
-            false => self.limit_bytes,
-        };
         let accepted_bytes = self.accepted_bytes + self.accepted_before_bytes;
-        let is_admitted = self.used_bytes + accepted_bytes + job_bytes <= most_bytes;
+        let used_bytes = self.used_bytes + accepted_bytes + job_bytes;
+        let is_admitted = used_bytes <= self.most_bytes(job_bytes);
         if is_admitted {
             self.accepted_bytes += job_bytes;
         }
         is_admitted
     }
+
+    /// The memory of which a job of `job_bytes` may take the last part.
+    fn most_bytes(&self, job_bytes: u64) -> u64 {
+        match job_bytes > LARGE_JOB_BYTES {
+            true => self.limit_bytes / LARGE_JOB_SHARE,
+            false => self.limit_bytes,
+        }
+    }
 }
--- a/src/events.rs
+++ b/src/events.rs
@@ -133,6 +133,8 @@
     SHARE_CHANGED = 327, Info, "accounts want more than the fleet has, and waiting work of one is beyond its share and ordered behind that of others; or it is within its share again", "none; docs/OPERATIONS.md says how shares are computed";
     /// A worker lists a run as running that its owner had counted as ended.
     ENDED_RUN_LISTED = 328, Warn, "a worker lists a run as running that this owner had counted as ended", "report the line with the E309 and E307 of the run: its task may have run twice";
+    /// An occurrence of a job waits for memory.
+    OCCURRENCE_WAITS = 329, Info, "an occurrence of a job is due and waits until the owner has memory for it, or until earlier occurrences of the job are done", "none, unless it repeats for many jobs: then use VMs with more memory, or split the job";
     /// The upkeep of a machine was ordered.
     UPKEEP_ORDERED = 330, Info, "the upkeep of a machine was ordered, with the outcome named", "none, unless it repeats: then check the platform's interface for machines";
     /// A data centre gets no new tasks.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::cluster::{
     ClusterSettings,
+    JobRoom,
     VmResources, //
 };
 use crate::intake::IntakeLimits;
@@ -155,7 +156,9 @@
     let max_lease_ms = fields.scaled("bounds.max_hold_ms", 1.0, default.max_lease_ms)?;
     let shrink_effective_ms = fields.scaled(CONTACT_BOUND, 1.0, 3_000)?
         + fields.scaled("heartbeat_interval_ms", 1.0, 1_500)?;
+    let memory_bytes = fields.scaled("limits.memory_mb", BYTES_PER_MB, DEFAULT_MEMORY_BYTES)?;
     let tuning = Tuning {
+        job_memory_bytes: JobRoom::of_machine(memory_bytes).limit_bytes(),
         stop_ms: fields.scaled("bounds.stop_timeout_ms", 1.0, default.stop_ms)?,
         reclaim_ms: fields.scaled("bounds.reclaim_ms", 1.0, default.reclaim_ms)?,
         lease_ms: default.lease_ms.min(max_lease_ms),
@@ -185,7 +188,6 @@
         descriptors: fields.scaled("limits.file_descriptors", 1.0, u64::MAX)?,
         cpu_millis,
     };
-    let memory_bytes = fields.scaled("limits.memory_mb", BYTES_PER_MB, DEFAULT_MEMORY_BYTES)?;
     Ok(ClusterSettings {
         daemon: fields.text("node_name")?.to_owned(),
         data_centre: fields.text("zone")?.to_owned(),
--- a/src/scheduler/acknowledgement.rs
+++ b/src/scheduler/acknowledgement.rs
@@ -15,6 +15,7 @@
 //! value that cannot be decoded waits until it can be.
 
 use super::action::Decision;
+use super::job_progress::GroupProgress;
 use super::state::Scheduler;
 use super::{
     EndKind,
@@ -68,8 +69,10 @@
         if !self.jobs.contains_key(&id) {
             return WaitsFor::JobsReadPast(self.now_ms);
         }
-        self.open_for_end(GroupKey::of(row.name.task));
+        let group = GroupKey::of(row.name.task);
+        self.open_found_occurrence(group);
         match row.kind {
+            _ if self.jobs[&id].is_unopened(group.occurrence) => self.record_unopened_end(row),
             EndKind::Done => self.handle_done(key, row.name),
             _ => self.handle_failed(key, row.name),
         }
@@ -83,6 +86,38 @@
         }
     }
 
+    /// Records an end of an occurrence that waits for memory with the progress from which it will
+    /// open.
+    fn record_unopened_end(&mut self, row: &EndedRow) {
+        let key = GroupKey::of(row.name.task);
+        let job = self.job_mut(key.job);
+        let Some(step) = job.steps.get(key.step as usize).cloned() else {
+            return;
+        };
+        let index = row.name.task.index;
+        if index >= step.count || (step.long_running && row.kind == EndKind::Done) {
+            return;
+        }
+        let known = job.unopened.iter().position(|group| group.is_of(key));
+        let at = known.unwrap_or_else(|| {
+            job.unopened.push(GroupProgress {
+                occurrence: key.occurrence,
+                step: key.step,
+                ..GroupProgress::default()
+            });
+            job.unopened.len() - 1
+        });
+        let progress = &mut job.unopened[at];
+        match (row.kind, step.gang) {
+            (EndKind::Done, true) => (0..step.count).for_each(|index| progress.record_done(index)),
+            (EndKind::Done, false) => progress.record_done(index),
+            // The failures of a gang are counted on its first task.
+            (_, true) => progress.record_failure(0, row.name.run),
+            (_, false) => progress.record_failure(index, row.name.run),
+        }
+        self.job_changed(key.job);
+    }
+
     /// Applies the ends that were listed before their job was known or readable.
     pub(super) fn handle_early_ends(&mut self, id: JobId) {
         let waiting: Vec<WorkerKey> = self
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -187,6 +187,24 @@
         /// Why.
         reason: &'static str,
     },
+    /// An occurrence is due and waits until the owner has memory for it, or until earlier
+    /// occurrences of its job are done.
+    OccurrenceWaits {
+        /// The job.
+        job: JobId,
+        /// The occurrence.
+        occurrence: u32,
+        /// What it waits for: `job_memory` or `open_occurrences`.
+        reason: &'static str,
+        /// Open occurrences of the job.
+        open: usize,
+        /// Memory that the occurrence takes.
+        needed_bytes: u64,
+        /// Memory that jobs take or have reserved.
+        used_bytes: u64,
+        /// Memory that jobs may take.
+        limit_bytes: u64,
+    },
     /// An occurrence of a job opened.
     JobOpened {
         /// The job.
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -8,6 +8,7 @@
     JobFailure,
     StopReason, //
 };
+use super::job_memory::JobBytes;
 use super::job_progress::{
     FinalState,
     GroupProgress, //
@@ -64,6 +65,8 @@
     pub change: u64,
     /// Number of the last change that is durable.
     pub stored: u64,
+    /// The memory that it takes.
+    pub bytes: JobBytes,
     /// Work of an occurrence in thousandths of a core times milliseconds.
     pub work: f64,
     /// Accelerators that all tasks of its first step need together.
@@ -72,8 +75,8 @@
     pub steps: Vec<Arc<StepSpec>>,
     /// Number of quarantines of workers on which its runs hung, under this owner.
     pub(super) quarantines: u32,
-    /// The progress that an earlier owner stored, applied to occurrences as they open.
-    pub(super) restored: Option<ProgressRecord>,
+    /// Progress of the groups of occurrences that are neither open nor done.
+    pub(super) unopened: Vec<GroupProgress>,
 }
 
 /// The status of a job that is reported to its caller.
@@ -127,11 +130,6 @@
 }
 
 impl Scheduler {
-    /// Returns an estimate of the memory that the jobs take, in bytes.
-    pub fn job_bytes(&self) -> u64 {
-        self.job_bytes
-    }
-
     /// Adds a stored job. A job that is known already stays as it is.
     pub(super) fn handle_job_stored(
         &mut self,
@@ -165,7 +163,7 @@
             ended_ms: self.now_ms,
             started: !progress.groups.is_empty() || !progress.done_occurrences.is_empty(),
             next_occurrence: 0,
-            done_occurrences: progress.done_occurrences.clone(),
+            done_occurrences: progress.done_occurrences,
             open_occurrences: Vec::new(),
             change: 0,
             stored: 0,
@@ -174,12 +172,13 @@
                 .map_or(0, |step| step.count.saturating_mul(step.needs.accelerators)),
             steps,
             quarantines: 0,
+            bytes: JobBytes::of(&record),
             record,
-            restored: Some(progress),
+            unopened: progress.groups,
         };
         let over = job.is_over();
         let known = job.terms.is_some();
-        self.job_bytes += job.record.memory_bytes();
+        self.job_memory.add_job(&job);
         self.jobs.insert(id, job);
         if !over {
             if !known {
@@ -242,7 +241,9 @@
             self.stop_group(key, StopReason::JobOver);
             self.groups.remove(&key);
         }
-        self.job_mut(id).open_occurrences.clear();
+        let job = self.job_mut(id);
+        let open = std::mem::take(&mut job.open_occurrences).len();
+        self.job_memory.job_over(&self.jobs[&id], open);
         self.changed = true;
     }
 
@@ -305,12 +306,11 @@
     pub fn progress(&self, id: JobId) -> Option<(u64, ProgressRecord)> {
         let job = self.jobs.get(&id)?;
         let groups = self.groups_of(id);
+        let groups = groups.filter_map(|key| GroupProgress::of(&self.groups[&key]));
         let record = ProgressRecord {
             ended: job.ended,
             done_occurrences: job.done_occurrences.clone(),
-            groups: groups
-                .filter_map(|key| GroupProgress::of(&self.groups[&key]))
-                .collect(),
+            groups: job.unopened.iter().cloned().chain(groups).collect(),
         };
         Some((job.change, record))
     }
--- a/src/scheduler/job_progress.rs
+++ b/src/scheduler/job_progress.rs
@@ -147,11 +147,7 @@
         for (index, task) in group.tasks.iter().enumerate() {
             let index = index as u32;
             if task.state == TaskState::Done {
-                let word = (index / WORD_BITS) as usize;
-                if progress.done.len() <= word {
-                    progress.done.resize(word + 1, 0);
-                }
-                progress.done[word] |= 1 << (index % WORD_BITS);
+                progress.record_done(index);
             }
             if !task.failed_runs.is_empty() {
                 progress.failures.push(TaskFailures {
@@ -169,6 +165,44 @@
         (!empty).then_some(progress)
     }
 
+    /// Whether this is the progress of the group.
+    pub(super) fn is_of(&self, key: GroupKey) -> bool {
+        (self.occurrence, self.step) == (key.occurrence, key.step)
+    }
+
+    /// Records that a task is done.
+    pub(super) fn record_done(&mut self, index: u32) {
+        let word = (index / WORD_BITS) as usize;
+        if self.done.len() <= word {
+            self.done.resize(word + 1, 0);
+        }
+        self.done[word] |= 1 << (index % WORD_BITS);
+    }
+
+    /// Records that a run of a task has failed, unless that is recorded already.
+    pub(super) fn record_failure(&mut self, index: u32, run: u64) {
+        let known = self.failures.iter().position(|row| row.index == index);
+        let row = match known {
+            Some(at) => self.failures.swap_remove(at),
+            None => TaskFailures {
+                index,
+                runs: Vec::new(),
+                earlier: 0,
+            },
+        };
+        let mut task = Task {
+            failed_runs: row.runs,
+            earlier_failures: row.earlier,
+            ..Task::default()
+        };
+        task.count_failure(run);
+        self.failures.push(TaskFailures {
+            index,
+            runs: task.failed_runs,
+            earlier: task.earlier_failures,
+        });
+    }
+
     /// Restores this progress in a new group. Entries for tasks that the group does not
     /// have are ignored.
     pub fn restore(&self, group: &mut Group) {
@@ -212,8 +246,6 @@
 
     /// Returns the progress of a group, if there is any.
     pub fn group(&self, key: GroupKey) -> Option<&GroupProgress> {
-        self.groups
-            .iter()
-            .find(|group| (group.occurrence, group.step) == (key.occurrence, key.step))
+        self.groups.iter().find(|group| group.is_of(key))
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod id;
 mod input;
 mod job;
+mod job_memory;
 mod job_progress;
 mod learned;
 mod learned_restore;
@@ -127,6 +128,10 @@
     GraphJob,
     JobStatus, //
 };
+pub use job_memory::{
+    JobBytes,
+    LARGE_JOB_SHARE, //
+};
 pub use job_progress::{
     FinalState,
     ProgressRecord, //
--- a/src/scheduler/occurrence.rs
+++ b/src/scheduler/occurrence.rs
@@ -20,7 +20,7 @@
 };
 use std::sync::Arc;
 
-/// Most open occurrences of one job at a time, to bound memory; later ones wait.
+/// Most open occurrences of one job at a time; later ones wait.
 const MAX_OPEN_OCCURRENCES: usize = 64;
 /// A time at which nothing is due, 100 million years from now; sums with it stay in range.
 const NEVER_MS: u64 = 1 << 62;
@@ -62,6 +62,11 @@
         self.done_occurrences.contains(&occurrence) || self.open_occurrences.contains(&occurrence)
     }
 
+    /// Returns whether an occurrence exists and may still open.
+    pub(super) fn is_unopened(&self, occurrence: u32) -> bool {
+        occurrence < self.repetitions() && !self.is_over() && !self.has_opened(occurrence)
+    }
+
     /// Returns when an occurrence is due.
     fn due_ms(&self, occurrence: u32, now_ms: u64) -> u64 {
         match &self.record.spec.schedule {
@@ -82,41 +87,65 @@
 }
 
 impl Scheduler {
-    /// Opens the occurrences of a job that are due, and schedules the opening of the next.
+    /// Opens the occurrences of a job that are due and have memory, and schedules the opening of
+    /// the next.
     pub(super) fn open_occurrences(&mut self, id: JobId) {
-        loop {
-            let Some(job) = self.jobs.get(&id) else {
-                return;
-            };
-            if job.is_over() || job.next_occurrence >= job.repetitions() {
-                return;
-            }
-            let occurrence = job.next_occurrence;
-            if job.has_opened(occurrence) {
-                self.job_mut(id).next_occurrence += 1;
-                continue;
-            }
-            let due_ms = job.due_ms(occurrence, self.now_ms);
-            if due_ms > self.now_ms || job.open_occurrences.len() >= MAX_OPEN_OCCURRENCES {
-                self.due.insert((due_ms.max(self.now_ms + 1), id));
-                return;
+        while self.open_next_occurrence(id) {}
+        self.queue_next_occurrence(id);
+    }
+
+    /// Opens the next occurrence of a job, if it is due and may open.
+    pub(super) fn open_next_occurrence(&mut self, id: JobId) -> bool {
+        let Some((occurrence, due_ms)) = self.next_occurrence(id) else {
+            return false;
+        };
+        if due_ms > self.now_ms || !self.may_open_next_occurrence(&self.jobs[&id]) {
+            return false;
+        }
+        self.job_mut(id).next_occurrence += 1;
+        self.open_occurrence(id, occurrence, due_ms);
+        true
+    }
+
+    /// Schedules the opening of the next occurrence of a job.
+    pub(super) fn queue_next_occurrence(&mut self, id: JobId) {
+        match self.next_occurrence(id) {
+            Some((_, due_ms)) if due_ms > self.now_ms => {
+                self.due.insert((due_ms, id));
             }
-            self.job_mut(id).next_occurrence += 1;
-            self.open_occurrence(id, occurrence, due_ms);
+            Some((_, due_ms)) => self.wait_to_open(id, due_ms),
+            None => {}
+        }
+    }
+
+    /// Whether the next occurrence of a job may open beside those that are open.
+    pub(super) fn may_open_next_occurrence(&self, job: &GraphJob) -> bool {
+        job.open_occurrences.len() < MAX_OPEN_OCCURRENCES
+            && self.has_memory_for_next_occurrence(job)
+    }
+
+    /// Returns the next occurrence of a job that has not opened, and when it is due.
+    fn next_occurrence(&mut self, id: JobId) -> Option<(u32, u64)> {
+        let now_ms = self.now_ms;
+        let job = self.jobs.get_mut(&id).filter(|job| !job.is_over())?;
+        while job.has_opened(job.next_occurrence) {
+            job.next_occurrence += 1;
         }
+        let occurrence = job.next_occurrence;
+        let exists = occurrence < job.repetitions();
+        exists.then(|| (occurrence, job.due_ms(occurrence, now_ms)))
     }
 
-    /// Opens the occurrence to which a listed end belongs, unless it is open or done
-    /// already. An earlier owner had opened it, because its clock was ahead or because
-    /// other occurrences were done. Without this the end would be lost, and its task would
-    /// run again once the occurrence opens.
-    pub(super) fn open_for_end(&mut self, key: GroupKey) {
+    /// Opens the occurrence to which a listed run or end belongs, unless it is open or done
+    /// already. An earlier owner had opened it, because its clock was ahead, because other
+    /// occurrences were done or because it had more memory. Without this the end would be lost,
+    /// and its task would run again once the occurrence opens.
+    pub(super) fn open_found_occurrence(&mut self, key: GroupKey) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
         let (id, occurrence) = (key.job, key.occurrence);
-        let exists = occurrence < job.repetitions();
-        if exists && !job.is_over() && !job.has_opened(occurrence) {
+        if job.is_unopened(occurrence) && self.has_memory_for_found_occurrence(job) {
             let due_ms = job.due_ms(occurrence, self.now_ms);
             self.open_occurrence(id, occurrence, due_ms);
         }
@@ -137,7 +166,12 @@
             self.groups.insert(key, group);
             self.assign_found_runs(key);
         }
-        self.job_mut(id).open_occurrences.push(occurrence);
+        let job = self.job_mut(id);
+        let open = job.open_occurrences.len();
+        job.open_occurrences.push(occurrence);
+        job.unopened
+            .retain(|progress| progress.occurrence != occurrence);
+        self.job_memory.occurrence_opened(&self.jobs[&id], open);
         for key in keys.clone() {
             for crash in self.reported_crashes.remove(&key).into_iter().flatten() {
                 self.handle_counted_crash(crash);
@@ -321,6 +355,9 @@
         if !job.done_occurrences.contains(&occurrence) {
             job.done_occurrences.push(occurrence);
         }
+        let job = &self.jobs[&id];
+        let open = job.open_occurrences.len();
+        self.job_memory.occurrence_closed(job, open);
         self.end_job_if_done(id);
     }
 }
@@ -359,8 +396,8 @@
         claims: Vec::new(),
         step: step.clone(),
     };
-    let restored = job.restored.as_ref().and_then(|record| record.group(key));
-    if let Some(progress) = restored {
+    let mut unopened = job.unopened.iter();
+    if let Some(progress) = unopened.find(|progress| progress.is_of(key)) {
         progress.restore(&mut group);
     }
     group
--- a/src/scheduler/poll_report.rs
+++ b/src/scheduler/poll_report.rs
@@ -189,6 +189,7 @@
         let now_ms = self.now_ms;
         self.drop_older_unseen_runs(row.name);
         let group_key = GroupKey::of(row.name.task);
+        self.open_found_occurrence(group_key);
         let index = row.name.task.index;
         let (mut is_current, mut run) = (false, Run::found(now_ms, group_key));
         // The resources of the run are not known, so nothing else is started there
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -54,6 +54,7 @@
         }
         self.stored_state_read = true;
         self.earlier_owner_exited = earlier_owner_exited;
+        self.job_memory.retry_waiting();
         let lease_ms = self.tuning.lease_ms;
         let authority_ms = match earlier_owner_exited {
             true => 0,
--- a/src/scheduler/spec.rs
+++ b/src/scheduler/spec.rs
@@ -2,10 +2,6 @@
 //! kind.
 
 use super::VersionedTerms;
-use super::group::{
-    Group,
-    Task, //
-};
 use serde::{
     Deserialize,
     Serialize, //
@@ -174,10 +170,6 @@
 /// memory of the owner from when its occurrence opens.
 const MAX_TASKS: u64 = 100_000;
 
-/// Occurrences of a recurring job that are usually open at a time: the next one may begin before
-/// the last one has ended.
-const USUAL_OPEN_OCCURRENCES: u32 = 2;
-
 /// A job as its caller describes it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct JobSpec {
@@ -226,24 +218,3 @@
     /// What to run.
     pub spec: JobSpec,
 }
-
-impl JobRecord {
-    /// Returns an estimate of the memory that the job takes on the owner, in bytes: its record,
-    /// its steps once more, and the tasks of its open occurrences.
-    pub fn memory_bytes(&self) -> u64 {
-        let tasks: u64 = self
-            .spec
-            .steps
-            .iter()
-            .map(|step| u64::from(step.count))
-            .sum();
-        let repetitions = self
-            .spec
-            .schedule
-            .map_or(1, |schedule| schedule.repetitions);
-        let occurrences = u64::from(repetitions.min(USUAL_OPEN_OCCURRENCES));
-        let step_bytes = size_of::<Group>() * self.spec.steps.len();
-        let task_bytes = tasks * size_of::<Task>() as u64 + step_bytes as u64;
-        2 * self.spec.memory_bytes() as u64 + occurrences * task_bytes
-    }
-}
--- a/src/scheduler/state.rs
+++ b/src/scheduler/state.rs
@@ -11,6 +11,7 @@
 use super::emptying::Emptying;
 use super::fleet_speeds::FleetSpeeds;
 use super::freshness::Freshness;
+use super::job_memory::JobMemory;
 use super::learned::HeldWorkers;
 use super::upkeep::Upkeep;
 use super::urgent_needs::UrgentNeeds;
@@ -80,6 +81,8 @@
     pub unreadable_jobs: usize,
     /// Client accounts with waiting work beyond their shares.
     pub accounts_beyond_share: usize,
+    /// Jobs of which an occurrence is due and waits for memory or for earlier occurrences.
+    pub waiting_occurrences: usize,
 }
 
 /// Statistics of the jobs of a queue.
@@ -141,8 +144,7 @@
     /// How recently the registration entries of the workers were read.
     pub(super) entries_freshness: Freshness,
     pub(super) jobs: BTreeMap<JobId, GraphJob>,
-    /// Memory that the jobs take, in bytes.
-    pub(super) job_bytes: u64,
+    pub(super) job_memory: JobMemory,
     /// Jobs with a stored value that cannot be decoded.
     pub(super) unreadable_jobs: BTreeSet<JobId>,
     /// The stored roster cannot be decoded.
@@ -210,7 +212,7 @@
             jobs_read_ms: 0,
             entries_freshness: Freshness::of(now_ms),
             jobs: BTreeMap::new(),
-            job_bytes: 0,
+            job_memory: JobMemory::default(),
             unreadable_jobs: BTreeSet::new(),
             roster_unreadable: false,
             closed_without_roster: HashMap::new(),
@@ -359,6 +361,7 @@
         if self.stored_state_read {
             self.estimate_restored_speeds();
             self.open_due();
+            self.open_waiting_occurrences();
             if self.now_ms >= self.review_at_ms {
                 self.review_at_ms = self.now_ms + REVIEW_MS;
                 self.review();
@@ -442,6 +445,7 @@
             queues: self.terms.len(),
             unreadable_jobs: self.unreadable_jobs.len(),
             accounts_beyond_share: self.accounts.beyond_count(),
+            waiting_occurrences: self.job_memory.waiting_count(),
         }
     }
 
@@ -562,7 +566,7 @@
             .collect();
         for id in old {
             if let Some(job) = self.jobs.remove(&id) {
-                self.job_bytes -= job.record.memory_bytes();
+                self.job_memory.remove_job(&job);
             }
             self.deleting_jobs.insert(id, None);
             self.actions.push(Action::DeleteJob { job: id });
--- a/src/scheduler/tuning.rs
+++ b/src/scheduler/tuning.rs
@@ -44,6 +44,8 @@
     /// Time for which a new owner orders no upkeep: within it, two successive owners that
     /// both reach the platform must not give orders for the same machine.
     pub holder_gap_ms: u64,
+    /// Memory that jobs may take on the owner, in bytes.
+    pub job_memory_bytes: u64,
 }
 
 /// Time after a stop until its end is listed and the capacity is offered again: two
@@ -82,6 +84,7 @@
             entries_max_age_ms: u64::MAX,
             upkeep_ms: 2_000,
             holder_gap_ms: 3_500,
+            job_memory_bytes: u64::MAX,
         }
     }
 }
--- a/tests/job_room.rs
+++ b/tests/job_room.rs
@@ -2,6 +2,7 @@
 
 use fuchsiaslip::cluster::JobRoom;
 use fuchsiaslip::scheduler::{
+    JobBytes,
     JobRecord,
     JobSpec,
     StepSpec, //
@@ -65,7 +66,8 @@
         },
     };
 
-    let (one, many) = (job(1).memory_bytes(), job(100_000).memory_bytes());
+    let needed = |count| JobBytes::of(&job(count)).needed();
+    let (one, many) = (needed(1), needed(100_000));
 
     assert!(one < 4 * KB, "{one}");
     assert!(many > 1_000 * KB, "{many}");
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -403,6 +403,7 @@
             deleting_jobs: most.deleting_jobs.max(sizes.deleting_jobs),
             queues: most.queues.max(sizes.queues),
             unreadable_jobs: most.unreadable_jobs.max(sizes.unreadable_jobs),
+            waiting_occurrences: most.waiting_occurrences.max(sizes.waiting_occurrences),
             accounts_beyond_share: most.accounts_beyond_share.max(sizes.accounts_beyond_share),
         };
     }
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -142,6 +142,8 @@
     pub highest_acknowledged: HashMap<String, u64>,
     /// The reason for which workers refuse all starts, if they do.
     pub refusal: Option<StartRefusal>,
+    /// The tuning of the next owner.
+    pub next_tuning: Tuning,
     /// Whether starts are lost before they arrive.
     pub loses_starts: bool,
     /// Workers to which the owner has no free connection for starts.
@@ -440,8 +442,9 @@
         earlier_owner_exited: bool,
         send_inputs: impl FnOnce(&mut Self),
     ) -> Self {
-        let scheduler = Scheduler::new(epoch, Tuning::default(), self.now_ms);
+        let scheduler = Scheduler::new(epoch, self.next_tuning, self.now_ms);
         let mut next = Self::without_workers(scheduler);
+        next.next_tuning = self.next_tuning;
         next.now_ms = self.now_ms;
         next.workers = self.workers.clone();
         next.unresponsive = self.unresponsive.clone();
@@ -486,6 +489,7 @@
             stops: Vec::new(),
             highest_acknowledged: HashMap::new(),
             refusal: None,
+            next_tuning: Tuning::default(),
             loses_starts: false,
             without_connection: Vec::new(),
             usage: HashMap::new(),
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -72,7 +72,7 @@
 /// | 246 to 248 | `learned_state/whole_path.rs` |
 /// | 249 to 251 | `owner_parts.rs` |
 /// | 240 to 245 | `tombstones.rs` |
-/// | 252 | `client_resets.rs` |
+/// | 252 | `client_resets.rs`, `job_memory.rs` |
 /// | 253 | `partitioned_owners.rs` |
 /// | 254 | `stalled_clients.rs`, `stalled_callers.rs` |
 ///
