Wait for workers that have more ends than they list in one answer

Cause: a poll lists 500 ends. A new owner, which knows no runs, counted the answers of the workers and took the recovery for complete; E206 said all_answered. The bound on unacknowledged ends does not count running tasks, and still does not: small tasks fill large workers, and a full list proves nothing any more.

Change: a worker counts as having answered once it has listed fewer ends than one answer holds, or its lease has expired since. Until then jobs that earlier owners knew wait, beyond the longest lease as well, since the worker runs under leases of this owner. It is not taken for empty and not stored as closed before. New jobs start at once. E335 names the worker.

--- a/src/cluster/decision_lines.rs
+++ b/src/cluster/decision_lines.rs
@@ -211,6 +211,12 @@
                 "share_cores": change.share.is_finite().then_some(change.share / MILLICORES_PER_CORE),
             }),
         ),
+        Decision::EndsUnlisted { worker, listed } => (
+            events::ENDS_UNLISTED,
+            "ends_unlisted",
+            "full_list",
+            json!({ "worker": &**worker, "listed": listed }),
+        ),
         Decision::RecoveryOver {
             waited_ms,
             groups,
--- a/src/events.rs
+++ b/src/events.rs
@@ -145,6 +145,8 @@
     FIRST_START_AFTER_EMPTYING = 333, Warn, "a data centre got its first task after the order to empty it was withdrawn", "none";
     /// The operators' orders are stale.
     ORDERS_STALE = 334, Warn, "the operators' orders could not be read for too long; nothing new starts until they are read", "check the key-value service and the network between it and the owner";
+    /// A worker listed only part of its ends.
+    ENDS_UNLISTED = 335, Info, "a worker has more ends than it lists in one answer; tasks that earlier owners may have started wait until it has listed all of them", "none, unless no E206 follows: then check that the store takes writes, and cancel jobs that cannot be read";
     /// A configuration patch was accepted.
     PATCH_ACCEPTED = 400, Info, "a configuration patch was accepted", "none";
     /// A configuration patch was refused.
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -253,6 +253,14 @@
     },
     /// A client account began to have, or no longer has, waiting work beyond its share.
     ShareChanged(super::ShareChange),
+    /// A worker listed as many ends of runs as one answer has, so that it may have further ones
+    /// that this owner does not know of.
+    EndsUnlisted {
+        /// The worker's name.
+        worker: Arc<str>,
+        /// Number of ends that it listed.
+        listed: usize,
+    },
     /// The recovery of a new owner is over: all workers have answered, or all leases of
     /// earlier owners have expired.
     RecoveryOver {
--- a/src/scheduler/closed_workers.rs
+++ b/src/scheduler/closed_workers.rs
@@ -7,7 +7,8 @@
 //! owner that stops sending starts to a worker stores that the worker is closed, with the
 //! runs that it may have. A new owner then holds back only the tasks of these runs.
 //!
-//! - Only workers that this owner has polled are closed, so the list of runs is complete.
+//! - Only workers that have listed all ends to this owner are closed, so the list of runs is
+//!   complete.
 //! - Workers are closed only while the store answers; otherwise a worker that returns
 //!   during a store outage would stay idle until the end of the outage.
 //! - A closed worker that answers again gets work only after it is stored as open.
@@ -54,7 +55,9 @@
             && (worker.failed_polls >= polls_to_close || !worker.listed);
         let draining_now = worker.info.draining && worker.contact == Contact::Answering;
         let next = match worker.close_state {
-            CloseState::Open if unresponsive || draining_now => CloseState::Closing,
+            CloseState::Open if (unresponsive || draining_now) && worker.earlier_ends_known => {
+                CloseState::Closing
+            }
             CloseState::Closed
                 if worker.contact == Contact::Answering && worker.listed && !draining_now =>
             {
--- a/src/scheduler/membership.rs
+++ b/src/scheduler/membership.rs
@@ -79,6 +79,7 @@
         if worker.contact == Contact::Gone {
             // It was unresponsive and unlisted for a whole lease, and is registered again.
             worker.contact = Contact::Unfenced;
+            worker.earlier_ends_known = false;
             self.vacant_keys.retain(|&(_, vacant)| vacant != key);
         }
         let unknown = !self.worker(key).on_roster;
@@ -222,9 +223,11 @@
         let now_ms = self.now_ms;
         let worker = self.worker(key);
         let unreachable = matches!(worker.contact, Contact::Unresponsive | Contact::Unfenced);
-        // Nothing runs on a worker that this owner has polled and on which every run
+        // Nothing runs on a worker that has listed all ends to this owner and on which every run
         // ordered since has ended.
-        let empty = worker.contact == Contact::Unresponsive && worker.runs.is_empty();
+        let empty = worker.contact == Contact::Unresponsive
+            && worker.runs.is_empty()
+            && worker.earlier_ends_known;
         let expired_ms = match (empty, worker.lease_end_ms) {
             (true, _) => Some(0),
             // It has not answered this owner.
@@ -237,7 +240,8 @@
         if !unreachable || !self.is_confirmed_since(expired_ms) {
             return;
         }
-        let worker = self.worker(key);
+        let worker = self.worker_mut(key);
+        worker.earlier_ends_known = true;
         let listed = worker.listed;
         if !worker.runs.is_empty() {
             self.lose_runs(key, LossCause::LeaseExpired, now_ms);
--- a/src/scheduler/poll_report.rs
+++ b/src/scheduler/poll_report.rs
@@ -91,6 +91,13 @@
         // it would be started again although it may be done.
         if lists_all_ends {
             self.remove_absent_runs(key, sent_ms, &seen);
+            self.worker_mut(key).earlier_ends_known = true;
+        } else if is_reconnected && !self.worker(key).earlier_ends_known {
+            let worker = self.worker(key).name();
+            self.decided(Decision::EndsUnlisted {
+                worker,
+                listed: listed.len(),
+            });
         }
         self.review_entry_after_answer(key);
         self.review_recovery();
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -11,6 +11,11 @@
 //! Meanwhile yet another daemon may have taken over and extended the leases of these workers,
 //! so the wait ends only once the epoch is confirmed (see [`super::authority`]).
 //!
+//! A worker lists only part of its ends in one answer, and the next ones once these are
+//! acknowledged. It counts as having answered once it has listed all of them. While it answers it
+//! runs under leases of this owner, so its ends are waited for as long as that takes, or until its
+//! lease has expired.
+//!
 //! A roster that cannot be decoded may name any worker. The recovery then ends only with
 //! the longest lease.
 //!
@@ -94,21 +99,28 @@
         self.is_recovering() || (job.known_earlier && self.recovering_until_ms.is_some())
     }
 
-    /// Ends the recovery once every worker of the roster that is not closed has answered, or
-    /// the longest lease of an earlier owner has expired.
+    /// Ends the recovery once every worker of the roster that is not closed has listed all ends,
+    /// or the longest lease that it may have from an earlier owner has expired.
     pub(super) fn review_recovery(&mut self) {
         let Some(until_ms) = self.recovering_until_ms else {
             return;
         };
-        let has_not_answered = |worker: &&Worker| {
-            worker.on_roster
-                && worker.contact == Contact::Unfenced
-                && worker.close_state != CloseState::Closed
+        let is_relevant =
+            |worker: &Worker| worker.on_roster && worker.close_state != CloseState::Closed;
+        let has_not_answered =
+            |worker: &&Worker| is_relevant(worker) && worker.contact == Contact::Unfenced;
+        let has_unlisted_ends = |worker: &&Worker| {
+            let has_answered = matches!(worker.contact, Contact::Answering | Contact::Unresponsive);
+            is_relevant(worker) && has_answered && !worker.earlier_ends_known
+        };
+        // This runs after each poll, so each search stops at the first worker that is found.
+        let any = |is_found: &dyn Fn(&&Worker) -> bool| {
+            self.workers.iter().any(|worker| is_found(&worker))
         };
-        // This runs after each poll, so the search stops at the first worker that has not
-        // answered.
-        let any_unanswered = || self.workers.iter().any(|worker| has_not_answered(&worker));
-        let all_answered = !self.roster_unreadable && !any_unanswered();
+        if any(&has_unlisted_ends) {
+            return;
+        }
+        let all_answered = !self.roster_unreadable && !any(&has_not_answered);
         if !all_answered && (self.now_ms < until_ms || !self.is_confirmed_since(until_ms)) {
             return;
         }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -35,8 +35,8 @@
 /// wrongly taken as absent would be started a second time.
 pub(super) const CONCLUSIVE_MS: u64 = 2;
 
-/// A worker with this many unacknowledged ends gets no work. It lists at most 500 ends
-/// in one answer, so further ends might never be reported.
+/// A worker with this many unacknowledged ends gets no work, which bounds how many ends it lists
+/// beyond one answer. What runs there is not counted, so that small tasks can fill a large worker.
 const MAX_UNACKNOWLEDGED_ENDS: usize = 400;
 
 /// The phase of a run.
@@ -225,6 +225,9 @@
     pub runs: BTreeMap<RunName, Run>,
     /// The resources that its runs take.
     pub used: Resources,
+    /// It lists no further ends of runs that earlier owners started: it has listed all of them,
+    /// or its lease has expired since, so that those that it still lists do not count.
+    pub earlier_ends_known: bool,
     /// Number of the last end up to which all ends are durable.
     pub last_seen: u64,
     /// Number of the last end received from it.
@@ -298,6 +301,7 @@
             failed_polls: 0,
             runs: BTreeMap::new(),
             used: Resources::default(),
+            earlier_ends_known: false,
             last_seen: 0,
             last_received_end: 0,
             unacknowledged_ends: VecDeque::new(),
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -46,6 +46,9 @@
 /// Time before a test begins, in which the workers register and answer their first polls.
 const WARM_UP_MS: u64 = 1_000;
 
+/// Most ends that a worker lists in one answer.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 /// A simulated worker.
 #[derive(Clone, Debug, Default)]
 pub struct FakeWorker {
@@ -84,6 +87,21 @@
         self.lease_end_ms = self.lease_end_ms.max(lease_end_ms.min(longest_ms));
     }
 
+    /// Adds `count` ends of runs of a job that no owner knows.
+    pub fn end_others(&mut self, count: usize, kind: EndKind) {
+        for index in 0..count as u32 {
+            let task = TaskId {
+                job: JobId(u64::MAX),
+                occurrence: 0,
+                step: 0,
+                index,
+            };
+            let name = RunName { task, run: 1 };
+            self.running.insert(name, 0);
+            self.end(name, kind);
+        }
+    }
+
     /// Ends a run and adds it to the list of ended runs.
     pub fn end(&mut self, name: RunName, kind: EndKind) {
         if self.running.remove(&name).is_some() {
@@ -1059,7 +1077,7 @@
                         usage: self.usage.get(&name).copied(),
                     })
                     .collect(),
-                ended: fake.ended.clone(),
+                ended: fake.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
             };
             answered = true;
             self.send_input(Input::PollAnswered {
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -158,6 +158,8 @@
     data_centre: String,
 }
 
+/// Most ends that a worker lists in one answer.
+const MAX_LISTED_ENDS: usize = 500;
 /// Connections that a worker keeps open.
 const WORKER_CONNECTIONS: usize = 64;
 /// Time without a request after which a connection is closed.
@@ -932,6 +934,7 @@
                 let finished: Vec<Value> = worker
                     .ended
                     .iter()
+                    .take(MAX_LISTED_ENDS)
                     .map(|(number, task, run, end_kind)| json!([number, task, run, end_kind, ""]))
                     .collect();
                 let mut answer = json!({ "clock_ms": clock_ms, "born": worker.incarnation_start_ms,
