Schedule the next occurrence of a job whose waiting one was found

A recurring job was not opened again if the occurrence for which it waited was opened for a run that a worker listed and the next one was not due yet: it left the waiting ones and was not scheduled. Found by reading the change. a_job_goes_on_after_the_occurrence_that_waited_was_found_on_a_worker failed before and passes.

--- a/src/scheduler/job_memory.rs
+++ b/src/scheduler/job_memory.rs
@@ -134,7 +134,7 @@
         self.freed = true;
     }
 
-    /// Has the waiting occurrences tried again.
+    /// Requests that the waiting occurrences are tried again.
     pub(super) fn retry_waiting(&mut self) {
         self.freed = true;
     }
@@ -201,9 +201,9 @@
                 self.job_memory.waiting.remove(&id);
                 self.set_deciding(Some(id));
                 if self.open_next_occurrence(id) {
-                    self.queue_next_occurrence(id);
                     self.job_memory.retry_waiting();
                 }
+                self.queue_next_occurrence(id);
             }
         }
         self.set_deciding(None);
--- a/tests/job_memory.rs
+++ b/tests/job_memory.rs
@@ -209,21 +209,47 @@
     }
 }
 
-/// Returns a fleet whose owner has less memory than the one before, the job, and a run in an
-/// occurrence for which the new owner has no memory.
-fn owner_with_less_memory(steps: Vec<StepSpec>) -> (Fleet, JobId, JobRecord, RunName) {
-    let record = overlapping(3, steps);
-    let mut fleet = Fleet::with_workers(8);
-    fleet.next_tuning = tuning(bytes_of(&record, 1));
-    let job = fleet.submit(1, record.clone());
-    fleet.advance(50);
-    let running = fleet.running();
-    let last = running
-        .iter()
-        .rev()
-        .find(|(_, name)| name.task.occurrence == 2);
-    let name = last.expect("the last occurrence runs").1;
-    (fleet, job, record, name)
+/// A fleet whose next owner has memory for one occurrence of a job, with a run in the last one.
+struct LessMemory {
+    fleet: Fleet,
+    job: (JobId, JobRecord),
+    worker: String,
+    name: RunName,
+}
+
+impl LessMemory {
+    fn of(steps: Vec<StepSpec>) -> Self {
+        let record = overlapping(3, steps);
+        let mut fleet = Fleet::with_workers(8);
+        fleet.next_tuning = tuning(bytes_of(&record, 1));
+        let job = (fleet.submit(1, record.clone()), record);
+        fleet.advance(50);
+        let running = fleet.running();
+        let mut last = running.iter().filter(|(_, name)| name.task.occurrence == 2);
+        let (worker, name) = last.next().expect("the last occurrence runs").clone();
+        Self {
+            fleet,
+            job,
+            worker,
+            name,
+        }
+    }
+
+    fn end(&mut self, kind: EndKind) {
+        self.fleet.end_run(&self.worker, self.name, kind);
+    }
+
+    /// The next owner after `fleet`, once it has polled all workers.
+    fn owner_after(&self, fleet: &Fleet, epoch: u64) -> Fleet {
+        let mut next = fleet.next_owner(epoch, std::slice::from_ref(&self.job), true);
+        next.advance(300);
+        next
+    }
+
+    fn starts_again(&self, fleet: &Fleet) -> bool {
+        let mut starts = fleet.starts.iter();
+        starts.any(|start| start.0.task == self.name.task)
+    }
 }
 
 /// Guards against a done task that runs again: its end is listed while its occurrence waits for
@@ -231,25 +257,17 @@
 #[test]
 fn ends_of_an_occurrence_that_waits_for_memory_count_when_it_opens() {
     for steps in [vec![step(4, 1)], vec![gang(4, 1)]] {
-        let (mut fleet, job, record, name) = owner_with_less_memory(steps);
-        let workers = fleet.running();
-        let worker = workers
-            .iter()
-            .find(|(_, run)| *run == name)
-            .unwrap()
-            .0
-            .clone();
-        fleet.end_run(&worker, name, EndKind::Done);
-
-        let mut next = fleet.next_owner(2, &[(job, record)], true);
-        next.advance(300);
-        assert_eq!(open(&next, job), [0], "the others wait");
-        let acknowledged = next.acknowledged.iter().any(|end| end.row.name == name);
-        assert!(acknowledged, "it is stored with the progress of the job");
-        complete(&mut next, job);
+        let mut less = LessMemory::of(steps);
+        less.end(EndKind::Done);
+
+        let mut next = less.owner_after(&less.fleet, 2);
+        assert_eq!(open(&next, less.job.0), [0], "the others wait");
+        let mut acknowledged = next.acknowledged.iter();
+        let is_acknowledged = acknowledged.any(|end| end.row.name == less.name);
+        assert!(is_acknowledged, "it is stored with the progress of the job");
+        complete(&mut next, less.job.0);
 
-        let again = next.starts.iter().find(|start| start.0.task == name.task);
-        assert_eq!(again, None);
+        assert!(!less.starts_again(&next));
     }
 }
 
@@ -257,55 +275,64 @@
 /// not open.
 #[test]
 fn progress_of_an_occurrence_that_waits_for_memory_is_kept() {
-    let (mut fleet, job, record, name) = owner_with_less_memory(vec![step(4, 1)]);
-    let workers = fleet.running();
-    let worker = workers
-        .iter()
-        .find(|(_, run)| *run == name)
-        .unwrap()
-        .0
-        .clone();
-    fleet.end_run(&worker, name, EndKind::Done);
-    fleet.advance(50);
-    let mut next = fleet.next_owner(2, &[(job, record.clone())], true);
-    next.advance(300);
-    let first = next.running()[0].clone();
-    assert_eq!(first.1.task.occurrence, 0);
-    next.end_run(&first.0, first.1, EndKind::Done);
+    let mut less = LessMemory::of(vec![step(4, 1)]);
+    less.end(EndKind::Done);
+    less.fleet.advance(50);
+    let mut next = less.owner_after(&less.fleet, 2);
+    let (worker, first) = next.running()[0].clone();
+    assert_eq!(first.task.occurrence, 0);
+    next.end_run(&worker, first, EndKind::Done);
     next.advance(300);
 
-    let mut last = next.next_owner(3, &[(job, record)], true);
-    last.advance(300);
-    complete(&mut last, job);
+    let mut last = less.owner_after(&next, 3);
+    complete(&mut last, less.job.0);
 
-    let again = last.starts.iter().find(|start| start.0.task == name.task);
-    assert_eq!(again, None);
+    assert!(!less.starts_again(&last));
 }
 
 /// Guards against failures that are not counted while an occurrence waits for memory.
 #[test]
 fn failures_of_an_occurrence_that_waits_for_memory_count_when_it_opens() {
-    let (mut fleet, job, record, name) = owner_with_less_memory(vec![step(4, 1)]);
-    let workers = fleet.running();
-    let worker = workers
-        .iter()
-        .find(|(_, run)| *run == name)
-        .unwrap()
-        .0
-        .clone();
-    fleet.end_run(&worker, name, EndKind::Failed);
-    let mut next = fleet.next_owner(2, &[(job, record)], true);
-    next.advance(300);
-    assert_eq!(open(&next, job), [0]);
+    let mut less = LessMemory::of(vec![step(4, 1)]);
+    less.end(EndKind::Failed);
+    let mut next = less.owner_after(&less.fleet, 2);
+    assert_eq!(open(&next, less.job.0), [0]);
 
-    while open(&next, job) != [2] {
-        next.end_all(job, EndKind::Done);
+    while open(&next, less.job.0) != [2] {
+        next.end_all(less.job.0, EndKind::Done);
         next.advance(10);
     }
 
     let mut groups = next.scheduler.groups();
     let group = groups.next().expect("the last occurrence is open");
-    assert_eq!(group.tasks[name.task.index as usize].failures(), 1);
+    assert_eq!(group.tasks[less.name.task.index as usize].failures(), 1);
+}
+
+/// Guards against a job that is forgotten because the occurrence for which it waited was opened for
+/// a run that a worker listed, and the next one is not due yet.
+#[test]
+fn a_job_goes_on_after_the_occurrence_that_waited_was_found_on_a_worker() {
+    const INTERVAL_MS: u64 = 2_000;
+    let mut recurring = overlapping(3, vec![step(4, 1)]);
+    if let Some(schedule) = &mut recurring.spec.schedule {
+        schedule.interval_ms = INTERVAL_MS;
+    }
+    let mut fleet = Fleet::with_workers(8);
+    fleet.next_tuning = tuning(bytes_of(&recurring, 2));
+    let job = (fleet.submit(1, recurring.clone()), recurring);
+    fleet.advance(INTERVAL_MS + 50);
+    assert_eq!(open(&fleet, job.0), [0, 1]);
+
+    let mut next = fleet.next_owner(2, std::slice::from_ref(&job), true);
+    next.advance(300);
+    assert_eq!(open(&next, job.0), [0, 1]);
+    next.end_all(job.0, EndKind::Done);
+    next.advance(INTERVAL_MS);
+    next.end_all(job.0, EndKind::Done);
+    next.advance(50);
+
+    let status = next.scheduler.job_status(job.0);
+    assert_eq!(status, Some(JobStatus::Completed));
 }
 
 /// Guards against a client that is told to come back with a job that no owner can hold.
