Test the descriptors that a large job takes of its owner

With a connection for each start in flight, 100 workers of 8 accelerators took 921 sockets of the owner on; the bound of four a worker allows 460 in all.

--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -13,6 +13,10 @@
 
 use daemons::{
     epoch,
+    is_completed,
+    job,
+    path,
+    wait_until,
     wait_until_with_interval, //
 };
 use operator::{
@@ -20,6 +24,7 @@
     StoreMode, //
 };
 use processes::{
+    Answer,
     Daemon,
     loopback, //
 };
@@ -133,3 +138,30 @@
         log.contains("E207")
     });
 }
+
+/// Guards against an owner without descriptors for its clients: it opened a connection for each
+/// start in flight, so a large job took thousands.
+#[test]
+fn the_starts_of_a_large_job_leave_an_owner_descriptors() {
+    const WORKERS: usize = 100;
+    const CONNECTIONS_TO_A_WORKER: usize = 4;
+    /// Listeners, and connections to the store and to clients.
+    const OTHER_SOCKETS: usize = 60;
+    let operator = Operator::spawn(WORKERS);
+    operator.world().configure(1, &[("q", 1)], 5);
+    let daemon = Daemon::spawn("d0", loopback(218, 3), operator.store);
+    wait_until("all workers are known", || {
+        operator.world().roster().len() == WORKERS
+    });
+
+    let answer = daemon.request("POST", &path(1), &job(2_000, 300));
+    assert!(matches!(answer, Answer::Status(200, _)), "{answer:?}");
+    let mut most_sockets = 0;
+    wait_until_with_interval(CHECK_INTERVAL, "the job is completed", || {
+        most_sockets = most_sockets.max(daemon.open_sockets());
+        is_completed(&daemon, 1)
+    });
+
+    let limit = WORKERS * CONNECTIONS_TO_A_WORKER + OTHER_SOCKETS;
+    assert!(most_sockets <= limit, "{most_sockets} sockets");
+}
