--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -47,6 +47,7 @@
     Duration,
     Instant, //
 };
+use tokio::net::TcpStream;
 
 /// How the store behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -1110,12 +1111,20 @@
     let serving = async move {
         let open = Rc::new(());
         while let Ok((stream, _)) = listener.accept().await {
-            if Rc::strong_count(&open) > max_connections() {
+            let limit = max_connections();
+            if Rc::strong_count(&open) > limit {
                 continue;
             }
             let (service, open) = (service.clone(), open.clone());
             actix_rt::spawn(async move {
-                service.call(stream).await.ok();
+                if limit == any_number() {
+                    service.call(stream).await.ok();
+                } else {
+                    serve_until_closed(stream, async |stream| {
+                        service.call(stream).await.ok();
+                    })
+                    .await;
+                }
                 drop(open);
             });
         }
@@ -1123,6 +1132,26 @@
     (address, serving)
 }
 
+/// Serves a connection until its caller closes it: a call that gets no answer does not keep its
+/// connection open after that.
+async fn serve_until_closed(stream: TcpStream, serve: impl AsyncFnOnce(TcpStream)) {
+    let stream = stream.into_std().expect("a socket");
+    let watched = stream.try_clone().expect("a descriptor");
+    let stream = TcpStream::from_std(stream).expect("a socket");
+    let watched = TcpStream::from_std(watched).expect("a socket");
+    let closed = async {
+        while !matches!(watched.peek(&mut [0]).await, Ok(0) | Err(_)) {
+            // A request that has not been read yet.
+            actix_rt::time::sleep(DUE_EVENT_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        biased;
+        () = serve(stream) => {}
+        () = closed => {}
+    }
+}
+
 fn any_number() -> usize {
     usize::MAX
 }
