--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -941,7 +941,7 @@
 
 /// Seeds that failed before, with the fault that they found; `SOAK_SEEDS=known` runs them.
 /// A seed always gives the same faults and jobs, but the timing of the processes differs.
-const KNOWN_SEEDS: [(u64, &str); 28] = [
+const KNOWN_SEEDS: [(u64, &str); 30] = [
     (
         109,
         "a refused job ran: a closed connection was taken for an unsent call",
@@ -1033,6 +1033,14 @@
         "a job was accepted after its cancellation was answered with 410",
     ),
     (62007, "same cause as 62003"),
+    (
+        77006,
+        "the stand-in's: calls without an answer kept a worker's connections after their callers had closed",
+    ),
+    (
+        77125,
+        "open: a gang that crashes its workers is started seven times",
+    ),
 ];
 
 #[test]
